--- /dev/null
+++ b/internal/targetapi/targetapi.go
@@ -0,0 +1,105 @@
+// Package targetapi is the interface of a target: paths, headers and bodies
+// of HTTP/JSON. The relay and the target stand-in both use it;
+// docs/TARGETS.md describes it.
+package targetapi
+
+// Paths of a target.
+const (
+	PathShard  = "/v1/shard"    // POST: run one shard request
+	PathStatus = "/v1/status"   // GET: Status; it may lag or mislead
+	PathSettle = "/v1/attempts" // POST /v1/attempts/{attempt id}/settle: Settlement; optional
+)
+
+// Headers of a shard request. The answer's body echoes all but the budget,
+// and the relay checks every one.
+const (
+	HeaderRequest  = "X-Request-Id"
+	HeaderAttempt  = "X-Attempt-Id"
+	HeaderService  = "X-Service"
+	HeaderShard    = "X-Shard"
+	HeaderSnapshot = "X-Snapshot"
+	HeaderBudget   = "X-Budget-Ms" // remaining budget in milliseconds, decimal, fractions allowed
+)
+
+// Kinds of a shard request.
+const (
+	KindSearch  = "search"
+	KindReserve = "reserve"
+)
+
+// Request is the body of a shard request.
+type Request struct {
+	Kind          string `json:"kind"`
+	Text          string `json:"text,omitempty"`
+	Limit         int    `json:"limit,omitempty"`
+	Caller        string `json:"caller,omitempty"`
+	ReservationID string `json:"reservation_id,omitempty"`
+	Item          string `json:"item,omitempty"`
+}
+
+// Answer is the body of status 200. RowCount must equal len(Rows).
+type Answer struct {
+	RequestID string `json:"request_id"`
+	AttemptID string `json:"attempt_id"`
+	Service   string `json:"service"`
+	Shard     uint32 `json:"shard"`
+	Snapshot  uint64 `json:"snapshot"`
+	RowCount  int    `json:"row_count"`
+	TotalRows int    `json:"total_rows"` // rows found before the limit
+	Rows      []Row  `json:"rows"`
+	Granted   bool   `json:"granted,omitempty"` // reservations
+	Text      string `json:"text,omitempty"`    // reservations: the target's own words
+}
+
+// Row is one row of an answer.
+type Row struct {
+	Key   string  `json:"key"`
+	Value string  `json:"value"`
+	Score float64 `json:"score"`
+}
+
+// Rejection is the body of status 409 and 503: the request did not run.
+// Any other status than 200, 409 and 503 says that it may have run; 500 with a
+// body of this form and Code "failed" says that it ran in vain.
+type Rejection struct {
+	Code         string   `json:"code"`
+	RetryAfterMS int64    `json:"retry_after_ms,omitempty"`
+	Snapshots    []uint64 `json:"snapshots,omitempty"` // held for the service
+}
+
+// Codes of a Rejection.
+const (
+	CodeSnapshotNotHeld = "snapshot_not_held" // 409
+	CodeDraining        = "draining"          // 503
+	CodeShed            = "shed"              // 503
+	CodeRefusedAttempt  = "refused_attempt"   // 409: the attempt was settled as never run
+	CodeFailed          = "failed"            // 500
+)
+
+// States of a Status.
+const (
+	StateStarting = "starting"
+	StateReady    = "ready"
+	StateDraining = "draining"
+)
+
+// Status is the body of PathStatus. Incarnation grows with each start of the
+// target.
+type Status struct {
+	ID          string              `json:"id"`
+	State       string              `json:"state"`
+	Incarnation uint64              `json:"incarnation"`
+	Load        float64             `json:"load"` // running requests over slots
+	Slots       int                 `json:"slots"`
+	Snapshots   map[string][]uint64 `json:"snapshots"` // by service
+	Settles     bool                `json:"settles"`   // the settle interface is offered
+}
+
+// Settlement answers what became of an attempt. If it did not run, the target
+// refuses it from then on.
+type Settlement struct {
+	AttemptID string `json:"attempt_id"`
+	Ran       bool   `json:"ran"`
+	Running   bool   `json:"running"` // still running: ask again
+	Answer    Answer `json:"answer"`  // if it ran
+}
