In-memory platform for tests

The packages above the platform need its faults without sockets: outages of one or all clients, answers lost after the write took effect, writes that take effect late, latency, compaction, a settable clock. It starts no goroutine and waits on channels only, so it runs in a synctest bubble.

--- /dev/null
+++ b/internal/platform/platformtest/client.go
@@ -0,0 +1,234 @@
+package platformtest
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+// Client is one host's client of the platform, with faults of its own. It
+// implements platform.Store.
+type Client struct {
+	p *Platform
+
+	mu      sync.Mutex
+	down    bool
+	latency time.Duration
+	lose    int // answers to drop
+	drop    int // requests to drop
+	hold    int // writes to hold
+	now     time.Time
+}
+
+var _ platform.Store = (*Client)(nil)
+
+// Outage cuts this client off from the platform, or connects it again.
+func (c *Client) Outage(down bool) {
+	c.set(func() { c.down = down })
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	c.p.wake()
+}
+
+// LoseNextAnswers lets the next n writes take effect and fail with
+// *platform.Unanswered.
+func (c *Client) LoseNextAnswers(n int) { c.set(func() { c.lose = n }) }
+
+// LoseNextRequests lets the next n writes fail with *platform.Unanswered
+// without effect.
+func (c *Client) LoseNextRequests(n int) { c.set(func() { c.drop = n }) }
+
+// HoldNextWrites lets the next n writes fail with *platform.Unanswered and
+// take effect when Platform.Release is called.
+func (c *Client) HoldNextWrites(n int) { c.set(func() { c.hold = n }) }
+
+// SetLatency makes each call but a watch take d before it takes effect. A
+// call whose context ends first fails with *platform.Unanswered, without effect.
+func (c *Client) SetLatency(d time.Duration) { c.set(func() { c.latency = d }) }
+
+// Get implements platform.Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if err := c.begin(ctx, "get"); err != nil {
+		return platform.Object{}, err
+	}
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	c.tick()
+	o, ok := c.p.objects[key{kind, name}]
+	if !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+// List implements platform.Store.
+func (c *Client) List(ctx context.Context, kinds ...string) (platform.Listing, error) {
+	if err := c.begin(ctx, "list"); err != nil {
+		return platform.Listing{}, err
+	}
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	c.tick()
+	return c.p.list(kinds...), nil
+}
+
+// Put implements platform.Store.
+func (c *Client) Put(ctx context.Context, kind, name string, version uint64, value []byte) (platform.Object, error) {
+	return c.write(ctx, "put", key{kind, name}, version, value, false)
+}
+
+// Delete implements platform.Store.
+func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
+	_, err := c.write(ctx, "delete", key{kind, name}, version, nil, true)
+	return err
+}
+
+// Watch implements platform.Store.
+func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration, kinds ...string) (platform.Listing, error) {
+	if err := c.begin(ctx, "watch"); err != nil {
+		return platform.Listing{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		l, signal, err := c.changed(after, kinds)
+		if err != nil || len(l.Objects) > 0 {
+			return l, err
+		}
+		select {
+		case <-signal:
+		case <-timer.C:
+			return l, nil
+		case <-ctx.Done():
+			return platform.Listing{}, &platform.Unanswered{Cause: ctx.Err()}
+		}
+	}
+}
+
+// Hosts implements platform.Store.
+func (c *Client) Hosts(ctx context.Context) ([]platform.LiveHost, error) {
+	if err := c.begin(ctx, "hosts"); err != nil {
+		return nil, err
+	}
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	c.tick()
+	return slices.Clone(c.p.hosts), nil
+}
+
+// Now implements platform.Store.
+func (c *Client) Now() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now, !c.now.IsZero()
+}
+
+func (c *Client) set(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
+// begin counts the call, lets the latency pass and fails if the client is
+// cut off.
+func (c *Client) begin(ctx context.Context, verb string) error {
+	c.p.mu.Lock()
+	c.p.calls[verb]++
+	c.p.mu.Unlock()
+	if c.cut() || ctx.Err() != nil {
+		return &platform.Unavailable{Cause: errDown}
+	}
+	c.mu.Lock()
+	latency := c.latency
+	c.mu.Unlock()
+	if latency == 0 || verb == "watch" {
+		return nil
+	}
+	timer := time.NewTimer(latency)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+		return &platform.Unanswered{Cause: ctx.Err()}
+	}
+	if c.cut() {
+		return &platform.Unanswered{Cause: errDown}
+	}
+	return nil
+}
+
+func (c *Client) cut() bool {
+	c.mu.Lock()
+	down := c.down
+	c.mu.Unlock()
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	return down || c.p.down
+}
+
+// tick takes over the platform's clock; p.mu is held.
+func (c *Client) tick() {
+	now := c.p.clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.After(c.now) {
+		c.now = now
+	}
+}
+
+func (c *Client) write(ctx context.Context, verb string, k key, version uint64, value []byte, deleted bool) (platform.Object, error) {
+	if err := c.begin(ctx, verb); err != nil {
+		return platform.Object{}, err
+	}
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	lost := &platform.Unanswered{Cause: errDown}
+	switch {
+	case c.take(&c.drop):
+		return platform.Object{}, lost
+	case c.take(&c.hold):
+		kept := slices.Clone(value)
+		c.p.held = append(c.p.held, func() { _, _ = c.p.write(k, version, kept, deleted) })
+		return platform.Object{}, lost
+	}
+	o, err := c.p.write(k, version, value, deleted)
+	if c.take(&c.lose) {
+		return platform.Object{}, lost
+	}
+	c.tick()
+	return o, err
+}
+
+// take uses up one of the faults counted in n.
+func (c *Client) take(n *int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if *n == 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+// changed returns the changes after a revision and what signals the next one.
+func (c *Client) changed(after uint64, kinds []string) (platform.Listing, <-chan struct{}, error) {
+	if c.cut() {
+		return platform.Listing{}, nil, &platform.Unanswered{Cause: errDown}
+	}
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	if after < c.p.compacted {
+		return platform.Listing{}, nil, platform.ErrCompacted
+	}
+	c.tick()
+	l := platform.Listing{Revision: c.p.revision}
+	for _, o := range c.p.changes {
+		if o.Revision > after && slices.Contains(kinds, o.Kind) {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	return l, c.p.signal, nil
+}
--- /dev/null
+++ b/internal/platform/platformtest/platformtest.go
@@ -0,0 +1,163 @@
+// Package platformtest is an in-memory platform for tests. It opens no socket
+// and starts no goroutine, so it works inside a testing/synctest bubble and
+// gives the same answers on each run. One Platform stands for the store; each
+// host under test has a Client of its own, which can be cut off alone.
+package platformtest
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+// errDown is the cause of each failure that the fake makes.
+var errDown = errors.New("cut off by the test")
+
+type key struct{ kind, name string }
+
+// Platform is the store behind the clients.
+type Platform struct {
+	mu        sync.Mutex
+	objects   map[key]platform.Object
+	changes   []platform.Object // every change after compacted, oldest first
+	revision  uint64
+	compacted uint64
+	signal    chan struct{} // closed and replaced at each change, outage and recovery
+	down      bool
+	held      []func()
+	hosts     []platform.LiveHost
+	clock     func() time.Time
+	calls     map[string]int
+}
+
+// New returns an empty platform whose clock is time.Now, which is the virtual
+// clock inside a synctest bubble.
+func New() *Platform {
+	return &Platform{
+		objects: map[key]platform.Object{},
+		signal:  make(chan struct{}),
+		clock:   time.Now,
+		calls:   map[string]int{},
+	}
+}
+
+// Client returns a new client of the platform, without faults.
+func (p *Platform) Client() *Client { return &Client{p: p} }
+
+// Outage takes the platform down for every client, or up again. Calls fail
+// with *platform.Unavailable; watches that wait fail with *platform.Unanswered.
+func (p *Platform) Outage(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// SetClock replaces the platform's clock.
+func (p *Platform) SetClock(now func() time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.clock = now
+}
+
+// SetHosts replaces the platform's list of hosts.
+func (p *Platform) SetHosts(hosts ...platform.LiveHost) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = slices.Clone(hosts)
+}
+
+// Compact forgets the changes up to the newest one, so that a watch from an
+// older revision fails with platform.ErrCompacted.
+func (p *Platform) Compact() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.compacted, p.changes = p.revision, nil
+	p.wake()
+}
+
+// Release applies, in their order, the writes held by HoldNextWrites. A write
+// whose condition no longer holds is dropped.
+func (p *Platform) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.held
+	p.held = nil
+	for _, apply := range held {
+		apply()
+	}
+}
+
+// Calls returns how often a verb (get, list, put, delete, watch, hosts) was
+// called, failed calls included.
+func (p *Platform) Calls(verb string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls[verb]
+}
+
+// Revision returns the store's revision.
+func (p *Platform) Revision() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.revision
+}
+
+// Objects returns the objects of a kind, sorted by name.
+func (p *Platform) Objects(kind string) []platform.Object {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.list(kind).Objects
+}
+
+func (p *Platform) wake() {
+	close(p.signal)
+	p.signal = make(chan struct{})
+}
+
+func (p *Platform) list(kinds ...string) platform.Listing {
+	l := platform.Listing{Revision: p.revision}
+	for _, o := range p.objects {
+		if slices.Contains(kinds, o.Kind) {
+			l.Objects = append(l.Objects, o)
+		}
+	}
+	slices.SortFunc(l.Objects, func(a, b platform.Object) int {
+		return strings.Compare(a.Kind+"/"+a.Name, b.Kind+"/"+b.Name)
+	})
+	return l
+}
+
+// write applies a conditional write. The version of a name that was deleted
+// starts again from 1.
+func (p *Platform) write(k key, version uint64, value []byte, deleted bool) (platform.Object, error) {
+	current, ok := p.objects[k]
+	if !ok {
+		current = platform.Object{Kind: k.kind, Name: k.name}
+	}
+	if deleted && !ok {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	if current.Version != version {
+		return platform.Object{}, &platform.Conflict{Current: current}
+	}
+	now := p.clock()
+	p.revision++
+	next := current
+	next.Version, next.Revision, next.Changed = version+1, p.revision, now
+	next.Value, next.Deleted = slices.Clone(value), deleted
+	if !ok {
+		next.Created = now
+	}
+	p.objects[k] = next
+	if deleted {
+		delete(p.objects, k)
+	}
+	p.changes = append(p.changes, next)
+	p.wake()
+	return next, nil
+}
