--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -63,9 +63,9 @@
 func Discard() *Log { return New(io.Discard, plog.PanicLevel, "") }
 
 // Event begins a line for e. The caller adds the fields that e declares and
-// ends with Send:
+// ends with Msg:
 //
-//	log.Event(evTargetLost).Str("target", id).Err(err).Send()
+//	log.Event(evTargetLost).Str("target", id).Err(err).Msg("")
 func (l *Log) Event(e Event) *plog.Entry {
 	return l.logger.WithLevel(e.Level).Int("event", e.Number).Str("name", e.Name)
 }
