Host settings: JSON with comments, every problem with its place

The standard decoder stops at the first fault and tells no path, so a small strict one walks the parser's tree beside the Go type and collects them all.

--- /dev/null
+++ b/internal/settings/fields.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+)
+
+// fields are the members that a struct takes from a file.
+type fields struct {
+	names  []string         // in the order of the struct
+	byName map[string][]int // index for reflect.Value.FieldByIndex
+}
+
+// fieldsOf lists the fields with a json tag. Fields of an embedded struct
+// without a tag count as the outer struct's own.
+func fieldsOf(t reflect.Type) fields {
+	all := fields{byName: map[string][]int{}}
+	for i := range t.NumField() {
+		f := t.Field(i)
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		switch {
+		case f.Anonymous && name == "" && f.Type.Kind() == reflect.Struct:
+			inner := fieldsOf(f.Type)
+			for _, n := range inner.names {
+				all.add(n, append([]int{i}, inner.byName[n]...))
+			}
+		case f.IsExported() && name != "" && name != "-":
+			all.add(name, []int{i})
+		}
+	}
+	return all
+}
+
+func (f *fields) add(name string, index []int) {
+	f.names = append(f.names, name)
+	f.byName[name] = index
+}
--- /dev/null
+++ b/internal/settings/host.go
@@ -0,0 +1,205 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"time"
+
+	plog "github.com/phuslu/log"
+
+	"rhubarbwood.example/rhubarbwood/internal/unit"
+)
+
+// Host is the settings of one host. Each part with rules of its own is the
+// Config of the package that uses it.
+type Host struct {
+	ID            string    `json:"host"`
+	FailureDomain string    `json:"failure_domain"`
+	Addresses     Addresses `json:"addresses"`
+	Operators     Operators `json:"operators"`
+	Log           Log       `json:"log"`
+	Stop          Stop      `json:"stop"`
+	Limits        Limits    `json:"limits"`
+}
+
+// Addresses are where the host listens, each an IP address with a port; port
+// 0 takes a free one. They are told to others as they stand, so none may be
+// the unspecified address.
+type Addresses struct {
+	Callers   string `json:"callers"`   // callers' API, health and metrics
+	Operators string `json:"operators"` // operators' API
+	Peers     string `json:"peers"`     // other hosts
+}
+
+// Operators is who may run statements.
+type Operators struct {
+	Token Secret `json:"token"` // bearer token
+}
+
+// Log is what is logged.
+type Log struct {
+	Level string `json:"level"` // debug, info, warn or error
+}
+
+// Stop is how the host leaves.
+type Stop struct {
+	BalancerLag   unit.Duration `json:"balancer_lag"`   // that the balancer goes on sending after readiness fails
+	ModuleTimeout unit.Duration `json:"module_timeout"` // for each module to stop
+	HardLimit     unit.Duration `json:"hard_limit"`     // after which the process ends and says what it cut
+}
+
+// Limits bound what one caller may ask.
+type Limits struct {
+	MaxBody int `json:"max_body"` // bytes of a request's body
+}
+
+// Bounds of the settings.
+const (
+	maxBody         = 16 << 20
+	minTokenLength  = 16
+	maxBalancerLag  = time.Minute
+	maxHardLimit    = 10 * time.Minute
+	defaultMaxBody  = 64 << 10
+	defaultHardStop = 30 * time.Second
+)
+
+// DefaultHost returns the defaults. It lacks what only the operator knows:
+// id, failure domain, addresses, token and the platform's address.
+func DefaultHost() Host {
+	return Host{
+		Log: Log{Level: "info"},
+		Stop: Stop{
+			BalancerLag:   unit.Duration(5 * time.Second),
+			ModuleTimeout: unit.Duration(5 * time.Second),
+			HardLimit:     unit.Duration(defaultHardStop),
+		},
+		Limits: Limits{MaxBody: defaultMaxBody},
+	}
+}
+
+var name = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+
+// Validate checks the host's own fields; the parts check themselves.
+func (h Host) Validate() error {
+	return errors.Join(checkName("host", h.ID), checkName("failure_domain", h.FailureDomain))
+}
+
+func checkName(field, value string) error {
+	if value == "" {
+		return fmt.Errorf("%s is missing; want a name such as \"salt-lake-1\"", field)
+	}
+	if !name.MatchString(value) {
+		return fmt.Errorf("%s %q: want 1 to 63 lower-case letters, digits, dots or dashes", field, value)
+	}
+	return nil
+}
+
+// Validate checks that every address is there and can be told to others.
+func (a Addresses) Validate() error {
+	return errors.Join(
+		CheckAddress("callers", a.Callers),
+		CheckAddress("operators", a.Operators),
+		CheckAddress("peers", a.Peers),
+	)
+}
+
+// CheckAddress reports a value that isn't a specified IP address with a port.
+func CheckAddress(field, value string) error {
+	if value == "" {
+		return fmt.Errorf("%s: address is missing; want ip:port", field)
+	}
+	at, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return fmt.Errorf("%s %q: want ip:port, such as \"10.0.0.1:8080\"", field, value)
+	}
+	if at.Addr().IsUnspecified() {
+		return fmt.Errorf("%s %q: want an address that others can reach, not the unspecified one", field, value)
+	}
+	return nil
+}
+
+// Validate checks that the token can't be guessed.
+func (o Operators) Validate() error {
+	if len(o.Token) < minTokenLength {
+		return fmt.Errorf("token: want at least %d characters, got %d", minTokenLength, len(o.Token))
+	}
+	return nil
+}
+
+// Validate checks that the level is a known one.
+func (l Log) Validate() error {
+	switch l.Level {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return fmt.Errorf("level %q: want debug, info, warn or error", l.Level)
+}
+
+// Plog returns the level in the form of the log library.
+func (l Log) Plog() plog.Level { return plog.ParseLevel(l.Level) }
+
+// Validate checks the ranges, and that the hard limit leaves room for the
+// balancer's lag.
+func (s Stop) Validate() error {
+	return errors.Join(
+		checkRange("balancer_lag", s.BalancerLag, 0, maxBalancerLag),
+		checkRange("module_timeout", s.ModuleTimeout, time.Millisecond, maxHardLimit),
+		checkRange("hard_limit", s.HardLimit, time.Second, maxHardLimit),
+		s.checkOrder(),
+	)
+}
+
+func (s Stop) checkOrder() error {
+	if s.HardLimit > s.BalancerLag {
+		return nil
+	}
+	return fmt.Errorf("hard_limit %s: want more than balancer_lag, which is %s", s.HardLimit, s.BalancerLag)
+}
+
+func checkRange(field string, d unit.Duration, low, high time.Duration) error {
+	if d.Std() >= low && d.Std() <= high {
+		return nil
+	}
+	return fmt.Errorf("%s %s: want %s to %s", field, d, low, high)
+}
+
+// Validate checks the range.
+func (l Limits) Validate() error {
+	if l.MaxBody < 1 || l.MaxBody > maxBody {
+		return fmt.Errorf("max_body %d: want 1 to %d bytes", l.MaxBody, maxBody)
+	}
+	return nil
+}
+
+// Secret is a string that is never printed.
+type Secret string
+
+// hidden stands for a secret that is set.
+const hidden = "(hidden)"
+
+// String hides the secret.
+func (s Secret) String() string {
+	if s == "" {
+		return ""
+	}
+	return hidden
+}
+
+// MarshalJSON hides the secret.
+func (s Secret) MarshalJSON() ([]byte, error) { return json.Marshal(s.String()) }
+
+// Reveal returns the secret itself.
+func (s Secret) Reveal() string { return string(s) }
+
+// Effective returns the settings as JSON, defaults filled in and secrets
+// hidden.
+func Effective(s any) (string, error) {
+	text, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return "", Error.New("print settings: %w", err)
+	}
+	return string(text), nil
+}
