--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 )
 
@@ -84,3 +85,21 @@
 	}
 	return chosen
 }
+
+// ForService returns the relays of a service among the hosts, as many as the
+// connection limit of its tightest target and its rules allow.
+func ForService(s catalog.Service, hosts []member.Host) []member.Host {
+	connections := 0
+	for _, t := range s.Targets {
+		if connections == 0 || t.Connections < connections {
+			connections = t.Connections
+		}
+	}
+	usable := 0
+	for _, h := range hosts {
+		if h.Usable() {
+			usable++
+		}
+	}
+	return Relays(s.Name, hosts, RelayCount(usable, connections, s.Rules.ConnectionsPerRelay, s.Rules.Relays))
+}
