Client of the platform's object API

Each failure must tell whether the call may have been applied, since claims and changes of configuration are settled by it. No connection had, a refusal (4xx, 503) or no token: surely not applied. Anything after a connection was had: may have been applied.

--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,62 @@
+package platform
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/unit"
+)
+
+// Config tells where the platform is and how much of it one host may use.
+type Config struct {
+	// Addresses are host:port of the platform's API. The client stays with one
+	// and turns to the next when it can't connect.
+	Addresses []string `json:"addresses"`
+	// Timeout bounds one call; a watch takes this long on top of its wait.
+	Timeout unit.Duration `json:"timeout"`
+	// CallsPerSecond and Burst are the token bucket that all calls of the host
+	// pass, waiting watches included.
+	CallsPerSecond float64 `json:"calls_per_second"`
+	Burst          int     `json:"burst"`
+}
+
+const (
+	defaultTimeout        = time.Second
+	defaultCallsPerSecond = 50
+	defaultBurst          = 100
+	minTimeout            = time.Millisecond
+	maxTimeout            = time.Minute
+)
+
+// DefaultConfig returns the settings of a small site, without addresses.
+func DefaultConfig() Config {
+	return Config{
+		Timeout:        unit.Duration(defaultTimeout),
+		CallsPerSecond: defaultCallsPerSecond,
+		Burst:          defaultBurst,
+	}
+}
+
+// Validate reports every problem of the settings.
+func (c Config) Validate() error {
+	var problems []error
+	if len(c.Addresses) == 0 {
+		problems = append(problems, Error.New("addresses: want at least one"))
+	}
+	for _, a := range c.Addresses {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			problems = append(problems, Error.New("addresses: %q is not host:port", a))
+		}
+	}
+	if t := c.Timeout.Std(); t < minTimeout || t > maxTimeout {
+		problems = append(problems, Error.New("timeout: %s is not between %s and %s", t, minTimeout, maxTimeout))
+	}
+	if c.CallsPerSecond <= 0 {
+		problems = append(problems, Error.New("calls_per_second: want more than 0"))
+	}
+	if c.Burst < 1 {
+		problems = append(problems, Error.New("burst: want at least 1"))
+	}
+	return errors.Join(problems...)
+}
--- /dev/null
+++ b/internal/platform/events.go
@@ -0,0 +1,16 @@
+package platform
+
+import (
+	plog "github.com/phuslu/log"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+)
+
+var (
+	evUnreachable = event.Define(1001, "platform_unreachable", plog.WarnLevel,
+		"A call to the platform failed after earlier ones had succeeded.",
+		"Check the platform. Searches go on with the configuration that the hosts hold; reservations are refused.",
+		"verb", "error")
+	evReachable = event.Define(1002, "platform_reachable", plog.InfoLevel,
+		"The platform answers, at first or again.", "none", "verb")
+)
--- /dev/null
+++ b/internal/platform/metrics.go
@@ -0,0 +1,63 @@
+package platform
+
+import (
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+)
+
+// Results of calls, as the metrics name them.
+const (
+	resultOK          = "ok"
+	resultConflict    = "conflict"
+	resultNotFound    = "not_found"
+	resultCompacted   = "compacted"
+	resultUnavailable = "unavailable"
+	resultUnanswered  = "unanswered"
+)
+
+type metrics struct {
+	calls   *prometheus.CounterVec
+	seconds *prometheus.HistogramVec
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	f := promauto.With(reg)
+	return &metrics{
+		calls: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "rhubarbwood_platform_calls_total",
+			Help: "Calls to the platform by verb and result.",
+		}, []string{"verb", "result"}),
+		seconds: f.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "rhubarbwood_platform_call_duration_seconds",
+			Help:    "Time of calls to the platform by verb, the wait for a token included; a watch includes its wait.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}, []string{"verb"}),
+	}
+}
+
+func (m *metrics) observe(verb string, took time.Duration, err error) {
+	m.calls.WithLabelValues(verb, resultOf(err)).Inc()
+	m.seconds.WithLabelValues(verb).Observe(took.Seconds())
+}
+
+func resultOf(err error) string {
+	var conflict *Conflict
+	var unavailable *Unavailable
+	switch {
+	case err == nil:
+		return resultOK
+	case errors.As(err, &conflict):
+		return resultConflict
+	case errors.Is(err, ErrNotFound):
+		return resultNotFound
+	case errors.Is(err, ErrCompacted):
+		return resultCompacted
+	case errors.As(err, &unavailable):
+		return resultUnavailable
+	default:
+		return resultUnanswered
+	}
+}
