--- a/internal/policy/limiter.go
+++ b/internal/policy/limiter.go
@@ -30,6 +30,10 @@
 	windowSpan     = 100 * time.Millisecond
 	baseDrift      = 1.01 // growth of the base latency each window, so that it can rise
 	lowestFraction = 0.5  // of the fair share: the lowest limit
+
+	backOffFirst     = 2 * time.Millisecond
+	backOffLongest   = time.Second
+	backOffDoublings = 10
 )
 
 // Limiter bounds the requests that one relay has in flight at one target. It
@@ -46,7 +50,8 @@
 	ceiling  float64
 	inFlight int
 	peak     int       // most in flight in this window
-	pausedTo time.Time // pacing below a limit of one
+	pausedTo time.Time // pacing and back-off
+	sheds    int       // in a row
 	base     time.Duration
 	lastCut  time.Time
 	window   window
@@ -78,34 +83,35 @@
 	if !l.Free(now) {
 		return false
 	}
+	l.Take(now)
+	return true
+}
+
+// Take takes a place that Free has shown.
+func (l *Limiter) Take(time.Time) {
 	l.inFlight++
 	l.peak = max(l.peak, l.inFlight)
-	return true
 }
 
 // Free reports whether Acquire would succeed.
 func (l *Limiter) Free(now time.Time) bool {
-	if l.inFlight > 0 {
-		return float64(l.inFlight+1) <= l.limit
+	if now.Before(l.pausedTo) {
+		return false
 	}
-	return !now.Before(l.pausedTo)
+	return l.inFlight == 0 || float64(l.inFlight+1) <= l.limit
 }
 
-// Wait returns how long pacing keeps an idle limiter closed; 0 if it does not.
-// The owner sets a timer for it, as no Release will come.
-func (l *Limiter) Wait(now time.Time) time.Duration {
-	if l.inFlight > 0 || !now.Before(l.pausedTo) {
-		return 0
-	}
-	return l.pausedTo.Sub(now)
-}
+// Wait returns how long pacing keeps the limiter closed; 0 if it does not.
+// The owner sets a timer for it, as no Release may come.
+func (l *Limiter) Wait(now time.Time) time.Duration { return max(l.pausedTo.Sub(now), 0) }
 
 // Release gives a place back and learns from the attempt. latency is the time
 // from send to answer, or to giving up.
 func (l *Limiter) Release(now time.Time, latency time.Duration, s Signal) {
 	l.inFlight = max(l.inFlight-1, 0)
 	l.learn(now, latency, s)
-	l.pace(now, latency)
+	l.pause(now, l.pacing(latency))
+	l.pause(now, l.backOff(s))
 }
 
 // Limit returns the current limit. Below one it is a share of the time.
@@ -180,12 +186,28 @@
 	l.limit = math.Min(next, l.ceiling)
 }
 
-func (l *Limiter) pace(now time.Time, latency time.Duration) {
+func (l *Limiter) pause(now time.Time, d time.Duration) {
+	if until := now.Add(d); until.After(l.pausedTo) {
+		l.pausedTo = until
+	}
+}
+
+// pacing returns the pause that keeps a limit below one.
+func (l *Limiter) pacing(latency time.Duration) time.Duration {
 	if l.limit >= 1 {
-		return
+		return 0
 	}
-	pause := time.Duration(float64(latency) * (1/l.limit - 1))
-	if until := now.Add(pause); until.After(l.pausedTo) {
-		l.pausedTo = until
+	return time.Duration(float64(latency) * (1/l.limit - 1))
+}
+
+// backOff returns the pause after shed answers in a row. It doubles, because a
+// target that sheds everything answers at once and pacing alone would go on
+// asking it.
+func (l *Limiter) backOff(s Signal) time.Duration {
+	if s != Shed {
+		l.sheds = 0
+		return 0
 	}
+	l.sheds++
+	return min(backOffFirst<<min(l.sheds-1, backOffDoublings), backOffLongest)
 }
--- a/internal/policy/outlier.go
+++ b/internal/policy/outlier.go
@@ -6,25 +6,28 @@
 )
 
 const (
+	latencyWeight  = 0.1 // of the newest answer in the mean latency
 	failureWeight  = 0.2 // of the newest outcome in the failure ratio
 	failureEject   = 0.5 // failure ratio from which a target is set aside
-	minOutcomes    = 5   // before which nothing is set aside
+	slowRatio      = 3.0 // latency over the best of the others from which it is
+	minOutcomes    = 5   // before which nothing is judged
+	trialOutcomes  = 20  // good ones after which an ejection is forgotten
 	ejectFirst     = time.Second
 	ejectLongest   = 30 * time.Second
-	slowRatio      = 3.0 // latency over the replica set's best from which a target is an outlier
-	latencyWeight  = 0.2
-	failurePenalty = 8.0 // times the latency of a target that fails always
+	failurePenalty = 8.0 // cost of a target that always fails, in latencies
 	initialLatency = 5 * time.Millisecond
 )
 
 // Outlier judges one target of a replica set by its own answers, which
 // outweigh whatever its status says. A target that fails, or answers many
-// times slower than its peers, is set aside for a time that doubles each time
-// it is found bad again; then single requests try it.
+// times slower than the others, is set aside for a time that doubles when it
+// is soon found bad again; after that time one request at a time probes it.
 type Outlier struct {
 	latency   float64 // moving average, seconds
 	failures  float64 // moving average, 0..1
 	outcomes  int
+	good      int // since the last ejection
+	ejected   bool
 	ejectedTo time.Time
 	ejectFor  time.Duration
 	probing   bool
@@ -33,20 +36,30 @@
 // NewOutlier returns the state of a target of which nothing is known.
 func NewOutlier() *Outlier { return &Outlier{latency: initialLatency.Seconds()} }
 
-// Observe takes the end of one attempt. best is the lowest Latency among the
+// Sent tells that an attempt went to the target.
+func (o *Outlier) Sent(now time.Time) {
+	if o.ProbeDue(now) {
+		o.probing = true
+	}
+}
+
+// Observe takes the end of one attempt. best is the lowest latency among the
 // other targets of the replica set, 0 if there is none.
 func (o *Outlier) Observe(now time.Time, latency time.Duration, s Signal, best time.Duration) {
+	if o.ejected && !o.probing {
+		return // sent before the ejection, or for want of any other target
+	}
+	if o.probing {
+		o.judgeProbe(now, latency, s, best)
+		return
+	}
 	o.outcomes++
-	o.probing = false
-	o.blendLatency(latency, s)
-	o.blendFailure(s)
+	o.blend(latency, s)
 	if o.bad(best) {
 		o.eject(now)
 		return
 	}
-	if s == Served && !now.Before(o.ejectedTo) {
-		o.ejectFor = 0
-	}
+	o.forgive(s)
 }
 
 // Latency returns the moving average of the time to an answer.
@@ -57,14 +70,14 @@
 // FailureRatio returns the moving average of failed attempts, 0..1.
 func (o *Outlier) FailureRatio() float64 { return o.failures }
 
-// Ejected reports whether the target gets no first try now. When its time is
-// over, one attempt at a time may try it.
-func (o *Outlier) Ejected(now time.Time) bool {
-	return now.Before(o.ejectedTo) || (o.ejectFor > 0 && o.probing)
-}
+// Ejected reports whether the target is set aside, until a probe finds it
+// well.
+func (o *Outlier) Ejected(time.Time) bool { return o.ejected }
 
-// Sent tells that an attempt went to the target.
-func (o *Outlier) Sent() { o.probing = o.ejectFor > 0 }
+// ProbeDue reports whether one attempt may try a target that is set aside.
+func (o *Outlier) ProbeDue(now time.Time) bool {
+	return o.ejected && !o.probing && !now.Before(o.ejectedTo)
+}
 
 // Cost returns the expected time to an answer with the given requests in
 // flight ahead, in seconds; failures count as many times the latency.
@@ -73,14 +86,26 @@
 	return per * (1 + float64(inFlight)/math.Max(limit, 1))
 }
 
-func (o *Outlier) blendLatency(latency time.Duration, s Signal) {
+func (o *Outlier) judgeProbe(now time.Time, latency time.Duration, s Signal, best time.Duration) {
+	o.probing = false
+	well := s == Served && (best == 0 || latency.Seconds() <= slowRatio*best.Seconds())
+	if !well {
+		o.eject(now)
+		return
+	}
+	o.ejected = false
+	o.good = 0
+	o.latency = latency.Seconds()
+	o.failures /= 2
+}
+
+// blend takes a latency into the mean. That of an abandoned attempt is a
+// lower bound, and so counts only when it is above the mean.
+func (o *Outlier) blend(latency time.Duration, s Signal) {
 	seconds := latency.Seconds()
 	if s == Served || (s == Abandoned && seconds > o.latency) {
 		o.latency += latencyWeight * (seconds - o.latency)
 	}
-}
-
-func (o *Outlier) blendFailure(s Signal) {
 	switch s {
 	case Served:
 		o.failures -= failureWeight * o.failures
@@ -90,6 +115,16 @@
 	}
 }
 
+func (o *Outlier) forgive(s Signal) {
+	if s != Served || o.ejectFor == 0 {
+		return
+	}
+	o.good++
+	if o.good >= trialOutcomes {
+		o.ejectFor = 0
+	}
+}
+
 func (o *Outlier) bad(best time.Duration) bool {
 	if o.outcomes < minOutcomes {
 		return false
@@ -99,9 +134,7 @@
 }
 
 func (o *Outlier) eject(now time.Time) {
-	if now.Before(o.ejectedTo) {
-		return
-	}
+	o.ejected = true
 	o.ejectFor = min(max(2*o.ejectFor, ejectFirst), ejectLongest)
 	o.ejectedTo = now.Add(o.ejectFor)
 }
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -15,7 +15,13 @@
 	// DefaultQueueWait bounds the wait of a deferrable request.
 	DefaultQueueWait = time.Second
 
+	// DefaultInteractiveDelay and DefaultDeferrableDelay are the waits that,
+	// when the shortest in a window is above them, show overload of a class.
+	DefaultInteractiveDelay = 10 * time.Millisecond
+	DefaultDeferrableDelay  = 200 * time.Millisecond
+
 	smoothing = 0.1 // weight of the newest sample in a moving average
+	doubt     = 100 // part of the time of service taken off at each refusal for it
 )
 
 // QueueConfig bounds a queue. Zero fields take the defaults.
@@ -23,12 +29,14 @@
 	Capacity        int           // longest queue, both classes together
 	DeferrableShare int           // at least one deferrable in so many grants
 	QueueWait       time.Duration // after which a deferrable request goes first
+	NoGate          bool          // refuse by expected wait alone, not by rank
 }
 
 // Waiter is one request that waits for a place at a target.
 type Waiter[T any] struct {
 	Item     T
 	Urgency  query.Urgency
+	Rank     float64   // see Rank: of the whole request, not of its shard
 	Deadline time.Time // end of the request's budget
 
 	joined time.Time
@@ -46,8 +54,9 @@
 // before deferrable requests, and never starves the deferrable.
 type Queue[T any] struct {
 	cfg         QueueConfig
-	interactive []*Waiter[T]
+	interactive []*Waiter[T] // first come, first served within a class
 	deferrable  []*Waiter[T]
+	gates       map[query.Urgency]*Gate
 	passed      int           // grants since the last deferrable one, while one waited
 	interval    time.Duration // mean time between two grants while requests wait
 	service     time.Duration // mean time from grant to answer
@@ -65,14 +74,20 @@
 	if cfg.QueueWait <= 0 {
 		cfg.QueueWait = DefaultQueueWait
 	}
-	return &Queue[T]{cfg: cfg}
+	gates := map[query.Urgency]*Gate{
+		query.Interactive: NewGate(DefaultInteractiveDelay),
+		query.Deferrable:  NewGate(DefaultDeferrableDelay),
+	}
+	return &Queue[T]{cfg: cfg, gates: gates}
 }
 
-// Push lets w wait, or refuses it at once: when the queue is full, or when the
-// expected wait and the time of service together pass its remaining budget.
+// Push lets w wait for Pop, also when a place is free, or refuses it at once: when its rank does not pass the
+// gate of its class, when the queue is full, or when the expected wait and the
+// time of service together pass its remaining budget. Every request goes
+// through Push and Pop, so that the gates see also those that need not wait.
 func (q *Queue[T]) Push(now time.Time, w *Waiter[T]) Admission {
 	wait := q.ExpectedWait(now, w.Urgency)
-	if q.Len() >= q.cfg.Capacity || now.Add(wait+q.service).After(w.Deadline) {
+	if !q.admits(now, w, wait) {
 		return Admission{ExpectedWait: wait, RetryAfter: wait}
 	}
 	w.joined = now
@@ -110,7 +125,7 @@
 // Expire removes and returns the requests that can no longer be served in
 // their budget, to be refused at once.
 func (q *Queue[T]) Expire(now time.Time) []*Waiter[T] {
-	late := func(w *Waiter[T]) bool { return now.Add(q.service).After(w.Deadline) }
+	late := func(w *Waiter[T]) bool { return q.tooLate(now, w) }
 	return append(sift(&q.interactive, late), sift(&q.deferrable, late)...)
 }
 
@@ -127,11 +142,51 @@
 	if ahead == 0 {
 		return 0
 	}
-	interval := q.interval
-	if stalled := now.Sub(q.lastGrant); !q.lastGrant.IsZero() && stalled > interval {
-		interval = stalled
+	return time.Duration(ahead) * max(q.interval, now.Sub(q.waitingSince(now)))
+}
+
+// Threshold returns the part of the requests of a class that pass its gate.
+func (q *Queue[T]) Threshold(u query.Urgency) float64 { return q.gate(u).Threshold() }
+
+func (q *Queue[T]) gate(u query.Urgency) *Gate {
+	if u == query.Deferrable {
+		return q.gates[query.Deferrable]
+	}
+	return q.gates[query.Interactive]
+}
+
+// admits counts the request at its gate and compares the wait with its budget.
+func (q *Queue[T]) admits(now time.Time, w *Waiter[T], wait time.Duration) bool {
+	if !q.cfg.NoGate && !q.gate(w.Urgency).Admits(w.Rank) {
+		return false
+	}
+	return q.Len() < q.cfg.Capacity && !q.tooLate(now.Add(wait), w)
+}
+
+// tooLate reports whether a request that is granted then cannot be served in
+// its budget. Each time, the mean time of service shrinks a little: were it
+// too long, nothing would be served any more that could correct it.
+func (q *Queue[T]) tooLate(granted time.Time, w *Waiter[T]) bool {
+	if !granted.Add(q.service).After(w.Deadline) {
+		return false
+	}
+	q.service -= q.service / doubt
+	return true
+}
+
+// waitingSince returns when the requests that wait began to wait for the next
+// grant.
+func (q *Queue[T]) waitingSince(now time.Time) time.Time {
+	since := now
+	for _, list := range [][]*Waiter[T]{q.interactive, q.deferrable} {
+		if len(list) > 0 && list[0].joined.Before(since) {
+			since = list[0].joined
+		}
+	}
+	if since.Before(q.lastGrant) {
+		return q.lastGrant
 	}
-	return time.Duration(ahead) * interval
+	return since
 }
 
 func (q *Queue[T]) ahead(u query.Urgency) int {
@@ -161,6 +216,7 @@
 	}
 	q.interval = smooth(q.interval, now.Sub(since))
 	q.lastGrant = now
+	q.gate(w.Urgency).Granted(now, now.Sub(w.joined))
 }
 
 func smooth(mean, sample time.Duration) time.Duration {
