Targets: an operator's drain; rejections echo the attempt

Additive: Target.Drained stands in the configuration until undone, and a Rejection may echo its attempt, so that a crossed one is not taken for proof that a reservation did not run.

--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -20,8 +20,9 @@
 	ID            string `json:"id"`
 	Address       string `json:"address"` // host:port, HTTP
 	FailureDomain string `json:"failure_domain"`
-	Slots         int    `json:"slots"`       // requests it runs at once
-	Connections   int    `json:"connections"` // connections it accepts in all
+	Slots         int    `json:"slots"`             // requests it runs at once
+	Connections   int    `json:"connections"`       // connections it accepts in all
+	Drained       bool   `json:"drained,omitempty"` // by an operator; no new work until undone
 }
 
 // Rules are the policy of a service. Zero fields take the value of
--- a/internal/targetapi/targetapi.go
+++ b/internal/targetapi/targetapi.go
@@ -64,7 +64,8 @@
 type Rejection struct {
 	Code         string   `json:"code"`
 	RetryAfterMS int64    `json:"retry_after_ms,omitempty"`
-	Snapshots    []uint64 `json:"snapshots,omitempty"` // held for the service
+	Snapshots    []uint64 `json:"snapshots,omitempty"`  // held for the service
+	AttemptID    string   `json:"attempt_id,omitempty"` // echoed; a rejection that names another attempt proves nothing
 }
 
 // Codes of a Rejection.
