--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -6,4 +6,22 @@
 // nothing starts a goroutine. Times must carry the monotonic reading of one
 // process. No type is safe for concurrent use: the owner holds a lock, usually
 // one for each replica set, because one decision reads several of them.
+//
+// A relay keeps, for each replica set, a Queue, a Hedger, a retry Budget and
+// the Replicas, and for each shard of a batch
+//
+//   - calls Queue.Push with the Rank of the request id; a refusal is answered
+//     at once with RetryAfter;
+//   - whenever something changed (Push, Replica.Done, a timer after Wait),
+//     calls Queue.Expire, and Queue.Pop with a function that asks Pick, until
+//     Pop returns nil; for each grant Replica.Send, Hedger.First and
+//     Budget.First;
+//   - after Hedger.Delay asks Hedger.Take, with Saturated or a queue that is
+//     not empty, then Pick with Hedge;
+//   - after an attempt that may be repeated asks Budget.Take, then Pick with
+//     Retry;
+//   - at the end of each attempt calls Replica.Done, and for a valid answer
+//     Hedger.Observe and Queue.Served.
+//
+// An entry keeps one Throttle for each workload and chooses relays with Choose.
 package policy
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -81,10 +81,11 @@
 	return &Queue[T]{cfg: cfg, gates: gates}
 }
 
-// Push lets w wait for Pop, also when a place is free, or refuses it at once: when its rank does not pass the
-// gate of its class, when the queue is full, or when the expected wait and the
-// time of service together pass its remaining budget. Every request goes
-// through Push and Pop, so that the gates see also those that need not wait.
+// Push lets w wait for Pop, also when a place is free. It refuses w at once
+// when its rank does not pass the gate of its class, when the queue is full, or
+// when the expected wait and the time of service pass its remaining budget.
+// Every request goes through Push and Pop, so that the gates see also those
+// that need not wait.
 func (q *Queue[T]) Push(now time.Time, w *Waiter[T]) Admission {
 	wait := q.ExpectedWait(now, w.Urgency)
 	if !q.admits(now, w, wait) {
