--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -55,7 +55,7 @@
 	for _, fault := range split(err) {
 		at := n.mentioned(t, fault.Error())
 		if !d.known(n, at, fault.Error()) {
-			d.report(at, "%s", fault)
+			d.report(at, "%s", fieldPrefix.ReplaceAllString(fault.Error(), ""))
 		}
 	}
 }
@@ -94,6 +94,10 @@
 	return []error{err}
 }
 
+// fieldPrefix are the class of an error and the field's name before a text;
+// the problem's path tells both.
+var fieldPrefix = regexp.MustCompile(`^([a-z][a-z0-9_.]*: )+`)
+
 var fieldName = regexp.MustCompile(`[a-z][a-z0-9_]*(\.[a-z][a-z0-9_]*)*`)
 
 // mentioned returns the first field of the struct t, or of a struct in it
