--- /dev/null
+++ b/internal/api/decode.go
@@ -0,0 +1,66 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/oklog/ulid/v2"
+	goahttp "goa.design/goa/v3/http"
+	goa "goa.design/goa/v3/pkg"
+)
+
+const headerRequestID = "X-Request-Id"
+
+type requestIDKey struct{}
+
+// requestID returns the id of the request that ctx belongs to.
+func requestID(ctx context.Context) string {
+	id, _ := ctx.Value(requestIDKey{}).(string)
+	return id
+}
+
+// withRequestID gives a request without an id a new one, and echoes the id in
+// the answer's header.
+func withRequestID(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(headerRequestID)
+		if id == "" {
+			id = ulid.Make().String()
+			r.Header.Set(headerRequestID, id)
+		}
+		w.Header().Set(headerRequestID, id)
+		next.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), requestIDKey{}, id)))
+	})
+}
+
+// decoder reads a JSON body strictly: a field that the design doesn't know is
+// refused, as a misspelt one would otherwise be ignored without a word.
+func decoder(r *http.Request) goahttp.Decoder { return strictDecoder{r} }
+
+type strictDecoder struct{ request *http.Request }
+
+// Decode reads the body into v. A body over the limit has an error of its own.
+func (d strictDecoder) Decode(v any) error {
+	dec := json.NewDecoder(d.request.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(v); err != nil {
+		return decodeError(err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return goa.DecodePayloadError("more than one JSON value in the body")
+	}
+	return nil
+}
+
+func decodeError(err error) error {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		err = fmt.Errorf("the body is over the limit of %d bytes", large.Limit)
+		return goa.NewServiceError(err, string(classTooLarge), false, false, false)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"rhubarbwood.example/rhubarbwood/internal/delivery"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+)
+
+type metrics struct {
+	requests  *prometheus.CounterVec
+	latency   *prometheus.HistogramVec
+	attempts  prometheus.Counter
+	needed    prometheus.Counter
+	calls     prometheus.Counter
+	lost      prometheus.Counter
+	overtaken prometheus.Counter
+	restarts  prometheus.Counter
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	f := promauto.With(reg)
+	counter := func(name, help string) prometheus.Counter {
+		return f.NewCounter(prometheus.CounterOpts{Name: "rhubarbwood_entry_" + name, Help: help})
+	}
+	return &metrics{
+		requests: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "rhubarbwood_entry_requests_total",
+			Help: "Requests of callers by outcome, reason of refusal and coverage band.",
+		}, []string{"service", "outcome", "reason", "coverage"}),
+		latency: f.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "rhubarbwood_entry_latency_seconds",
+			Help:    "Time from a request's arrival to its answer or refusal.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 1.6, 20),
+		}, []string{"service"}),
+		attempts:  counter("attempts_total", "Shard attempts sent to targets, hedges and retries included."),
+		needed:    counter("needed_total", "Shard answers that answered searches needed."),
+		calls:     counter("relay_calls_total", "Batches sent to relays."),
+		lost:      counter("relays_lost_total", "Relay calls that ended without a last word on every shard."),
+		overtaken: counter("relays_overtaken_total", "Relay calls whose open shards were asked of another relay as well."),
+		restarts:  counter("snapshot_restarts_total", "Searches that left a snapshot which a shard's targets no longer held."),
+	}
+}
+
+func (m *metrics) observe(d delivery.Delivery) {
+	if d.Reason == query.ReasonUnknownService || d.Reason == query.ReasonBadRequest {
+		d.Service = "" // a caller's free text must not become a label
+	}
+	m.requests.WithLabelValues(d.Service, d.Outcome.String(), string(d.Reason), bandOf(d.Coverage)).Inc()
+	m.latency.WithLabelValues(d.Service).Observe(d.Latency.Seconds())
+	m.attempts.Add(float64(d.Attempts))
+	m.needed.Add(float64(d.Needed))
+}
--- a/internal/query/refusal.go
+++ b/internal/query/refusal.go
@@ -14,6 +14,7 @@
 const (
 	ReasonBadRequest      Reason = "bad_request"         // malformed; the caller must change it
 	ReasonUnknownService  Reason = "unknown_service"     // no such service or workload
+	ReasonConflict        Reason = "conflict"            // a write lost a race
 	ReasonTooLarge        Reason = "too_large"           // body over the limit
 	ReasonBudget          Reason = "budget_exhausted"    // the budget ended first
 	ReasonOverload        Reason = "overload"            // shed here or by the target
