Membership by probing a few hosts a second, thin

Cause: hosts must find each other, and find out who is gone, at a cost that does not grow with the fleet and without a coordination service. Before: types alone. After: probes with indirect probes, suspicion, refutation, bounded piggyback, platform records and seeds at start, announce and leave.

--- /dev/null
+++ b/internal/member/convert.go
@@ -0,0 +1,35 @@
+package member
+
+import "rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+
+func toInfo(u update) *peerpb.HostInfo {
+	return &peerpb.HostInfo{
+		Id: u.ID, FailureDomain: u.FailureDomain, Peer: u.Peer, Api: u.API,
+		Incarnation: u.Incarnation, State: string(u.State), Revision: u.Revision, StateVersion: u.Version,
+	}
+}
+
+func toInfos(us []update) []*peerpb.HostInfo {
+	infos := make([]*peerpb.HostInfo, len(us))
+	for i, u := range us {
+		infos[i] = toInfo(u)
+	}
+	return infos
+}
+
+// fromInfo returns false for a record that no host would send.
+func fromInfo(i *peerpb.HostInfo) (update, bool) {
+	if i.GetId() == "" || i.GetPeer() == "" {
+		return update{}, false
+	}
+	h := Host{
+		ID: i.Id, FailureDomain: i.FailureDomain, Peer: i.Peer, API: i.Api,
+		Incarnation: i.Incarnation, State: State(i.State), Revision: i.Revision,
+	}
+	switch h.State {
+	case Alive, Suspect, Leaving, Dead:
+		return update{Host: h, Version: i.StateVersion}, true
+	default:
+		return update{}, false
+	}
+}
--- /dev/null
+++ b/internal/member/errors.go
@@ -0,0 +1,6 @@
+package member
+
+import "github.com/zeebo/errs"
+
+// Error is the class of this package's errors.
+var Error = errs.Class("member")
--- /dev/null
+++ b/internal/member/exchange.go
@@ -0,0 +1,152 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+)
+
+// Probe answers a peer's probe, as the drpc service Members wants.
+func (m *Members) Probe(ctx context.Context, req *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	if m.gone() {
+		return nil, Error.New("host has stopped")
+	}
+	m.receive(req.From, req.Updates, m.sends())
+	reply := &peerpb.ProbeReply{}
+	if req.Indirect {
+		reply.Reached = m.probeFor(ctx, req.TargetId)
+	}
+	self, updates := m.message(req.From.GetId(), req.All)
+	reply.Self, reply.Updates = self, updates
+	return reply, nil
+}
+
+// probeFor probes the host with this id for another one.
+func (m *Members) probeFor(ctx context.Context, id string) bool {
+	h, known := m.Lookup(id)
+	if !known {
+		return false
+	}
+	return m.exchange(ctx, kindIndirect, h.Peer, &peerpb.ProbeRequest{TargetId: id}) == nil
+}
+
+func (m *Members) gone() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopped
+}
+
+// message returns what is to be told to a peer: this host and a bounded
+// number of others, or all.
+func (m *Members) message(about string, all bool) (*peerpb.HostInfo, []*peerpb.HostInfo) {
+	m.lock()
+	defer m.mu.Unlock()
+	if all {
+		return toInfo(m.self), toInfos(m.table.all())
+	}
+	return toInfo(m.self), toInfos(m.table.updates(m.cfg.UpdatesPerMessage, about))
+}
+
+// exchange sends req, completed with this host's news, to address and takes
+// in the reply. It fails if another host than the one meant answers.
+func (m *Members) exchange(ctx context.Context, kind, address string, req *peerpb.ProbeRequest) error {
+	reply, err := m.call(ctx, address, req)
+	if err == nil && req.TargetId != "" && !req.Indirect && reply.Self.GetId() != req.TargetId {
+		err = Error.New("host %q answers at %s in place of %q", reply.Self.GetId(), address, req.TargetId)
+	}
+	m.metrics.probes.WithLabelValues(kind, result(err)).Inc()
+	return err
+}
+
+func (m *Members) call(ctx context.Context, address string, req *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	timeout := m.cfg.ProbeTimeout.Std()
+	if req.Indirect {
+		timeout *= 2 // the helper needs a whole probe of its own
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	about := req.TargetId
+	if req.Indirect {
+		about = ""
+	}
+	req.From, req.Updates = m.message(about, false)
+	reply, err := m.prober.Probe(ctx, address, req)
+	if err != nil {
+		return nil, Error.New("probe %s: %w", address, err)
+	}
+	sends := m.sends()
+	if req.All {
+		sends = 0 // news to this host alone
+	}
+	m.receive(reply.Self, reply.Updates, sends)
+	return reply, nil
+}
+
+// receive takes in what a peer told of itself and of others, and passes what
+// is news on sends times.
+func (m *Members) receive(from *peerpb.HostInfo, infos []*peerpb.HostInfo, sends int) {
+	peer, ok := fromInfo(from)
+	if !ok {
+		return
+	}
+	m.mu.Lock()
+	if peer.ID != m.self.ID {
+		m.heard = time.Now()
+		m.table.answered(peer.ID)
+	}
+	refuted := m.apply(peer, sends)
+	for _, i := range infos {
+		if u, ok := fromInfo(i); ok {
+			refuted = m.apply(u, sends) || refuted
+		}
+	}
+	m.publish()
+	m.mu.Unlock()
+	if refuted {
+		m.Announce()
+	}
+	if peer.Revision > m.revisions.Revision() {
+		m.revisions.Hint(peer.Host)
+	}
+}
+
+// apply takes in one update and reports whether this host had to refute it.
+// m.mu is held.
+func (m *Members) apply(u update, sends int) bool {
+	if u.ID == m.self.ID {
+		return m.refute(u)
+	}
+	m.table.apply(u, time.Now(), sends, m.rng)
+	return false
+}
+
+// refute answers an untrue update of this host with a newer version of the
+// truth. A higher incarnation than its own comes from an earlier start under
+// a faster clock, or from a second host with this id. m.mu is held.
+func (m *Members) refute(u update) bool {
+	if m.stopped {
+		return false
+	}
+	switch {
+	case u.Incarnation > m.self.Incarnation:
+		m.raise(u.Host)
+	case u.Incarnation < m.self.Incarnation || u.Version < m.self.Version:
+		return false
+	case u.Version == m.self.Version && u.State == m.self.State:
+		return false
+	default:
+		m.self.Version = u.Version + 1
+		m.metrics.refutations.Inc()
+		m.log.Event(evRefuted).Str("state", string(u.State)).Uint64("version", m.self.Version).Msg("")
+	}
+	m.table.changed = true
+	return true
+}
+
+// raise moves this host past another record of its id. m.mu is held.
+func (m *Members) raise(other Host) {
+	m.self.Incarnation = other.Incarnation + 1
+	m.self.Version = 0
+	m.log.Event(evIncarnationRaised).Uint64("incarnation", m.self.Incarnation).Str("peer_address", other.Peer).Msg("")
+}
--- /dev/null
+++ b/internal/member/network_test.go
@@ -0,0 +1,139 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+const oneWay = time.Millisecond
+
+// network carries probes between Members in one process, in virtual time.
+type network struct {
+	mu     sync.Mutex
+	hosts  map[string]*Members // by address
+	frozen map[string]bool     // no probe leaves, arrives or is answered
+	side   map[string]int      // hosts of different sides do not reach each other
+	lost   func() bool         // whether the next message is lost
+}
+
+func newNetwork() *network {
+	return &network{
+		hosts: map[string]*Members{}, frozen: map[string]bool{}, side: map[string]int{},
+		lost: func() bool { return false },
+	}
+}
+
+// port is the Prober of the host that listens on its address.
+type port struct {
+	net  *network
+	from string
+}
+
+var errRefused = errors.New("connection refused")
+
+func (p port) Probe(ctx context.Context, to string, req *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	if err := p.net.pass(ctx, p.from, to); err != nil {
+		return nil, err
+	}
+	host := p.net.host(to)
+	if host == nil {
+		return nil, errRefused
+	}
+	reply, err := host.Probe(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	return reply, p.net.pass(ctx, to, p.from)
+}
+
+// pass takes the time of one message, or all that ctx has if it is held up.
+func (n *network) pass(ctx context.Context, from, to string) error {
+	n.mu.Lock()
+	held := n.frozen[from] || n.frozen[to] || n.side[from] != n.side[to] || n.lost()
+	n.mu.Unlock()
+	if held {
+		<-ctx.Done()
+	} else {
+		sleep(ctx, oneWay)
+	}
+	return ctx.Err()
+}
+
+func (n *network) host(address string) *Members {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.hosts[address]
+}
+
+// change runs f on the network's faults.
+func (n *network) change(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:7000", i) }
+func name(i int) string    { return fmt.Sprintf("host-%02d", i) }
+
+// start starts host i, whose only seed is host 0.
+func (n *network) start(t testing.TB, cfg Config, store platform.Store, i int) *Members {
+	t.Helper()
+	cfg.Seeds = []string{address(0)}
+	self := Host{ID: name(i), FailureDomain: "salt-lake", Peer: address(i), API: address(i)}
+	m := New(cfg, self, store, port{n, address(i)}, event.Discard(), nil)
+	n.change(func() { n.hosts[address(i)] = m })
+	if err := m.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return m
+}
+
+// kill ends host i without a word to the others.
+func (n *network) kill(i int) {
+	n.mu.Lock()
+	m := n.hosts[address(i)]
+	delete(n.hosts, address(i))
+	n.mu.Unlock()
+	m.mu.Lock()
+	m.self.State = Dead // nothing is left to announce
+	m.mu.Unlock()
+	m.cancel()
+	m.work.Wait()
+}
+
+// stopAll ends every host.
+func (n *network) stopAll() {
+	for i := range n.hosts {
+		m := n.hosts[i]
+		m.cancel()
+		m.work.Wait()
+	}
+}
+
+// downStore is a platform in an outage.
+type downStore struct{ platform.Store }
+
+var errOutage = &platform.Unavailable{Cause: errors.New("outage")}
+
+func (downStore) List(context.Context, ...string) (platform.Listing, error) {
+	return platform.Listing{}, errOutage
+}
+func (downStore) Get(context.Context, string, string) (platform.Object, error) {
+	return platform.Object{}, errOutage
+}
--- /dev/null
+++ b/internal/member/probe.go
@@ -0,0 +1,233 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+)
+
+const (
+	reconnectEvery = 10 // probes of live hosts for each one of a dead host or seed
+	pauseFactor    = 4  // probe intervals without a run that count as a pause
+	announceTo     = 3  // peers told at once of a new revision
+	pushTo         = 16 // peers told at once that this host leaves
+	joinFrom       = 5  // hosts asked for their whole list at start
+	announceGap    = 100 * time.Millisecond
+)
+
+// probeLoop begins one probe each interval, until ctx is done.
+func (m *Members) probeLoop(ctx context.Context) {
+	ticker := time.NewTicker(m.cfg.ProbeInterval.Std())
+	defer ticker.Stop()
+	last := time.Now()
+	for round := 1; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		m.notice(now.Sub(last))
+		last = now
+		m.expire(now)
+		m.probeNext(ctx, round)
+	}
+}
+
+// notice postpones suspicions if this process did not run for gap.
+func (m *Members) notice(gap time.Duration) {
+	if gap < pauseFactor*m.cfg.ProbeInterval.Std() {
+		return
+	}
+	m.log.Event(evPaused).Dur("pause", gap).Msg("")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.table.postpone(gap)
+}
+
+// expire ends suspicions and publishes what changed since the last probe.
+func (m *Members) expire(now time.Time) {
+	n := m.size()
+	m.lock()
+	defer m.mu.Unlock()
+	died := m.table.expire(now, m.cfg.suspicion(n), m.cfg.ForgetAfter.Std(), m.sends())
+	for _, h := range died {
+		m.metrics.deaths.Inc()
+		m.log.Event(evHostDead).Str("peer", h.ID).Uint64("incarnation", h.Incarnation).Msg("")
+	}
+	m.publish()
+	if m.table.news {
+		m.replaceView(m.Generation())
+	}
+	m.count()
+}
+
+func (m *Members) count() {
+	states := map[State]int{m.self.State: 1}
+	for _, r := range m.table.rows {
+		states[r.State]++
+	}
+	for _, s := range []State{Alive, Suspect, Leaving, Dead} {
+		m.metrics.hosts.WithLabelValues(string(s)).Set(float64(states[s]))
+	}
+}
+
+// probeNext begins a probe of the next host, and of a dead one or a seed now
+// and then, or always if no other host is left.
+func (m *Members) probeNext(ctx context.Context, round int) {
+	m.mu.Lock()
+	target, found := m.table.next(m.rng)
+	m.mu.Unlock()
+	if found {
+		m.work.Go(func() { m.probe(ctx, target) })
+	}
+	if !found || round%reconnectEvery == 0 {
+		m.work.Go(func() { m.reconnect(ctx) })
+	}
+}
+
+// probe probes a host, directly and then through others, and suspects it if
+// all fail.
+func (m *Members) probe(ctx context.Context, target update) {
+	began := time.Now()
+	err := m.exchange(ctx, kindDirect, target.Peer, &peerpb.ProbeRequest{TargetId: target.ID})
+	if err == nil || m.reachedByOthers(ctx, target) || ctx.Err() != nil {
+		return
+	}
+	if time.Since(began) > pauseFactor*m.cfg.ProbeTimeout.Std() {
+		return // this process was paused in between: the failure says nothing of the target
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.table.missed(target, time.Now(), m.sends()) {
+		m.metrics.suspicions.Inc()
+		m.log.Event(evHostSuspect).Str("peer", target.ID).Msg("")
+	}
+	m.publish()
+}
+
+// reachedByOthers asks a few hosts to probe the target, so that a cut or
+// overload of one path alone makes no suspect.
+func (m *Members) reachedByOthers(ctx context.Context, target update) bool {
+	m.mu.Lock()
+	helpers := m.table.pick(m.cfg.IndirectProbes, m.rng, func(r *row) bool {
+		return r.State == Alive && r.ID != target.ID
+	})
+	m.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan bool, len(helpers))
+	for _, h := range helpers {
+		m.work.Go(func() { answers <- m.askToProbe(ctx, h, target) })
+	}
+	for range helpers {
+		if <-answers {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Members) askToProbe(ctx context.Context, helper, target update) bool {
+	req := &peerpb.ProbeRequest{TargetId: target.ID, Indirect: true}
+	reply, err := m.call(ctx, helper.Peer, req)
+	return err == nil && reply.Reached
+}
+
+// reconnect tries a random host that is held dead, or a seed that no live
+// host listens on, so that groups that lost each other meet again.
+func (m *Members) reconnect(ctx context.Context) {
+	m.mu.Lock()
+	targets := m.lost()
+	if len(targets) == 0 {
+		m.mu.Unlock()
+		return
+	}
+	t := targets[m.rng.IntN(len(targets))]
+	m.mu.Unlock()
+	_ = m.exchange(ctx, kindReconnect, t.Peer, &peerpb.ProbeRequest{TargetId: t.ID}) // a dead host seldom answers
+}
+
+// lost returns the hosts held dead and the seeds not known as hosts; the
+// latter have an address alone. m.mu is held.
+func (m *Members) lost() []Host {
+	var lost []Host
+	known := map[string]bool{m.self.Peer: true}
+	for _, r := range m.table.rows {
+		if r.State == Dead {
+			lost = append(lost, r.Host)
+		}
+		known[r.Peer] = true
+	}
+	for _, s := range m.cfg.Seeds {
+		if !known[s] {
+			lost = append(lost, Host{Peer: s})
+		}
+	}
+	return lost
+}
+
+// Announce tells a few random peers at once of this host's news.
+func (m *Members) Announce() {
+	select {
+	case m.news <- struct{}{}:
+	default: // one is waiting already and will carry this news too
+	}
+}
+
+// announceLoop serves Announce, at most once each announceGap.
+func (m *Members) announceLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.news:
+		}
+		for _, t := range m.live(announceTo) {
+			m.work.Go(func() {
+				_ = m.exchange(ctx, kindAnnounce, t.Peer, &peerpb.ProbeRequest{TargetId: t.ID}) // probeLoop finds what is down
+			})
+		}
+		if !sleep(ctx, announceGap) {
+			return
+		}
+	}
+}
+
+// push sends this host's state to several peers and returns how many took it.
+func (m *Members) push(ctx context.Context) int {
+	targets := m.live(pushTo)
+	results := make(chan error, len(targets))
+	for _, t := range targets {
+		go func() {
+			results <- m.exchange(ctx, kindAnnounce, t.Peer, &peerpb.ProbeRequest{TargetId: t.ID})
+		}()
+	}
+	told := 0
+	for range targets {
+		if <-results == nil {
+			told++
+		}
+	}
+	return told
+}
+
+// live returns up to n random hosts that are not dead.
+func (m *Members) live(n int) []update {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.table.pick(n, m.rng, func(r *row) bool { return r.State != Dead })
+}
+
+// sleep waits for d and reports whether it passed before ctx was done.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/member/table.go
@@ -0,0 +1,311 @@
+package member
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// update is a host as one host tells it to another. Version orders the
+// updates of one incarnation.
+type update struct {
+	Host
+	Version uint64
+}
+
+// row is what the table holds of one other host.
+type row struct {
+	update
+	since       time.Time // when it entered its state here
+	doubted     time.Time // a leaving host that misses probes since then; zero if it answers
+	sends       int       // transmissions left
+	unconfirmed bool      // known from the platform alone; never sent to others
+}
+
+// table is the state of the membership, this host left out. It is pure: the
+// caller gives time and randomness, and guards it with a lock.
+type table struct {
+	self    string
+	rows    map[string]*row
+	order   []string // ids in a random order, for probes and for filling messages
+	probed  int      // next of order to probe
+	filled  int      // next of order to fill a message with
+	changed bool     // hosts differ from those last published
+	news    bool     // only revisions differ
+}
+
+func newTable(self string) *table {
+	return &table{self: self, rows: map[string]*row{}}
+}
+
+// severity orders the states that different hosts may tell of the same
+// version: the worse one stands until the host itself refutes it.
+func severity(s State) int {
+	switch s {
+	case Alive:
+		return 0
+	case Suspect:
+		return 1
+	case Leaving:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// supersedes reports whether u is news over r.
+func (u update) supersedes(r *row) bool {
+	switch {
+	case u.Incarnation != r.Incarnation:
+		return u.Incarnation > r.Incarnation
+	case r.unconfirmed:
+		return true
+	case u.Version != r.Version:
+		return u.Version > r.Version
+	default:
+		return severity(u.State) > severity(r.State)
+	}
+}
+
+// apply takes an update of another host and reports whether it was news. The
+// death of an unknown host is not, so that forgotten hosts stay forgotten.
+func (t *table) apply(u update, now time.Time, sends int, rng *rand.Rand) bool {
+	r, known := t.rows[u.ID]
+	if !known && u.State == Dead {
+		return false
+	}
+	if !known {
+		t.insert(&row{update: u, since: now, sends: sends}, rng)
+		return true
+	}
+	if !u.supersedes(r) {
+		t.raiseRevision(r, u)
+		return false
+	}
+	if u.Incarnation == r.Incarnation {
+		u.Revision = max(u.Revision, r.Revision)
+	}
+	*r = row{update: u, since: now, sends: sends}
+	t.changed = true
+	return true
+}
+
+// raiseRevision takes the revision alone from an update that is no news.
+// Within an incarnation a host never goes back.
+func (t *table) raiseRevision(r *row, u update) {
+	if u.Incarnation == r.Incarnation && u.Revision > r.Revision {
+		r.Revision = u.Revision
+		t.news = true
+	}
+}
+
+// learn takes a host from the platform's records: it is a suspect until it or
+// a peer confirms it.
+func (t *table) learn(h Host, now time.Time, rng *rand.Rand) {
+	r, known := t.rows[h.ID]
+	if known && h.Incarnation <= r.Incarnation {
+		return
+	}
+	h.State = Suspect
+	fresh := row{update: update{Host: h}, since: now, unconfirmed: true}
+	if known {
+		*r = fresh
+		t.changed = true
+		return
+	}
+	t.insert(&fresh, rng)
+}
+
+func (t *table) insert(r *row, rng *rand.Rand) {
+	t.rows[r.ID] = r
+	t.order = append(t.order, r.ID)
+	last := len(t.order) - 1
+	other := rng.IntN(len(t.order))
+	t.order[last], t.order[other] = t.order[other], t.order[last]
+	t.changed = true
+}
+
+// missed records that a host at this incarnation and version answered neither
+// a direct nor an indirect probe, and reports whether it became a suspect.
+func (t *table) missed(u update, now time.Time, sends int) bool {
+	r, known := t.rows[u.ID]
+	if !known || r.Incarnation != u.Incarnation || r.Version != u.Version {
+		return false
+	}
+	switch {
+	case r.unconfirmed && r.State == Suspect:
+		t.enter(r, Dead, now, 0)
+	case r.State == Alive:
+		t.enter(r, Suspect, now, sends)
+		return true
+	case r.State == Leaving && r.doubted.IsZero():
+		r.doubted = now
+	}
+	return false
+}
+
+// answered records that a host was heard.
+func (t *table) answered(id string) {
+	if r, known := t.rows[id]; known {
+		r.doubted = time.Time{}
+	}
+}
+
+func (t *table) enter(r *row, s State, now time.Time, sends int) {
+	r.State, r.since, r.sends = s, now, sends
+	t.changed = true
+}
+
+// expire declares dead the hosts whose suspicion began longer ago than
+// suspicion and returns them, and drops the dead that are older than forget.
+func (t *table) expire(now time.Time, suspicion, forget time.Duration, sends int) []Host {
+	var died []Host
+	for id, r := range t.rows {
+		switch {
+		case r.State == Dead && now.Sub(r.since) >= forget:
+			t.remove(id)
+		case r.overdue(now, suspicion):
+			t.enter(r, Dead, now, sends)
+			died = append(died, r.Host)
+		}
+	}
+	return died
+}
+
+func (r *row) overdue(now time.Time, suspicion time.Duration) bool {
+	if r.State == Suspect && !r.unconfirmed {
+		return now.Sub(r.since) >= suspicion
+	}
+	return r.State == Leaving && !r.doubted.IsZero() && now.Sub(r.doubted) >= suspicion
+}
+
+// postpone moves every suspicion forward by the time that this host itself
+// was paused: nobody could refute to it meanwhile.
+func (t *table) postpone(d time.Duration) {
+	for _, r := range t.rows {
+		if r.State == Suspect {
+			r.since = r.since.Add(d)
+		}
+		if !r.doubted.IsZero() {
+			r.doubted = r.doubted.Add(d)
+		}
+	}
+}
+
+func (t *table) remove(id string) {
+	delete(t.rows, id)
+	for i, other := range t.order {
+		if other == id {
+			t.order = append(t.order[:i], t.order[i+1:]...)
+			break
+		}
+	}
+	t.changed = true
+}
+
+// next returns the next host to probe. Each round takes every host once in a
+// new random order, so that no host waits longer than two rounds.
+func (t *table) next(rng *rand.Rand) (update, bool) {
+	for range t.order {
+		if t.probed >= len(t.order) {
+			t.probed = 0
+			t.shuffle(rng)
+		}
+		r := t.rows[t.order[t.probed]]
+		t.probed++
+		if r.State != Dead {
+			return r.update, true
+		}
+	}
+	return update{}, false
+}
+
+func (t *table) shuffle(rng *rand.Rand) {
+	rng.Shuffle(len(t.order), func(i, j int) { t.order[i], t.order[j] = t.order[j], t.order[i] })
+}
+
+// pick returns up to n random hosts that satisfy ok.
+func (t *table) pick(n int, rng *rand.Rand, ok func(*row) bool) []update {
+	var picked []update
+	if len(t.order) == 0 {
+		return nil
+	}
+	start := rng.IntN(len(t.order))
+	for i := range t.order {
+		r := t.rows[t.order[(start+i)%len(t.order)]]
+		if len(picked) < n && ok(r) {
+			picked = append(picked, r.update)
+		}
+	}
+	return picked
+}
+
+// updates returns at most n host records for a message to the host about:
+// first what is held against that host, so that it can refute; then the
+// changes sent least; then others in turn, so that tables that differ for any
+// reason come together without ever being sent whole.
+func (t *table) updates(n int, about string) []update {
+	var out []update
+	chosen := map[string]bool{about: true}
+	if r, known := t.rows[about]; known && r.State != Alive && !r.unconfirmed {
+		out = append(out, r.update)
+	}
+	for _, r := range t.unsent() {
+		if len(out) < n && !chosen[r.ID] {
+			chosen[r.ID] = true
+			r.sends--
+			out = append(out, r.update)
+		}
+	}
+	for range t.order {
+		if len(out) >= n {
+			break
+		}
+		t.filled = (t.filled + 1) % len(t.order)
+		r := t.rows[t.order[t.filled]]
+		if !chosen[r.ID] && !r.unconfirmed {
+			chosen[r.ID] = true
+			out = append(out, r.update)
+		}
+	}
+	return out
+}
+
+func (t *table) unsent() []*row {
+	var rows []*row
+	for _, r := range t.rows {
+		if r.sends > 0 {
+			rows = append(rows, r)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool {
+		if rows[i].sends != rows[j].sends {
+			return rows[i].sends > rows[j].sends
+		}
+		return rows[i].ID < rows[j].ID
+	})
+	return rows
+}
+
+// all returns every confirmed host that is not dead.
+func (t *table) all() []update {
+	var out []update
+	for _, r := range t.rows {
+		if r.State != Dead && !r.unconfirmed {
+			out = append(out, r.update)
+		}
+	}
+	return out
+}
+
+// hosts returns the hosts that are not dead, with self, sorted by id.
+func (t *table) hosts(self Host) []Host {
+	out := []Host{self}
+	for _, r := range t.rows {
+		if r.State != Dead {
+			out = append(out, r.Host)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
--- a/internal/member/types.go
+++ b/internal/member/types.go
@@ -32,6 +32,7 @@
 	// Hosts returns every host known that is not dead, this one included,
 	// sorted by id.
 	Hosts() []Host
-	// Generation changes whenever Hosts changes.
+	// Generation changes whenever Hosts changes in anything but revisions,
+	// which are of no concern to the placement of work.
 	Generation() uint64
 }
