--- /dev/null
+++ b/internal/standin/target/handler.go
@@ -0,0 +1,213 @@
+package target
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+)
+
+// Paths of the stand-in itself. They take no faults.
+const (
+	PathFaults     = "/standin/faults"     // GET, POST: Faults
+	PathDrain      = "/standin/drain"      // POST: DrainOrder
+	PathRestart    = "/standin/restart"    // POST
+	PathSnapshots  = "/standin/snapshots"  // POST: SnapshotChange
+	PathExecutions = "/standin/executions" // GET: []Execution
+	PathCounters   = "/standin/counters"   // GET: Counters
+)
+
+const maxBody = 1 << 16
+
+// DrainOrder begins a drain. If Serve is set requests are still taken.
+type DrainOrder struct {
+	Serve bool `json:"serve,omitempty"`
+}
+
+// SnapshotChange adds a snapshot to a service, or drops one. Shards is what
+// the target holds in it, if that differs from the shards it holds in general.
+type SnapshotChange struct {
+	Service  string   `json:"service"`
+	Snapshot uint64   `json:"snapshot"`
+	Shards   []uint32 `json:"shards,omitempty"`
+	Drop     bool     `json:"drop,omitempty"`
+}
+
+// Handler returns the HTTP interface of the target. The limit and the cost of
+// connections are the server's, see NewServer.
+func (t *Target) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+targetapi.PathShard, t.serveShard)
+	mux.HandleFunc("GET "+targetapi.PathStatus, t.serveStatus)
+	if t.cfg.Settles {
+		mux.HandleFunc("POST "+targetapi.PathSettle+"/{id}/settle", t.serveSettle)
+	}
+	t.handleControl(mux)
+	return mux
+}
+
+func (t *Target) serveShard(w http.ResponseWriter, r *http.Request) {
+	drained, _ := t.drained()
+	t.counts.received(drained)
+	req, err := readShardRequest(r)
+	if err != nil {
+		t.counts.ended("", ResultBad)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	out := t.run(r.Context(), req)
+	t.counts.ended(req.Kind, out.result)
+	write(w, out)
+}
+
+func write(w http.ResponseWriter, out reply) {
+	if out.status == 0 {
+		panic(http.ErrAbortHandler)
+	}
+	length := max(out.length, len(out.body))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(length))
+	w.WriteHeader(out.status)
+	_, _ = w.Write(out.body) // the client may have gone
+	if length > len(out.body) {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// readShardRequest reads the whole body first, because the server notices a
+// client that has gone only then.
+func readShardRequest(r *http.Request) (shardRequest, error) {
+	arrived := time.Now()
+	req := shardRequest{
+		requestID: r.Header.Get(targetapi.HeaderRequest),
+		attemptID: r.Header.Get(targetapi.HeaderAttempt),
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		return req, Error.New("read body: %w", err)
+	}
+	if err := json.Unmarshal(body, &req.Request); err != nil {
+		return req, Error.New("body: %w", err)
+	}
+	if req.Kind != targetapi.KindSearch && req.Kind != targetapi.KindReserve {
+		return req, Error.New("kind %q: want search or reserve", req.Kind)
+	}
+	if req.requestID == "" || req.attemptID == "" {
+		return req, Error.New("%s or %s is missing", targetapi.HeaderRequest, targetapi.HeaderAttempt)
+	}
+	if req.key, err = readShardKey(r.Header); err != nil {
+		return req, err
+	}
+	req.deadline, err = readDeadline(r.Header, arrived)
+	return req, err
+}
+
+func readShardKey(h http.Header) (shardKey, error) {
+	k := shardKey{service: h.Get(targetapi.HeaderService)}
+	shard, err := strconv.ParseUint(h.Get(targetapi.HeaderShard), 10, 32)
+	if err != nil {
+		return k, Error.New("%s: %w", targetapi.HeaderShard, err)
+	}
+	k.shard = uint32(shard)
+	k.snapshot, err = strconv.ParseUint(h.Get(targetapi.HeaderSnapshot), 10, 64)
+	if err != nil {
+		return k, Error.New("%s: %w", targetapi.HeaderSnapshot, err)
+	}
+	return k, nil
+}
+
+func readDeadline(h http.Header, arrived time.Time) (time.Time, error) {
+	text := h.Get(targetapi.HeaderBudget)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		return time.Time{}, Error.New("%s: %w", targetapi.HeaderBudget, err)
+	}
+	return arrived.Add(time.Duration(ms * float64(time.Millisecond))), nil
+}
+
+func (t *Target) serveStatus(w http.ResponseWriter, r *http.Request) {
+	t.counts.update(func(c *Counters) { c.Statuses++ })
+	for {
+		f, changed := t.faultsInForce()
+		if !f.FreezeStatus {
+			break
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+	writeJSON(w, t.Status())
+}
+
+func (t *Target) serveSettle(w http.ResponseWriter, r *http.Request) {
+	t.counts.update(func(c *Counters) { c.Settles++ })
+	writeJSON(w, t.desk.settle(r.PathValue("id")))
+}
+
+func writeJSON(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body) // the client may have gone
+}
+
+func (t *Target) handleControl(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+PathExecutions, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, t.Executions()) })
+	mux.HandleFunc("GET "+PathCounters, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, t.Counters()) })
+	mux.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, t.Faults()) })
+	mux.HandleFunc("POST "+PathFaults, order(func(f Faults) error {
+		if err := f.Validate(); err != nil {
+			return err
+		}
+		t.SetFaults(f)
+		return nil
+	}))
+	mux.HandleFunc("POST "+PathDrain, order(func(d DrainOrder) error {
+		t.Drain(d.Serve)
+		return nil
+	}))
+	mux.HandleFunc("POST "+PathRestart, order(func(struct{}) error {
+		t.Restart()
+		return nil
+	}))
+	mux.HandleFunc("POST "+PathSnapshots, order(t.changeSnapshot))
+}
+
+func (t *Target) changeSnapshot(c SnapshotChange) error {
+	if !t.serves(c.Service) {
+		return Error.New("service %q is not served here", c.Service)
+	}
+	if c.Drop {
+		t.DropSnapshot(c.Service, c.Snapshot)
+		return nil
+	}
+	t.AddSnapshot(c.Service, c.Snapshot, c.Shards...)
+	return nil
+}
+
+// order wraps a control call: a JSON body, which may be empty, and no answer
+// but an error.
+func order[T any](do func(T) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var body T
+		d := json.NewDecoder(io.LimitReader(r.Body, maxBody))
+		d.DisallowUnknownFields()
+		err := d.Decode(&body)
+		if err == nil || errors.Is(err, io.EOF) {
+			err = do(body)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- /dev/null
+++ b/internal/standin/target/rows.go
@@ -0,0 +1,83 @@
+package target
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+)
+
+var titles = [...]string{
+	"Pressure cooker, 5 litres", "Brass diya set", "Tant sari, red border", "Steel dinner set",
+	"Kantha quilt", "Mixer grinder", "Silver sindoor box", "Wall clock, teak",
+	"Cálculo, volume 1", "Química orgânica", "Física para cientistas", "Anatomia humana",
+	"Introdução ao direito", "Gramática da língua portuguesa", "História do Nordeste", "Álgebra linear",
+}
+
+// Rows returns the rows of one shard in one snapshot whose value contains the
+// text, whatever its case; the empty text matches all. Best score first. The
+// rows depend on the arguments alone, so that a checker can make them too, and
+// each value names its snapshot: "Kantha quilt (snapshot 7)".
+func Rows(service string, shard uint32, snapshot uint64, perShard int, text string) []targetapi.Row {
+	text = strings.ToLower(text)
+	rows := make([]targetapi.Row, 0, perShard)
+	for n := range perShard {
+		row := makeRow(service, shard, snapshot, n)
+		if strings.Contains(strings.ToLower(row.Value), text) {
+			rows = append(rows, row)
+		}
+	}
+	slices.SortFunc(rows, func(a, b targetapi.Row) int {
+		if c := cmp.Compare(b.Score, a.Score); c != 0 {
+			return c
+		}
+		return strings.Compare(a.Key, b.Key)
+	})
+	return rows
+}
+
+func makeRow(service string, shard uint32, snapshot uint64, n int) targetapi.Row {
+	key := fmt.Sprintf("%s/%d/%d", service, shard, n)
+	hash := xxhash.Sum64String(key)
+	scored := xxhash.Sum64String(fmt.Sprintf("%s@%d", key, snapshot))
+	return targetapi.Row{
+		Key:   key,
+		Value: fmt.Sprintf("%s (snapshot %d)", titles[hash%uint64(len(titles))], snapshot),
+		Score: float64(scored) / math.MaxUint64,
+	}
+}
+
+type shardKey struct {
+	service  string
+	shard    uint32
+	snapshot uint64
+}
+
+// allRows returns every row of the shard, kept from the first use on.
+func (t *Target) allRows(k shardKey) []targetapi.Row {
+	if rows, ok := t.rows.Load(k); ok {
+		return rows.([]targetapi.Row)
+	}
+	rows := Rows(k.service, k.shard, k.snapshot, t.cfg.RowsPerShard, "")
+	t.rows.Store(k, rows)
+	return rows
+}
+
+// search returns the rows that match, best first and at most limit of them
+// unless it is 0, and how many match in all.
+func (t *Target) search(k shardKey, text string, limit int) ([]targetapi.Row, int) {
+	rows := t.allRows(k)
+	if text != "" {
+		rows = Rows(k.service, k.shard, k.snapshot, t.cfg.RowsPerShard, text)
+	}
+	total := len(rows)
+	if limit > 0 && limit < total {
+		rows = rows[:limit]
+	}
+	return rows, total
+}
--- /dev/null
+++ b/internal/standin/target/server.go
@@ -0,0 +1,105 @@
+package target
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const headerTimeout = 10 * time.Second
+
+// Server serves a target on a listener over HTTP/1.1 and h2c, with the
+// target's limit and cost of connections.
+type Server struct {
+	http   http.Server
+	target *Target
+}
+
+// NewServer returns a server for the target.
+func NewServer(t *Target) *Server {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &Server{
+		target: t,
+		http:   http.Server{Handler: t.Handler(), Protocols: &protocols, ReadHeaderTimeout: headerTimeout},
+	}
+}
+
+// Serve answers requests until Shutdown; it then returns nil.
+func (s *Server) Serve(ln net.Listener) error {
+	if err := s.http.Serve(&listener{Listener: ln, target: s.target}); !errors.Is(err, http.ErrServerClosed) {
+		return Error.New("serve: %w", err)
+	}
+	return nil
+}
+
+// Shutdown takes no more connections and waits for the requests in flight;
+// once ctx ends they are cut.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Join(Error.New("shutdown: %w", err), Error.Wrap(s.http.Close()))
+	}
+	return nil
+}
+
+// listener closes connections over the limit at once and counts the others.
+type listener struct {
+	net.Listener
+	target *Target
+}
+
+// Accept returns the next connection within the limit.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.target.connectionOpened() {
+			return &conn{Conn: c, target: l.target}, nil
+		}
+		_ = c.Close() // refused: nothing was said on it
+	}
+}
+
+// connectionOpened counts a connection. It reports false if it is one too
+// many.
+func (t *Target) connectionOpened() (ok bool) {
+	t.counts.update(func(c *Counters) {
+		if t.cfg.Connections > 0 && c.Connections >= t.cfg.Connections {
+			c.ConnectionsRefused++
+			return
+		}
+		ok = true
+		c.Connections++
+		c.ConnectionsOpened++
+		c.ConnectionsMax = max(c.ConnectionsMax, c.Connections)
+	})
+	return ok
+}
+
+func (t *Target) connectionClosed() { t.counts.update(func(c *Counters) { c.Connections-- }) }
+
+// conn delays its first read by the cost of a new connection.
+type conn struct {
+	net.Conn
+	target *Target
+	opened sync.Once
+	closed sync.Once
+}
+
+// Read waits for the cost of the connection when it is called first.
+func (c *conn) Read(b []byte) (int, error) {
+	c.opened.Do(func() { time.Sleep(c.target.cfg.ConnectionCost.Std()) })
+	return c.Conn.Read(b)
+}
+
+// Close counts the connection as closed.
+func (c *conn) Close() error {
+	c.closed.Do(c.target.connectionClosed)
+	return c.Conn.Close()
+}
