plan: assignment with bounded loads, covering choice of relays

Cause: plain rendezvous hashing leaves the busiest of many hosts with several times the mean, and a wide query asks one relay a service. Small fleets keep the same result, every host a relay. Properties: bound, spread, distinct relays, independence of input order, each service asked once.

--- /dev/null
+++ b/internal/plan/main_test.go
@@ -0,0 +1,38 @@
+package plan
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"rhubarbwood.example/rhubarbwood/internal/member"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "100")
+	os.Exit(m.Run())
+}
+
+// fleet returns n live hosts spread over the failure domains.
+func fleet(n, domains int) []member.Host {
+	hosts := make([]member.Host, n)
+	for i := range hosts {
+		hosts[i] = member.Host{
+			ID:            fmt.Sprintf("host-%03d", i),
+			FailureDomain: fmt.Sprintf("domain-%d", i%domains),
+			State:         member.Alive,
+		}
+	}
+	return hosts
+}
+
+func sets(n, targets, relays int) []ReplicaSet {
+	s := make([]ReplicaSet, n)
+	for i := range s {
+		s[i] = ReplicaSet{Service: fmt.Sprintf("service-%04d", i), Targets: targets, Relays: relays}
+	}
+	return s
+}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -1,13 +1,6 @@
-// Package plan computes which hosts relay a service and which relays an entry
-// asks. It is pure: every host computes the same from the same membership,
-// and hosts whose views differ waste a connection but break no promise.
 package plan
 
 import (
-	"sort"
-
-	"github.com/cespare/xxhash/v2"
-
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 )
@@ -33,73 +26,44 @@
 
 // Relays returns the r hosts that relay a service, by rendezvous hashing,
 // spread over failure domains: a domain gets its second relay only when every
-// domain has its first.
+// domain has its first. Hosts that are not usable get none.
 func Relays(service string, hosts []member.Host, r int) []member.Host {
-	ranked := rank(service, hosts)
-	if r >= len(ranked) {
-		return ranked
-	}
-	return spread(ranked, r)
+	p := newPlacer(hosts)
+	return p.place(service, r, 1, unbounded)
 }
 
-type weighted struct {
-	host   member.Host
-	weight uint64
+// ForService returns the relays of a service among the hosts, as many as the
+// connection limit of its tightest target and its rules allow.
+func ForService(s catalog.Service, hosts []member.Host) []member.Host {
+	return Relays(s.Name, hosts, setOf(s, usable(hosts)).Relays)
 }
 
-func rank(service string, hosts []member.Host) []member.Host {
-	all := make([]weighted, 0, len(hosts))
-	for _, h := range hosts {
-		if h.Usable() {
-			all = append(all, weighted{h, xxhash.Sum64String(service + "\x00" + h.ID)})
-		}
+// ForServices returns the relays of all services, with the load of the hosts
+// bounded. While every host relays every service it tells the same as
+// ForService.
+func ForServices(services []catalog.Service, hosts []member.Host) *Assignment {
+	n := usable(hosts)
+	sets := make([]ReplicaSet, len(services))
+	for i, s := range services {
+		sets[i] = setOf(s, n)
 	}
-	sort.Slice(all, func(i, j int) bool {
-		if all[i].weight != all[j].weight {
-			return all[i].weight > all[j].weight
-		}
-		return all[i].host.ID < all[j].host.ID
-	})
-	ranked := make([]member.Host, len(all))
-	for i, w := range all {
-		ranked[i] = w.host
-	}
-	return ranked
+	return Assign(sets, hosts)
 }
 
-func spread(ranked []member.Host, r int) []member.Host {
-	chosen := make([]member.Host, 0, r)
-	left := ranked
-	for len(chosen) < r {
-		seen := make(map[string]bool)
-		var rest []member.Host
-		for _, h := range left {
-			if len(chosen) < r && !seen[h.FailureDomain] {
-				seen[h.FailureDomain] = true
-				chosen = append(chosen, h)
-				continue
-			}
-			rest = append(rest, h)
-		}
-		left = rest
+func setOf(s catalog.Service, hosts int) ReplicaSet {
+	relays := hosts
+	for _, t := range s.Targets {
+		relays = min(relays, RelayCount(hosts, t.Connections, s.Rules.ConnectionsPerRelay, s.Rules.Relays))
 	}
-	return chosen
+	return ReplicaSet{Service: s.Name, Targets: len(s.Targets), Relays: relays}
 }
 
-// ForService returns the relays of a service among the hosts, as many as the
-// connection limit of its tightest target and its rules allow.
-func ForService(s catalog.Service, hosts []member.Host) []member.Host {
-	connections := 0
-	for _, t := range s.Targets {
-		if connections == 0 || t.Connections < connections {
-			connections = t.Connections
-		}
-	}
-	usable := 0
+func usable(hosts []member.Host) int {
+	n := 0
 	for _, h := range hosts {
 		if h.Usable() {
-			usable++
+			n++
 		}
 	}
-	return Relays(s.Name, hosts, RelayCount(usable, connections, s.Rules.ConnectionsPerRelay, s.Rules.Relays))
+	return n
 }
--- /dev/null
+++ b/internal/plan/plan_test.go
@@ -0,0 +1,163 @@
+package plan
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+)
+
+func TestRelayCountStaysUnderTheConnectionLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := rapid.IntRange(1, 800).Draw(t, "hosts")
+		connections := rapid.IntRange(1, 200).Draw(t, "connections")
+		per := rapid.IntRange(1, 8).Draw(t, "per relay")
+		limit := rapid.IntRange(0, 12).Draw(t, "limit")
+		n := RelayCount(hosts, connections, per, limit)
+		if n < 1 || n > hosts {
+			t.Fatalf("%d relays of %d hosts", n, hosts)
+		}
+		if n > 1 && float64(n*per) > connectionShare*float64(connections) {
+			t.Fatalf("%d relays with %d connections each pass the limit %d", n, per, connections)
+		}
+		if limit > 0 && n > limit {
+			t.Fatalf("%d relays, at most %d wanted", n, limit)
+		}
+	})
+}
+
+func TestAssignmentIsBoundedAndSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 60).Draw(t, "hosts")
+		domains := rapid.IntRange(1, 5).Draw(t, "domains")
+		all := sets(rapid.IntRange(1, 120).Draw(t, "sets"), 3, rapid.IntRange(1, 6).Draw(t, "relays"))
+		hosts := fleet(n, domains)
+		a := Assign(all, hosts)
+		bound := capacity(all, n)
+		over := 0
+		for _, h := range hosts {
+			over += max(a.Load(h.ID)-bound, 0)
+		}
+		for _, s := range all {
+			relays := a.Relays(s.Service)
+			if len(relays) != min(s.Relays, n) || len(distinct(relays)) != len(relays) {
+				t.Fatalf("%s has relays %v", s.Service, relays)
+			}
+		}
+		if over > 0 && bound >= 6 && all[0].Relays*4 < n {
+			t.Fatalf("%d targets past the bound of %d", over, bound)
+		}
+	})
+}
+
+func TestRelaysSpreadOverDomainsFirst(t *testing.T) {
+	is := is.New(t)
+	for _, s := range sets(50, 3, 4) {
+		relays := Relays(s.Service, fleet(20, 4), 4)
+		domains := make(map[string]bool)
+		for _, h := range relays {
+			domains[h.FailureDomain] = true
+		}
+		is.Equal(len(domains), 4) // one relay in each domain
+	}
+}
+
+func TestAssignmentDoesNotHangOnTheOrderOfItsInput(t *testing.T) {
+	is := is.New(t)
+	all, hosts := sets(80, 3, 3), fleet(24, 4)
+	a := Assign(all, hosts)
+	slices.Reverse(all)
+	shuffled := slices.Clone(hosts)
+	rand.New(rand.NewPCG(1, 1)).Shuffle(len(shuffled), func(i, j int) {
+		shuffled[i], shuffled[j] = shuffled[j], shuffled[i]
+	})
+	b := Assign(all, shuffled)
+	for _, s := range all {
+		is.Equal(ids(a.Relays(s.Service)), ids(b.Relays(s.Service)))
+	}
+}
+
+func TestHostsThatLeaveRelayNothing(t *testing.T) {
+	is := is.New(t)
+	hosts := fleet(6, 3)
+	hosts[2].State = member.Leaving
+	a := Assign(sets(40, 3, 6), hosts)
+	is.Equal(a.Load(hosts[2].ID), 0)
+	is.Equal(len(a.Relays("service-0001")), 5)
+}
+
+func TestSmallFleetRelaysEverythingEverywhere(t *testing.T) {
+	is := is.New(t)
+	s := catalog.Service{Name: "guest-portal-01", Targets: []catalog.Target{
+		{ID: "a", Connections: 25}, {ID: "b", Connections: 25}, {ID: "c", Connections: 25},
+	}}
+	s.Rules.ConnectionsPerRelay = 2
+	hosts := fleet(9, 3)
+	is.Equal(len(ForService(s, hosts)), 9)
+	is.Equal(ids(ForService(s, hosts)), ids(ForServices([]catalog.Service{s}, hosts).Relays(s.Name)))
+}
+
+func TestCoverAsksARelayOfEachService(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := fleet(rapid.IntRange(2, 30).Draw(t, "hosts"), 3)
+		all := sets(rapid.IntRange(1, 40).Draw(t, "sets"), 3, rapid.IntRange(1, 4).Draw(t, "relays"))
+		most := rapid.IntRange(0, 6).Draw(t, "most")
+		a := Assign(all, hosts)
+		c := Coverer{Relays: a.Relays, Most: most}
+		asks, uncovered := c.Cover(names(all), rand.New(rand.NewPCG(1, 2)))
+		if len(uncovered) > 0 {
+			t.Fatalf("no relay for %v", uncovered)
+		}
+		asked := make(map[string]int)
+		for _, ask := range asks {
+			for _, s := range ask.Services {
+				asked[s]++
+				if !a.IsRelay(s, ask.Relay.ID) {
+					t.Fatalf("%s is no relay of %s", ask.Relay.ID, s)
+				}
+			}
+		}
+		for _, s := range all {
+			if asked[s.Service] != 1 {
+				t.Fatalf("%s asked %d times", s.Service, asked[s.Service])
+			}
+		}
+	})
+}
+
+func TestCoverNamesServicesWithoutRelay(t *testing.T) {
+	is := is.New(t)
+	c := Coverer{Relays: func(string) []member.Host { return nil }}
+	asks, uncovered := c.Cover([]string{"a", "b"}, rand.New(rand.NewPCG(1, 2)))
+	is.Equal(len(asks), 0)
+	is.Equal(uncovered, []string{"a", "b"})
+}
+
+func distinct(hosts []member.Host) map[string]bool {
+	seen := make(map[string]bool)
+	for _, h := range hosts {
+		seen[h.ID] = true
+	}
+	return seen
+}
+
+func ids(hosts []member.Host) []string {
+	var out []string
+	for _, h := range hosts {
+		out = append(out, h.ID)
+	}
+	return out
+}
+
+func names(all []ReplicaSet) []string {
+	var out []string
+	for _, s := range all {
+		out = append(out, s.Service)
+	}
+	return out
+}
