--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -26,6 +26,7 @@
 	address string
 	server  *http.Server
 	ln      net.Listener
+	serving bool
 	log     *event.Log
 }
 
@@ -88,32 +89,56 @@
 	}
 }
 
-// Start listens and serves until Stop.
-func (s *Server) Start(context.Context) error {
+// Listen opens the listener before Start, so that its address is known to
+// modules that tell it to others. Without it Start listens.
+func (s *Server) Listen() error {
+	if s.ln != nil {
+		return nil
+	}
 	ln, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return Error.New("listen: %w", err)
 	}
 	s.ln = ln
+	return nil
+}
+
+// Start listens and serves until Stop.
+func (s *Server) Start(context.Context) error {
+	if err := s.Listen(); err != nil {
+		return err
+	}
+	s.serving = true
 	go func() {
-		if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.server.Serve(s.ln); !errors.Is(err, http.ErrServerClosed) {
 			s.log.Event(evServeFailed).Str("address", s.address).Err(err).Msg("")
 		}
 	}()
 	return nil
 }
 
-// Addr returns the address listened on, once started.
+// Addr returns the address listened on, after Listen or Start.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
 // Stop takes no new connections and waits for the requests in flight; when ctx
 // is done first it cuts them off and says so.
 func (s *Server) Stop(ctx context.Context) error {
-	if s.ln == nil {
-		return nil
+	if !s.serving {
+		return s.closeUnused()
 	}
 	if err := s.server.Shutdown(ctx); err != nil {
 		return Error.New("requests in flight on %s were cut off: %w", s.address, errors.Join(err, s.server.Close()))
 	}
 	return nil
 }
+
+// closeUnused closes a listener that never served.
+func (s *Server) closeUnused() error {
+	if s.ln == nil {
+		return nil
+	}
+	if err := s.ln.Close(); err != nil {
+		return Error.New("close unused listener: %w", err)
+	}
+	return nil
+}
