--- a/internal/lang/convert.go
+++ b/internal/lang/convert.go
@@ -230,16 +230,18 @@
 // clauses refuses a clause or key that is given twice.
 type clauses struct {
 	c    *converter
-	seen []string
+	seen map[string]bool
 }
 
 func (s *clauses) once(pos lexer.Position, clause string) {
-	for _, old := range s.seen {
-		if old == clause {
-			s.c.fail(pos, "a second "+clause, clause+" at most once")
-		}
+	if s.seen[clause] {
+		s.c.fail(pos, "a second "+clause, clause+" at most once")
+		return
+	}
+	if s.seen == nil {
+		s.seen = map[string]bool{}
 	}
-	s.seen = append(s.seen, clause)
+	s.seen[clause] = true
 }
 
 func dequote(s string) string {
