--- /dev/null
+++ b/internal/claim/claims.go
@@ -0,0 +1,241 @@
+package claim
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+)
+
+// answerMargin is kept of a request's budget for the way back, so that the
+// true word reaches the caller instead of a timeout.
+const answerMargin = 5 * time.Millisecond
+
+// Services tells the rules of a service; catalog.View has it.
+type Services interface {
+	Service(name string) (catalog.Service, bool)
+}
+
+// Claims is the Reserver of a host. Its promise holds for one reservation id
+// over all hosts: a target runs it at most once, and a request that was told
+// NotSent or Rejected has not run and never will. That word is about the
+// request: a caller, or an entry, that has sent several requests with one id
+// combines their outcomes with outcome.Combine.
+type Claims struct {
+	cfg      Config
+	ledger   ledger
+	sender   Sender
+	asker    Asker
+	view     member.View
+	services Services
+	log      *event.Log
+	metrics  *metrics
+	mem      *memory
+
+	ctx    context.Context // ends background work
+	cancel context.CancelFunc
+	slots  chan struct{} // background writes
+
+	mu      sync.Mutex
+	stopped bool
+	running sync.WaitGroup
+}
+
+// New returns the module; it answers from the start, and Start begins the
+// removal of old records.
+func New(cfg Config, store platform.Store, sender Sender, asker Asker, view member.View, services Services,
+	log *event.Log, reg prometheus.Registerer) *Claims {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Claims{
+		cfg: cfg, ledger: ledger{store}, sender: sender, asker: asker, view: view, services: services,
+		log: log, metrics: newMetrics(reg), mem: newMemory(cfg.Remember.Std(), cfg.RememberMax),
+		ctx: ctx, cancel: cancel, slots: make(chan struct{}, cfg.Background),
+	}
+}
+
+// Start begins the sweep.
+func (c *Claims) Start(context.Context) error {
+	if c.cfg.Sweepers > 0 {
+		c.spawn(c.sweepLoop)
+	}
+	return nil
+}
+
+// Stop refuses new reservations, waits until those in flight have ended by
+// their budgets and their records are written, and returns at the latest when
+// ctx is done.
+func (c *Claims) Stop(ctx context.Context) error {
+	c.mu.Lock()
+	c.stopped = true
+	c.mu.Unlock()
+	defer c.cancel()
+	ended := make(chan struct{})
+	go func() {
+		c.running.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return Error.New("stop: reservations or their records are still open: %w", ctx.Err())
+	}
+}
+
+// enter counts work that Stop waits for; false after Stop.
+func (c *Claims) enter() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopped {
+		return false
+	}
+	c.running.Add(1)
+	return true
+}
+
+// spawn runs f until the module ends; Stop does not wait for it.
+func (c *Claims) spawn(f func(ctx context.Context)) { go f(c.ctx) }
+
+// Reserve runs the reservation, or answers a repeat of it. It returns within
+// the budget.
+func (c *Claims) Reserve(ctx context.Context, r query.Reserve) query.Reservation {
+	res := c.reserve(ctx, r)
+	res.RequestID, res.ReservationID = r.RequestID, r.ReservationID
+	c.metrics.answer(res)
+	return res
+}
+
+func (c *Claims) reserve(ctx context.Context, r query.Reserve) query.Reservation {
+	id, err := parseID(r.ReservationID)
+	if err != nil {
+		return refuse(query.ReasonBadRequest, 0)
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.Budget)
+	defer cancel()
+	for ctx.Err() == nil {
+		res, again := c.fly(ctx, id, r)
+		if !again {
+			return c.knownHere(id, r, res)
+		}
+	}
+	return c.knownHere(id, r, refuse(query.ReasonBudget, 0))
+}
+
+// fly runs the reservation or joins the run in flight. It reports again when
+// the run that it joined ended for want of its own, shorter budget.
+func (c *Claims) fly(ctx context.Context, id reservationID, r query.Reserve) (res query.Reservation, again bool) {
+	if res, ok := c.remembered(id, r); ok {
+		return res, false
+	}
+	if !c.enter() {
+		return refuse(query.ReasonDraining, c.cfg.RetryAfter.Std()), false
+	}
+	f, isNew := c.mem.join(id.String(), r)
+	if !isNew {
+		c.running.Done()
+		return c.wait(ctx, f, r)
+	}
+	deadline, _ := ctx.Deadline()
+	go func() {
+		defer c.running.Done()
+		c.mem.land(id.String(), f, c.run(id, r, deadline))
+	}()
+	select {
+	case <-f.ended:
+		return f.res, false
+	case <-ctx.Done():
+		return unsettled(0), false
+	}
+}
+
+// wait returns the result of a flight that another request began.
+func (c *Claims) wait(ctx context.Context, f *flight, r query.Reserve) (res query.Reservation, again bool) {
+	if f.req.Service != r.Service || f.req.Item != r.Item || f.req.Caller != r.Caller {
+		return refuse(query.ReasonBadRequest, 0), false
+	}
+	select {
+	case <-f.ended:
+	case <-ctx.Done():
+		return unsettled(c.cfg.RetryAfter.Std()), false
+	}
+	res = f.res
+	res.Repeated = !res.Outcome.NotRun()
+	return res, res.Reason == query.ReasonBudget && res.Outcome.NotRun()
+}
+
+// remembered answers a repeat from this host's memory, also while the
+// platform is down.
+func (c *Claims) remembered(id reservationID, r query.Reserve) (query.Reservation, bool) {
+	a := c.mem.lastRun(id.String())
+	if a == nil || !a.hasEnded() || a.reply.Outcome == outcome.Unknown {
+		return query.Reservation{}, false
+	}
+	if !a.rec.sameRequest(r) {
+		return refuse(query.ReasonBadRequest, 0), true
+	}
+	res := a.reply
+	res.Repeated = true
+	return res, true
+}
+
+// knownHere keeps a repeat from being told "not run" by a host that knows
+// that an earlier attempt of the same reservation may have run.
+func (c *Claims) knownHere(id reservationID, r query.Reserve, res query.Reservation) query.Reservation {
+	if !res.Outcome.NotRun() || res.Reason == query.ReasonBadRequest {
+		return res
+	}
+	if a := c.mem.lastRun(id.String()); a != nil && a.rec.sameRequest(r) {
+		return unsettled(c.cfg.RetryAfter.Std())
+	}
+	return res
+}
+
+// run runs one flight within a little less than its budget.
+func (c *Claims) run(id reservationID, r query.Reserve, deadline time.Time) query.Reservation {
+	ctx, cancel := context.WithDeadline(c.ctx, deadline.Add(-answerMargin))
+	defer cancel()
+	f := &runner{c: c, ctx: ctx, id: id, req: r}
+	return f.run()
+}
+
+// backoff waits before try n, from 0, of a platform call; false when ctx
+// ended first. Waits are spread so that hosts do not call in step.
+func (c *Claims) backoff(ctx context.Context, n int) bool {
+	wait := c.cfg.RetryMin.Std() << min(n, 20)
+	if wait <= 0 || wait > c.cfg.RetryMax.Std() {
+		wait = c.cfg.RetryMax.Std()
+	}
+	t := time.NewTimer(wait/2 + rand.N(wait/2+1))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refuse is the word on a request of which nothing was or will be sent.
+func refuse(reason query.Reason, retryAfter time.Duration) query.Reservation {
+	return query.Reservation{Outcome: outcome.NotSent, Reason: reason, RetryAfter: retryAfter}
+}
+
+// unsettled is the word on a reservation that may have run.
+func unsettled(retryAfter time.Duration) query.Reservation {
+	return query.Reservation{Outcome: outcome.Unknown, Reason: query.ReasonUnsettled, RetryAfter: retryAfter}
+}
+
+// expired is the word on an id past the horizon. It is no "not run": the
+// record that would tell may be gone.
+func expired() query.Reservation {
+	return query.Reservation{Outcome: outcome.Unknown, Reason: query.ReasonExpired}
+}
--- /dev/null
+++ b/internal/claim/ledger.go
@@ -0,0 +1,84 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+// entry is a record as the platform holds it; version 0 is no record.
+type entry struct {
+	rec     Record
+	version uint64
+	changed time.Time // by the platform's clock
+}
+
+// writeResult tells what is known of a conditional write.
+type writeResult int
+
+const (
+	applied    writeResult = iota // the entry is the one written
+	conflict                      // not applied; the entry is the one that stands
+	notApplied                    // not applied, and nothing is known of the record
+	ambiguous                     // it may have been applied, or may be later
+)
+
+// ledger keeps one record per reservation in the platform.
+type ledger struct{ store platform.Store }
+
+// put writes rec if the record has the version; 0 creates it.
+func (l ledger) put(ctx context.Context, id reservationID, version uint64, rec Record) (entry, writeResult) {
+	value, err := json.Marshal(rec)
+	if err != nil {
+		return entry{}, notApplied
+	}
+	obj, err := l.store.Put(ctx, id.kind(), id.String(), version, value)
+	if err == nil {
+		return entry{rec: rec, version: obj.Version, changed: obj.Changed}, applied
+	}
+	var con *platform.Conflict
+	if errors.As(err, &con) {
+		e, _ := decode(con.Current) // a record that cannot be read has no phase, and is told as unknown
+		return e, conflict
+	}
+	var un *platform.Unavailable
+	if errors.As(err, &un) {
+		return entry{}, notApplied
+	}
+	return entry{}, ambiguous
+}
+
+// get returns the record; version 0 if there is none.
+func (l ledger) get(ctx context.Context, id reservationID) (entry, error) {
+	obj, err := l.store.Get(ctx, id.kind(), id.String())
+	if errors.Is(err, platform.ErrNotFound) {
+		return entry{}, nil
+	}
+	if err != nil {
+		return entry{}, Error.New("read record: %w", err)
+	}
+	return decode(obj)
+}
+
+func decode(obj platform.Object) (entry, error) {
+	if obj.Version == 0 || obj.Deleted {
+		return entry{}, nil
+	}
+	e := entry{version: obj.Version, changed: obj.Changed}
+	if err := json.Unmarshal(obj.Value, &e.rec); err != nil {
+		return entry{}, Error.New("record %s/%s: %w", obj.Kind, obj.Name, err)
+	}
+	return e, nil
+}
+
+// written returns when the record was written, by the platform's clock, or a
+// little later.
+func (c *Claims) written(e entry) time.Time {
+	if now, known := c.ledger.store.Now(); known && now.After(e.changed) {
+		return now
+	}
+	return e.changed
+}
--- /dev/null
+++ b/internal/claim/memory.go
@@ -0,0 +1,139 @@
+package claim
+
+import (
+	"sync"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/query"
+)
+
+// attempt is what this host knows of one of its own attempts. It is known
+// before the record that names it is written, so that a host asked about a
+// record always knows the attempt, unless it was started anew or has forgotten.
+type attempt struct {
+	id     string // of the attempt
+	key    string // of the reservation
+	rec    Record
+	ended  chan struct{} // closed once reply is final
+	notRun bool          // valid once ended: it did not run and never will
+	reply  query.Reservation
+	at     time.Time // of its end
+}
+
+// flight is one run of a reservation on this host; repeats join it.
+type flight struct {
+	req   query.Reserve
+	ended chan struct{}
+	res   query.Reservation // valid once ended
+}
+
+// memory holds the flights and attempts of this host, bounded in number.
+type memory struct {
+	keep     time.Duration
+	max      int
+	mu       sync.Mutex
+	flights  map[string]*flight  // by reservation
+	attempts map[string]*attempt // by attempt
+	ran      map[string]*attempt // by reservation: sent, and not known as not run
+	old      []*attempt          // ended and written, oldest first
+}
+
+func newMemory(keep time.Duration, max int) *memory {
+	return &memory{
+		keep: keep, max: max,
+		flights: map[string]*flight{}, attempts: map[string]*attempt{}, ran: map[string]*attempt{},
+	}
+}
+
+// join returns the flight of the reservation, and whether it is a new one,
+// which the caller must run.
+func (m *memory) join(key string, r query.Reserve) (f *flight, isNew bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if f, ok := m.flights[key]; ok {
+		return f, false
+	}
+	f = &flight{req: r, ended: make(chan struct{})}
+	m.flights[key] = f
+	return f, true
+}
+
+// land ends the flight with its result.
+func (m *memory) land(key string, f *flight, res query.Reservation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f.res = res
+	delete(m.flights, key)
+	close(f.ended)
+}
+
+// begin adds an attempt that has not been sent.
+func (m *memory) begin(key string, rec Record) *attempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a := &attempt{id: rec.Attempt, key: key, rec: rec, ended: make(chan struct{})}
+	m.attempts[a.id] = a
+	return a
+}
+
+// sent notes that the attempt is about to be sent.
+func (m *memory) sent(a *attempt) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.ran[a.key] = a
+}
+
+// end notes the attempt's final word.
+func (m *memory) end(a *attempt, reply query.Reservation) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	a.reply, a.notRun, a.at = reply, reply.Outcome.NotRun(), time.Now()
+	if a.notRun && m.ran[a.key] == a {
+		delete(m.ran, a.key)
+	}
+	close(a.ended)
+}
+
+// written notes that the record tells the attempt's end, or never will; from
+// now on the attempt may be forgotten.
+func (m *memory) written(a *attempt) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.old = append(m.old, a)
+	for len(m.old) > 0 && (len(m.old) > m.max || time.Since(m.old[0].at) > m.keep) {
+		m.forget(m.old[0])
+		m.old = m.old[1:]
+	}
+}
+
+func (m *memory) forget(a *attempt) {
+	delete(m.attempts, a.id)
+	if m.ran[a.key] == a {
+		delete(m.ran, a.key)
+	}
+}
+
+// find returns the attempt, nil if it is not known here.
+func (m *memory) find(id string) *attempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.attempts[id]
+}
+
+// lastRun returns the newest attempt of the reservation that was sent from
+// here and may have run, nil if there is none.
+func (m *memory) lastRun(key string) *attempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ran[key]
+}
+
+// hasEnded reports whether the attempt's reply is final.
+func (a *attempt) hasEnded() bool {
+	select {
+	case <-a.ended:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/claim/sweep.go
@@ -0,0 +1,179 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/time/rate"
+
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+// The cursor is one platform object that tells the next slice to sweep. It
+// never goes back, and is only a matter of work saved: whether a record may
+// be removed is judged by the slice's time alone.
+const (
+	cursorKind = platform.KindClaim + "-cursor"
+	cursorName = "sweep"
+	// firstSlices is how far before the oldest record that may be removed a
+	// new cursor begins.
+	firstSlices = int64(24 * time.Hour / sliceLength)
+)
+
+type cursor struct {
+	Slice int64 `json:"slice"`
+}
+
+// sweepLoop removes old records, a bounded number of calls a round, while this
+// host is one of the few that sweep.
+func (c *Claims) sweepLoop(ctx context.Context) {
+	limit := rate.NewLimiter(rate.Limit(c.cfg.SweepRate), 1)
+	for {
+		wait := c.cfg.SweepEvery.Std()
+		t := time.NewTimer(wait/2 + rand.N(wait))
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		if !sweeps(c.view, c.cfg.Sweepers) {
+			continue
+		}
+		if err := c.sweep(ctx, limit); err != nil && ctx.Err() == nil {
+			c.log.Event(evSweepFailed).Err(err).Msg("")
+		}
+	}
+}
+
+// sweeps reports whether this host is among the n hosts with the lowest
+// hashes. Hosts need not agree: one too many costs calls, and none too few
+// lasts no longer than the views differ.
+func sweeps(v member.View, n int) bool {
+	hosts := v.Hosts()
+	sort.Slice(hosts, func(i, j int) bool { return xxhash.Sum64String(hosts[i].ID) < xxhash.Sum64String(hosts[j].ID) })
+	for _, h := range hosts[:min(n, len(hosts))] {
+		if h.ID == v.Self().ID {
+			return true
+		}
+	}
+	return false
+}
+
+// sweep removes records slice by slice from the cursor on, until it meets a
+// slice that is too young or has spent the calls of a round.
+func (c *Claims) sweep(ctx context.Context, limit *rate.Limiter) error {
+	s := &sweeper{c: c, limit: limit, left: c.cfg.SweepCalls}
+	cur, version, err := s.readCursor(ctx)
+	if err != nil {
+		return err
+	}
+	for s.left > 0 {
+		now, known := c.ledger.store.Now()
+		if !known || now.Sub(sliceEnd(cur.Slice)) <= removeAfter {
+			return nil
+		}
+		done, err := s.slice(ctx, cur.Slice)
+		if err != nil || !done {
+			return err
+		}
+		cur.Slice++
+		if version, err = s.writeCursor(ctx, version, cur); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type sweeper struct {
+	c     *Claims
+	limit *rate.Limiter
+	left  int // calls of this round
+}
+
+// call waits for the rate limit and counts a call.
+func (s *sweeper) call(ctx context.Context) error {
+	s.left--
+	return s.limit.Wait(ctx)
+}
+
+// slice removes the records of one slice; done when none is left.
+func (s *sweeper) slice(ctx context.Context, slice int64) (done bool, err error) {
+	if err := s.call(ctx); err != nil {
+		return false, err
+	}
+	list, err := s.c.ledger.store.List(ctx, sliceKind(slice))
+	if err != nil {
+		return false, Error.New("list old records: %w", err)
+	}
+	removed := 0
+	for _, o := range list.Objects {
+		if s.left <= 0 {
+			return false, nil
+		}
+		if err := s.remove(ctx, o); err != nil {
+			return false, err
+		}
+		removed++
+	}
+	if removed > 0 {
+		s.c.log.Event(evSwept).Int("removed", removed).Int64("slice", slice).Msg("")
+	}
+	return true, nil
+}
+
+// remove deletes one record. A conflict means that another sweeper was there.
+func (s *sweeper) remove(ctx context.Context, o platform.Object) error {
+	if err := s.call(ctx); err != nil {
+		return err
+	}
+	err := s.c.ledger.store.Delete(ctx, o.Kind, o.Name, o.Version)
+	var con *platform.Conflict
+	if err != nil && !errors.As(err, &con) && !errors.Is(err, platform.ErrNotFound) {
+		return Error.New("remove old record: %w", err)
+	}
+	if err == nil {
+		s.c.metrics.removed.Inc()
+	}
+	return nil
+}
+
+func (s *sweeper) readCursor(ctx context.Context) (cursor, uint64, error) {
+	if err := s.call(ctx); err != nil {
+		return cursor{}, 0, err
+	}
+	obj, err := s.c.ledger.store.Get(ctx, cursorKind, cursorName)
+	if errors.Is(err, platform.ErrNotFound) {
+		now, _ := s.c.ledger.store.Now()
+		return cursor{Slice: sliceOf(now.Add(-removeAfter)) - firstSlices}, 0, nil
+	}
+	if err != nil {
+		return cursor{}, 0, Error.New("read sweep cursor: %w", err)
+	}
+	var cur cursor
+	if err := json.Unmarshal(obj.Value, &cur); err != nil {
+		return cursor{}, 0, Error.New("sweep cursor: %w", err)
+	}
+	return cur, obj.Version, nil
+}
+
+func (s *sweeper) writeCursor(ctx context.Context, version uint64, cur cursor) (uint64, error) {
+	value, err := json.Marshal(cur)
+	if err != nil {
+		return 0, Error.New("sweep cursor: %w", err)
+	}
+	if err := s.call(ctx); err != nil {
+		return 0, err
+	}
+	obj, err := s.c.ledger.store.Put(ctx, cursorKind, cursorName, version, value)
+	if err != nil {
+		return 0, Error.New("write sweep cursor: %w", err)
+	}
+	return obj.Version, nil
+}
--- /dev/null
+++ b/internal/claim/world_test.go
@@ -0,0 +1,258 @@
+package claim
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"flag"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/platform/platformtest"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+var errFake = errors.New("cut by the test")
+
+// target runs reservations and logs each execution.
+type target struct {
+	mu      sync.Mutex
+	runs    map[string][]query.Reserve // executions, by reservation
+	ran     map[string]query.Reservation
+	refused map[string]bool
+	reject  int // attempts to reject
+	drop    int // answers to drop after running
+}
+
+func (t *target) send(r query.Reserve, id, attempt string) query.Reservation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.refused[attempt] || t.reject > 0 {
+		t.reject = max(0, t.reject-1)
+		return query.Reservation{Outcome: outcome.Rejected, Reason: query.ReasonOverload, RetryAfter: time.Second}
+	}
+	t.runs[r.ReservationID] = append(t.runs[r.ReservationID], r)
+	res := query.Reservation{Outcome: outcome.Done, Granted: true, Answer: id + " by " + attempt}
+	t.ran[attempt] = res
+	if t.drop > 0 {
+		t.drop--
+		return query.Reservation{Outcome: outcome.Unknown, Reason: query.ReasonConnection}
+	}
+	return res
+}
+
+func (t *target) settle(attempt string) targetapi.Settlement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	res, ok := t.ran[attempt]
+	if !ok {
+		t.refused[attempt] = true
+	}
+	return targetapi.Settlement{AttemptID: attempt, Ran: ok, Answer: targetapi.Answer{Granted: res.Granted, Text: res.Answer}}
+}
+
+// gate holds the goroutines that pass it while it is shut.
+type gate struct {
+	mu   sync.Mutex
+	shut chan struct{} // nil while open
+}
+
+func (g *gate) set(shut bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if shut && g.shut == nil {
+		g.shut = make(chan struct{})
+	}
+	if !shut && g.shut != nil {
+		close(g.shut)
+		g.shut = nil
+	}
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	shut := g.shut
+	g.mu.Unlock()
+	if shut != nil {
+		<-shut
+	}
+}
+
+// store is a host's client of the platform, behind the host's gate.
+type store struct {
+	*platformtest.Client
+	gate *gate
+}
+
+func (s *store) Put(ctx context.Context, kind, name string, version uint64, value []byte) (platform.Object, error) {
+	s.gate.pass()
+	o, err := s.Client.Put(ctx, kind, name, version, value)
+	s.gate.pass()
+	return o, err
+}
+
+// host is one host under test: its Claims, and the Sender, Asker and View that
+// Claims works with.
+type host struct {
+	w        *world
+	client   *platformtest.Client
+	id       string
+	claims   *Claims
+	gate     gate // a frozen host
+	sendGate gate // frozen with the request already handed to the kernel
+	mu       sync.Mutex
+	dead     bool
+}
+
+func (h *host) isDead() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.dead
+}
+
+// kill ends the host: nothing that it had not handed over leaves it any more.
+func (h *host) kill() {
+	h.mu.Lock()
+	h.dead = true
+	h.mu.Unlock()
+	h.client.Outage(true)
+	h.claims.cancel()
+	h.gate.set(false)
+}
+
+func (h *host) Pick(_ query.Reserve, exclude []string) (string, *query.Refusal) {
+	for _, t := range []string{"t0", "t1"} {
+		if len(exclude) == 0 || (len(exclude) == 1 && exclude[0] != t) {
+			return t, nil
+		}
+	}
+	return "", &query.Refusal{Reason: query.ReasonNoTarget}
+}
+
+func (h *host) Send(ctx context.Context, r query.Reserve, _, attempt string) query.Reservation {
+	h.gate.pass()
+	if ctx.Err() != nil || h.isDead() {
+		return query.Reservation{Outcome: outcome.NotSent, Reason: query.ReasonBudget}
+	}
+	h.sendGate.pass()
+	res := h.w.target.send(r, h.id, attempt)
+	h.gate.pass()
+	return res
+}
+
+func (h *host) Settle(_ context.Context, _, _, attempt string) (targetapi.Settlement, error) {
+	h.gate.pass()
+	if h.isDead() {
+		return targetapi.Settlement{}, errFake
+	}
+	return h.w.target.settle(attempt), nil
+}
+
+func (h *host) Ask(ctx context.Context, to member.Host, reservation, attempt string) (State, error) {
+	h.gate.pass()
+	other := h.w.host(to.ID)
+	if other.isDead() || h.isDead() {
+		return State{}, errFake
+	}
+	other.gate.pass()
+	return other.claims.state(ctx, reservation, attempt), nil
+}
+
+func (h *host) Self() member.Host {
+	return member.Host{ID: h.id, Incarnation: 1, State: member.Alive}
+}
+
+func (h *host) Hosts() []member.Host {
+	var hosts []member.Host
+	for _, o := range h.w.hosts {
+		if !o.isDead() && !h.w.thoughtDead[o.id] {
+			hosts = append(hosts, o.Self())
+		}
+	}
+	return hosts
+}
+
+func (h *host) Generation() uint64 { return 0 }
+
+// world is some hosts, one platform and one target.
+type world struct {
+	platform    *platformtest.Platform
+	target      *target
+	settle      bool
+	hosts       []*host
+	thoughtDead map[string]bool // by the views of all hosts
+}
+
+func (w *world) Service(name string) (catalog.Service, bool) {
+	return catalog.Service{Name: name, Rules: catalog.Rules{Settle: w.settle}}, true
+}
+
+func (w *world) host(id string) *host {
+	for _, h := range w.hosts {
+		if h.id == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// add starts a host. Each has an id of its own, as a host started anew has
+// another incarnation.
+func (w *world) add() *host {
+	h := &host{w: w, id: string(rune('a' + len(w.hosts))), client: w.platform.Client()}
+	cfg := DefaultConfig()
+	cfg.Sweepers = 0
+	h.claims = New(cfg, &store{h.client, &h.gate}, h, h, h, w, event.Discard(), prometheus.NewRegistry())
+	w.hosts = append(w.hosts, h)
+	return h
+}
+
+func newWorld(hosts int) *world {
+	w := &world{
+		platform: platformtest.New(), thoughtDead: map[string]bool{},
+		target: &target{runs: map[string][]query.Reserve{}, ran: map[string]query.Reservation{}, refused: map[string]bool{}},
+	}
+	for range hosts {
+		w.add()
+	}
+	return w
+}
+
+// end stops every host, so that no goroutine is left.
+func (w *world) end() {
+	for _, h := range w.hosts {
+		h.kill()
+		h.sendGate.set(false)
+	}
+	for _, h := range w.hosts {
+		h.claims.running.Wait()
+	}
+}
+
+// newID makes a reservation id of the given time.
+func newID(at time.Time) string { return ulid.MustNew(ulid.Timestamp(at), rand.Reader).String() }
+
+func reservation(id string) query.Reserve {
+	return query.Reserve{RequestID: rand.Text(), Caller: "c", ReservationID: id, Service: "s", Item: "pan", Budget: time.Second}
+}
+
+func (h *host) reserve(r query.Reserve) query.Reservation {
+	return h.claims.Reserve(context.Background(), r)
+}
