--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -24,6 +24,7 @@
 	calls    map[*call]bool
 	messages chan message
 	last     bool // no other snapshot is left to try
+	overdue  bool // the budget ended with shards open
 }
 
 // call is one batch asked of one relay.
@@ -70,13 +71,15 @@
 			s.overtake(ctx)
 		case <-ctx.Done():
 			s.drain()
+			s.overdue = s.merge.open > 0
 			return verdictDeadline
 		}
 	}
+	s.drain()
 	return verdictAnswered
 }
 
-// drain takes the messages that had arrived when the budget ended.
+// drain takes the results that had arrived when the search was decided.
 func (s *scatter) drain() {
 	for {
 		select {
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -49,17 +49,33 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, budget)
 	defer cancel()
-	best := e.tryPins(ctx, q, scope)
-	if best == nil {
+	all := e.tryPins(ctx, q, scope)
+	if all.best == nil {
 		return nil, e.refuse(query.ReasonNoSnapshot, outcome.NotSent, "no snapshot covers "+scope.name())
 	}
-	return e.conclude(q, best)
+	return e.conclude(q, all)
+}
+
+// trials are the runs of one search, each in another snapshot. Rows of two
+// snapshots are never merged; what ran and what it cost counts for all.
+type trials struct {
+	best     *scatter // the run that reached most
+	outcome  outcome.Outcome
+	attempts int
+}
+
+func (t *trials) add(s *scatter) {
+	t.outcome = outcome.Combine(t.outcome, s.merge.outcome())
+	t.attempts += s.merge.attempts
+	if t.best == nil || s.merge.answered > t.best.merge.answered {
+		t.best = s
+	}
 }
 
 // tryPins runs the search on one snapshot after another until one is held by
-// every shard's targets, and returns the run that reached most.
-func (e *Entry) tryPins(ctx context.Context, q query.Search, scope scope) *scatter {
-	var best *scatter
+// every shard's targets.
+func (e *Entry) tryPins(ctx context.Context, q query.Search, scope scope) trials {
+	var all trials
 	tried := make(map[uint64]bool)
 	for ctx.Err() == nil {
 		pins := e.pinOrder(scope, tried)
@@ -70,31 +86,22 @@
 		tried[pins[0].ID] = true
 		s.last = len(pins) == 1 || len(tried) >= e.cfg.MaxSnapshots
 		v := s.run(ctx, scope.parts(pins[0]))
-		best = better(best, s)
+		all.add(s)
 		if v != verdictUnheld {
 			break
 		}
 		e.unheld.note(scope.workload, pins[0].ID, time.Now())
 		e.metrics.restarts.Inc()
 	}
-	return best
-}
-
-// better returns the scatter that reached more. Rows of two snapshots are
-// never merged.
-func better(a, b *scatter) *scatter {
-	if a == nil || b.merge.answered > a.merge.answered {
-		return b
-	}
-	b.merge.attempts += a.merge.attempts
-	return b
+	return all
 }
 
 // conclude makes the answer, or the refusal if too little was reached.
-func (e *Entry) conclude(q query.Search, s *scatter) (*query.Answer, *query.Refusal) {
+func (e *Entry) conclude(q query.Search, all trials) (*query.Answer, *query.Refusal) {
+	s := all.best
 	c := s.merge.coverage()
 	if c.Fraction() < q.MinCoverage {
-		r := e.refuse(s.reason(), s.merge.outcome(), "reached less than the minimum coverage")
+		r := e.refuse(s.reason(), all.outcome, "reached less than the minimum coverage")
 		r.Coverage = &c
 		r.RetryAfter = s.retryAfter(r.RetryAfter)
 		return nil, r
@@ -106,20 +113,21 @@
 		Rows:      s.merge.rows(q.Limit),
 		TotalRows: s.merge.totalRows,
 		Coverage:  c,
-		Attempts:  s.merge.attempts,
+		Attempts:  all.attempts,
 		Needed:    c.Shards,
 	}, nil
 }
 
-// reason returns why most of the missing shards are missing.
+// reason returns why most of the missing shards are missing. Shards left open
+// because the minimum was out of reach anyway don't count.
 func (s *scatter) reason() query.Reason {
 	counts := make(map[query.Reason]int)
 	for _, slot := range s.merge.slots {
 		switch {
 		case slot.answered:
-		case slot.pending > 0 || slot.reason == "":
+		case slot.reason == "" && s.overdue:
 			counts[query.ReasonBudget]++
-		default:
+		case slot.reason != "":
 			counts[slot.reason]++
 		}
 	}
