--- /dev/null
+++ b/internal/standin/objectstore/control.go
@@ -0,0 +1,41 @@
+package objectstore
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+)
+
+func (s *Store) handleControl(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+PathFaults, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Faults())
+	})
+	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := errors.Join(readStrict(r, &f), f.Validate()); err != nil {
+			writeJSON(w, http.StatusBadRequest, problem{err.Error()})
+			return
+		}
+		s.SetFaults(f)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST "+PathHosts, func(w http.ResponseWriter, r *http.Request) {
+		var c HostChange
+		if err := readStrict(r, &c); err != nil || c.ID == "" {
+			writeJSON(w, http.StatusBadRequest, problem{"want id, address, leaving, gone"})
+			return
+		}
+		s.changeHost(hostChange{host: c.LiveHost, gone: c.Gone})
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("GET "+PathCounters, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Counters())
+	})
+}
+
+func readStrict(r *http.Request, v any) error {
+	d := json.NewDecoder(io.LimitReader(r.Body, maxBody))
+	d.DisallowUnknownFields()
+	return d.Decode(v)
+}
--- a/internal/standin/objectstore/hosts.go
+++ b/internal/standin/objectstore/hosts.go
@@ -34,7 +34,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.at = time.Now()
-	s.hosts = append(s.hosts, c)
+	s.hosts = append(s.foldLocked(), c)
+}
+
+// foldLocked returns the changes without those that a later one, visible by
+// now, has overtaken, so that their number does not grow with time.
+func (s *Store) foldLocked() []hostChange {
+	asOf := time.Now().Add(-s.cfg.HostLag.Std())
+	visible := map[string]int{}
+	for i, c := range s.hosts {
+		if !c.at.After(asOf) {
+			visible[c.host.ID] = i
+		}
+	}
+	var kept []hostChange
+	for i, c := range s.hosts {
+		last, seen := visible[c.host.ID]
+		if !seen || i > last || (i == last && !c.gone) {
+			kept = append(kept, c)
+		}
+	}
+	return kept
 }
 
 // Hosts returns the list as callers see it: as it was one lag ago.
--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -31,6 +31,7 @@
 	changed       chan struct{} // closes at the next change
 	faults        Faults
 	faultsChanged chan struct{} // closes when the faults change
+	release       chan struct{} // closes when waiting watches are to end
 	hosts         []hostChange
 }
 
@@ -46,6 +47,7 @@
 		changed:       make(chan struct{}),
 		faults:        cfg.Faults,
 		faultsChanged: make(chan struct{}),
+		release:       make(chan struct{}),
 	}
 	for _, o := range cfg.Seeds.Objects {
 		s.Apply(o.Kind, o.Name, o.Value)
--- a/internal/standin/target/attempts.go
+++ b/internal/standin/target/attempts.go
@@ -68,14 +68,6 @@
 	return Error.Wrap(f.Close())
 }
 
-// refused reports whether the attempt was settled as never run.
-func (d *desk) refused(attemptID string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	a := d.attempts[attemptID]
-	return a != nil && a.refused
-}
-
 // begin runs the reservation: it logs the execution and takes from the stock.
 // It reports false, and does nothing, if the attempt was settled as never run.
 func (d *desk) begin(e Execution) (granted, ok bool) {
--- a/internal/standin/target/config.go
+++ b/internal/standin/target/config.go
@@ -30,17 +30,18 @@
 
 // Config is what the stand-in is started with.
 type Config struct {
-	Listen         string              `json:"listen"` // host:port
+	Listen         string              `json:"listen"`                   // host:port
+	ControlListen  string              `json:"control_listen,omitempty"` // host:port of the stand-in's own paths, past the connection limit
 	ID             string              `json:"id"`
-	Incarnation    uint64              `json:"incarnation"`
-	Services       map[string]Holdings `json:"services"`            // by service name
-	Slots          int                 `json:"slots"`               // requests run at once
-	QueueLength    int                 `json:"queue_length"`        // requests waiting; more are shed
-	RetryAfter     unit.Duration       `json:"retry_after"`         // told when shedding
-	Connections    int                 `json:"connections"`         // open at once; more are closed. 0: no limit
-	ConnectionCost unit.Duration       `json:"connection_cost"`     // delay of a new connection's first request
-	ServiceTime    standin.Latency     `json:"service_time"`        // of one request in a slot
-	ColdStart      ColdStart           `json:"cold_start,omitzero"` // slower at first
+	Incarnation    uint64              `json:"incarnation,omitempty"` // 0: the time of the start in ms
+	Services       map[string]Holdings `json:"services"`              // by service name
+	Slots          int                 `json:"slots"`                 // requests run at once
+	QueueLength    int                 `json:"queue_length"`          // requests waiting; more are shed
+	RetryAfter     unit.Duration       `json:"retry_after"`           // told when shedding
+	Connections    int                 `json:"connections"`           // open at once; more are closed. 0: no limit
+	ConnectionCost unit.Duration       `json:"connection_cost"`       // delay of a new connection's first request
+	ServiceTime    standin.Latency     `json:"service_time"`          // of one request in a slot
+	ColdStart      ColdStart           `json:"cold_start,omitzero"`   // slower at first
 	RowsPerShard   int                 `json:"rows_per_shard"`
 	Stock          map[string]int      `json:"stock,omitempty"`         // by item; items not named never run out
 	Settles        bool                `json:"settles,omitempty"`       // offer the settle interface
@@ -69,7 +70,6 @@
 func DefaultConfig() Config {
 	return Config{
 		Listen:       "127.0.0.1:0",
-		Incarnation:  1,
 		Slots:        defaultSlots,
 		QueueLength:  defaultQueueLength,
 		RetryAfter:   defaultRetryAfter,
--- a/internal/standin/target/rows.go
+++ b/internal/standin/target/rows.go
@@ -24,14 +24,29 @@
 // rows depend on the arguments alone, so that a checker can make them too, and
 // each value names its snapshot: "Kantha quilt (snapshot 7)".
 func Rows(service string, shard uint32, snapshot uint64, perShard int, text string) []targetapi.Row {
+	return filter(makeRows(service, shard, snapshot, perShard), text)
+}
+
+// filter returns the rows whose value contains the text, in their order.
+func filter(rows []targetapi.Row, text string) []targetapi.Row {
+	if text == "" {
+		return rows
+	}
 	text = strings.ToLower(text)
-	rows := make([]targetapi.Row, 0, perShard)
-	for n := range perShard {
-		row := makeRow(service, shard, snapshot, n)
+	found := []targetapi.Row{}
+	for _, row := range rows {
 		if strings.Contains(strings.ToLower(row.Value), text) {
-			rows = append(rows, row)
+			found = append(found, row)
 		}
 	}
+	return found
+}
+
+func makeRows(service string, shard uint32, snapshot uint64, perShard int) []targetapi.Row {
+	rows := make([]targetapi.Row, perShard)
+	for n := range rows {
+		rows[n] = makeRow(service, shard, snapshot, n)
+	}
 	slices.SortFunc(rows, func(a, b targetapi.Row) int {
 		if c := cmp.Compare(b.Score, a.Score); c != 0 {
 			return c
@@ -63,18 +78,25 @@
 	if rows, ok := t.rows.Load(k); ok {
 		return rows.([]targetapi.Row)
 	}
-	rows := Rows(k.service, k.shard, k.snapshot, t.cfg.RowsPerShard, "")
+	rows := makeRows(k.service, k.shard, k.snapshot, t.cfg.RowsPerShard)
 	t.rows.Store(k, rows)
 	return rows
 }
 
+// forgetRows drops the rows kept of a snapshot.
+func (t *Target) forgetRows(service string, snapshot uint64) {
+	t.rows.Range(func(key, _ any) bool {
+		if k := key.(shardKey); k.service == service && k.snapshot == snapshot {
+			t.rows.Delete(k)
+		}
+		return true
+	})
+}
+
 // search returns the rows that match, best first and at most limit of them
 // unless it is 0, and how many match in all.
 func (t *Target) search(k shardKey, text string, limit int) ([]targetapi.Row, int) {
-	rows := t.allRows(k)
-	if text != "" {
-		rows = Rows(k.service, k.shard, k.snapshot, t.cfg.RowsPerShard, text)
-	}
+	rows := filter(t.allRows(k), text)
 	total := len(rows)
 	if limit > 0 && limit < total {
 		rows = rows[:limit]
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -14,8 +14,9 @@
 // Server serves a target on a listener over HTTP/1.1 and h2c, with the
 // target's limit and cost of connections.
 type Server struct {
-	http   http.Server
-	target *Target
+	http    http.Server
+	control http.Server
+	target  *Target
 }
 
 // NewServer returns a server for the target.
@@ -24,8 +25,9 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &Server{
-		target: t,
-		http:   http.Server{Handler: t.Handler(), Protocols: &protocols, ReadHeaderTimeout: headerTimeout},
+		target:  t,
+		http:    http.Server{Handler: t.Handler(), Protocols: &protocols, ReadHeaderTimeout: headerTimeout},
+		control: http.Server{Handler: t.ControlHandler(), ReadHeaderTimeout: headerTimeout},
 	}
 }
 
@@ -37,13 +39,23 @@
 	return nil
 }
 
+// ServeControl answers the stand-in's own paths on another listener until
+// Shutdown; it then returns nil.
+func (s *Server) ServeControl(ln net.Listener) error {
+	if err := s.control.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return Error.New("serve control: %w", err)
+	}
+	return nil
+}
+
 // Shutdown takes no more connections and waits for the requests in flight;
 // once ctx ends they are cut.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if err := s.http.Shutdown(ctx); err != nil {
-		return errors.Join(Error.New("shutdown: %w", err), Error.Wrap(s.http.Close()))
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		err = errors.Join(Error.New("shutdown: %w", err), Error.Wrap(s.http.Close()))
 	}
-	return nil
+	return errors.Join(err, Error.Wrap(s.control.Close()))
 }
 
 // listener closes connections over the limit at once and counts the others.
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -52,6 +52,9 @@
 		incarnation:   cfg.Incarnation,
 		started:       time.Now(),
 	}
+	if t.incarnation == 0 {
+		t.incarnation = uint64(t.started.UnixMilli())
+	}
 	t.recordLocked()
 	return t
 }
@@ -124,6 +127,7 @@
 	h.Snapshots = slices.DeleteFunc(slices.Clone(h.Snapshots), func(id uint64) bool { return id == snapshot })
 	t.services[service] = h
 	t.recordLocked()
+	t.forgetRows(service, snapshot)
 }
 
 // holds reports whether the target holds the shard in the snapshot, and
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -24,6 +24,7 @@
 func testConfig() Config {
 	c := DefaultConfig()
 	c.ID = "t1"
+	c.Incarnation = 1
 	c.Services = map[string]Holdings{testService: {Shards: []uint32{0, 1}, Snapshots: []uint64{7}}}
 	c.ServiceTime = standin.Latency{}
 	c.Settles = true
