--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Targets: demo, test, lint, bench, generate, build. Wants Go, gcc and make;
+# what else a target needs it installs.
+
+BIN := $(CURDIR)/.cache/bin
+
+.PHONY: build demo test model lint bench generate clean
+
+build:
+	go build -o bin/rhubarbwood ./cmd/rhubarbwood
+
+# A platform stand-in, targets and three hosts on loopback: a search, a
+# reservation, then it serves until interrupted.
+demo: build
+	./bin/rhubarbwood demo
+
+test: model
+	go vet ./...
+	go test -timeout 240s ./...
+
+# The protocol models and their broken twins.
+model:
+	tools/spin.sh
+	model/check.sh
+
+lint: $(BIN)/staticcheck
+	@unformatted=$$(gofmt -l cmd design internal); \
+	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	go vet ./...
+	$(BIN)/staticcheck ./...
+
+$(BIN)/staticcheck: tools/go.mod tools/go.sum
+	cd tools && GOBIN=$(BIN) go install honnef.co/go/tools/cmd/staticcheck
+
+# A short measurement of the policy under load; ends in five minutes.
+bench: build
+	./bin/rhubarbwood load --bench
+
+generate:
+	tools/generate.sh
+
+clean:
+	rm -rf bin .cache
