Catalog types: change id, operator and reason; dropped services

A lost answer is settled by reading the change id back. A dropped service keeps its object: versions of a deleted name start again at 1, so a late write could otherwise meet the version that it waits for in another object.

--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -13,6 +13,20 @@
 	Urgency  query.Urgency `json:"urgency"`
 	Targets  []Target      `json:"targets"`
 	Rules    Rules         `json:"rules"`
+	// Dropped marks a service that operators have dropped. Its object stays, so
+	// that its versions go on growing and tell who dropped it.
+	Dropped bool   `json:"dropped,omitempty"`
+	Change  Change `json:"change,omitzero"`
+}
+
+// Change tells who wrote the object that holds it, and why. Its id settles a
+// write that was not answered: whoever finds the id in the object knows that
+// the write took effect.
+type Change struct {
+	ID       string   `json:"id"` // ULID
+	Operator string   `json:"operator,omitempty"`
+	Reason   string   `json:"reason,omitempty"`
+	Previous []string `json:"previous,omitempty"` // ids of the changes before it, newest first
 }
 
 // Target is one back end of a service.
@@ -49,6 +63,7 @@
 	Workload string              `json:"workload"`
 	ID       uint64              `json:"id"`
 	Services map[string]ShardMap `json:"services"`
+	Change   Change              `json:"change,omitzero"`
 }
 
 // ShardMap tells the index version of a service and which targets hold each
