--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -73,7 +73,8 @@
 	refuse  query.Reason // every shard is refused as not run
 	fail    query.Reason // every shard runs and has no answer
 	double  bool         // every result comes twice
-	crossed bool         // results of another snapshot and of foreign shards come first
+	crossed bool         // results of foreign shards come first
+	other   bool         // answers come from another snapshot
 	unheld  map[uint64]bool
 	reserve func() query.Reservation
 }
@@ -112,6 +113,9 @@
 		return []query.ShardResult{{Key: k, Snapshot: b.Snapshot, Outcome: outcome.Unknown, Reason: f.fail, Attempts: 1}}
 	}
 	f.world.run(k)
+	if f.other {
+		return []query.ShardResult{answerOf(k, b.Snapshot+1)}
+	}
 	good := answerOf(k, b.Snapshot)
 	var all []query.ShardResult
 	if f.crossed {
--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -192,13 +192,14 @@
 	}
 	delete(m.call.open, k)
 	s.merge.offer(m.result)
-	if m.result.Outcome == outcome.Done || !s.merge.unanswered(k) {
+	if !s.merge.unanswered(k) {
 		return verdictAnswered
 	}
-	if m.result.Reason == query.ReasonSnapshotNotHeld && !s.last {
+	reason := s.merge.slots[k].result.Reason
+	if reason == query.ReasonSnapshotNotHeld && !s.last {
 		return verdictUnheld
 	}
-	if relaysFault(m.result.Reason) {
+	if relaysFault(reason) {
 		s.ask(ctx, []query.ShardKey{k})
 	}
 	s.merge.settle(k)
@@ -206,10 +207,14 @@
 }
 
 // relaysFault reports whether another relay may do better: the relay itself
-// refused, or does not know the snapshot yet.
+// refused, does not know the snapshot yet, or answered from another one.
 func relaysFault(r query.Reason) bool {
-	return r == query.ReasonNotRelay || r == query.ReasonNoSnapshot || r == query.ReasonUnknownService || r == query.ReasonStale ||
-		r == query.ReasonDraining
+	switch r {
+	case query.ReasonNotRelay, query.ReasonNoSnapshot, query.ReasonUnknownService,
+		query.ReasonStale, query.ReasonDraining, query.ReasonBadAnswer:
+		return true
+	}
+	return false
 }
 
 // finish takes the end of a relay call. Shards without a last word may have
--- a/internal/entry/search_test.go
+++ b/internal/entry/search_test.go
@@ -81,6 +81,7 @@
 	f.loseAt = rapid.SampledFrom([]int{-1, -1, -1, 0, 1, 3}).Draw(rt, "lose_at")
 	f.double = rapid.Bool().Draw(rt, "double")
 	f.crossed = rapid.Bool().Draw(rt, "crossed")
+	f.other = rapid.IntRange(0, 5).Draw(rt, "other") == 0
 	f.refuse = rapid.SampledFrom([]query.Reason{"", "", "", query.ReasonOverload, query.ReasonDraining}).Draw(rt, "refuse")
 	f.fail = rapid.SampledFrom([]query.Reason{"", "", "", query.ReasonBadAnswer}).Draw(rt, "fail")
 	for id := range snapshots {
