API: bad input, statuses and operators' tokens tested

A body over the limit crashed the handler, as its goa error bore the name of a class of the design; it has a name of its own now. A budget of NaN or Inf is refused or capped.

--- /dev/null
+++ b/internal/api/api_test.go
@@ -0,0 +1,190 @@
+package api
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+)
+
+// fakeEntry answers with what it is given and keeps what it was asked.
+type fakeEntry struct {
+	search  query.Search
+	asked   int
+	refusal *query.Refusal
+}
+
+func (f *fakeEntry) Search(_ context.Context, q query.Search) (*query.Answer, *query.Refusal) {
+	f.search = q
+	f.asked++
+	if f.refusal != nil {
+		f.refusal.RequestID = q.RequestID
+		return nil, f.refusal
+	}
+	return &query.Answer{RequestID: q.RequestID, Snapshot: 7, Coverage: query.Coverage{Shards: 2, Answered: 1, Missing: []query.ShardKey{{Service: "s", Shard: 1}}}}, nil
+}
+
+func (f *fakeEntry) Reserve(_ context.Context, r query.Reserve) (query.Reservation, *query.Refusal) {
+	f.asked++
+	return query.Reservation{RequestID: r.RequestID, ReservationID: r.ReservationID, Outcome: outcome.Done}, nil
+}
+
+type fakeHost struct {
+	err     error
+	leaving bool
+}
+
+func (h *fakeHost) Ready() error  { return h.err }
+func (h *fakeHost) Leaving() bool { return h.leaving }
+
+func call(h http.Handler, path, body string, headers ...string) (*http.Response, map[string]any) {
+	req := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, req)
+	var fields map[string]any
+	_ = json.Unmarshal(w.Body.Bytes(), &fields)
+	return w.Result(), fields
+}
+
+func callers(e Entry, h Host) http.Handler {
+	return NewCallers(DefaultConfig(), "", e, h, event.Discard()).server.Handler
+}
+
+// TestBadRequests checks that each malformed request is refused with a typed
+// reason as not run, and reaches no entry.
+func TestBadRequests(t *testing.T) {
+	long := strings.Repeat("x", int(DefaultConfig().MaxBody))
+	cases := []struct {
+		name, path, body string
+		status           int
+		reason           query.Reason
+	}{
+		{"no json", "/v1/search", `{`, 400, query.ReasonBadRequest},
+		{"no body", "/v1/search", ``, 400, query.ReasonBadRequest},
+		{"unknown field", "/v1/search", `{"workload":"w","min_coverge":1}`, 400, query.ReasonBadRequest},
+		{"two values", "/v1/search", `{"workload":"w"}{}`, 400, query.ReasonBadRequest},
+		{"wrong type", "/v1/search", `{"workload":7}`, 400, query.ReasonBadRequest},
+		{"coverage above one", "/v1/search", `{"workload":"w","min_coverage":1.5}`, 400, query.ReasonBadRequest},
+		{"negative limit", "/v1/search", `{"workload":"w","limit":-1}`, 400, query.ReasonBadRequest},
+		{"too large", "/v1/search", `{"workload":"` + long + `"}`, 413, query.ReasonTooLarge},
+		{"no item", "/v1/reservations", `{"reservation_id":"1","service":"s"}`, 400, query.ReasonBadRequest},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			e := &fakeEntry{}
+			res, fields := call(callers(e, &fakeHost{}), c.path, c.body, headerRequestID, "mine")
+			is.Equal(res.StatusCode, c.status)
+			is.Equal(fields["reason"], string(c.reason))
+			is.Equal(fields["not_run"], true)
+			is.Equal(fields["request_id"], "mine")
+			is.Equal(res.Header.Get(headerRequestID), "mine")
+			is.Equal(e.asked, 0)
+		})
+	}
+}
+
+// TestRefusalStatus checks the status, the body and the time to come back of
+// each kind of refusal.
+func TestRefusalStatus(t *testing.T) {
+	cases := []struct {
+		reason  query.Reason
+		outcome outcome.Outcome
+		status  int
+	}{
+		{query.ReasonUnknownService, outcome.NotSent, 404},
+		{query.ReasonBudget, outcome.NotSent, 408},
+		{query.ReasonBudget, outcome.Unknown, 504},
+		{query.ReasonOverload, outcome.Rejected, 429},
+		{query.ReasonExpired, outcome.Unknown, 410},
+		{query.ReasonUnsettled, outcome.Unknown, 502},
+		{query.ReasonTargetFailed, outcome.Failed, 502},
+		{query.ReasonPlatform, outcome.NotSent, 503},
+		{query.ReasonNoTarget, outcome.NotSent, 503},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.reason, c.outcome), func(t *testing.T) {
+			is := is.New(t)
+			e := &fakeEntry{refusal: &query.Refusal{Reason: c.reason, Outcome: c.outcome, RetryAfter: 1200 * time.Millisecond}}
+			res, fields := call(callers(e, &fakeHost{}), "/v1/search", `{"workload":"w"}`)
+			is.Equal(res.StatusCode, c.status)
+			is.Equal(fields["outcome"], c.outcome.String())
+			is.Equal(fields["not_run"], c.outcome.NotRun())
+			is.Equal(fields["retry_after_ms"], 1200.0)
+			if c.status == 429 || c.status >= 502 {
+				is.Equal(res.Header.Get("Retry-After"), "2") // whole seconds, rounded up
+			}
+			is.Equal(fields["request_id"], res.Header.Get(headerRequestID))
+		})
+	}
+}
+
+func TestSearchDefaultsAndBudget(t *testing.T) {
+	is := is.New(t)
+	e := &fakeEntry{}
+	res, fields := call(callers(e, &fakeHost{}), "/v1/search", `{"workload":"w","text":"pot"}`, "X-Budget-Ms", "0.5", "X-Caller", "shop")
+	is.Equal(res.StatusCode, 200)
+	is.Equal(e.search.Budget, 500*time.Microsecond)
+	is.Equal(e.search.MinCoverage, 1.0)
+	is.Equal(e.search.Caller, "shop")
+	coverage := fields["coverage"].(map[string]any)
+	is.Equal(coverage["complete"], false)
+	is.Equal(coverage["missing"], []any{"s/1"})
+	for _, b := range []string{"0", "-3", "NaN", "-Inf"} {
+		call(callers(e, &fakeHost{}), "/v1/search", `{"workload":"w"}`, "X-Budget-Ms", b)
+		is.True(e.search.Budget < 0) // had run out, which is not "none named"
+	}
+	call(callers(e, &fakeHost{}), "/v1/search", `{"workload":"w"}`, "X-Budget-Ms", "+Inf")
+	is.True(e.search.Budget > 0)
+}
+
+// TestLeavingHostClosesConnections checks that clients of a leaving host are
+// told not to use the connection again.
+func TestLeavingHostClosesConnections(t *testing.T) {
+	is := is.New(t)
+	host := &fakeHost{}
+	h := callers(&fakeEntry{}, host)
+	res, _ := call(h, "/v1/search", `{"workload":"w"}`)
+	is.Equal(res.Header.Get("Connection"), "")
+	host.leaving = true
+	res, _ = call(h, "/v1/search", `{"workload":"w"}`)
+	is.Equal(res.StatusCode, 200)
+	is.Equal(res.Header.Get("Connection"), "close")
+}
+
+type fakeExecutor struct{ operator string }
+
+func (f *fakeExecutor) Execute(_ context.Context, operator, _ string, _ bool) (Result, error) {
+	f.operator = operator
+	return Result{Columns: []string{"host"}, Rows: [][]string{{"a"}}}, nil
+}
+
+func TestOperatorsAreAuthorized(t *testing.T) {
+	is := is.New(t)
+	exec := &fakeExecutor{}
+	ops := []Operator{{Name: "rekha", Token: "t-one"}, {Name: "joao", Token: "t-two"}}
+	h := NewOperators(DefaultConfig(), "", ops, exec, &fakeHost{}, prometheus.NewRegistry(), event.Discard()).server.Handler
+	for _, header := range []string{"", "Bearer", "Bearer t-on", "Bearer t-onee", "t-one"} {
+		res, fields := call(h, "/v1/statements", `{"statement":"show hosts"}`, "Authorization", header)
+		is.Equal(res.StatusCode, 401)
+		is.Equal(fields["reason"], "unauthorized")
+	}
+	is.Equal(exec.operator, "")
+	res, _ := call(h, "/v1/statements", `{"statement":"show hosts"}`, "Authorization", "Bearer t-two")
+	is.Equal(res.StatusCode, 200)
+	is.Equal(exec.operator, "joao")
+}
--- a/internal/api/callers.go
+++ b/internal/api/callers.go
@@ -83,16 +83,20 @@
 	}
 }
 
+// maxBudgetMS keeps a caller's budget within time.Duration; the entry caps it
+// far below.
+const maxBudgetMS = 1e9
+
 // budget returns the budget that a caller named: 0 if none, negative if it
-// had run out.
+// had run out or is no number.
 func budget(ms *float64) time.Duration {
 	switch {
 	case ms == nil:
 		return 0
-	case *ms <= 0:
-		return -1
+	case *ms > 0:
+		return time.Duration(min(*ms, maxBudgetMS) * float64(time.Millisecond))
 	}
-	return time.Duration(*ms * float64(time.Millisecond))
+	return -1
 }
 
 func value(s *string) string {
--- a/internal/api/decode.go
+++ b/internal/api/decode.go
@@ -15,6 +15,10 @@
 
 const headerRequestID = "X-Request-Id"
 
+// errorBodyTooLarge names the goa error of a body over the limit. It must not
+// be a class of the design, whose errors goa takes for refusals.
+const errorBodyTooLarge = "body_too_large"
+
 type requestIDKey struct{}
 
 // requestID returns the id of the request that ctx belongs to.
@@ -60,7 +64,7 @@
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		err = fmt.Errorf("the body is over the limit of %d bytes", large.Limit)
-		return goa.NewServiceError(err, string(classTooLarge), false, false, false)
+		return goa.NewServiceError(err, errorBodyTooLarge, false, false, false)
 	}
 	return err
 }
--- a/internal/api/refusal.go
+++ b/internal/api/refusal.go
@@ -140,7 +140,7 @@
 	b := &body{RequestID: requestID(ctx), Detail: err.Error()}
 	var g *goa.ServiceError
 	switch {
-	case errors.As(err, &g) && g.Name == string(classTooLarge):
+	case errors.As(err, &g) && g.Name == errorBodyTooLarge:
 		b.Name, b.Reason, b.status = string(classTooLarge), string(query.ReasonTooLarge), http.StatusRequestEntityTooLarge
 	case errors.As(err, &g) && !g.Fault:
 		b.Name, b.Reason, b.status = string(classBadRequest), string(query.ReasonBadRequest), http.StatusBadRequest
