Claims: focused tests of lost answers, outages, late writes, frozen and lost senders

Cause: the faults that the record is for were not brought about yet. Found by them: a run whose attempts were all refused answered rejected although another host had taken the reservation over and run it; it now frees its record before the word and, when the record is another's, gives that one's answer.

--- /dev/null
+++ b/internal/claim/failure_test.go
@@ -0,0 +1,345 @@
+package claim
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/time/rate"
+
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+)
+
+const many = 1 << 20 // faults: all calls from now on
+
+// begin runs a reservation beside the test.
+func (h *host) begin(r query.Reserve) <-chan query.Reservation {
+	c := make(chan query.Reservation, 1)
+	go func() { c <- h.reserve(r) }()
+	synctest.Wait()
+	return c
+}
+
+// sweepAll removes every record that is old enough.
+func (h *host) sweepAll(is *is.I) {
+	h.claims.cfg.SweepCalls = many
+	is.NoErr(h.claims.sweep(context.Background(), rate.NewLimiter(rate.Inf, 1)))
+}
+
+func TestCreateAnswerLost(t *testing.T) {
+	inWorld(t, 2, func(is *is.I, w *world) {
+		r := reservation(newID(time.Now()))
+		w.hosts[0].client.LoseNextAnswers(1)
+		first := w.hosts[0].reserve(r)
+		is.Equal(first.Outcome, outcome.Done)
+		is.Equal(w.hosts[1].reserve(r).Answer, first.Answer)
+		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	})
+}
+
+// A create that is never answered is given up; the host that gave up frees
+// the record, whenever the create lands.
+func TestCreateNeverAnswered(t *testing.T) {
+	cases := map[string]func(h *host){
+		"applied":     func(h *host) { h.client.LoseNextAnswers(many) },
+		"not applied": func(h *host) { h.client.LoseNextRequests(many) },
+		"lands late":  func(h *host) { h.client.HoldNextWrites(many) },
+	}
+	for name, fault := range cases {
+		t.Run(name, func(t *testing.T) {
+			inWorld(t, 2, func(is *is.I, w *world) { createNeverAnswered(is, w, fault, true) })
+			inWorld(t, 2, func(is *is.I, w *world) { createNeverAnswered(is, w, fault, false) })
+		})
+	}
+}
+
+func createNeverAnswered(is *is.I, w *world, fault func(*host), repeatEarly bool) {
+	a, b := w.hosts[0], w.hosts[1]
+	r := reservation(newID(time.Now()))
+	fault(a)
+	res := a.reserve(r)
+	is.Equal(res.Outcome, outcome.NotSent)
+	is.True(res.RetryAfter > 0)
+	w.platform.Release()
+	a.client.LoseNextAnswers(0)
+	a.client.LoseNextRequests(0)
+	a.client.HoldNextWrites(0)
+	is.Equal(len(w.target.runs), 0)
+
+	if repeatEarly {
+		is.Equal(b.reserve(r).Outcome, outcome.Done) // a tells that it never sends
+	}
+	time.Sleep(time.Minute) // a frees the record
+	a.kill()
+	w.platform.Release()
+	is.Equal(b.reserve(r).Outcome, outcome.Done)
+	is.Equal(len(w.target.runs[r.ReservationID]), 1)
+}
+
+// The record of a create that lands after its host gave up and was lost is
+// told as unknown, never run.
+func TestCreateLandsAfterHostLost(t *testing.T) {
+	inWorld(t, 2, func(is *is.I, w *world) {
+		r := reservation(newID(time.Now()))
+		w.hosts[0].client.HoldNextWrites(many)
+		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.NotSent)
+		w.hosts[0].kill()
+		w.platform.Release()
+		res := w.hosts[1].reserve(r)
+		is.Equal(res.Outcome, outcome.Unknown)
+		is.Equal(res.Reason, query.ReasonUnsettled)
+		is.Equal(len(w.target.runs), 0)
+	})
+}
+
+// A release that was held back on its way must not undo a later attempt.
+func TestReleaseLandsLate(t *testing.T) {
+	inWorld(t, 3, func(is *is.I, w *world) {
+		a, b, c := w.hosts[0], w.hosts[1], w.hosts[2]
+		r := reservation(newID(time.Now()))
+		a.client.LoseNextAnswers(many)
+		is.Equal(a.reserve(r).Outcome, outcome.NotSent)
+		a.client.LoseNextAnswers(0)
+		a.client.HoldNextWrites(2) // releases; the third one lands
+		time.Sleep(time.Minute)
+		b.sendGate.set(true)
+		first := b.begin(r)
+		w.platform.Release()
+		second := c.begin(r)
+		b.sendGate.set(false)
+		is.Equal((<-first).Outcome, outcome.Done)
+		is.Equal((<-second).Outcome, outcome.Done)
+		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	})
+}
+
+func TestPlatformDownBefore(t *testing.T) {
+	inWorld(t, 1, func(is *is.I, w *world) {
+		h := w.hosts[0]
+		_ = h.reserve(reservation(newID(time.Now()))) // the host knows the platform's clock
+		w.platform.Outage(true)
+		r := reservation(newID(time.Now()))
+		start := time.Now()
+		res := h.reserve(r)
+		is.Equal(time.Since(start), time.Duration(0))
+		is.Equal(res.Outcome, outcome.NotSent)
+		is.Equal(res.Reason, query.ReasonPlatform)
+		is.True(res.RetryAfter > 0)
+		is.Equal(len(w.target.runs[r.ReservationID]), 0)
+		w.platform.Outage(false)
+		is.Equal(h.reserve(r).Outcome, outcome.Done)
+	})
+}
+
+// The platform fails between the create and the outcome: the caller has its
+// answer, and so has each repeat once the platform is back.
+func TestPlatformDownBetween(t *testing.T) {
+	inWorld(t, 2, func(is *is.I, w *world) {
+		a, b := w.hosts[0], w.hosts[1]
+		r := reservation(newID(time.Now()))
+		a.sendGate.set(true)
+		pending := a.begin(r)
+		w.platform.Outage(true)
+		a.sendGate.set(false)
+		first := <-pending
+		is.Equal(first.Outcome, outcome.Done)
+		is.Equal(a.reserve(r).Answer, first.Answer) // by memory
+		is.Equal(b.reserve(r).Outcome, outcome.NotSent)
+		w.platform.Outage(false)
+		is.Equal(b.reserve(r).Answer, first.Answer) // a answers for the record
+		time.Sleep(time.Minute)
+		a.kill()
+		is.Equal(b.reserve(r).Answer, first.Answer) // the record has it now
+		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	})
+}
+
+// A host that knows that the reservation was sent never tells a repeat that
+// it did not run, also when the platform is down.
+func TestUnknownIsNotToldAsNotRun(t *testing.T) {
+	inWorld(t, 1, func(is *is.I, w *world) {
+		r := reservation(newID(time.Now()))
+		w.target.drop = 1
+		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.Unknown)
+		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.Unknown)
+		w.platform.Outage(true)
+		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.Unknown)
+		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	})
+}
+
+func TestRepeatsAtManyHostsAtOnce(t *testing.T) {
+	inWorld(t, 4, func(is *is.I, w *world) {
+		r := reservation(newID(time.Now()))
+		var all []<-chan query.Reservation
+		for _, h := range w.hosts {
+			h.sendGate.set(true)
+			all = append(all, h.begin(r), h.begin(r))
+		}
+		for _, h := range w.hosts {
+			h.sendGate.set(false)
+		}
+		answers := map[string]int{}
+		for _, c := range all {
+			answers[(<-c).Answer]++
+		}
+		is.Equal(len(answers), 1)
+		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	})
+}
+
+func TestTargetDropsAnswer(t *testing.T) {
+	for _, settle := range []bool{false, true} {
+		inWorld(t, 2, func(is *is.I, w *world) {
+			w.settle = settle
+			want := map[bool]outcome.Outcome{false: outcome.Unknown, true: outcome.Done}[settle]
+			r := reservation(newID(time.Now()))
+			w.target.drop = 1
+			first := w.hosts[0].reserve(r)
+			is.Equal(first.Outcome, want)
+			again := w.hosts[1].reserve(r)
+			is.Equal(again.Outcome, want)
+			is.Equal(again.Answer, first.Answer)
+			is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		})
+	}
+}
+
+func TestRejected(t *testing.T) {
+	inWorld(t, 2, func(is *is.I, w *world) {
+		r := reservation(newID(time.Now()))
+		w.target.reject = 2
+		res := w.hosts[0].reserve(r)
+		is.Equal(res.Outcome, outcome.Rejected)
+		is.Equal(res.Reason, query.ReasonOverload)
+		is.True(res.RetryAfter > 0)
+		is.Equal(len(w.target.runs), 0)
+
+		w.target.reject = 1 // the second target takes it
+		res = w.hosts[1].reserve(r)
+		is.Equal(res.Outcome, outcome.Done)
+		is.Equal(res.Target, "t1")
+		is.Equal(w.hosts[0].reserve(r).Answer, res.Answer)
+		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	})
+}
+
+// The sender is lost, or only thought lost, with its bytes already on the way.
+func TestSenderLost(t *testing.T) {
+	for _, settle := range []bool{false, true} {
+		inWorld(t, 3, func(is *is.I, w *world) {
+			w.settle = settle
+			r := reservation(newID(time.Now()))
+			w.hosts[0].sendGate.set(true)
+			w.hosts[0].begin(r)
+			w.thoughtDead["a"] = true
+			start := time.Now()
+			res := w.hosts[1].reserve(r)
+			is.Equal(time.Since(start), time.Duration(0))
+			w.hosts[0].sendGate.set(false)
+			synctest.Wait()
+			is.Equal(len(w.target.runs[r.ReservationID]), 1)
+			if settle {
+				is.Equal(res.Outcome, outcome.Done)
+				is.Equal(w.hosts[2].reserve(r).Answer, res.Answer)
+				is.Equal(w.hosts[0].reserve(r).Answer, res.Answer)
+			} else {
+				is.Equal(res.Reason, query.ReasonUnsettled)
+			}
+		})
+	}
+}
+
+// A host frozen between its look at the clock and its create wakes after the
+// record was removed. Its budget seems to last, as on a machine whose
+// monotonic clock stood still as well.
+func TestFrozenBeforeCreatePastHorizon(t *testing.T) {
+	inWorld(t, 2, func(is *is.I, w *world) {
+		a, b := w.hosts[0], w.hosts[1]
+		is.Equal(a.reserve(reservation(newID(time.Now()))).Outcome, outcome.Done) // a knows the clock
+		r := reservation(newID(time.Now()))
+		r.Budget = 10 * removeAfter
+		a.gate.set(true)
+		frozen := a.begin(r)
+		is.Equal(b.reserve(r).Outcome, outcome.Done)
+		time.Sleep(removeAfter + time.Hour)
+		b.sweepAll(is)
+		is.Equal(len(w.platform.Objects(mustID(r.ReservationID).kind())), 0)
+		a.gate.set(false)
+		is.Equal((<-frozen).Reason, query.ReasonExpired)
+		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	})
+}
+
+// A host frozen in its send wakes after the record was removed.
+func TestFrozenInSendPastHorizon(t *testing.T) {
+	inWorld(t, 2, func(is *is.I, w *world) {
+		a, b := w.hosts[0], w.hosts[1]
+		r := reservation(newID(time.Now()))
+		r.Budget = 10 * removeAfter
+		a.sendGate.set(true)
+		frozen := a.begin(r)
+		time.Sleep(removeAfter + time.Hour)
+		b.sweepAll(is)
+		res := b.reserve(r)
+		is.Equal(res.Reason, query.ReasonExpired)
+		is.Equal(res.Outcome, outcome.Unknown)
+		a.sendGate.set(false)
+		is.Equal((<-frozen).Outcome, outcome.Done)
+		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	})
+}
+
+// A host frozen after its create wakes with its budget spent: it sends
+// nothing and frees the record.
+func TestFrozenAfterCreate(t *testing.T) {
+	inWorld(t, 2, func(is *is.I, w *world) {
+		a, b := w.hosts[0], w.hosts[1]
+		r := reservation(newID(time.Now()))
+		a.client.SetLatency(100 * time.Millisecond)
+		is.Equal(a.reserve(reservation(newID(time.Now()))).Outcome, outcome.Done) // a knows the clock
+		frozen := a.begin(r)
+		time.Sleep(50 * time.Millisecond)
+		a.gate.set(true) // its create is on the way
+		time.Sleep(time.Minute)
+		is.Equal((<-frozen).Outcome, outcome.Unknown)
+		a.gate.set(false)
+		time.Sleep(time.Minute)
+		a.kill()
+		is.Equal(len(w.target.runs[r.ReservationID]), 0)
+		is.Equal(b.reserve(r).Outcome, outcome.Done)
+		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	})
+}
+
+// While a second target is tried, the record names the second attempt, so
+// that a settled first one does not free it.
+func TestRecordNamesSecondAttempt(t *testing.T) {
+	inWorld(t, 2, func(is *is.I, w *world) {
+		w.settle = true
+		w.target.reject = 1
+		r := reservation(newID(time.Now()))
+		a := w.hosts[0]
+		a.gate.set(true)
+		pending := a.begin(r)
+		a.holdSend = 2
+		a.gate.set(false)
+		synctest.Wait()
+		w.thoughtDead["a"] = true
+		is.Equal(w.hosts[1].reserve(r).Outcome, outcome.Done)
+		a.sendGate.set(false)
+		is.Equal((<-pending).Outcome, outcome.Done)
+		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	})
+}
+
+func mustID(s string) reservationID {
+	id, err := parseID(s)
+	if err != nil {
+		panic(err)
+	}
+	return id
+}
--- a/internal/claim/runner.go
+++ b/internal/claim/runner.go
@@ -233,15 +233,14 @@
 	if f.refused.Reason != "" {
 		res.Reason = f.refused.Reason
 	}
-	if f.held != nil {
-		f.c.release(f.id, base.version, f.held)
-		return res
+	e := entry{}
+	switch {
+	case f.held != nil:
+		e = f.releaseHeld(base)
+	case base.version == 0:
+		e, _ = f.c.ledger.get(f.ctx, f.id) // a failure leaves the refusal, which is true as well
 	}
-	if base.version > 0 {
-		return res
-	}
-	e, err := f.c.ledger.get(f.ctx, f.id)
-	if err != nil || e.version == 0 {
+	if e.version == 0 {
 		return res
 	}
 	if _, found, stop := f.met(e); stop {
@@ -250,6 +249,24 @@
 	return res
 }
 
+// releaseHeld frees the record of the held attempt, in the background if the
+// platform takes long. It returns the record if another attempt has taken it
+// meanwhile.
+func (f *runner) releaseHeld(base entry) entry {
+	ctx, cancel := context.WithTimeout(f.ctx, f.c.cfg.OutcomeWait.Std())
+	defer cancel()
+	e, result := f.c.ledger.put(ctx, f.id, base.version, f.held.rec.released())
+	if result != applied && result != conflict {
+		f.c.release(f.id, base.version, f.held)
+		return entry{}
+	}
+	f.letGo()
+	if result == applied {
+		return entry{}
+	}
+	return e
+}
+
 // notRun is the word on a request none of whose attempts ran.
 func (f *runner) notRun(reason query.Reason) query.Reservation {
 	res := refuse(reason, f.c.cfg.RetryAfter.Std())
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -117,6 +117,8 @@
 	claims   *Claims
 	gate     gate // a frozen host
 	sendGate gate // frozen with the request already handed to the kernel
+	holdSend int  // the send, from 1, at which sendGate shuts; 0 for none
+	sends    int
 	mu       sync.Mutex
 	dead     bool
 }
@@ -151,6 +153,10 @@
 	if ctx.Err() != nil || h.isDead() {
 		return query.Reservation{Outcome: outcome.NotSent, Reason: query.ReasonBudget}
 	}
+	h.sends++
+	if h.sends == h.holdSend {
+		h.sendGate.set(true)
+	}
 	h.sendGate.pass()
 	res := h.w.target.send(r, h.id, attempt)
 	h.gate.pass()
