Target stand-in: faults, drain, settle and connections tested

Each fault has a test in virtual time or on loopback, over HTTP/1.1 and h2c. The control paths can have a listener of their own, since a target whose connections are all taken could not be told to stop misbehaving.

--- /dev/null
+++ b/internal/standin/target/server_test.go
@@ -0,0 +1,178 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+)
+
+// post makes a call of the target's other paths and decodes its answer into
+// out, unless that is nil.
+func (c *client) post(path, body string, out any) int {
+	resp, err := c.http.Post("http://"+c.host+path, "application/json", strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if out != nil && json.NewDecoder(resp.Body).Decode(out) != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// running serves a target on loopback until the test ends.
+type running struct {
+	*Server
+	address string
+	served  chan error
+}
+
+func start(t *testing.T, tgt *Target) running {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := running{NewServer(tgt), ln.Addr().String(), make(chan error, 1)}
+	go func() { r.served <- r.Serve(ln) }()
+	t.Cleanup(func() { _ = r.Shutdown(context.Background()) })
+	return r
+}
+
+// transport speaks only HTTP/1.1 or only HTTP/2.
+func transport(h2 bool) *http.Transport {
+	var p http.Protocols
+	p.SetHTTP1(!h2)
+	p.SetUnencryptedHTTP2(h2)
+	return &http.Transport{Protocols: &p}
+}
+
+func TestBothProtocolsOnOneListener(t *testing.T) {
+	is := is.New(t)
+	tgt := New(testConfig())
+	srv := start(t, tgt)
+	for _, h2 := range []bool{false, true} {
+		tr := transport(h2)
+		resp, err := (&http.Client{Transport: tr}).Get("http://" + srv.address + targetapi.PathStatus)
+		is.NoErr(err)
+		is.Equal(resp.ProtoMajor == 2, h2)
+		is.NoErr(resp.Body.Close())
+		tr.CloseIdleConnections()
+	}
+	is.NoErr(srv.Shutdown(t.Context()))
+	is.NoErr(<-srv.served)
+	is.Equal(tgt.Counters().ConnectionsOpened, uint64(2))
+}
+
+func TestConnectionsOverTheLimitAreClosed(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfig()
+	cfg.Connections = 1
+	tgt := New(cfg)
+	srv := start(t, tgt)
+	held, err := net.Dial("tcp", srv.address)
+	is.NoErr(err)
+	_, err = io.WriteString(held, "GET "+targetapi.PathStatus+" HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.NoErr(err)
+	_, err = http.ReadResponse(bufio.NewReader(held), nil)
+	is.NoErr(err)
+	over, err := net.Dial("tcp", srv.address)
+	is.NoErr(err)
+	_, err = over.Read(make([]byte, 1))
+	is.True(err != nil)
+	is.NoErr(over.Close())
+	is.NoErr(held.Close())
+	c := tgt.Counters()
+	is.Equal(c.ConnectionsRefused, uint64(1))
+	is.Equal(c.ConnectionsMax, 1)
+}
+
+// A cut, and a cancelled wait, reach the other side over both protocols.
+func TestCutAndCancelOverTheWire(t *testing.T) {
+	for _, h2 := range []bool{false, true} {
+		is := is.New(t)
+		cfg := testConfig()
+		tgt := New(cfg)
+		srv := start(t, tgt)
+		c := &client{http.Client{Transport: transport(h2)}, srv.address}
+		tgt.SetFaults(Faults{Cut: 1})
+		is.True(c.send(t.Context(), reserve("a1")).err != nil)
+		is.Equal(len(tgt.Executions()), 1)
+		tgt.SetFaults(Faults{Truncate: 1})
+		is.True(c.send(t.Context(), search()).err != nil)
+		tgt.SetFaults(Faults{Freeze: FreezeBefore})
+		ctx, cancel := context.WithCancel(t.Context())
+		got := make(chan received, 1)
+		go func() { got <- c.send(ctx, reserve("a2")) }()
+		until(func() bool { return tgt.Counters().Received == 3 })
+		cancel()
+		is.True((<-got).err != nil)
+		until(func() bool { return tgt.Counters().Count(ResultCancelled) == 1 })
+		is.Equal(len(tgt.Executions()), 1)
+	}
+}
+
+func TestShutdownLetsRequestsEnd(t *testing.T) {
+	for _, h2 := range []bool{false, true} {
+		is := is.New(t)
+		tgt := New(testConfig())
+		srv := start(t, tgt)
+		c := &client{http.Client{Transport: transport(h2)}, srv.address}
+		tgt.SetFaults(Faults{Freeze: FreezeAfter})
+		got := make(chan received, 1)
+		go func() { got <- c.send(t.Context(), reserve("a1")) }()
+		until(func() bool { return len(tgt.Executions()) == 1 })
+		stopped := make(chan error, 1)
+		go func() { stopped <- srv.Shutdown(t.Context()) }()
+		is.NoErr(<-srv.served) // takes no more
+		tgt.SetFaults(Faults{})
+		is.True((<-got).answer.Granted)
+		is.NoErr(<-stopped)
+	}
+}
+
+func TestControlIsReachableWhenConnectionsAreTaken(t *testing.T) {
+	is := is.New(t)
+	tgt := New(testConfig())
+	srv := start(t, tgt)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() { _ = srv.ServeControl(ln) }()
+	resp, err := http.Get("http://" + ln.Addr().String() + PathCounters)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.NoErr(resp.Body.Close())
+	is.Equal(tgt.Counters().ConnectionsOpened, uint64(0))
+}
+
+func TestExecutionLogFile(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfig()
+	cfg.ExecutionLog = filepath.Join(t.TempDir(), "executions")
+	tgt := New(cfg)
+	is.NoErr(tgt.OpenLog())
+	c := newClient(tgt)
+	tgt.SetFaults(Faults{Freeze: FreezeAfter}) // no answer, but a line
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		until(func() bool { return len(tgt.Executions()) == 1 })
+		cancel()
+	}()
+	is.True(c.send(ctx, reserve("a1")).err != nil)
+	is.NoErr(tgt.CloseLog())
+	b, err := os.ReadFile(cfg.ExecutionLog)
+	is.NoErr(err)
+	var e Execution
+	is.NoErr(json.Unmarshal(b, &e))
+	is.Equal(e, tgt.Executions()[0])
+}
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -5,8 +5,8 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -32,12 +32,22 @@
 }
 
 // client is a caller of a target without sockets.
-type client struct{ http http.Client }
+type client struct {
+	http http.Client
+	host string
+}
 
 func newClient(t *Target) *client {
 	var tr standin.Transport
 	tr.Handle(testHost, t.Handler())
-	return &client{http.Client{Transport: &tr}}
+	return &client{http.Client{Transport: &tr}, testHost}
+}
+
+// until waits for the condition.
+func until(condition func() bool) {
+	for !condition() {
+		runtime.Gosched()
+	}
 }
 
 type sent struct {
@@ -69,7 +79,7 @@
 
 func (c *client) send(ctx context.Context, s sent) received {
 	body, _ := json.Marshal(s.body)
-	r, _ := http.NewRequestWithContext(ctx, "POST", "http://"+testHost+targetapi.PathShard, strings.NewReader(string(body)))
+	r, _ := http.NewRequestWithContext(ctx, "POST", "http://"+c.host+targetapi.PathShard, strings.NewReader(string(body)))
 	r.Header.Set(targetapi.HeaderRequest, "q1")
 	r.Header.Set(targetapi.HeaderAttempt, s.attempt)
 	r.Header.Set(targetapi.HeaderService, testService)
@@ -182,27 +192,3 @@
 		})
 	}
 }
-
-func TestBothProtocolsOnOneListener(t *testing.T) {
-	is := is.New(t)
-	tgt := New(testConfig())
-	srv := NewServer(tgt)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	served := make(chan error, 1)
-	go func() { served <- srv.Serve(ln) }()
-	for _, h2 := range []bool{false, true} {
-		var p http.Protocols
-		p.SetHTTP1(!h2)
-		p.SetUnencryptedHTTP2(h2)
-		tr := &http.Transport{Protocols: &p}
-		resp, err := (&http.Client{Transport: tr}).Get("http://" + ln.Addr().String() + targetapi.PathStatus)
-		is.NoErr(err)
-		is.Equal(resp.ProtoMajor == 2, h2)
-		is.NoErr(resp.Body.Close())
-		tr.CloseIdleConnections()
-	}
-	is.NoErr(srv.Shutdown(t.Context()))
-	is.NoErr(<-served)
-	is.Equal(tgt.Counters().ConnectionsOpened, uint64(2))
-}
