--- a/internal/standin/target/faults.go
+++ b/internal/standin/target/faults.go
@@ -20,7 +20,9 @@
 // Faults are the failures in force. Probabilities are drawn for each request.
 type Faults struct {
 	LatencyFactor float64 `json:"latency_factor,omitempty"` // of the service time; 0: 1
+	LatencyShare  float64 `json:"latency_share,omitempty"`  // of requests that LatencyFactor is for; 0: all
 	Freeze        Freeze  `json:"freeze,omitempty"`
+	FreezeShare   float64 `json:"freeze_share,omitempty"`  // of requests that freeze; 0: all
 	FreezeStatus  bool    `json:"freeze_status,omitempty"` // the status does not answer either
 	Shed          float64 `json:"shed,omitempty"`          // refused with 503 shed, not run
 	Fail          float64 `json:"fail,omitempty"`          // 500 failed, run in vain
@@ -37,6 +39,8 @@
 // Validate returns every error of the faults.
 func (f Faults) Validate() error {
 	all := []error{
+		standin.Probability("latency_share", f.LatencyShare),
+		standin.Probability("freeze_share", f.FreezeShare),
 		standin.Probability("shed", f.Shed),
 		standin.Probability("fail", f.Fail),
 		standin.Probability("cut_before", f.CutBefore),
@@ -62,6 +66,14 @@
 	return errors.Join(all...)
 }
 
+// share returns a share of requests as a probability: 0 means all.
+func share(s float64) float64 {
+	if s == 0 {
+		return 1
+	}
+	return s
+}
+
 // SetFaults puts the faults in force in place of all earlier ones. Frozen
 // requests see the change at once.
 func (t *Target) SetFaults(f Faults) {
--- a/internal/standin/target/faults_test.go
+++ b/internal/standin/target/faults_test.go
@@ -185,6 +185,12 @@
 		is.Equal(tgt.serviceTime(), time.Second)
 		tgt.SetFaults(Faults{LatencyFactor: 100})
 		is.Equal(tgt.serviceTime(), 100*time.Second)
+		tgt.SetFaults(Faults{LatencyFactor: 100, LatencyShare: 0.5})
+		seen := map[time.Duration]bool{}
+		for range 100 {
+			seen[tgt.serviceTime()] = true
+		}
+		is.Equal(seen, map[time.Duration]bool{time.Second: true, 100 * time.Second: true})
 	})
 }
 
--- a/internal/standin/target/run.go
+++ b/internal/standin/target/run.go
@@ -78,7 +78,7 @@
 func (t *Target) thaw(ctx context.Context, at Freeze) bool {
 	for {
 		f, changed := t.faultsInForce()
-		if f.Freeze != at {
+		if f.Freeze != at || !t.dice.Chance(share(f.FreezeShare)) {
 			return true
 		}
 		select {
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -31,14 +31,31 @@
 	}
 }
 
-// Serve answers requests until Shutdown; it then returns nil.
+// Serve answers requests until Shutdown; it then returns nil. It also opens
+// the control listener, if one is configured.
 func (s *Server) Serve(ln net.Listener) error {
+	if err := s.listenControl(); err != nil {
+		return err
+	}
 	if err := s.http.Serve(&listener{Listener: ln, target: s.target}); !errors.Is(err, http.ErrServerClosed) {
 		return Error.New("serve: %w", err)
 	}
 	return nil
 }
 
+func (s *Server) listenControl() error {
+	address := s.target.cfg.ControlListen
+	if address == "" {
+		return nil
+	}
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return Error.New("listen for control: %w", err)
+	}
+	go func() { _ = s.ServeControl(ln) }() // ends with Shutdown
+	return nil
+}
+
 // ServeControl answers the stand-in's own paths on another listener until
 // Shutdown; it then returns nil.
 func (s *Server) ServeControl(ln net.Listener) error {
--- a/internal/standin/target/server_test.go
+++ b/internal/standin/target/server_test.go
@@ -105,6 +105,7 @@
 		tgt := New(cfg)
 		srv := start(t, tgt)
 		c := &client{http.Client{Transport: transport(h2)}, srv.address}
+		t.Cleanup(c.http.CloseIdleConnections)
 		tgt.SetFaults(Faults{Cut: 1})
 		is.True(c.send(t.Context(), reserve("a1")).err != nil)
 		is.Equal(len(tgt.Executions()), 1)
@@ -144,7 +145,7 @@
 func TestControlIsReachableWhenConnectionsAreTaken(t *testing.T) {
 	is := is.New(t)
 	tgt := New(testConfig())
-	srv := start(t, tgt)
+	srv := NewServer(tgt)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	go func() { _ = srv.ServeControl(ln) }()
@@ -153,6 +154,7 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.NoErr(resp.Body.Close())
 	is.Equal(tgt.Counters().ConnectionsOpened, uint64(0))
+	is.NoErr(srv.Shutdown(t.Context()))
 }
 
 func TestExecutionLogFile(t *testing.T) {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -216,8 +216,9 @@
 // serviceTime draws the time of one request in a slot.
 func (t *Target) serviceTime() time.Duration {
 	d := float64(t.dice.Draw(t.cfg.ServiceTime))
-	if f := t.Faults().LatencyFactor; f > 0 {
-		d *= f
+	f := t.Faults()
+	if f.LatencyFactor > 0 && t.dice.Chance(share(f.LatencyShare)) {
+		d *= f.LatencyFactor
 	}
 	return time.Duration(d * t.coldFactor())
 }
