--- a/internal/standin/target/config.go
+++ b/internal/standin/target/config.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -54,9 +55,46 @@
 // Holdings are the shards and index snapshots that a target holds of one
 // service.
 type Holdings struct {
-	Shards    []uint32            `json:"shards"`
-	Snapshots []uint64            `json:"snapshots"`
-	Moved     map[uint64][]uint32 `json:"moved,omitempty"` // shards of a snapshot, where they differ
+	Shards    []uint32 `json:"shards"`
+	Snapshots []uint64 `json:"snapshots"`
+	Moved     []Moved  `json:"moved,omitempty"` // snapshots in which the shards differ
+}
+
+// Moved are the shards that a target holds in one snapshot.
+type Moved struct {
+	Snapshot uint64   `json:"snapshot"`
+	Shards   []uint32 `json:"shards"`
+}
+
+// in returns the shards held in the snapshot, and whether it is held at all.
+func (h Holdings) in(snapshot uint64) ([]uint32, bool) {
+	if !slices.Contains(h.Snapshots, snapshot) {
+		return nil, false
+	}
+	for _, m := range h.Moved {
+		if m.Snapshot == snapshot {
+			return m.Shards, true
+		}
+	}
+	return h.Shards, true
+}
+
+// with returns holdings that also have the snapshot. With no shards it has
+// those held in general.
+func (h Holdings) with(snapshot uint64, shards []uint32) Holdings {
+	h = h.without(snapshot)
+	h.Snapshots = append(h.Snapshots, snapshot)
+	if len(shards) > 0 {
+		h.Moved = append(h.Moved, Moved{snapshot, shards})
+	}
+	return h
+}
+
+// without returns holdings that have the snapshot no longer.
+func (h Holdings) without(snapshot uint64) Holdings {
+	h.Snapshots = slices.DeleteFunc(slices.Clone(h.Snapshots), func(id uint64) bool { return id == snapshot })
+	h.Moved = slices.DeleteFunc(slices.Clone(h.Moved), func(m Moved) bool { return m.Snapshot == snapshot })
+	return h
 }
 
 // ColdStart makes a target Factor times slower at its start; the factor falls
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -101,19 +101,7 @@
 func (t *Target) AddSnapshot(service string, snapshot uint64, shards ...uint32) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := t.services[service]
-	h.Moved = maps.Clone(h.Moved)
-	h.Snapshots = slices.Clone(h.Snapshots)
-	if !slices.Contains(h.Snapshots, snapshot) {
-		h.Snapshots = append(h.Snapshots, snapshot)
-	}
-	if len(shards) > 0 {
-		if h.Moved == nil {
-			h.Moved = map[uint64][]uint32{}
-		}
-		h.Moved[snapshot] = shards
-	}
-	t.services[service] = h
+	t.services[service] = t.services[service].with(snapshot, shards)
 	t.recordLocked()
 }
 
@@ -121,11 +109,7 @@
 func (t *Target) DropSnapshot(service string, snapshot uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := t.services[service]
-	h.Moved = maps.Clone(h.Moved)
-	delete(h.Moved, snapshot)
-	h.Snapshots = slices.DeleteFunc(slices.Clone(h.Snapshots), func(id uint64) bool { return id == snapshot })
-	t.services[service] = h
+	t.services[service] = t.services[service].without(snapshot)
 	t.recordLocked()
 	t.forgetRows(service, snapshot)
 }
@@ -135,14 +119,8 @@
 func (t *Target) holds(k shardKey) (bool, []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h, ok := t.services[k.service]
-	if !ok || !slices.Contains(h.Snapshots, k.snapshot) {
-		return false, h.Snapshots
-	}
-	shards := h.Shards
-	if moved, ok := h.Moved[k.snapshot]; ok {
-		shards = moved
-	}
+	h := t.services[k.service]
+	shards, _ := h.in(k.snapshot)
 	return slices.Contains(shards, k.shard), h.Snapshots
 }
 
