Catalog: configuration from the platform and from peers

A few hosts of each failure domain watch the platform, peers pull from one another on a hint and at intervals. A host takes only what lies after the revision up to which it is complete, so nothing that comes late takes it back. A host that has heard neither the platform nor a fresh peer is stale; a word is dated by when it was asked for, as one that waited in a socket of a stopped process is old.

--- /dev/null
+++ b/internal/catalog/config.go
@@ -0,0 +1,53 @@
+package catalog
+
+import (
+	"errors"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/unit"
+)
+
+// Config tells how the configuration reaches this host.
+type Config struct {
+	WatchersPerDomain int           `json:"watchers_per_domain"` // hosts of a failure domain that watch the platform
+	WatchWait         unit.Duration `json:"watch_wait"`          // that one watch waits for a change
+	TakeoverAfter     unit.Duration `json:"takeover_after"`      // without word of the platform, twice as many hosts watch
+	PullInterval      unit.Duration `json:"pull_interval"`       // between pulls from a random peer
+	PullTimeout       unit.Duration `json:"pull_timeout"`        // of one page
+	StaleAfter        unit.Duration `json:"stale_after"`         // without word of platform or peers, callers are refused
+	StartWait         unit.Duration `json:"start_wait"`          // that the start waits for a first configuration
+	ChangeTimeout     unit.Duration `json:"change_timeout"`      // to settle an operator's change
+}
+
+// DefaultConfig returns the settings used where none are given.
+func DefaultConfig() Config {
+	return Config{
+		WatchersPerDomain: 2,
+		WatchWait:         unit.Duration(1500 * time.Millisecond),
+		TakeoverAfter:     unit.Duration(15 * time.Second),
+		PullInterval:      unit.Duration(time.Second),
+		PullTimeout:       unit.Duration(time.Second),
+		StaleAfter:        unit.Duration(4 * time.Second),
+		StartWait:         unit.Duration(2 * time.Second),
+		ChangeTimeout:     unit.Duration(5 * time.Second),
+	}
+}
+
+// Validate reports every problem of the settings.
+func (c Config) Validate() error {
+	var p problems
+	p.unless(c.WatchersPerDomain > 0, "watchers_per_domain: want at least 1")
+	p.positive("watch_wait", c.WatchWait)
+	p.positive("takeover_after", c.TakeoverAfter)
+	p.positive("pull_interval", c.PullInterval)
+	p.positive("pull_timeout", c.PullTimeout)
+	p.positive("stale_after", c.StaleAfter)
+	p.positive("change_timeout", c.ChangeTimeout)
+	p.unless(c.StartWait >= 0, "start_wait: %s is negative", c.StartWait)
+	p.unless(2*c.WatchWait <= c.StaleAfter, "watch_wait: %s is more than half of stale_after, %s", c.WatchWait, c.StaleAfter)
+	p.unless(2*c.PullInterval <= c.StaleAfter, "pull_interval: %s is more than half of stale_after, %s", c.PullInterval, c.StaleAfter)
+	if err := errors.Join(p...); err != nil {
+		return Error.Wrap(err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/catalog/watch.go
@@ -0,0 +1,142 @@
+package catalog
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+const (
+	sourcePlatform = "platform"
+	sourcePeer     = "peer"
+
+	roleInterval     = 250 * time.Millisecond // between looks at whether to watch
+	minRetryDelay    = 100 * time.Millisecond
+	maxRetryDelay    = 2 * time.Second
+	peersFirst       = time.Second     // that a starting watcher leaves to its peers
+	othersPeersFirst = 3 * time.Second // that any other starting host does
+)
+
+// watchLoop follows the platform while this host is one of the watchers.
+func (c *Catalog) watchLoop(ctx context.Context) {
+	delay := backoff.NewExponentialBackOff()
+	delay.InitialInterval, delay.MaxInterval = minRetryDelay, maxRetryDelay
+	for ctx.Err() == nil {
+		c.noteFreshness()
+		if !c.shouldWatch() {
+			sleep(ctx, roleInterval)
+			continue
+		}
+		if err := c.follow(ctx); err != nil {
+			sleep(ctx, delay.NextBackOff())
+			continue
+		}
+		delay.Reset()
+	}
+}
+
+// follow takes the next changes from the platform: all objects if this host
+// has none yet, or if the platform has forgotten changes since.
+func (c *Catalog) follow(ctx context.Context) error {
+	asked := time.Now()
+	after := c.state.Load().complete
+	if after == 0 {
+		return c.list(ctx)
+	}
+	l, err := c.store.Watch(ctx, after, c.cfg.WatchWait.Std(), kinds...)
+	if errors.Is(err, platform.ErrCompacted) || err == nil && l.Revision < after {
+		return c.list(ctx)
+	}
+	if err != nil {
+		return Error.New("watch: %w", err)
+	}
+	if err := c.take(batch{after: after, complete: l.Revision, objects: l.Objects}, sourcePlatform); err != nil {
+		return err
+	}
+	c.heardPlatform(asked)
+	return nil
+}
+
+func (c *Catalog) list(ctx context.Context) error {
+	asked := time.Now()
+	l, err := c.store.List(ctx, kinds...)
+	if err != nil {
+		return Error.New("list: %w", err)
+	}
+	if held := c.state.Load().complete; l.Revision < held {
+		c.log.Event(evPlatformBehind).Uint64("revision", held).Uint64("platform_revision", l.Revision).Msg("")
+		return Error.New("list: the platform is at revision %d, this host at %d", l.Revision, held)
+	}
+	if err := c.take(batch{complete: l.Revision, floor: l.Revision, full: true, objects: l.Objects}, sourcePlatform); err != nil {
+		return err
+	}
+	c.heardPlatform(asked)
+	return nil
+}
+
+// shouldWatch decides whether this host is a watcher now. It is if its place
+// among the hosts of its failure domain is low enough; or if no peer has
+// confirmed its configuration for half of the time after which it is stale,
+// since then the platform is all that is left.
+func (c *Catalog) shouldWatch() bool {
+	self, hosts := c.members.Self(), c.members.Hosts()
+	place := rank(self, hosts)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	should := c.watcherAt(place, now)
+	if c.state.Load().complete == 0 {
+		should = len(hosts) < 2 || now.Sub(c.started) >= c.leftToPeers(place)
+	}
+	if should != c.watching {
+		c.noteWatching(should, place)
+	}
+	return should
+}
+
+// watcherAt decides for a host that has a configuration; c.mu is held.
+func (c *Catalog) watcherAt(place int, now time.Time) bool {
+	heard := c.platform
+	if heard.IsZero() {
+		heard = c.started
+	}
+	span := c.cfg.TakeoverAfter.Std()
+	if place < watchers(c.cfg.WatchersPerDomain, now.Sub(heard), span) {
+		return true
+	}
+	return now.Sub(c.fresh.confirmed) > c.cfg.StaleAfter.Std()/2
+}
+
+// leftToPeers is the time in which a host without configuration waits for
+// that of its peers, so that a fleet that starts doesn't list all at once.
+func (c *Catalog) leftToPeers(place int) time.Duration {
+	if place < c.cfg.WatchersPerDomain {
+		return peersFirst
+	}
+	return othersPeersFirst
+}
+
+func (c *Catalog) noteWatching(watching bool, place int) {
+	c.watching = watching
+	if watching {
+		c.metrics.watching.Set(1)
+		c.log.Event(evWatching).Int("rank", place).Msg("")
+		return
+	}
+	c.metrics.watching.Set(0)
+	c.log.Event(evNotWatching).Msg("")
+}
+
+// sleep waits for d or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
