--- a/internal/plan/assign.go
+++ b/internal/plan/assign.go
@@ -26,6 +26,8 @@
 // Assignment tells the relays of every service. It is computed once for a
 // generation of the membership and the catalog, and is then only read.
 type Assignment struct {
+	hosts  []member.Host // usable, in the order of the membership
+	places map[string][]int
 	relays map[string][]member.Host
 	load   map[string]int
 }
@@ -35,15 +37,7 @@
 // that see the same sets and the same membership compute the same.
 func Assign(sets []ReplicaSet, hosts []member.Host) *Assignment {
 	p := newPlacer(hosts)
-	a := &Assignment{relays: make(map[string][]member.Host, len(sets)), load: make(map[string]int, len(hosts))}
-	bound := capacity(sets, len(p.hosts))
-	for _, s := range inOrder(sets) {
-		a.relays[s.Service] = p.place(s.Service, s.Relays, s.Targets, bound)
-	}
-	for i, h := range p.hosts {
-		a.load[h.ID] = p.load[i]
-	}
-	return a
+	return p.assign(inOrder(sets), capacity(sets, len(p.hosts)))
 }
 
 // Relays returns the relays of a service, the preferred first; none if the
@@ -110,13 +104,39 @@
 	return p
 }
 
+func (p *placer) assign(sets []ReplicaSet, bound int) *Assignment {
+	a := &Assignment{
+		hosts:  p.hosts,
+		places: make(map[string][]int, len(sets)),
+		relays: make(map[string][]member.Host, len(sets)),
+		load:   make(map[string]int, len(p.hosts)),
+	}
+	for _, s := range sets {
+		places := p.place(s.Service, s.Relays, s.Targets, bound)
+		a.places[s.Service] = places
+		a.relays[s.Service] = p.at(places)
+	}
+	for i, h := range p.hosts {
+		a.load[h.ID] = p.load[i]
+	}
+	return a
+}
+
+func (p *placer) at(places []int) []member.Host {
+	hosts := make([]member.Host, len(places))
+	for i, at := range places {
+		hosts[i] = p.hosts[at]
+	}
+	return hosts
+}
+
 // place gives a service its r relays and adds its targets to their load. A
 // host that would pass the bound is left out unless too few others are left.
-func (p *placer) place(service string, r, targets, bound int) []member.Host {
+func (p *placer) place(service string, r, targets, bound int) []int {
 	weights := p.weigh(service)
 	taken := make([]bool, len(p.hosts))
 	perDomain := make([]int, p.count)
-	chosen := make([]member.Host, 0, min(r, len(p.hosts)))
+	chosen := make([]int, 0, min(r, len(p.hosts)))
 	for len(chosen) < min(r, len(p.hosts)) {
 		i := p.best(weights, taken, perDomain, targets, bound)
 		if i < 0 {
@@ -125,7 +145,7 @@
 		taken[i] = true
 		perDomain[p.domains[i]]++
 		p.load[i] += targets
-		chosen = append(chosen, p.hosts[i])
+		chosen = append(chosen, i)
 	}
 	return chosen
 }
--- a/internal/plan/cover.go
+++ b/internal/plan/cover.go
@@ -15,8 +15,7 @@
 
 // Coverer chooses the relays of a query so that few are asked.
 type Coverer struct {
-	// Relays returns the relays of a service that may be asked.
-	Relays func(service string) []member.Host
+	Assignment *Assignment
 	// Weight says how welcome a host is, as a factor on the services that it
 	// covers: 1 is neutral, less is loaded or far, 0 only when nothing else
 	// is left. Nil is neutral.
@@ -36,7 +35,8 @@
 		if best < 0 {
 			break
 		}
-		asks = append(asks, s.take(best, c.Most))
+		services := s.take(best, len(asks), c.Most)
+		asks = append(asks, Ask{Relay: c.Assignment.hosts[best], Services: services})
 	}
 	return asks, s.addRest(asks)
 }
@@ -45,16 +45,16 @@
 	services []string
 	done     []bool
 	left     int
-	hosts    []coverHost
-	holders  [][]int // of each service, as indexes of hosts
+	hosts    []coverHost // by place in the assignment
+	asked    []int       // places of the hosts that some service has
+	holders  [][]int     // of each service, as places
 }
 
 type coverHost struct {
-	host   member.Host
 	weight float64
 	open   int   // services that it could still cover
 	serves []int // services, as indexes
-	used   bool
+	ask    int   // index of its message; -1 without one
 }
 
 func (c Coverer) state(services []string, rng *rand.Rand) *coverState {
@@ -62,20 +62,19 @@
 		services: services,
 		done:     make([]bool, len(services)),
 		left:     len(services),
+		hosts:    make([]coverHost, len(c.Assignment.hosts)),
 		holders:  make([][]int, len(services)),
 	}
-	index := make(map[string]int)
 	for i, service := range services {
-		for _, h := range c.Relays(service) {
-			at, ok := index[h.ID]
-			if !ok {
-				at = len(s.hosts)
-				index[h.ID] = at
-				s.hosts = append(s.hosts, coverHost{host: h, weight: c.weight(h, rng)})
+		s.holders[i] = c.Assignment.places[service]
+		for _, at := range s.holders[i] {
+			h := &s.hosts[at]
+			if len(h.serves) == 0 {
+				s.asked = append(s.asked, at)
+				h.weight, h.ask = c.weight(c.Assignment.hosts[at], rng), -1
 			}
-			s.hosts[at].open++
-			s.hosts[at].serves = append(s.hosts[at].serves, i)
-			s.holders[i] = append(s.holders[i], at)
+			h.open++
+			h.serves = append(h.serves, i)
 		}
 	}
 	return s
@@ -93,52 +92,80 @@
 	return c.Weight(h) * jitter
 }
 
+// best returns the place of the host without a message that covers most; -1 if
+// there is none.
 func (s *coverState) best(most int) int {
 	best, bestGain := -1, -1.0
-	for i := range s.hosts {
-		h := &s.hosts[i]
-		if h.used || h.open == 0 {
+	for _, at := range s.asked {
+		h := &s.hosts[at]
+		if h.ask >= 0 || h.open == 0 {
 			continue
 		}
-		open := h.open
-		if most > 0 {
-			open = min(open, most)
-		}
-		if gain := float64(open) * h.weight; gain > bestGain {
-			best, bestGain = i, gain
+		if gain := float64(bounded(h.open, most)) * h.weight; gain > bestGain {
+			best, bestGain = at, gain
 		}
 	}
 	return best
 }
 
-// take gives host i what it covers. With a bound, it gets first the services
+func bounded(n, most int) int {
+	if most > 0 {
+		return min(n, most)
+	}
+	return n
+}
+
+// take gives a host what it covers. With a bound, it gets first the services
 // that fewest other hosts could still take.
-func (s *coverState) take(i, most int) Ask {
-	h := &s.hosts[i]
-	h.used = true
-	open := slices.DeleteFunc(slices.Clone(h.serves), func(k int) bool { return s.done[k] })
-	if most > 0 && len(open) > most {
+func (s *coverState) take(at, ask, most int) []string {
+	h := &s.hosts[at]
+	h.ask = ask
+	open := make([]int, 0, h.open)
+	for _, k := range h.serves {
+		if !s.done[k] {
+			open = append(open, k)
+		}
+	}
+	if len(open) > bounded(len(open), most) {
 		slices.SortStableFunc(open, func(a, b int) int { return s.choices(a) - s.choices(b) })
 		open = open[:most]
 	}
-	ask := Ask{Relay: h.host}
-	for _, k := range open {
-		ask.Services = append(ask.Services, s.services[k])
+	taken := make([]string, len(open))
+	for i, k := range open {
+		taken[i] = s.services[k]
 		s.finish(k)
 	}
-	return ask
+	return taken
+}
+
+func (s *coverState) choices(service int) int {
+	n := 0
+	for _, at := range s.holders[service] {
+		if s.hosts[at].ask < 0 {
+			n++
+		}
+	}
+	return n
 }
 
-// addRest gives the services whose relays are all at their bound to the least
-// of them, and returns those that have no relay.
+func (s *coverState) finish(service int) {
+	s.done[service] = true
+	s.left--
+	for _, at := range s.holders[service] {
+		s.hosts[at].open--
+	}
+}
+
+// addRest gives the services whose relays are all at their bound to the relay
+// with the smallest message, and returns those that have no relay.
 func (s *coverState) addRest(asks []Ask) []string {
 	var uncovered []string
 	for i, done := range s.done {
 		if done {
 			continue
 		}
-		if at := s.leastAsked(i, asks); at >= 0 {
-			asks[at].Services = append(asks[at].Services, s.services[i])
+		if k := s.smallest(i, asks); k >= 0 {
+			asks[k].Services = append(asks[k].Services, s.services[i])
 			continue
 		}
 		uncovered = append(uncovered, s.services[i])
@@ -146,35 +173,13 @@
 	return uncovered
 }
 
-func (s *coverState) leastAsked(service int, asks []Ask) int {
+func (s *coverState) smallest(service int, asks []Ask) int {
 	least := -1
 	for _, at := range s.holders[service] {
-		for j, ask := range asks {
-			if ask.Relay.ID != s.hosts[at].host.ID {
-				continue
-			}
-			if least < 0 || len(ask.Services) < len(asks[least].Services) {
-				least = j
-			}
+		k := s.hosts[at].ask
+		if least < 0 || len(asks[k].Services) < len(asks[least].Services) {
+			least = k
 		}
 	}
 	return least
 }
-
-func (s *coverState) choices(service int) int {
-	n := 0
-	for _, at := range s.holders[service] {
-		if !s.hosts[at].used {
-			n++
-		}
-	}
-	return n
-}
-
-func (s *coverState) finish(service int) {
-	s.done[service] = true
-	s.left--
-	for _, at := range s.holders[service] {
-		s.hosts[at].open--
-	}
-}
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -29,7 +29,7 @@
 // domain has its first. Hosts that are not usable get none.
 func Relays(service string, hosts []member.Host, r int) []member.Host {
 	p := newPlacer(hosts)
-	return p.place(service, r, 1, unbounded)
+	return p.at(p.place(service, r, 1, unbounded))
 }
 
 // ForService returns the relays of a service among the hosts, as many as the
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -108,7 +108,7 @@
 		all := sets(rapid.IntRange(1, 40).Draw(t, "sets"), 3, rapid.IntRange(1, 4).Draw(t, "relays"))
 		most := rapid.IntRange(0, 6).Draw(t, "most")
 		a := Assign(all, hosts)
-		c := Coverer{Relays: a.Relays, Most: most}
+		c := Coverer{Assignment: a, Most: most}
 		asks, uncovered := c.Cover(names(all), rand.New(rand.NewPCG(1, 2)))
 		if len(uncovered) > 0 {
 			t.Fatalf("no relay for %v", uncovered)
@@ -132,7 +132,7 @@
 
 func TestCoverNamesServicesWithoutRelay(t *testing.T) {
 	is := is.New(t)
-	c := Coverer{Relays: func(string) []member.Host { return nil }}
+	c := Coverer{Assignment: Assign(nil, fleet(3, 3))}
 	asks, uncovered := c.Cover([]string{"a", "b"}, rand.New(rand.NewPCG(1, 2)))
 	is.Equal(len(asks), 0)
 	is.Equal(uncovered, []string{"a", "b"})
