Delivery windows: summed in memory, written by name, reported with what is missing

Cause: who got what must outlast hosts without disks and outages of the platform. Windows wait in bounded memory and are joined, never dropped; each has a name of its own, so a write whose answer was lost counts once. A report tells gaps and hosts whose last window is missing.

--- /dev/null
+++ b/internal/delivery/clock.go
@@ -0,0 +1,40 @@
+package delivery
+
+import (
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+// platformClock estimates the platform's clock between its answers by this
+// process's monotonic clock. It never goes back and is never ahead.
+type platformClock struct {
+	store platform.Store
+	local time.Time // monotonic reading at the anchor
+	told  time.Time // the platform's clock at the anchor
+}
+
+// at returns the platform's clock at a local moment; false before the
+// platform's first answer.
+func (c *platformClock) at(local time.Time) (time.Time, bool) {
+	c.observe(time.Now())
+	if c.told.IsZero() {
+		return time.Time{}, false
+	}
+	return c.told.Add(local.Sub(c.local)), true
+}
+
+func (c *platformClock) now() (time.Time, bool) { return c.at(time.Now()) }
+
+// observe moves the anchor when the platform's newest answer is ahead of the
+// estimate: that answer is older than the moment at which it is looked at, so
+// the greatest estimate is the best.
+func (c *platformClock) observe(local time.Time) {
+	told, ok := c.store.Now()
+	if !ok {
+		return
+	}
+	if c.told.IsZero() || told.After(c.told.Add(local.Sub(c.local))) {
+		c.local, c.told = local, told
+	}
+}
--- /dev/null
+++ b/internal/delivery/span.go
@@ -0,0 +1,62 @@
+package delivery
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Span is a run of windows of one incarnation that is in the platform.
+type Span struct {
+	Incarnation
+	First uint64    `json:"f"`
+	Last  uint64    `json:"l"`
+	Start time.Time `json:"s,omitzero"` // of the first window
+	End   time.Time `json:"e,omitzero"` // of the last window
+	Final bool      `json:"x,omitempty"`
+}
+
+func spanOf(w *Window) Span {
+	return Span{Incarnation: w.Incarnation, First: w.Number, Last: w.Number, Start: w.Start, End: w.End, Final: w.Final}
+}
+
+func (s Span) holds(number uint64) bool { return s.First <= number && number <= s.Last }
+
+// joinSpans sorts spans and joins those that touch or overlap.
+func joinSpans(spans []Span) []Span {
+	sorted := slices.SortedFunc(slices.Values(spans), func(a, b Span) int {
+		return cmp.Or(a.compare(b.Incarnation), cmp.Compare(a.First, b.First))
+	})
+	var joined []Span
+	for _, s := range sorted {
+		n := len(joined) - 1
+		if n < 0 || joined[n].Incarnation != s.Incarnation || s.First > joined[n].Last+1 {
+			joined = append(joined, s)
+			continue
+		}
+		if s.Last > joined[n].Last {
+			joined[n].Last, joined[n].End = s.Last, s.End
+		}
+		joined[n].Final = joined[n].Final || s.Final
+	}
+	return joined
+}
+
+func (i Incarnation) compare(o Incarnation) int {
+	return cmp.Or(cmp.Compare(i.Host, o.Host), cmp.Compare(i.Number, o.Number))
+}
+
+// covered tells which windows spans hold.
+type covered map[Incarnation][]Span
+
+func coveredBy(spans []Span) covered {
+	c := covered{}
+	for _, s := range spans {
+		c[s.Incarnation] = append(c[s.Incarnation], s)
+	}
+	return c
+}
+
+func (c covered) holds(i Incarnation, number uint64) bool {
+	return slices.ContainsFunc(c[i], func(s Span) bool { return s.holds(number) })
+}
--- /dev/null
+++ b/internal/delivery/windows.go
@@ -0,0 +1,198 @@
+package delivery
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+// Windows is the Recorder of a host. It sums deliveries in memory and writes
+// the sums to the platform, one object a window. What the platform does not
+// take waits in bounded memory: totals are kept, only moments grow coarser.
+type Windows struct {
+	cfg     Config
+	store   platform.Store
+	view    member.View
+	log     *event.Log
+	metrics *metrics
+
+	mu     sync.Mutex
+	open   *Window
+	opened time.Time // monotonic
+
+	// The rest belongs to the goroutine of run.
+	clock    platformClock
+	queue    queue
+	numbered Incarnation // of the window written last
+	next     uint64      // number of the next window to be written
+	failures int         // in a row
+	seen     map[Incarnation]bool
+
+	stop chan struct{}
+	last context.Context // of Stop; set before stop is closed
+	done chan struct{}
+}
+
+// New returns the recorder of the host that view calls itself.
+func New(cfg Config, store platform.Store, view member.View, log *event.Log, reg prometheus.Registerer) *Windows {
+	return &Windows{
+		cfg: cfg, store: store, view: view, log: log, metrics: newMetrics(reg),
+		clock: platformClock{store: store},
+		seen:  map[Incarnation]bool{},
+		stop:  make(chan struct{}),
+		done:  make(chan struct{}),
+	}
+}
+
+// Start opens the first window and begins to write.
+func (w *Windows) Start(context.Context) error {
+	w.mu.Lock()
+	w.begin(time.Now())
+	w.mu.Unlock()
+	go w.run()
+	return nil
+}
+
+// Stop writes the last windows and returns when they are in the platform, or
+// when ctx is done: then reports will tell that this host's last windows are
+// missing. Modules that record must have stopped before.
+func (w *Windows) Stop(ctx context.Context) error {
+	w.last = ctx
+	close(w.stop)
+	<-w.done
+	if n := len(w.queue.items); n > 0 {
+		return Error.New("%d windows were not written", n)
+	}
+	return nil
+}
+
+// Record adds a delivery to the open window. It never waits for the platform.
+func (w *Windows) Record(d Delivery) {
+	w.metrics.answers.WithLabelValues(d.Outcome.String()).Inc()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.open == nil {
+		w.begin(time.Now())
+	}
+	w.open.Rows.record(d, w.cfg.MaxKeys)
+	w.open.Records.record(d, w.cfg)
+}
+
+// begin opens a window; mu is held. The membership may raise the incarnation
+// while the host runs.
+func (w *Windows) begin(now time.Time) {
+	self := w.view.Self()
+	w.open, w.opened = newWindow(Incarnation{Host: self.ID, Number: self.Incarnation}), now
+}
+
+// run closes a window each interval and writes what is pending, until Stop.
+// The first window is closed at once, so that the incarnation is known.
+func (w *Windows) run() {
+	defer close(w.done)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.close(false)
+	for {
+		w.flush(ctx)
+		if w.sleep() {
+			break
+		}
+	}
+	w.finish()
+}
+
+// sleep waits for the end of the window and closes it. While windows are
+// pending it returns earlier, for another try. It reports whether to stop.
+func (w *Windows) sleep() (stopped bool) {
+	w.mu.Lock()
+	rest := w.cfg.interval(len(w.view.Hosts())) - time.Since(w.opened)
+	w.mu.Unlock()
+	wait := max(rest, 0)
+	if w.queue.head() != nil {
+		wait = min(wait, retryWait)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-w.stop:
+		return true
+	case <-timer.C:
+	}
+	if wait == max(rest, 0) {
+		w.close(false)
+	}
+	return false
+}
+
+// retryWait is the time between tries while the platform takes no window.
+const retryWait = time.Second
+
+// finish closes the final window and writes until all is written or the
+// context of Stop is done.
+func (w *Windows) finish() {
+	w.close(true)
+	for {
+		w.flush(w.last)
+		if w.queue.head() == nil {
+			return
+		}
+		select {
+		case <-w.last.Done():
+			w.tellLost()
+			return
+		case <-time.After(retryWait):
+		}
+	}
+}
+
+func (w *Windows) tellLost() {
+	var answers uint64
+	for _, p := range w.queue.items {
+		answers += p.window.Rows.count()
+	}
+	w.log.Event(evFinalLost).Int("pending", len(w.queue.items)).Uint64("answers", answers).Err(w.last.Err()).Msg("")
+}
+
+// close ends the open window, opens the next one and queues the closed one.
+func (w *Windows) close(final bool) {
+	now := time.Now()
+	w.mu.Lock()
+	closed := &pending{window: w.open, opened: w.opened, closed: now}
+	w.begin(now)
+	raised := w.open.Incarnation != closed.window.Incarnation
+	w.mu.Unlock()
+	closed.window.Final = final || raised
+	closed.window.Seen = w.firstSeen()
+	w.metrics.folded.Add(float64(closed.window.Rows.folded))
+	w.metrics.leftOut.Add(float64(closed.window.Records.leftOut()))
+	before := w.queue.merged
+	w.queue.push(closed, w.cfg)
+	w.metrics.merged.Add(float64(w.queue.merged - before))
+	w.metrics.pending.Set(float64(len(w.queue.items)))
+}
+
+// firstSeen returns the other hosts that were not in the membership at the
+// close of the window before. It makes a host known to reports even if it
+// dies before it could write.
+func (w *Windows) firstSeen() []Incarnation {
+	var first []Incarnation
+	current := map[Incarnation]bool{}
+	for _, h := range w.view.Hosts() {
+		i := Incarnation{Host: h.ID, Number: h.Incarnation}
+		if i.Host == w.view.Self().ID || i.Number == 0 || !h.Usable() {
+			continue
+		}
+		current[i] = true
+		if !w.seen[i] {
+			first = append(first, i)
+		}
+	}
+	w.seen = current
+	return first
+}
