Relay, thin: scatter over replicas with checked answers, reservations sent once, drpc between hosts

A batch is one loop over its shards; tries wait in the queue of their service without a goroutine and get one only with a place at a target, so goroutines are bounded by the targets' places. Every echoed field, the row count and the whole body are checked; what does not match is Unknown, never an answer. NotSent wants proof: no connection, or a connection that counted no write and is sealed against any later one. Weighed instead: httptrace's WroteHeaders, which tells of a write only after it, so an attempt cut in between would pass for not sent.

--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,256 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+)
+
+// attempt is one shard request to one target. Body is the JSON form of a
+// targetapi.Request; the attempts of a batch share it.
+type attempt struct {
+	id        string
+	requestID string
+	service   string
+	shard     uint32
+	snapshot  uint64
+	limit     int
+	body      []byte
+	deadline  time.Time // by this process's monotonic clock
+}
+
+// answer is what the sender of an attempt knows of it. The target's answer is
+// set only when the outcome is Done.
+type answer struct {
+	outcome    outcome.Outcome
+	reason     query.Reason
+	retryAfter time.Duration
+	body       targetapi.Answer
+	cause      error
+}
+
+// errNoTime means that the budget ended before the attempt was sent.
+var errNoTime = Error.New("no budget left to send")
+
+// send sends the attempt to the target one time at most and returns when the
+// whole answer is here, or ctx is done. It never sends once ctx or the
+// attempt's deadline is past.
+//
+// cancel must be that of ctx.
+func (t *target) send(ctx context.Context, cancel context.CancelFunc, a *attempt) answer {
+	w := &wire{cancel: cancel}
+	left := time.Until(a.deadline)
+	if left <= 0 || ctx.Err() != nil {
+		return answer{outcome: outcome.NotSent, reason: query.ReasonBudget, cause: errNoTime}
+	}
+	res, err := t.transport.RoundTrip(t.request(w.trace(ctx), a, left))
+	if err != nil {
+		return unanswered(w.outcome(), err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	return t.read(res, a)
+}
+
+// request builds the HTTP request. It has neither GetBody nor an idempotency
+// key, so net/http never sends it again by itself.
+func (t *target) request(ctx context.Context, a *attempt, left time.Duration) *http.Request {
+	h := make(http.Header, 8)
+	h["Content-Type"] = jsonType
+	h[targetapi.HeaderRequest] = []string{a.requestID}
+	h[targetapi.HeaderAttempt] = []string{a.id}
+	h[targetapi.HeaderService] = []string{a.service}
+	h[targetapi.HeaderShard] = []string{strconv.FormatUint(uint64(a.shard), 10)}
+	h[targetapi.HeaderSnapshot] = []string{strconv.FormatUint(a.snapshot, 10)}
+	h[targetapi.HeaderBudget] = []string{strconv.FormatFloat(float64(left)/float64(time.Millisecond), 'f', 3, 64)}
+	r := &http.Request{
+		Method: http.MethodPost, URL: t.shardURL, Host: t.conf.Address,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: h, ContentLength: int64(len(a.body)),
+		Body: io.NopCloser(bytes.NewReader(a.body)),
+	}
+	return r.WithContext(ctx)
+}
+
+var jsonType = []string{"application/json"}
+
+// unanswered is the answer of an attempt whose connection failed or whose
+// time ended.
+func unanswered(o outcome.Outcome, err error) answer {
+	reason := query.ReasonConnection
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		reason = query.ReasonBudget
+	}
+	return answer{outcome: o, reason: reason, cause: err}
+}
+
+// read takes the response. Anything but a whole, well-formed answer to this
+// very attempt leaves its outcome Unknown.
+func (t *target) read(res *http.Response, a *attempt) answer {
+	body, err := readAll(res, t.maxAnswer)
+	if err != nil {
+		if errors.Is(err, errTooLarge) {
+			return badAnswer(err)
+		}
+		return unanswered(outcome.Unknown, err)
+	}
+	switch res.StatusCode {
+	case http.StatusOK:
+		return accept(body, a)
+	case http.StatusConflict, http.StatusServiceUnavailable, http.StatusInternalServerError:
+		return refused(res.StatusCode, body, a)
+	}
+	return badAnswer(Error.New("status %d", res.StatusCode))
+}
+
+var errTooLarge = Error.New("answer is larger than the limit")
+
+func readAll(res *http.Response, limit int64) ([]byte, error) {
+	if res.ContentLength > limit {
+		return nil, errTooLarge
+	}
+	if res.ContentLength >= 0 {
+		body := make([]byte, res.ContentLength)
+		if _, err := io.ReadFull(res.Body, body); err != nil {
+			return nil, Error.New("read answer: %w", err)
+		}
+		_, err := res.Body.Read(nil)
+		if err != nil && !errors.Is(err, io.EOF) {
+			return nil, Error.New("read answer: %w", err)
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
+	if err != nil {
+		return nil, Error.New("read answer: %w", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, errTooLarge
+	}
+	return body, nil
+}
+
+// accept checks every echoed field and the row count.
+func accept(body []byte, a *attempt) answer {
+	var b targetapi.Answer
+	if err := json.Unmarshal(body, &b); err != nil {
+		return badAnswer(Error.New("parse answer: %w", err))
+	}
+	if err := checkEcho(&b, a); err != nil {
+		return badAnswer(err)
+	}
+	return answer{outcome: outcome.Done, body: b}
+}
+
+func checkEcho(b *targetapi.Answer, a *attempt) error {
+	switch {
+	case b.RequestID != a.requestID:
+		return Error.New("answer to request %q", b.RequestID)
+	case b.AttemptID != a.id:
+		return Error.New("answer to attempt %q", b.AttemptID)
+	case b.Service != a.service:
+		return Error.New("answer of service %q", b.Service)
+	case b.Shard != a.shard:
+		return Error.New("answer of shard %d", b.Shard)
+	case b.Snapshot != a.snapshot:
+		return Error.New("answer of snapshot %d", b.Snapshot)
+	case b.RowCount != len(b.Rows):
+		return Error.New("%d rows where %d were announced", len(b.Rows), b.RowCount)
+	case b.TotalRows < b.RowCount:
+		return Error.New("%d rows of a total of %d", b.RowCount, b.TotalRows)
+	case a.limit > 0 && b.RowCount > a.limit:
+		return Error.New("%d rows over the limit of %d", b.RowCount, a.limit)
+	}
+	return nil
+}
+
+// refused reads a Rejection. Only a code that belongs to the status, and no
+// word of another attempt, prove that this one did not run.
+func refused(status int, body []byte, of *attempt) answer {
+	var b targetapi.Rejection
+	if err := json.Unmarshal(body, &b); err != nil {
+		return badAnswer(Error.New("parse rejection: %w", err))
+	}
+	if b.AttemptID != "" && b.AttemptID != of.id {
+		return badAnswer(Error.New("rejection of attempt %q", b.AttemptID))
+	}
+	o, reason, ok := rejection(status, b.Code)
+	if !ok {
+		return badAnswer(Error.New("status %d with code %q", status, b.Code))
+	}
+	after := time.Duration(max(b.RetryAfterMS, 0)) * time.Millisecond
+	return answer{outcome: o, reason: reason, retryAfter: after}
+}
+
+func rejection(status int, code string) (outcome.Outcome, query.Reason, bool) {
+	switch {
+	case status == http.StatusConflict && code == targetapi.CodeSnapshotNotHeld:
+		return outcome.Rejected, query.ReasonSnapshotNotHeld, true
+	case status == http.StatusConflict && code == targetapi.CodeRefusedAttempt:
+		return outcome.Rejected, query.ReasonUnsettled, true
+	case status == http.StatusServiceUnavailable && code == targetapi.CodeDraining:
+		return outcome.Rejected, query.ReasonDraining, true
+	case status == http.StatusServiceUnavailable && code == targetapi.CodeShed:
+		return outcome.Rejected, query.ReasonOverload, true
+	case status == http.StatusInternalServerError && code == targetapi.CodeFailed:
+		return outcome.Failed, query.ReasonTargetFailed, true
+	}
+	return outcome.Unknown, query.ReasonBadAnswer, false
+}
+
+func badAnswer(err error) answer {
+	return answer{outcome: outcome.Unknown, reason: query.ReasonBadAnswer, cause: err}
+}
+
+// wire watches how far an attempt got.
+type wire struct {
+	cancel context.CancelFunc
+	conn   *conn // nil: no connection of our own kind, or none yet
+	before uint64
+	got    bool
+}
+
+// trace returns ctx with the hooks that watch the attempt.
+func (w *wire) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: w.gotConn})
+}
+
+// gotConn runs before the first byte is written. A second connection for one
+// attempt would be a second send: it is stopped here, before it writes.
+func (w *wire) gotConn(info httptrace.GotConnInfo) {
+	c, own := info.Conn.(*conn)
+	own = own && !c.shared
+	if w.got {
+		w.cancel()
+		if own {
+			c.seal()
+		}
+		return
+	}
+	w.got = true
+	if own {
+		w.conn, w.before = c, c.written()
+	}
+}
+
+// outcome tells what became of an attempt without an answer. It is called
+// after RoundTrip returned with an error. NotSent needs proof: there was no
+// connection, or nothing was written to it and nothing ever will be.
+func (w *wire) outcome() outcome.Outcome {
+	if !w.got {
+		return outcome.NotSent
+	}
+	if w.conn != nil && w.conn.seal() == w.before {
+		return outcome.NotSent
+	}
+	return outcome.Unknown
+}
--- /dev/null
+++ b/internal/relay/conn.go
@@ -0,0 +1,98 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+)
+
+// Protocols of catalog.Rules.
+const (
+	protocolHTTP1 = "http1"
+	protocolH2C   = "h2c"
+)
+
+// conn counts the writes to a connection, so that the sender of an attempt
+// can prove that none was made.
+type conn struct {
+	net.Conn
+	shared bool // carries several attempts at once
+	closed func()
+
+	mu     sync.Mutex
+	writes uint64
+	sealed bool
+	once   sync.Once
+}
+
+// Write counts itself before the first byte can leave.
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	sealed := c.sealed
+	if !sealed {
+		c.writes++
+	}
+	c.mu.Unlock()
+	if sealed {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.once.Do(c.closed)
+	return c.Conn.Close()
+}
+
+func (c *conn) written() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal ends all writing and returns the writes that began before.
+func (c *conn) seal() uint64 {
+	c.mu.Lock()
+	c.sealed = true
+	n := c.writes
+	c.mu.Unlock()
+	_ = c.Close()
+	return n
+}
+
+// dialFunc opens a connection to a target.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newTransport returns the HTTP client side of one target.
+func (r *Relay) newTransport(rules catalog.Rules, t *target) *http.Transport {
+	tr := &http.Transport{
+		MaxConnsPerHost:     rules.ConnectionsPerRelay,
+		MaxIdleConnsPerHost: rules.ConnectionsPerRelay,
+		IdleConnTimeout:     r.cfg.IdleTimeout.Std(),
+		DisableCompression:  true,
+		Protocols:           new(http.Protocols),
+	}
+	shared := rules.Protocol == protocolH2C
+	tr.Protocols.SetHTTP1(!shared)
+	tr.Protocols.SetUnencryptedHTTP2(shared)
+	tr.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		return r.dialTarget(ctx, network, address, t, shared)
+	}
+	return tr
+}
+
+func (r *Relay) dialTarget(ctx context.Context, network, address string, t *target, shared bool) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.ConnectTimeout.Std())
+	defer cancel()
+	c, err := r.dial(ctx, network, address)
+	if err != nil {
+		return nil, Error.New("connect to target %s: %w", t.conf.ID, err)
+	}
+	t.opened.Add(1)
+	t.open.Add(1)
+	return &conn{Conn: c, shared: shared, closed: func() { t.open.Add(-1) }}, nil
+}
--- /dev/null
+++ b/internal/relay/errors.go
@@ -0,0 +1,6 @@
+package relay
+
+import "github.com/zeebo/errs"
+
+// Error is the class of this package's errors.
+var Error = errs.Class("relay")
--- /dev/null
+++ b/internal/relay/hostlist.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/plan"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+// hostListKey is hashed with the host ids to choose who reads the list.
+const hostListKey = "host-list"
+
+// ApplyHostList takes the platform's list of hosts, by whatever way it came.
+func (r *Relay) ApplyHostList(hosts []platform.LiveHost) {
+	leaving := make(map[string]bool, len(hosts))
+	for _, h := range hosts {
+		leaving[h.ID] = h.Leaving
+	}
+	for _, p := range r.current().pools {
+		p.applyHostList(leaving)
+	}
+}
+
+func (p *pool) applyHostList(leaving map[string]bool) {
+	now := time.Now()
+	p.mu.Lock()
+	for _, t := range p.targets {
+		l, listed := leaving[t.conf.ID]
+		if listed && t.health.list(now, l, p.relay.cfg.HostListLag.Std()) {
+			p.left(t)
+		}
+	}
+	refused := p.drain(now)
+	p.mu.Unlock()
+	refused.tell()
+}
+
+// pollHostList reads the list as long as this host is one of its readers.
+func (r *Relay) pollHostList(ctx context.Context) {
+	for ctx.Err() == nil {
+		if r.readsHostList() {
+			r.readHostList(ctx)
+		}
+		sleep(ctx, jitter(r.cfg.HostListInterval.Std()))
+	}
+}
+
+// readsHostList reports whether this host is one of the few that read the
+// list; the platform counts every call.
+func (r *Relay) readsHostList() bool {
+	return contains(plan.Relays(hostListKey, r.members.Hosts(), r.cfg.HostListPollers), r.members.Self().ID)
+}
+
+func (r *Relay) readHostList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.HostListInterval.Std())
+	defer cancel()
+	hosts, err := r.hosts.Hosts(ctx)
+	if err != nil {
+		r.metrics.polls.WithLabelValues("host_list", "failed").Inc()
+		r.log.Event(evHostList).Str("cause", err.Error()).Msg("")
+		return
+	}
+	r.metrics.polls.WithLabelValues("host_list", "answered").Inc()
+	r.ApplyHostList(hosts)
+	if r.Share != nil {
+		r.Share(hosts)
+	}
+}
--- /dev/null
+++ b/internal/relay/target.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/policy"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+)
+
+// target is one target of one service. Fields below the pool's lock line are
+// guarded by the lock of its pool.
+type target struct {
+	service   string
+	conf      catalog.Target
+	local     bool // in this host's failure domain
+	transport http.RoundTripper
+	shardURL  *url.URL
+	maxAnswer int64
+	open      atomic.Int64 // connections now
+	opened    atomic.Int64 // connections ever
+
+	// Guarded by the pool's lock.
+	rep     *policy.Replica
+	health  health
+	stats   targetStats
+	suspect bool // was set aside when last looked at
+	gone    bool // no longer in the catalog
+}
+
+// targetStats counts for operators.
+type targetStats struct {
+	sheds    int64
+	errors   int64
+	attempts int64
+	last     query.Reason // of the newest attempt without an answer
+}
+
+func (r *Relay) newTarget(s catalog.Service, c catalog.Target, relays int, now time.Time) *target {
+	t := &target{
+		service: s.Name, conf: c, maxAnswer: r.cfg.MaxAnswerBytes,
+		local:    c.FailureDomain == r.members.Self().FailureDomain,
+		shardURL: &url.URL{Scheme: "http", Host: c.Address, Path: targetapi.PathShard},
+	}
+	t.rep = policy.NewReplica(c.ID, t.local, c.Slots, relays, ceiling(s.Rules, c))
+	t.transport = r.newTransport(s.Rules, t)
+	t.health.drained = c.Drained
+	t.rep.Ramp.Restart(now, r.cfg.ColdRamp.Std())
+	return t
+}
+
+// ceiling returns the most attempts in flight that the connections carry. An
+// HTTP/1.1 connection carries one; one h2c connection carries as many as the
+// target runs.
+func ceiling(rules catalog.Rules, c catalog.Target) int {
+	if rules.Protocol == protocolH2C {
+		return max(c.Slots, rules.ConnectionsPerRelay)
+	}
+	return rules.ConnectionsPerRelay
+}
+
+// usable reports whether the target may be given new work at all.
+func (t *target) usable() bool { return !t.gone && t.health.usable() }
+
+// share gives the target a limit for another number of relays; the attempts
+// in flight count under it.
+func (t *target) share(now time.Time, rules catalog.Rules, relays int) {
+	l := policy.NewLimiter(t.conf.Slots, relays, ceiling(rules, t.conf))
+	for range t.rep.Limiter.InFlight() {
+		l.Take(now)
+	}
+	t.rep.Limiter = l
+}
+
+// closeIdle closes the connections that carry nothing.
+func (t *target) closeIdle() {
+	if tr, ok := t.transport.(*http.Transport); ok {
+		tr.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/internal/relay/try.go
@@ -0,0 +1,75 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/policy"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+)
+
+// owner is told the fate of its tries. Both calls come without a lock held
+// and at most one of them for each try.
+type owner interface {
+	// granted runs the try on the target that it was given; it is called on a
+	// goroutine of its own and calls pool.done when the try has ended.
+	granted(t *try)
+	// refused tells that the try was given up before it was sent.
+	refused(t *try, reason query.Reason, retryAfter time.Duration)
+}
+
+// try is one attempt on its way to a target: it waits in the queue of its
+// service until one of its holders has a place.
+type try struct {
+	owner   owner
+	task    *task // of the owner, if it has any
+	kind    policy.Try
+	set     *replicaSet // nil: counts for no budget of extra attempts
+	holders []*target
+	spent   uint64 // bit i: holders[i] is not to be asked
+	avoid   string // failure domain better not used, of the try that this one hedges
+	waiter  policy.Waiter[*try]
+
+	// Set when granted.
+	target  *target
+	started time.Time
+
+	// Used by the owner.
+	cancel    context.CancelFunc
+	abandoned bool
+}
+
+// maxHolders bounds the replicas of one shard; more are not looked at.
+const maxHolders = 64
+
+// holds reports whether holder i may still be asked.
+func (t *try) holds(i int) bool { return t.spent&(1<<i) == 0 && t.holders[i].usable() }
+
+// replicas returns the policies' side of the holders.
+func (t *try) replicas() []*policy.Replica {
+	if t.set != nil {
+		return t.set.replicas
+	}
+	return []*policy.Replica{t.holders[0].rep}
+}
+
+// signal translates the end of a try for the policies.
+func (t *try) signal(a answer) policy.Signal {
+	switch {
+	case a.outcome == outcome.Done:
+		return policy.Served
+	case a.reason == query.ReasonOverload:
+		return policy.Shed
+	case a.reason == query.ReasonBudget:
+		return policy.Abandoned
+	}
+	return policy.Errored
+}
+
+// blames reports whether the end of a try speaks against its target. Refusals
+// that belong to an orderly target do not.
+func blames(a answer) bool {
+	return a.reason != query.ReasonDraining && a.reason != query.ReasonSnapshotNotHeld &&
+		a.reason != query.ReasonUnsettled
+}
--- /dev/null
+++ b/internal/relayrpc/errors.go
@@ -0,0 +1,6 @@
+package relayrpc
+
+import "github.com/zeebo/errs"
+
+// Error is the class of this package's errors.
+var Error = errs.Class("relayrpc")
--- /dev/null
+++ b/internal/relayrpc/relayrpc_test.go
@@ -0,0 +1,297 @@
+package relayrpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/peer"
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if err := goleak.Find(); code == 0 && err != nil {
+		println("goroutines leaked:", err.Error())
+		code = 1
+	}
+	os.Exit(code)
+}
+
+// stub is the relay and reserver behind a server.
+type stub struct {
+	search  func(ctx context.Context, b query.Batch, emit func(query.ShardResult)) error
+	reserve func(ctx context.Context, r query.Reserve) query.Reservation
+}
+
+func (s *stub) Search(ctx context.Context, b query.Batch, emit func(query.ShardResult)) error {
+	return s.search(ctx, b, emit)
+}
+func (s *stub) Reserve(ctx context.Context, r query.Reserve) query.Reservation {
+	return s.reserve(ctx, r)
+}
+
+func result(b query.Batch, shard uint32) query.ShardResult {
+	return query.ShardResult{
+		Key: query.ShardKey{Service: "s", Shard: shard}, Snapshot: b.Snapshot, Outcome: outcome.Done,
+		Rows: []query.Row{{Service: "s", Shard: shard, Key: "k", Value: "v", Score: 2}}, TotalRows: 5, Attempts: 1,
+	}
+}
+
+func answerAll(_ context.Context, b query.Batch, emit func(query.ShardResult)) error {
+	for _, shard := range b.Parts[0].Shards {
+		emit(result(b, shard))
+	}
+	return nil
+}
+
+func batch() query.Batch {
+	return query.Batch{RequestID: "r1", Workload: "w", Snapshot: 7, Urgency: query.Deferrable, Text: "q",
+		Limit: 3, Budget: 10 * time.Second, Parts: []query.Part{{Service: "s", Shards: []uint32{0, 1, 2}}}}
+}
+
+// rig is a server of impl and a client of it over loopback.
+type rig struct {
+	client *Client
+	cut    func() // loses the server: listener and connections close at once
+}
+
+// cuttable is a listener that can close what it accepted.
+type cuttable struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *cuttable) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, c)
+	return c, err
+}
+
+func (l *cuttable) cut() {
+	_ = l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+}
+
+func newRig(t *testing.T, impl peerpb.DRPCRelayServer) *rig {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ln, mux, pool := &cuttable{Listener: inner}, drpcmux.New(), peer.NewPool()
+	is.NoErr(peerpb.DRPCRegisterRelay(mux, impl))
+	var serving sync.WaitGroup
+	serving.Go(func() { _ = drpcserver.New(mux).Serve(context.Background(), ln) })
+	t.Cleanup(func() { _ = pool.Stop(context.Background()); ln.cut(); serving.Wait() })
+	return &rig{client: NewClient(pool, inner.Addr().String(), "h0"), cut: ln.cut}
+}
+
+func collect(c *Client, ctx context.Context, b query.Batch) ([]query.ShardResult, error) {
+	var out []query.ShardResult
+	err := c.Search(ctx, b, func(r query.ShardResult) { out = append(out, r) })
+	return out, err
+}
+
+func TestSearchTravelsWhole(t *testing.T) {
+	is := is.New(t)
+	var seen query.Batch
+	r := newRig(t, NewServer(&stub{search: func(ctx context.Context, b query.Batch, emit func(query.ShardResult)) error {
+		seen = b
+		return answerAll(ctx, b, emit)
+	}}, nil))
+	want := batch()
+	got, err := collect(r.client, t.Context(), want)
+	is.NoErr(err)
+	is.Equal(len(got), 3)
+	is.Equal(got[1], result(want, 1))
+	is.True(seen.Budget < want.Budget && seen.Budget > want.Budget/2)
+	seen.Budget = want.Budget
+	is.Equal(seen, want)
+}
+
+// foreign answers with the results that a test gives it.
+type foreign struct {
+	peerpb.DRPCRelayUnimplementedServer
+	results []*peerpb.ShardResult
+	reply   *peerpb.ReserveReply
+}
+
+func (f *foreign) Search(_ *peerpb.Batch, s peerpb.DRPCRelay_SearchStream) error {
+	for _, r := range f.results {
+		if err := s.Send(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *foreign) Reserve(context.Context, *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	return f.reply, nil
+}
+
+func TestSearchTakesNoForeignResult(t *testing.T) {
+	good := func(shard uint32) *peerpb.ShardResult {
+		return &peerpb.ShardResult{RequestId: "r1", Service: "s", Shard: shard, Snapshot: 7, Outcome: 4}
+	}
+	change := func(f func(*peerpb.ShardResult)) *peerpb.ShardResult {
+		r := good(1)
+		f(r)
+		return r
+	}
+	for name, second := range map[string]*peerpb.ShardResult{
+		"other request":  change(func(r *peerpb.ShardResult) { r.RequestId = "r2" }),
+		"other snapshot": change(func(r *peerpb.ShardResult) { r.Snapshot = 8 }),
+		"other service":  change(func(r *peerpb.ShardResult) { r.Service = "x" }),
+		"shard twice":    good(0),
+		"not asked":      good(9),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRig(t, &foreign{results: []*peerpb.ShardResult{good(0), second, good(2)}})
+			got, err := collect(r.client, t.Context(), batch())
+			is.True(err != nil)
+			is.Equal(len(got), 1)
+		})
+	}
+	t.Run("early end", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, &foreign{results: []*peerpb.ShardResult{good(0), good(2)}})
+		got, err := collect(r.client, t.Context(), batch())
+		is.True(err != nil)
+		is.Equal(len(got), 2)
+	})
+}
+
+func TestSearchRelayLostInMidAnswer(t *testing.T) {
+	is := is.New(t)
+	lost := make(chan struct{})
+	r := newRig(t, NewServer(&stub{search: func(ctx context.Context, b query.Batch, emit func(query.ShardResult)) error {
+		emit(result(b, 2))
+		<-ctx.Done()
+		close(lost)
+		return ctx.Err()
+	}}, nil))
+	var got []query.ShardResult
+	err := r.client.Search(t.Context(), batch(), func(x query.ShardResult) {
+		got = append(got, x)
+		go r.cut()
+	})
+	<-lost
+	is.True(err != nil)
+	is.True(!peer.NotRun(err))
+	is.Equal(len(got), 1)
+}
+
+func TestSearchCancelReachesTheRelay(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan struct{})
+	r := newRig(t, NewServer(&stub{search: func(ctx context.Context, b query.Batch, emit func(query.ShardResult)) error {
+		emit(result(b, 0))
+		<-ctx.Done()
+		close(ended)
+		return ctx.Err()
+	}}, nil))
+	ctx, cancel := context.WithCancel(t.Context())
+	err := r.client.Search(ctx, batch(), func(query.ShardResult) { cancel() })
+	is.True(errors.Is(err, context.Canceled))
+	<-ended
+}
+
+func TestReserveOutcomes(t *testing.T) {
+	ask := query.Reserve{RequestID: "r1", ReservationID: "v1", Service: "s", Item: "i", Budget: 10 * time.Second}
+	done := query.Reservation{RequestID: "r1", ReservationID: "v1", Outcome: outcome.Done, Granted: true, Answer: "kept", Target: "t1"}
+
+	t.Run("answered", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, NewServer(nil, &stub{reserve: func(context.Context, query.Reserve) query.Reservation { return done }}))
+		is.Equal(r.client.Reserve(t.Context(), ask), done)
+	})
+	t.Run("nobody listens", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, &foreign{})
+		r.cut()
+		is.Equal(r.client.Reserve(t.Context(), ask).Outcome, outcome.NotSent)
+	})
+	t.Run("budget over", func(t *testing.T) {
+		is := is.New(t)
+		late := ask
+		late.Budget = 0
+		r := newRig(t, &foreign{})
+		is.Equal(r.client.Reserve(t.Context(), late).Outcome, outcome.NotSent)
+	})
+	t.Run("call lost", func(t *testing.T) {
+		is := is.New(t)
+		var r *rig
+		r = newRig(t, NewServer(nil, &stub{reserve: func(ctx context.Context, _ query.Reserve) query.Reservation {
+			go r.cut()
+			<-ctx.Done()
+			return done
+		}}))
+		is.Equal(r.client.Reserve(t.Context(), ask).Outcome, outcome.Unknown)
+	})
+	t.Run("foreign reply", func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(t, &foreign{reply: &peerpb.ReserveReply{RequestId: "r1", ReservationId: "v2", Outcome: 4}})
+		is.Equal(r.client.Reserve(t.Context(), ask).Outcome, outcome.Unknown)
+	})
+}
+
+func TestDrainRefusesNewWorkAndLetsRunningWorkEnd(t *testing.T) {
+	is := is.New(t)
+	begun, finish := make(chan struct{}), make(chan struct{})
+	s := NewServer(&stub{search: func(ctx context.Context, b query.Batch, emit func(query.ShardResult)) error {
+		close(begun)
+		<-finish
+		return answerAll(ctx, b, emit)
+	}}, &stub{})
+	r := newRig(t, s)
+	type end struct {
+		got []query.ShardResult
+		err error
+	}
+	ended := make(chan end)
+	go func() {
+		got, err := collect(r.client, context.Background(), batch())
+		ended <- end{got, err}
+	}()
+	<-begun
+	s.Drain()
+	refused, err := collect(r.client, t.Context(), batch())
+	is.NoErr(err)
+	is.Equal(len(refused), 3)
+	for _, x := range refused {
+		is.Equal(x.Outcome, outcome.NotSent)
+		is.Equal(x.Reason, query.ReasonDraining)
+		is.True(x.RetryAfter > 0)
+	}
+	reply := r.client.Reserve(t.Context(), query.Reserve{RequestID: "r2", ReservationID: "v", Budget: 10 * time.Second})
+	is.Equal(reply.Outcome, outcome.NotSent)
+	is.Equal(reply.Reason, query.ReasonDraining)
+	stopped, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(s.Wait(stopped) != nil) // the first batch still runs
+	close(finish)
+	e := <-ended
+	is.NoErr(e.err)
+	is.Equal(len(e.got), 3)
+	is.NoErr(s.Wait(t.Context()))
+}
