Policy: queue evicts by rank, outliers fade, tests

Ruled out: last come first served, smaller queues. Deferrable requests older than QueueWait are refused and not promoted, as promotion would starve the interactive class under deferrable overload. Queue.Evictions and Waiter.Evicted are new; Expire returns evictions too.

--- /dev/null
+++ b/internal/policy/extra_test.go
@@ -0,0 +1,141 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// TestBudgetHoldsOverEveryWindow checks the bound of Budget over every span
+// between two extra attempts of a random history.
+func TestBudgetHoldsOverEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.SampledFrom([]float64{0.01, 0.05, 0.1, 0.5}).Draw(t, "ratio")
+		b := NewBudget(ratio)
+		type step struct {
+			at           time.Duration
+			first, taken int
+		}
+		history := []step{{}}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond
+			s := step{at: now}
+			for range rapid.IntRange(0, 30).Draw(t, "firsts") {
+				b.First(at(now))
+				s.first++
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "wanted") {
+				if b.Take(at(now)) {
+					s.taken++
+				}
+			}
+			history = append(history, s)
+		}
+		for i := range history {
+			first, taken := 0, 0
+			for _, s := range history[i:] {
+				first += s.first
+				taken += s.taken
+				seconds := (s.at - history[max(i-1, 0)].at + floorPeriod).Seconds()
+				bound := ratio*float64(first) + budgetFloor*seconds + budgetBurst
+				if float64(taken) > bound+1e-6 {
+					t.Fatalf("%d extra attempts for %d first tries in %.1f s", taken, first, seconds)
+				}
+			}
+		}
+	})
+}
+
+func TestBudgetAtHighRateIsTheRatio(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(0.1)
+	taken := 0
+	for i := range 100000 { // 1,000 a second, every one fails
+		now := at(time.Duration(i) * time.Millisecond)
+		b.First(now)
+		if b.Take(now) {
+			taken++
+		}
+	}
+	is.True(taken <= 10000) // the floor adds nothing
+	is.True(taken >= 9990)
+}
+
+func TestBudgetFloorLetsASlowServiceRetry(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(0.1)
+	b.First(start)
+	is.True(!b.Take(start))
+	is.True(b.Take(at(20 * time.Second)))
+	is.True(!NewBudget(0).Take(at(time.Hour))) // off is off
+	is.True(!NewBudget(-1).Take(at(time.Hour)))
+}
+
+func TestHedgeDelayFollowsTheQuantile(t *testing.T) {
+	is := is.New(t)
+	h := NewHedger(0.95, 0.05)
+	_, known := h.Delay()
+	is.True(!known)
+	for i := range 1000 {
+		h.Observe(start, time.Duration(i%100+1)*time.Millisecond)
+	}
+	d, known := h.Delay()
+	is.True(known)
+	is.True(d >= 94*time.Millisecond && d <= 97*time.Millisecond)
+}
+
+func TestHedgeForgetsOldLatencies(t *testing.T) {
+	is := is.New(t)
+	h := NewHedger(0.95, 0.05)
+	for range 100 {
+		h.Observe(start, 500*time.Millisecond)
+	}
+	for i := range 3 {
+		for range 100 {
+			h.Observe(at(time.Duration(i+1)*hedgeWindow), 5*time.Millisecond)
+		}
+	}
+	d, _ := h.Delay()
+	is.True(d < 6*time.Millisecond)
+}
+
+func TestNoHedgeWhileSaturated(t *testing.T) {
+	is := is.New(t)
+	h := NewHedger(0.95, 0.05)
+	for range 1000 {
+		h.First(start)
+	}
+	for range 100 {
+		is.True(!h.Take(start, true))
+	}
+	is.True(h.Take(start, false))
+}
+
+func TestRampGrowsToFullWork(t *testing.T) {
+	is := is.New(t)
+	var r Ramp
+	is.Equal(r.Share(start), 1.0) // the zero ramp is warm
+	r.Restart(start, 10*time.Second)
+	last := 0.0
+	for s := range 10 {
+		share := r.Share(at(time.Duration(s) * time.Second))
+		is.True(share > last)
+		last = share
+	}
+	is.Equal(r.Share(start), rampStart)
+	is.Equal(r.Share(at(10*time.Second)), 1.0)
+}
+
+func TestRetryAfterIsSpreadAndBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		expected := time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "expected"))
+		draw := rapid.Float64Range(0, 0.9999).Draw(t, "draw")
+		d := RetryAfter(expected, draw)
+		if d < retryAfterLowest || d > retryAfterHighest {
+			t.Fatalf("come back after %v", d)
+		}
+	})
+}
--- a/internal/policy/outlier.go
+++ b/internal/policy/outlier.go
@@ -16,6 +16,8 @@
 	ejectLongest   = 30 * time.Second
 	failurePenalty = 8.0 // cost of a target that always fails, in latencies
 	initialLatency = 5 * time.Millisecond
+	shortest       = 1e-4             // seconds, of a first latency
+	forgetHalf     = 10 * time.Second // without an answer, halves latency and failures
 )
 
 // Outlier judges one target of a replica set by its own answers, which
@@ -31,6 +33,7 @@
 	ejectedTo time.Time
 	ejectFor  time.Duration
 	probing   bool
+	seen      time.Time // newest attempt judged
 }
 
 // NewOutlier returns the state of a target of which nothing is known.
@@ -53,6 +56,7 @@
 		o.judgeProbe(now, latency, s, best)
 		return
 	}
+	o.fade(now)
 	o.outcomes++
 	o.blend(latency, s)
 	if o.bad(best) {
@@ -80,12 +84,30 @@
 }
 
 // Cost returns the expected time to an answer with the given requests in
-// flight ahead, in seconds; failures count as many times the latency.
-func (o *Outlier) Cost(inFlight int, limit float64) float64 {
-	per := o.latency * (1 + failurePenalty*o.failures)
+// flight ahead, in seconds; failures count as many times the latency. What was
+// seen long ago counts less and less, so that a target once slow is tried
+// again.
+func (o *Outlier) Cost(now time.Time, inFlight int, limit float64) float64 {
+	faded := o.faded(now)
+	per := o.latency * faded * (1 + failurePenalty*o.failures*faded)
 	return per * (1 + float64(inFlight)/math.Max(limit, 1))
 }
 
+// faded returns the weight of what was seen, after a time without an answer.
+func (o *Outlier) faded(now time.Time) float64 {
+	if o.seen.IsZero() {
+		return 1
+	}
+	return math.Exp2(-max(now.Sub(o.seen).Seconds(), 0) / forgetHalf.Seconds())
+}
+
+func (o *Outlier) fade(now time.Time) {
+	part := o.faded(now)
+	o.latency *= part
+	o.failures *= part
+	o.seen = now
+}
+
 func (o *Outlier) judgeProbe(now time.Time, latency time.Duration, s Signal, best time.Duration) {
 	o.probing = false
 	well := s == Served && (best == 0 || latency.Seconds() <= slowRatio*best.Seconds())
@@ -97,13 +119,17 @@
 	o.good = 0
 	o.latency = latency.Seconds()
 	o.failures /= 2
+	o.seen = now
 }
 
 // blend takes a latency into the mean. That of an abandoned attempt is a
 // lower bound, and so counts only when it is above the mean.
 func (o *Outlier) blend(latency time.Duration, s Signal) {
 	seconds := latency.Seconds()
-	if s == Served || (s == Abandoned && seconds > o.latency) {
+	switch {
+	case o.outcomes == 1:
+		o.latency = max(seconds, shortest)
+	case s == Served || (s == Abandoned && seconds > o.latency):
 		o.latency += latencyWeight * (seconds - o.latency)
 	}
 	switch s {
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -7,29 +7,45 @@
 )
 
 const (
-	// DefaultCapacity is the longest queue of a replica set.
+	// DefaultCapacity is the longest queue of a class.
 	DefaultCapacity = 1024
 	// DefaultDeferrableShare grants at least one deferrable request in this
 	// many grants while one waits.
 	DefaultDeferrableShare = 4
 	// DefaultQueueWait bounds the wait of a deferrable request.
 	DefaultQueueWait = time.Second
+	// DefaultQueueDelay is the work, in time, that an interactive queue holds.
+	DefaultQueueDelay = 50 * time.Millisecond
 
-	// DefaultInteractiveDelay and DefaultDeferrableDelay are the waits that,
-	// when the shortest in a window is above them, show overload of a class.
-	DefaultInteractiveDelay = 10 * time.Millisecond
-	DefaultDeferrableDelay  = 200 * time.Millisecond
-
-	smoothing = 0.1 // weight of the newest sample in a moving average
-	doubt     = 100 // part of the time of service taken off at each refusal for it
+	leastCapacity = 32 // waiting requests that no time bound forbids; see capacity
+	overloadHold  = time.Second
+	smoothing     = 0.1 // weight of the newest sample in a moving average
+	doubt         = 100 // part of the time of service taken off at each refusal for it
 )
 
 // QueueConfig bounds a queue. Zero fields take the defaults.
 type QueueConfig struct {
-	Capacity        int           // longest queue, both classes together
+	Capacity        int           // longest queue of a class
 	DeferrableShare int           // at least one deferrable in so many grants
-	QueueWait       time.Duration // after which a deferrable request goes first
-	NoGate          bool          // refuse by expected wait alone, not by rank
+	QueueWait       time.Duration // after which a deferrable request is refused
+	QueueDelay      time.Duration // work that waits in the interactive class
+	ByArrival       bool          // no ranks: first come first served, the last is refused
+}
+
+func (c QueueConfig) withDefaults() QueueConfig {
+	if c.Capacity <= 0 {
+		c.Capacity = DefaultCapacity
+	}
+	if c.DeferrableShare <= 0 {
+		c.DeferrableShare = DefaultDeferrableShare
+	}
+	if c.QueueWait <= 0 {
+		c.QueueWait = DefaultQueueWait
+	}
+	if c.QueueDelay <= 0 {
+		c.QueueDelay = DefaultQueueDelay
+	}
+	return c
 }
 
 // Waiter is one request that waits for a place at a target.
@@ -38,6 +54,7 @@
 	Urgency  query.Urgency
 	Rank     float64   // see Rank: of the whole request, not of its shard
 	Deadline time.Time // end of the request's budget
+	Evicted  bool      // set by the queue: refused for overload, not for its budget
 
 	joined time.Time
 }
@@ -52,11 +69,16 @@
 // Queue holds the requests that wait for a place at the targets of a replica
 // set. It refuses at once what it could not grant in time, grants interactive
 // before deferrable requests, and never starves the deferrable.
+//
+// Each class holds little more work than its targets do in a given time. When
+// it is full, the request with the highest rank is refused, and for a while
+// the lowest rank is granted first; otherwise the first come. So every queue
+// that a wide query passes under overload keeps the same queries whole.
 type Queue[T any] struct {
 	cfg         QueueConfig
-	interactive []*Waiter[T] // first come, first served within a class
-	deferrable  []*Waiter[T]
-	gates       map[query.Urgency]*Gate
+	interactive class[T]
+	deferrable  class[T]
+	evicted     []*Waiter[T]
 	passed      int           // grants since the last deferrable one, while one waited
 	interval    time.Duration // mean time between two grants while requests wait
 	service     time.Duration // mean time from grant to answer
@@ -64,52 +86,61 @@
 }
 
 // NewQueue returns an empty queue.
-func NewQueue[T any](cfg QueueConfig) *Queue[T] {
-	if cfg.Capacity <= 0 {
-		cfg.Capacity = DefaultCapacity
-	}
-	if cfg.DeferrableShare <= 0 {
-		cfg.DeferrableShare = DefaultDeferrableShare
-	}
-	if cfg.QueueWait <= 0 {
-		cfg.QueueWait = DefaultQueueWait
-	}
-	gates := map[query.Urgency]*Gate{
-		query.Interactive: NewGate(DefaultInteractiveDelay),
-		query.Deferrable:  NewGate(DefaultDeferrableDelay),
-	}
-	return &Queue[T]{cfg: cfg, gates: gates}
-}
+func NewQueue[T any](cfg QueueConfig) *Queue[T] { return &Queue[T]{cfg: cfg.withDefaults()} }
 
 // Push lets w wait for Pop, also when a place is free. It refuses w at once
-// when its rank does not pass the gate of its class, when the queue is full, or
-// when the expected wait and the time of service pass its remaining budget.
-// Every request goes through Push and Pop, so that the gates see also those
-// that need not wait.
+// when the expected wait and the time of service pass its remaining budget, or
+// when its class is full and no rank in it is higher; else the highest one is
+// evicted, see Evictions. Every request goes through Push and Pop.
 func (q *Queue[T]) Push(now time.Time, w *Waiter[T]) Admission {
-	wait := q.ExpectedWait(now, w.Urgency)
-	if !q.admits(now, w, wait) {
+	wait := q.waitOf(now, w)
+	if q.tooLate(now.Add(wait), w) {
 		return Admission{ExpectedWait: wait, RetryAfter: wait}
 	}
-	w.joined = now
-	if w.Urgency == query.Deferrable {
-		q.deferrable = append(q.deferrable, w)
-	} else {
-		q.interactive = append(q.interactive, w)
+	c := q.class(w.Urgency)
+	w.joined, w.Evicted = now, false
+	c.add(w)
+	if c.len() <= q.capacity(w.Urgency) {
+		return Admission{Admitted: true, ExpectedWait: wait}
+	}
+	c.overloadedAt = now
+	out := c.evict(q.cfg.ByArrival)
+	out.Evicted = true
+	if out == w {
+		return Admission{ExpectedWait: wait, RetryAfter: max(wait, q.fullWait(c))}
 	}
+	q.evicted = append(q.evicted, out)
 	return Admission{Admitted: true, ExpectedWait: wait}
 }
 
+// Evictions removes and returns the requests that had to make room, to be
+// refused at once.
+func (q *Queue[T]) Evictions() []*Waiter[T] {
+	out := q.evicted
+	q.evicted = nil
+	return out
+}
+
+// Expire removes and returns the requests that can no longer be served in
+// their budget, the deferrable ones that waited as long as they may, and those
+// of Evictions, all to be refused at once.
+func (q *Queue[T]) Expire(now time.Time) []*Waiter[T] {
+	late := func(w *Waiter[T]) bool { return q.tooLate(now, w) || q.overdue(now, w) }
+	out := q.Evictions()
+	out = append(out, q.interactive.sift(late)...)
+	return append(out, q.deferrable.sift(late)...)
+}
+
 // Pop grants the next request that fits; fits may be nil. It returns nil if
 // there is none. Whoever fits nothing yet keeps its place.
 func (q *Queue[T]) Pop(now time.Time, fits func(T) bool) *Waiter[T] {
 	first, second := &q.interactive, &q.deferrable
-	if q.deferrableDue(now) {
+	if q.deferrableDue() {
 		first, second = second, first
 	}
-	w := take(first, fits)
+	w := first.take(q.ranked(now, first), fits)
 	if w == nil {
-		w = take(second, fits)
+		w = second.take(q.ranked(now, second), fits)
 	}
 	if w != nil {
 		q.granted(now, w)
@@ -118,50 +149,77 @@
 }
 
 // Remove takes out a request whose caller gave up, and reports whether it
-// still waited.
+// still waited or was evicted and not yet told.
 func (q *Queue[T]) Remove(w *Waiter[T]) bool {
-	return cutOut(&q.interactive, w) || cutOut(&q.deferrable, w)
-}
-
-// Expire removes and returns the requests that can no longer be served in
-// their budget, to be refused at once.
-func (q *Queue[T]) Expire(now time.Time) []*Waiter[T] {
-	late := func(w *Waiter[T]) bool { return q.tooLate(now, w) }
-	return append(sift(&q.interactive, late), sift(&q.deferrable, late)...)
+	return q.interactive.remove(w) || q.deferrable.remove(w) || cutOut(&q.evicted, w)
 }
 
 // Served tells the time from grant to answer of a request.
 func (q *Queue[T]) Served(latency time.Duration) { q.service = smooth(q.service, latency) }
 
 // Len returns the number of requests that wait.
-func (q *Queue[T]) Len() int { return len(q.interactive) + len(q.deferrable) }
+func (q *Queue[T]) Len() int { return q.interactive.len() + q.deferrable.len() }
 
-// ExpectedWait returns how long a request of the class that joins now would
-// wait for its grant.
+// Overloaded reports whether a request of the class was refused for want of
+// room a short time ago.
+func (q *Queue[T]) Overloaded(now time.Time, u query.Urgency) bool {
+	return q.class(u).overloaded(now)
+}
+
+// ExpectedWait returns how long a request of the class that joins now, behind
+// all others, would wait for its grant.
 func (q *Queue[T]) ExpectedWait(now time.Time, u query.Urgency) time.Duration {
-	ahead := q.ahead(u)
+	return q.waitBehind(now, u, q.class(u).len())
+}
+
+func (q *Queue[T]) waitOf(now time.Time, w *Waiter[T]) time.Duration {
+	c := q.class(w.Urgency)
+	ahead := c.len()
+	if q.ranked(now, c) {
+		ahead = c.below(w.Rank)
+	}
+	return q.waitBehind(now, w.Urgency, ahead)
+}
+
+// waitBehind returns the wait behind some requests of the own class, with the
+// part of the grants that the other class takes.
+func (q *Queue[T]) waitBehind(now time.Time, u query.Urgency, ahead int) time.Duration {
+	if u == query.Deferrable {
+		ahead += min(q.interactive.len(), (ahead+1)*(q.cfg.DeferrableShare-1))
+	} else {
+		ahead += min(q.deferrable.len(), ahead/q.cfg.DeferrableShare)
+	}
 	if ahead == 0 {
 		return 0
 	}
 	return time.Duration(ahead) * max(q.interval, now.Sub(q.waitingSince(now)))
 }
 
-// Threshold returns the part of the requests of a class that pass its gate.
-func (q *Queue[T]) Threshold(u query.Urgency) float64 { return q.gate(u).Threshold() }
+// fullWait returns how long the targets work on a full class.
+func (q *Queue[T]) fullWait(c *class[T]) time.Duration { return time.Duration(c.len()) * q.interval }
 
-func (q *Queue[T]) gate(u query.Urgency) *Gate {
+// capacity returns the most requests of a class that wait. It is given by time,
+// but some may wait always: with too few the order of ranks has no effect.
+func (q *Queue[T]) capacity(u query.Urgency) int {
+	work := q.cfg.QueueDelay
 	if u == query.Deferrable {
-		return q.gates[query.Deferrable]
+		work = q.cfg.QueueWait
+	}
+	if q.interval <= 0 {
+		return q.cfg.Capacity
 	}
-	return q.gates[query.Interactive]
+	return min(max(int(work/q.interval), leastCapacity), q.cfg.Capacity)
 }
 
-// admits counts the request at its gate and compares the wait with its budget.
-func (q *Queue[T]) admits(now time.Time, w *Waiter[T], wait time.Duration) bool {
-	if !q.cfg.NoGate && !q.gate(w.Urgency).Admits(w.Rank) {
-		return false
+func (q *Queue[T]) class(u query.Urgency) *class[T] {
+	if u == query.Deferrable {
+		return &q.deferrable
 	}
-	return q.Len() < q.cfg.Capacity && !q.tooLate(now.Add(wait), w)
+	return &q.interactive
+}
+
+func (q *Queue[T]) ranked(now time.Time, c *class[T]) bool {
+	return !q.cfg.ByArrival && c.overloaded(now)
 }
 
 // tooLate reports whether a request that is granted then cannot be served in
@@ -179,9 +237,9 @@
 // grant.
 func (q *Queue[T]) waitingSince(now time.Time) time.Time {
 	since := now
-	for _, list := range [][]*Waiter[T]{q.interactive, q.deferrable} {
-		if len(list) > 0 && list[0].joined.Before(since) {
-			since = list[0].joined
+	for _, c := range []*class[T]{&q.interactive, &q.deferrable} {
+		if c.len() > 0 && c.waiting[0].joined.Before(since) {
+			since = c.waiting[0].joined
 		}
 	}
 	if since.Before(q.lastGrant) {
@@ -190,23 +248,22 @@
 	return since
 }
 
-func (q *Queue[T]) ahead(u query.Urgency) int {
-	if u == query.Deferrable {
-		return q.Len()
+func (q *Queue[T]) deferrableDue() bool {
+	if q.deferrable.len() == 0 {
+		return false
 	}
-	share := len(q.interactive) / q.cfg.DeferrableShare
-	return len(q.interactive) + min(len(q.deferrable), share)
+	return q.passed >= q.cfg.DeferrableShare-1
 }
 
-func (q *Queue[T]) deferrableDue(now time.Time) bool {
-	if len(q.deferrable) == 0 {
-		return false
-	}
-	return q.passed >= q.cfg.DeferrableShare-1 || now.Sub(q.deferrable[0].joined) >= q.cfg.QueueWait
+// overdue reports whether a deferrable request waited as long as it may. It is
+// refused and not promoted: promoted, a class that is overloaded would always
+// have one that goes before all interactive ones.
+func (q *Queue[T]) overdue(now time.Time, w *Waiter[T]) bool {
+	return w.Urgency == query.Deferrable && now.Sub(w.joined) >= q.cfg.QueueWait
 }
 
 func (q *Queue[T]) granted(now time.Time, w *Waiter[T]) {
-	if w.Urgency == query.Deferrable || len(q.deferrable) == 0 {
+	if w.Urgency == query.Deferrable || q.deferrable.len() == 0 {
 		q.passed = 0
 	} else {
 		q.passed++
@@ -217,7 +274,6 @@
 	}
 	q.interval = smooth(q.interval, now.Sub(since))
 	q.lastGrant = now
-	q.gate(w.Urgency).Granted(now, now.Sub(w.joined))
 }
 
 func smooth(mean, sample time.Duration) time.Duration {
@@ -226,38 +282,3 @@
 	}
 	return mean + time.Duration(smoothing*float64(sample-mean))
 }
-
-func take[T any](list *[]*Waiter[T], fits func(T) bool) *Waiter[T] {
-	for i, w := range *list {
-		if fits == nil || fits(w.Item) {
-			*list = append((*list)[:i], (*list)[i+1:]...)
-			return w
-		}
-	}
-	return nil
-}
-
-func cutOut[T any](list *[]*Waiter[T], w *Waiter[T]) bool {
-	for i, x := range *list {
-		if x == w {
-			*list = append((*list)[:i], (*list)[i+1:]...)
-			return true
-		}
-	}
-	return false
-}
-
-func sift[T any](list *[]*Waiter[T], out func(*Waiter[T]) bool) []*Waiter[T] {
-	var gone []*Waiter[T]
-	kept := (*list)[:0]
-	for _, w := range *list {
-		if out(w) {
-			gone = append(gone, w)
-			continue
-		}
-		kept = append(kept, w)
-	}
-	clear((*list)[len(kept):])
-	*list = kept
-	return gone
-}
--- /dev/null
+++ b/internal/policy/queue_test.go
@@ -0,0 +1,173 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"rhubarbwood.example/rhubarbwood/internal/query"
+)
+
+func waiter(id int, u query.Urgency, deadline time.Time) *Waiter[int] {
+	return &Waiter[int]{Item: id, Urgency: u, Deadline: deadline}
+}
+
+// TestQueueNeverStarvesTheDeferrable checks for random arrivals that, while a
+// deferrable request waits, at least one in every DeferrableShare grants is
+// deferrable, that the length is bounded, and that nobody is granted twice.
+func TestQueueNeverStarvesTheDeferrable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.IntRange(1, 6).Draw(t, "share")
+		capacity := rapid.IntRange(1, 30).Draw(t, "capacity")
+		ranked := rapid.Bool().Draw(t, "ranked")
+		q := NewQueue[int](QueueConfig{Capacity: capacity, DeferrableShare: share, ByArrival: !ranked})
+		granted := make(map[int]bool)
+		passed := 0
+		now := start
+		for id := range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 2).Draw(t, "kind") < 2 {
+				u := rapid.SampledFrom([]query.Urgency{query.Interactive, query.Deferrable}).Draw(t, "urgency")
+				w := waiter(id, u, now.Add(time.Hour))
+				w.Rank = rapid.Float64Range(0, 1).Draw(t, "rank")
+				q.Push(now, w)
+				q.Evictions()
+			} else if waiting := q.deferrable.len(); true {
+				w := q.Pop(now, nil)
+				passed = countPassed(passed, waiting, w)
+				if w != nil && granted[w.Item] {
+					t.Fatalf("%d granted twice", w.Item)
+				}
+				if w != nil {
+					granted[w.Item] = true
+				}
+			}
+			if passed >= share {
+				t.Fatalf("%d grants passed a deferrable request, share 1 in %d", passed, share)
+			}
+			if max(q.interactive.len(), q.deferrable.len()) > capacity {
+				t.Fatalf("%d wait, capacity %d", q.Len(), capacity)
+			}
+		}
+	})
+}
+
+func countPassed(passed, waiting int, w *Waiter[int]) int {
+	if w == nil {
+		return passed
+	}
+	if waiting == 0 || w.Urgency == query.Deferrable {
+		return 0
+	}
+	return passed + 1
+}
+
+func TestDeferrableWaitsNoLongerThanItsBound(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int](QueueConfig{QueueWait: 100 * time.Millisecond})
+	q.Push(start, waiter(1, query.Deferrable, at(time.Hour)))
+	q.Push(start, waiter(2, query.Interactive, at(time.Hour)))
+	is.Equal(len(q.Expire(at(99*time.Millisecond))), 0)
+	gone := q.Expire(at(100 * time.Millisecond))
+	is.Equal(len(gone), 1)
+	is.Equal(gone[0].Item, 1)
+	is.Equal(q.Pop(at(100*time.Millisecond), nil).Item, 2)
+}
+
+func TestFullQueueEvictsTheHighestRank(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int](QueueConfig{Capacity: 2})
+	push := func(id int, rank float64) Admission {
+		w := waiter(id, query.Interactive, at(time.Hour))
+		w.Rank = rank
+		return q.Push(start, w)
+	}
+	is.True(push(1, 0.5).Admitted)
+	is.True(push(2, 0.9).Admitted)
+	is.True(push(3, 0.1).Admitted)
+	out := q.Evictions()
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Item, 2)
+	is.True(out[0].Evicted)
+	is.True(!push(4, 0.7).Admitted)
+	is.Equal(q.Pop(start, nil).Item, 3) // lowest rank first while overloaded
+	later := start.Add(overloadHold)
+	push(5, 0.2)
+	is.Equal(q.Pop(later, nil).Item, 1) // first come first served again
+}
+
+func TestQueueRefusesAtOnceWhatItCannotServeInTime(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int](QueueConfig{ByArrival: true})
+	now := start
+	for id := range 50 {
+		q.Push(now, waiter(id, query.Interactive, now.Add(time.Hour)))
+	}
+	for range 20 { // one grant each 10 ms
+		now = now.Add(10 * time.Millisecond)
+		is.True(q.Pop(now, nil) != nil)
+		q.Served(5 * time.Millisecond)
+	}
+	late := q.Push(now, waiter(100, query.Interactive, now.Add(200*time.Millisecond)))
+	is.True(!late.Admitted) // 30 wait, 10 ms each
+	is.True(late.RetryAfter >= 250*time.Millisecond && late.RetryAfter <= 350*time.Millisecond)
+	is.True(q.Push(now, waiter(101, query.Interactive, now.Add(500*time.Millisecond))).Admitted)
+}
+
+func TestQueueExpectsAGrowingWaitWhileItIsStalled(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int](QueueConfig{ByArrival: true})
+	q.Push(start, waiter(1, query.Interactive, at(time.Hour)))
+	is.True(q.Push(at(time.Millisecond), waiter(2, query.Interactive, at(50*time.Millisecond))).Admitted)
+	is.True(!q.Push(at(100*time.Millisecond), waiter(3, query.Interactive, at(150*time.Millisecond))).Admitted)
+}
+
+func TestQueueExpiresWhatCannotBeServedAnyMore(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int](QueueConfig{ByArrival: true})
+	q.Served(10 * time.Millisecond)
+	q.Push(start, waiter(1, query.Interactive, at(50*time.Millisecond)))
+	q.Push(start, waiter(2, query.Deferrable, at(time.Hour)))
+	is.Equal(len(q.Expire(at(30*time.Millisecond))), 0)
+	gone := q.Expire(at(41 * time.Millisecond))
+	is.Equal(len(gone), 1)
+	is.Equal(gone[0].Item, 1)
+	is.Equal(q.Len(), 1)
+}
+
+// TestQueueRecoversFromATooLongServiceTime covers a trap: were the mean time of
+// service not lowered by refusals, a slow spell would refuse everything ever
+// after, as nothing served could correct it.
+func TestQueueRecoversFromATooLongServiceTime(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int](QueueConfig{ByArrival: true})
+	q.Served(10 * time.Second)
+	refused := 0
+	for !q.Push(start, waiter(1, query.Interactive, at(time.Second))).Admitted {
+		refused++
+		is.True(refused < 1000)
+	}
+}
+
+func TestQueueSkipsWhoFitsNothingAndKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int](QueueConfig{ByArrival: true})
+	for id := range 3 {
+		q.Push(start, waiter(id, query.Interactive, at(time.Hour)))
+	}
+	is.Equal(q.Pop(start, func(id int) bool { return id == 1 }).Item, 1)
+	is.Equal(q.Pop(start, nil).Item, 0)
+	is.True(q.Pop(start, func(int) bool { return false }) == nil)
+}
+
+func TestQueueRemovesACallerThatGaveUp(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int](QueueConfig{ByArrival: true})
+	w := waiter(1, query.Deferrable, at(time.Hour))
+	q.Push(start, w)
+	is.True(q.Remove(w))
+	is.True(!q.Remove(w))
+	is.True(q.Pop(start, nil) == nil)
+}
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -156,7 +156,7 @@
 
 func (r *Replica) option(now time.Time, rng *rand.Rand) Option {
 	return Option{
-		Cost:   r.Outlier.Cost(r.Limiter.InFlight(), r.Limiter.Limit()),
+		Cost:   r.Outlier.Cost(now, r.Limiter.InFlight(), r.Limiter.Limit()),
 		Local:  r.Local,
 		Barred: !r.Ramp.Takes(now, rng.Float64()),
 	}
--- /dev/null
+++ b/internal/policy/replica_test.go
@@ -0,0 +1,180 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func three() []*Replica {
+	return []*Replica{
+		NewReplica("a", true, 2, 1, 2),
+		NewReplica("b", false, 2, 1, 2),
+		NewReplica("c", false, 2, 1, 2),
+	}
+}
+
+// play sends n requests one after another; answer gives the end of an attempt
+// at a replica. It returns the requests that each replica got.
+func play(replicas []*Replica, from time.Time, n int, answer func(id string) (time.Duration, Signal)) map[string]int {
+	rng, got, now := seeded(), make(map[string]int), from
+	for range n {
+		r := Pick(now, rng, FirstTry, replicas, nil)
+		if r == nil {
+			now = now.Add(time.Millisecond)
+			continue
+		}
+		r.Send(now)
+		latency, signal := answer(r.ID)
+		now = now.Add(latency)
+		r.Done(now, latency, signal, replicas)
+		got[r.ID]++
+	}
+	return got
+}
+
+func TestStragglerGetsHardlyAnyFirstTry(t *testing.T) {
+	is := is.New(t)
+	replicas := three()
+	got := play(replicas, start, 3000, func(id string) (time.Duration, Signal) {
+		if id == "c" {
+			return 50 * time.Millisecond, Served
+		}
+		return 5 * time.Millisecond, Served
+	})
+	is.True(got["c"] < 15) // one to find out, then another when that is half forgotten
+}
+
+func TestSlowTargetIsSetAsideAndProbed(t *testing.T) {
+	is := is.New(t)
+	o := NewOutlier()
+	for range minOutcomes {
+		o.Observe(start, 50*time.Millisecond, Served, 5*time.Millisecond)
+	}
+	is.True(o.Ejected(start))
+	is.True(!o.ProbeDue(start))
+	now := at(ejectFirst)
+	is.True(o.ProbeDue(now))
+	o.Sent(now)
+	is.True(!o.ProbeDue(now)) // one at a time
+	o.Observe(now, 50*time.Millisecond, Served, 5*time.Millisecond)
+	is.True(!o.ProbeDue(now.Add(ejectFirst))) // twice as long now
+	now = now.Add(2 * ejectFirst)
+	o.Sent(now)
+	o.Observe(now, 5*time.Millisecond, Served, 5*time.Millisecond)
+	is.True(!o.Ejected(now))
+}
+
+func TestFrozenTargetIsSetAsideByAbandonedAttempts(t *testing.T) {
+	is := is.New(t)
+	got := play(three(), start, 3000, func(id string) (time.Duration, Signal) {
+		if id == "c" {
+			return 40 * time.Millisecond, Abandoned // the hedge won
+		}
+		return 5 * time.Millisecond, Served
+	})
+	is.True(got["c"] < 20)
+}
+
+func TestFailingTargetGetsHardlyAnyFirstTry(t *testing.T) {
+	for _, every := range []int{1, 2} { // each attempt fails, every second one
+		is := is.New(t)
+		n := 0
+		got := play(three(), start, 3000, func(id string) (time.Duration, Signal) {
+			if id != "c" {
+				return 5 * time.Millisecond, Served
+			}
+			if n++; n%every == 0 {
+				return 2 * time.Millisecond, Errored
+			}
+			return 5 * time.Millisecond, Served
+		})
+		is.True(got["c"] < 150) // 5 %
+	}
+}
+
+func TestTargetThatRecoversGetsWorkAgain(t *testing.T) {
+	is := is.New(t)
+	replicas := three()
+	slow := true
+	answer := func(id string) (time.Duration, Signal) {
+		if id == "c" && slow {
+			return 500 * time.Millisecond, Served
+		}
+		return 5 * time.Millisecond, Served
+	}
+	play(replicas, start, 500, answer)
+	slow = false
+	got := play(replicas, at(2*time.Minute), 3000, answer)
+	is.True(got["c"] > 300) // a sixth when all are even: one of two remote ones, in a third of the pairs
+}
+
+func TestWhenAllFailTheyAreAskedStill(t *testing.T) {
+	is := is.New(t)
+	got := play(three(), start, 300, func(string) (time.Duration, Signal) {
+		return time.Millisecond, Errored
+	})
+	is.Equal(got["a"]+got["b"]+got["c"], 300)
+}
+
+func TestHedgeGoesToAHealthyReplicaOrNowhere(t *testing.T) {
+	is := is.New(t)
+	replicas := three()
+	replicas[1].Outlier.eject(start)
+	not := func(id string) func(*Replica) bool { return func(r *Replica) bool { return r.ID != id } }
+	for range 50 {
+		is.Equal(Pick(start, seeded(), Hedge, replicas, not("a")).ID, "c")
+	}
+	replicas[2].Outlier.eject(start)
+	is.True(Pick(start, seeded(), Hedge, replicas, not("a")) == nil)
+	is.True(Pick(start, seeded(), Retry, replicas, not("a")) != nil)
+}
+
+func TestPickNeverTakesAFullOrUnusableReplica(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		replicas, rng := three(), seeded()
+		barred := rapid.SampledFrom([]string{"", "a", "b", "c"}).Draw(t, "barred")
+		usable := func(r *Replica) bool { return r.ID != barred }
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if r := replicas[rapid.IntRange(0, 2).Draw(t, "done")]; rapid.Bool().Draw(t, "end") && r.Limiter.InFlight() > 0 {
+				r.Done(start, time.Millisecond, Signal(rapid.IntRange(0, 3).Draw(t, "signal")), replicas)
+				continue
+			}
+			r := Pick(start, rng, Try(rapid.IntRange(0, 2).Draw(t, "try")), replicas, usable)
+			if r == nil {
+				continue
+			}
+			if r.ID == barred || !r.Limiter.Free(start) {
+				t.Fatalf("picked %s", r.ID)
+			}
+			r.Send(start)
+		}
+	})
+}
+
+func TestChooseTakesTheOwnDomainUnlessLoaded(t *testing.T) {
+	is := is.New(t)
+	rng := seeded()
+	options := []Option{{Cost: 5, Local: true}, {Cost: 5}}
+	for range 50 {
+		is.Equal(Choose(rng, options), 0)
+	}
+	options[0].Cost = 7
+	for range 50 {
+		is.Equal(Choose(rng, options), 1)
+	}
+	options[1].Barred = true
+	is.Equal(Choose(rng, options), 0)
+	is.Equal(Choose(rng, nil), -1)
+}
+
+func TestColdTargetGetsLittleWork(t *testing.T) {
+	is := is.New(t)
+	replicas := three()
+	replicas[0].Restart(start, time.Hour)
+	got := play(replicas, start, 3000, func(string) (time.Duration, Signal) { return time.Millisecond, Served })
+	is.True(got["a"] > 0)
+	is.True(got["a"] < 600) // a tenth of its choices
+}
--- a/internal/policy/throttle.go
+++ b/internal/policy/throttle.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	throttleSpan  = 500 * time.Millisecond // one of the two windows kept
-	throttleSlack = 1.1                    // offered over accepted that is still sent on
-	throttleFew   = 20                     // requests before which nothing is refused
+	throttleSpan   = 500 * time.Millisecond // one of the two windows kept
+	throttleSlack  = 1.1                    // offered over accepted that is still sent on
+	throttleFew    = 20                     // requests before which nothing is refused
+	throttleLowest = 0.01                   // of the requests that are sent on whatever the load
 )
 
 // Throttle lets an entry refuse, before any work is spread, the requests that
@@ -42,7 +43,7 @@
 		return 1
 	}
 	part := throttleSlack * (t.now.accepted + t.old.accepted) / offered
-	return math.Min(math.Max(part, gateLowest), 1)
+	return math.Min(math.Max(part, throttleLowest), 1)
 }
 
 func (t *Throttle) turn(now time.Time) {
