Stand-ins: tests for what could be switched off unseen

On a scratch copy each mechanism was switched off in turn. Before: the cost of a connection, the control listener, the seeds, the share of a freeze and the budget check before execution could be taken out without a failing test.

--- a/internal/standin/target/faults_test.go
+++ b/internal/standin/target/faults_test.go
@@ -119,6 +119,42 @@
 	}
 }
 
+func TestFreezeOfAShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tgt := New(testConfig())
+		tgt.SetFaults(Faults{Freeze: FreezeBefore, FreezeShare: 0.5})
+		c := newClient(tgt)
+		answered := 0
+		var all []<-chan received
+		for range 100 {
+			got := c.background(t.Context(), search())
+			answered += len(got)
+			all = append(all, got)
+		}
+		is.True(answered > 0 && answered < 100) // the seed is fixed
+		tgt.SetFaults(Faults{})
+		for _, got := range all {
+			is.Equal((<-got).status, http.StatusOK)
+		}
+	})
+}
+
+func TestThawedPastItsBudgetDoesNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tgt := New(testConfig())
+		tgt.SetFaults(Faults{Freeze: FreezeBefore})
+		s := reserve("a1")
+		s.budgetMS = "100"
+		got := newClient(tgt).background(t.Context(), s)
+		time.Sleep(time.Second)
+		tgt.SetFaults(Faults{})
+		is.Equal((<-got).rejection.Code, targetapi.CodeShed)
+		is.Equal(len(tgt.Executions()), 0)
+	})
+}
+
 func TestDrain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/standin/target/server_test.go
+++ b/internal/standin/target/server_test.go
@@ -11,6 +11,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -157,6 +159,35 @@
 	is.NoErr(srv.Shutdown(t.Context()))
 }
 
+func TestControlListenerOfTheConfigIsOpened(t *testing.T) {
+	is := is.New(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer taken.Close()
+	cfg := testConfig()
+	cfg.ControlListen = taken.Addr().String()
+	is.True(NewServer(New(cfg)).Serve(nil) != nil)
+}
+
+func TestNewConnectionCostsItsTimeOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cfg := testConfig()
+		cfg.ConnectionCost = second
+		near, far := net.Pipe()
+		c := &conn{Conn: near, target: New(cfg)}
+		go func() {
+			_, _ = far.Write([]byte("ab"))
+		}()
+		began := time.Now()
+		for range 2 {
+			_, err := c.Read(make([]byte, 1))
+			is.NoErr(err)
+			is.Equal(time.Since(began), time.Second) // virtual time
+		}
+	})
+}
+
 func TestExecutionLogFile(t *testing.T) {
 	is := is.New(t)
 	cfg := testConfig()
