Catalog: operators' changes, and proofs of never going back and of staleness

Changes are conditional on the version read and carry a change id; a lost answer is settled by reading it back.

Proofs: a rapid state machine holds three hosts to the platform's history with late, lost and shuffled answers, restarts and forgotten deletions; synctest fleets of up to 60 hosts hold spread, takeover, outage, cuts, a stopped host and a platform that went back.

--- /dev/null
+++ b/internal/catalog/change.go
@@ -0,0 +1,184 @@
+package catalog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+// maxPrevious is how many changes an object remembers, so that a change that
+// was made and then followed by others can still be recognized.
+const maxPrevious = 8
+
+// Editor makes operators' changes of the configuration. Every change is one
+// conditional write of one object.
+type Editor struct {
+	cfg     Config
+	store   platform.Store
+	view    View
+	log     *event.Log
+	changes *prometheus.CounterVec
+}
+
+// NewEditor returns an editor that validates snapshots against the
+// configuration held by the catalog.
+func NewEditor(c *Catalog) *Editor {
+	return &Editor{cfg: c.cfg, store: c.store, view: c, log: c.log, changes: c.metrics.changes}
+}
+
+// Stored is a service as it stands in the platform, defaults not filled in.
+type Stored struct {
+	Service  Service
+	Version  uint64 // to name in a change
+	Revision uint64
+	Changed  time.Time // by the platform's clock
+}
+
+// Read returns a service as the platform has it now. A dropped one is
+// returned with Dropped set; platform.ErrNotFound means there never was one.
+func (e *Editor) Read(ctx context.Context, name string) (Stored, error) {
+	o, err := e.store.Get(ctx, platform.KindService, name)
+	if err != nil {
+		return Stored{}, Error.New("read service %q: %w", name, err)
+	}
+	s, err := readService(o)
+	if err != nil {
+		return Stored{}, err
+	}
+	return Stored{Service: *s, Version: o.Version, Revision: o.Revision, Changed: o.Changed}, nil
+}
+
+// Change makes an operator's change of a service and tells what became of it.
+// It is refused unless the service stands at the version that the operator
+// read. An answer that is lost is settled by reading back until ctx or the
+// change timeout ends; only then the result is Unknown.
+func (e *Editor) Change(ctx context.Context, req Request) Result {
+	ctx, cancel := context.WithTimeout(ctx, e.cfg.ChangeTimeout.Std())
+	defer cancel()
+	r := Result{Kind: platform.KindService, Name: req.Service.Name, ChangeID: ulid.Make().String()}
+	return e.done(req.Author, e.change(ctx, req, r))
+}
+
+func (e *Editor) change(ctx context.Context, req Request, r Result) Result {
+	if req.Verb != Drop {
+		if err := ValidateService(req.Service); err != nil {
+			return r.refused(err)
+		}
+	}
+	stands, err := e.current(ctx, platform.KindService, req.Service.Name)
+	if err != nil {
+		return r.refused(Error.New("nothing was written, as the platform can't be read: %w", err))
+	}
+	value, r, ok := e.prepare(req, stands, r)
+	if !ok {
+		return r
+	}
+	if req.DryRun {
+		r.Status, r.Changes = Possible, diffJSON(stands.Value, value)
+		return r
+	}
+	w := write{kind: r.Kind, name: r.Name, version: stands.Version, value: value, id: r.ChangeID}
+	return e.put(ctx, w, r)
+}
+
+// prepare checks the request against what stands and returns the value to
+// write, or false and a refusal.
+func (e *Editor) prepare(req Request, stands platform.Object, r Result) ([]byte, Result, bool) {
+	live := stands.Version > 0 && !dropped(stands)
+	wanted := req.Service
+	if req.Verb == Drop {
+		wanted = dropOf(req.Service.Name, stands)
+	}
+	wanted.Dropped = req.Verb == Drop
+	wanted.Change = follow(r.ChangeID, req.Author, stands)
+	value, err := json.Marshal(wanted)
+	switch {
+	case err != nil:
+		return nil, r.refused(Error.New("encode: %w", err)), false
+	case req.Verb == Create && live:
+		return nil, r.lost(stands, value).refused(Error.New("service %q exists", r.Name)), false
+	case req.Verb == Create:
+		return value, r, true
+	case req.Verb != Alter && req.Verb != Drop:
+		return nil, r.refused(Error.New("%q is not a change", req.Verb)), false
+	case !live:
+		return nil, r.lost(stands, value).refused(Error.New("there is no service %q", r.Name)), false
+	case req.Version != stands.Version:
+		problem := Error.New("service %q stands at version %d, not %d", r.Name, stands.Version, req.Version)
+		return nil, r.lost(stands, value).refused(problem), false
+	}
+	return value, r, true
+}
+
+// dropOf returns the service to leave behind by a drop: what stands, if it can
+// be read.
+func dropOf(name string, stands platform.Object) Service {
+	if s, err := readService(stands); err == nil {
+		return *s
+	}
+	return Service{Name: name}
+}
+
+func dropped(o platform.Object) bool {
+	var s Service
+	return json.Unmarshal(o.Value, &s) == nil && s.Dropped
+}
+
+// current returns the object that stands, with version 0 if there is none.
+func (e *Editor) current(ctx context.Context, kind, name string) (platform.Object, error) {
+	o, err := e.store.Get(ctx, kind, name)
+	if errors.Is(err, platform.ErrNotFound) {
+		return platform.Object{Kind: kind, Name: name}, nil
+	}
+	return o, err
+}
+
+// follow returns the change that comes after the one of the object.
+func follow(id string, by Author, stands platform.Object) Change {
+	before := changeOf(stands)
+	c := Change{ID: id, Operator: by.Operator, Reason: by.Reason}
+	if stands.Version > 0 {
+		c.Previous = append([]string{before.ID}, before.Previous...)
+		c.Previous = c.Previous[:min(maxPrevious, len(c.Previous))]
+	}
+	return c
+}
+
+// changeOf returns the change that wrote an object, empty if it names none.
+func changeOf(o platform.Object) Change {
+	var v struct {
+		Change Change `json:"change"`
+	}
+	if json.Unmarshal(o.Value, &v) != nil {
+		return Change{}
+	}
+	return v.Change
+}
+
+// done records what became of a change.
+func (e *Editor) done(by Author, r Result) Result {
+	e.changes.WithLabelValues(string(r.Status)).Inc()
+	ev := evChangeRefused
+	switch r.Status {
+	case Possible:
+		return r
+	case Accepted:
+		ev = evChangeAccepted
+	case Unknown:
+		ev = evChangeUnknown
+	}
+	line := e.log.Event(ev).Str("kind", r.Kind).Str("object", r.Name).Str("change", r.ChangeID).Str("operator", by.Operator)
+	if r.Status == Accepted {
+		line.Str("reason", by.Reason).Uint64("version", r.Version).Uint64("revision", r.Revision).Msg("")
+		return r
+	}
+	line.Strs("error", r.Problems).Msg("")
+	return r
+}
--- a/internal/catalog/fakes_test.go
+++ b/internal/catalog/fakes_test.go
@@ -26,6 +26,7 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
@@ -205,11 +206,10 @@
 	return s
 }
 
-func encode(t testing.TB, v any) []byte {
-	t.Helper()
+func encode(v any) []byte {
 	b, err := json.Marshal(v)
 	if err != nil {
-		t.Fatal(err)
+		panic(err)
 	}
 	return b
 }
@@ -222,7 +222,7 @@
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		f.t.Fatal(err)
 	}
-	o, err = c.Put(f.t.Context(), platform.KindService, s.Name, o.Version, encode(f.t, s))
+	o, err = c.Put(f.t.Context(), platform.KindService, s.Name, o.Version, encode(s))
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -1,15 +1,23 @@
 package catalog
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
-const withinSeconds = 4 * time.Second // in which an accepted change is in force everywhere
+const (
+	withinSeconds = 4 * time.Second // in which an accepted change is in force everywhere
+	settled       = 10 * time.Second
+)
 
 // inForce returns how many hosts have the revision.
 func (f *fleet) inForce(revision uint64) int {
@@ -22,20 +30,38 @@
 	return on
 }
 
+// stale returns how many hosts refuse callers.
+func (f *fleet) stale() int {
+	stale := 0
+	for _, n := range f.all() {
+		if n.catalog.Stale() {
+			stale++
+		}
+	}
+	return stale
+}
+
+// inFleet runs a test over a fleet that has settled on one service.
+func inFleet(t *testing.T, hosts, domains int, test func(is *is.I, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		f.write(testService("a"))
+		f.addAll(hosts, domains)
+		defer f.stop()
+		f.pass(settled)
+		is := is.New(t)
+		is.Equal(f.inForce(1), hosts)
+		is.Equal(f.stale(), 0)
+		test(is, f)
+	})
+}
+
 func TestChangeIsInForceEverywhereWithinSeconds(t *testing.T) {
 	for _, size := range []struct{ hosts, domains int }{{1, 1}, {12, 3}, {60, 5}} {
 		t.Run(fmt.Sprint(size.hosts), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f := newFleet(t)
-				f.write(testService("a"))
-				f.addAll(size.hosts, size.domains)
-				defer f.stop()
-				f.pass(10 * time.Second)
-				for i := range 5 {
-					s := testService("a")
-					s.Rules.Relays = i + 1
-					revision := f.write(s)
+			inFleet(t, size.hosts, size.domains, func(is *is.I, f *fleet) {
+				for range 5 {
+					revision := f.write(testService("a"))
 					f.pass(withinSeconds)
 					is.Equal(f.inForce(revision), size.hosts)
 				}
@@ -43,3 +69,189 @@
 		})
 	}
 }
+
+// TestFewHostsWatch counts the calls that 60 hosts make in a minute of quiet,
+// and which hosts take over when the watchers of a failure domain are gone.
+func TestFewHostsWatch(t *testing.T) {
+	inFleet(t, 60, 5, func(is *is.I, f *fleet) {
+		before := f.platform.Calls("watch")
+		f.pass(time.Minute)
+		watches := f.platform.Calls("watch") - before
+		perWatcher := int(time.Minute / DefaultConfig().WatchWait.Std())
+		is.True(watches <= 10*(perWatcher+1))
+		is.True(watches >= 10*(perWatcher-1))
+		is.True(f.platform.Calls("list") <= 10) // of a fleet that started at once
+
+		for _, n := range f.all() {
+			if rank(n.host, n.Hosts()) < DefaultConfig().WatchersPerDomain {
+				n.client.Outage(true) // the watchers lose the platform, but not their peers
+			}
+		}
+		f.pass(2 * DefaultConfig().TakeoverAfter.Std())
+		revision := f.write(testService("a"))
+		f.pass(withinSeconds)
+		is.Equal(f.inForce(revision), 60)
+	})
+}
+
+func TestOutageOfThePlatform(t *testing.T) {
+	inFleet(t, 12, 3, func(is *is.I, f *fleet) {
+		cut := f.nodes[3]
+		cut.client.Outage(true) // it has only its peers
+		revision := f.write(testService("b"))
+		f.pass(withinSeconds)
+		is.Equal(f.inForce(revision), 12)
+
+		f.platform.Outage(true)
+		f.pass(5 * time.Minute)
+		is.Equal(f.stale(), 0) // the peers hear each other
+		started := f.add("host-12", "domain-0")
+		f.pass(withinSeconds)
+		is.Equal(started.catalog.Revision(), revision)
+		is.True(!started.catalog.Stale())
+		_, ok := started.catalog.Service("b")
+		is.True(ok)
+
+		f.platform.Outage(false)
+		f.platform.Compact()
+		revision = f.write(testService("c"))
+		f.pass(withinSeconds)
+		is.Equal(f.inForce(revision), 13)
+	})
+}
+
+func TestHostCutOffFromAllIsStaleAndRecovers(t *testing.T) {
+	inFleet(t, 12, 3, func(is *is.I, f *fleet) {
+		alone := f.nodes[5]
+		f.isolate(alone.host.ID)
+		alone.client.Outage(true)
+		revision := f.write(testService("a"))
+		f.pass(DefaultConfig().StaleAfter.Std() + time.Millisecond)
+		is.True(alone.catalog.Stale())
+		is.Equal(f.stale(), 1)
+		is.Equal(f.inForce(revision), 11)
+		report := f.nodes[0].catalog.InForce(revision)
+		is.Equal(report, InForce{Revision: revision, Of: 12, On: 11, Missing: []string{alone.host.ID}})
+
+		alone.client.Outage(false) // the platform alone is enough
+		f.pass(withinSeconds)
+		is.True(!alone.catalog.Stale())
+		is.Equal(f.inForce(revision), 12)
+	})
+}
+
+// TestNetworkFailureDuringOutage takes the platform down and every host from
+// every other. All are stale; once most of them hear each other again, they
+// go on without the platform, but a few of them alone do not.
+func TestNetworkFailureDuringOutage(t *testing.T) {
+	inFleet(t, 9, 3, func(is *is.I, f *fleet) {
+		f.platform.Outage(true)
+		f.scatter()
+		f.pass(settled)
+		is.Equal(f.stale(), 9)
+
+		few := []string{f.nodes[0].host.ID, f.nodes[4].host.ID}
+		f.mu.Lock()
+		f.apart = func(a, b string) bool { return a != few[0] && a != few[1] || b != few[0] && b != few[1] }
+		f.mu.Unlock()
+		f.pass(settled)
+		is.Equal(f.stale(), 9)
+
+		f.isolate(few...)
+		f.pass(settled)
+		is.Equal(f.stale(), 2) // the few
+
+		f.join()
+		f.pass(settled)
+		is.Equal(f.stale(), 0)
+	})
+}
+
+// slow gives answers that arrive after the host was stopped for an hour.
+type slow struct {
+	Puller
+	platform.Store
+}
+
+func (s slow) Pull(ctx context.Context, address string, in *peerpb.PullRequest) (*peerpb.PullReply, error) {
+	out, err := s.Puller.Pull(ctx, address, in)
+	time.Sleep(time.Hour)
+	return out, err
+}
+
+func (s slow) Watch(ctx context.Context, after uint64, wait time.Duration, kinds ...string) (platform.Listing, error) {
+	l, err := s.Store.Watch(ctx, after, wait, kinds...)
+	time.Sleep(time.Hour)
+	return l, err
+}
+
+// TestWokenHostIsStaleUntilItHears stops a host while answers are under way.
+// What it finds in its sockets when it wakes is old and doesn't count.
+func TestWokenHostIsStaleUntilItHears(t *testing.T) {
+	inFleet(t, 3, 1, func(is *is.I, f *fleet) {
+		n, peer := f.nodes[0], f.nodes[1]
+		ctx := f.t.Context()
+		is.NoErr(n.catalog.Stop(ctx)) // its loops; the calls below are its only ones
+		n.catalog.pull(ctx, peer.host)
+		is.True(!n.catalog.Stale())
+
+		n.catalog.puller = slow{Puller: n}
+		n.catalog.pull(ctx, peer.host)
+		is.True(n.catalog.Stale())
+
+		n.catalog.store = slow{Store: n.client}
+		is.NoErr(n.catalog.follow(ctx))
+		is.True(n.catalog.Stale())
+
+		n.catalog.puller = n
+		revision := f.write(testService("a"))
+		f.pass(withinSeconds)
+		n.catalog.pull(ctx, peer.host)
+		is.True(!n.catalog.Stale())
+		is.Equal(n.catalog.Revision(), revision)
+	})
+}
+
+// TestPlatformThatWentBack restores an older platform under a running fleet.
+func TestPlatformThatWentBack(t *testing.T) {
+	inFleet(t, 3, 1, func(is *is.I, f *fleet) {
+		revision := f.write(testService("b"))
+		f.pass(withinSeconds)
+		f.platform.Reset()
+		f.write(testService("a"))
+		f.pass(settled)
+		is.Equal(f.inForce(revision), 3) // fleet.check has seen none go back
+	})
+}
+
+func TestRankOrdersUsableHostsOfTheDomain(t *testing.T) {
+	is := is.New(t)
+	var hosts []member.Host
+	for i := range 6 {
+		hosts = append(hosts, member.Host{ID: fmt.Sprint(i), FailureDomain: "a", State: member.Alive})
+	}
+	hosts = append(hosts, member.Host{ID: "other", FailureDomain: "b", State: member.Alive})
+	places := map[int]member.Host{}
+	for _, h := range hosts[:6] {
+		places[rank(h, hosts)] = h
+	}
+	is.Equal(len(places), 6) // each has its own
+	is.Equal(rank(hosts[6], hosts), 0)
+	for i := range hosts {
+		if hosts[i].ID == places[0].ID {
+			hosts[i].State = member.Leaving
+		}
+	}
+	is.Equal(rank(places[1], hosts), 0) // the next one moves up
+	is.Equal(rank(places[5], hosts), 4)
+}
+
+func TestWatchersWidenWithoutWordOfThePlatform(t *testing.T) {
+	is := is.New(t)
+	const span = 15 * time.Second
+	is.Equal(watchers(2, 0, span), 2)
+	is.Equal(watchers(2, span, span), 2)
+	is.Equal(watchers(2, span+1, span), 4)
+	is.Equal(watchers(2, 2*span+1, span), 8)
+	is.Equal(watchers(2, time.Hour, span), 2*maxWidening)
+}
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -73,7 +73,8 @@
 	return next, changed, nil
 }
 
-// put takes the objects that changed after the given revision.
+// put takes the objects that changed after the given revision. An answer may
+// hold several changes of one object, in any order.
 func (s *state) put(objects []platform.Object, after uint64) []*entry {
 	var changed []*entry
 	for _, o := range objects {
--- /dev/null
+++ b/internal/catalog/state_test.go
@@ -0,0 +1,217 @@
+package catalog
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+)
+
+// world is a platform's history and a few hosts that learn of it by answers
+// that may come late and in any order.
+type world struct {
+	history []platform.Object // change i has revision i+1
+	hosts   []*state
+	late    []answer
+}
+
+type answer struct {
+	to int
+	b  batch
+}
+
+const (
+	worldHosts = 3
+	worldNames = 4
+)
+
+func newWorld() *world {
+	w := &world{}
+	for range worldHosts {
+		w.hosts = append(w.hosts, emptyState())
+	}
+	return w
+}
+
+// at returns the objects that stood at a revision, by name.
+func (w *world) at(revision uint64) map[string]uint64 {
+	stood := map[string]uint64{}
+	for _, o := range w.history[:revision] {
+		stood[o.Name] = o.Revision
+		if o.Deleted {
+			delete(stood, o.Name)
+		}
+	}
+	return stood
+}
+
+func (w *world) change(t *rapid.T) {
+	name := fmt.Sprint(rapid.IntRange(0, worldNames-1).Draw(t, "name"))
+	_, stands := w.at(uint64(len(w.history)))[name]
+	w.history = append(w.history, platform.Object{
+		Kind: platform.KindService, Name: name, Revision: uint64(len(w.history) + 1),
+		Value:   encode(testService(name)),
+		Deleted: stands && rapid.Bool().Draw(t, "delete"),
+	})
+}
+
+func (w *world) host(t *rapid.T) int { return rapid.IntRange(0, worldHosts-1).Draw(t, "host") }
+
+// watch answers with every change after the host's last one, as of now, in
+// any order.
+func (w *world) watch(t *rapid.T) {
+	h := w.host(t)
+	after, now := w.hosts[h].complete, uint64(len(w.history))
+	objects := rapid.Permutation(w.history[after:now]).Draw(t, "order")
+	w.late = append(w.late, answer{h, batch{after: after, complete: now, objects: objects}})
+}
+
+// list answers with what stands now.
+func (w *world) list(t *rapid.T) {
+	now := uint64(len(w.history))
+	b := batch{complete: now, floor: now, full: true}
+	for _, r := range w.at(now) {
+		b.objects = append(b.objects, w.history[r-1])
+	}
+	w.late = append(w.late, answer{w.host(t), b})
+}
+
+// pull answers with one host's changes for another.
+func (w *world) pull(t *rapid.T) {
+	to, from := w.host(t), w.host(t)
+	b := batch{after: w.hosts[to].complete}
+	b.add(w.hosts[from].page(b.after, b.after))
+	w.late = append(w.late, answer{to, b})
+}
+
+// deliver lets any of the answers under way arrive, or be lost.
+func (w *world) deliver(t *rapid.T) {
+	if len(w.late) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.late)-1).Draw(t, "answer")
+	a := w.late[i]
+	w.late = slices.Delete(w.late, i, i+1)
+	before := w.hosts[a.to]
+	next, _, err := before.apply(a.b)
+	if err != nil { // of a host that restarted since it asked
+		return
+	}
+	w.notBack(t, before, next)
+	w.hosts[a.to] = next
+}
+
+func (w *world) notBack(t *rapid.T, before, next *state) {
+	if next.revision < before.revision || next.complete < before.complete {
+		t.Fatalf("went back from revision %d (%d) to %d (%d)", before.revision, before.complete, next.revision, next.complete)
+	}
+	for k, e := range before.entries {
+		if now := next.entries[k]; now != nil && now.object.Revision < e.object.Revision {
+			t.Fatalf("%s went back from revision %d to %d", k.name, e.object.Revision, now.object.Revision)
+		}
+	}
+}
+
+func (w *world) restart(t *rapid.T) { w.hosts[w.host(t)] = emptyState() }
+
+// forget lets a host drop the deletions that it knows, as it does above a bound.
+func (w *world) forget(t *rapid.T) {
+	h := w.host(t)
+	next := *w.hosts[h]
+	next.entries = maps.Clone(next.entries)
+	maps.DeleteFunc(next.entries, func(_ key, e *entry) bool {
+		if e.object.Deleted {
+			next.floor = max(next.floor, e.object.Revision)
+		}
+		return e.object.Deleted
+	})
+	w.hosts[h] = &next
+}
+
+// check holds every host to the platform's history: it has exactly what stood
+// at the revision up to which it says that it is complete.
+func (w *world) check(t *rapid.T) {
+	for i, s := range w.hosts {
+		held := map[string]uint64{}
+		for k, e := range s.entries {
+			if !e.object.Deleted {
+				held[k.name] = e.object.Revision
+			}
+		}
+		if want := w.at(s.complete); !maps.Equal(held, want) {
+			t.Fatalf("host %d holds %v, at revision %d stood %v", i, held, s.complete, want)
+		}
+		if len(s.view.services) != len(held) {
+			t.Fatalf("host %d shows %d of %d services", i, len(s.view.services), len(held))
+		}
+	}
+}
+
+func TestHostHoldsWhatStoodAtItsRevision(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld()
+		t.Repeat(map[string]func(*rapid.T){
+			"change": w.change, "change more": w.change,
+			"watch": w.watch, "list": w.list, "pull": w.pull, "pull more": w.pull,
+			"deliver": w.deliver, "deliver more": w.deliver, "deliver even more": w.deliver,
+			"restart": w.restart, "forget": w.forget,
+			"": w.check,
+		})
+	})
+}
+
+// TestPagesMakeOneAnswer pulls a state larger than a page.
+func TestPagesMakeOneAnswer(t *testing.T) {
+	is := is.New(t)
+	from := emptyState()
+	b := batch{complete: 40}
+	for i := range 40 {
+		name := fmt.Sprint(i)
+		s := testService(name)
+		s.Change.Reason = string(make([]byte, pageBytes/60)) // six bytes each when encoded
+		b.objects = append(b.objects, platform.Object{
+			Kind: platform.KindService, Name: name, Revision: uint64(i + 1), Value: encode(s),
+		})
+	}
+	from, _, err := from.apply(b)
+	is.NoErr(err)
+	got, pages, cursor := batch{}, 0, uint64(0)
+	for more := true; more; pages++ {
+		out := from.page(0, cursor)
+		got.add(out)
+		cursor, more = out.Objects[len(out.Objects)-1].Revision, out.More
+	}
+	is.True(pages > 2)
+	to, _, err := emptyState().apply(got)
+	is.NoErr(err)
+	is.Equal(len(to.view.services), 40)
+	is.Equal(to.revision, uint64(40))
+}
+
+func TestUnreadableObjectIsKeptOut(t *testing.T) {
+	is := is.New(t)
+	object := func(revision uint64, value []byte) batch {
+		o := platform.Object{Kind: platform.KindService, Name: "a", Version: revision, Revision: revision, Value: value}
+		return batch{after: revision - 1, complete: revision, objects: []platform.Object{o}}
+	}
+	s, _, err := emptyState().apply(object(1, encode(testService("a"))))
+	is.NoErr(err)
+	invalid := testService("a")
+	invalid.Targets = nil
+	for i, value := range [][]byte{[]byte("{"), encode(invalid), encode(testService("b"))} {
+		var changed []*entry
+		s, changed, err = s.apply(object(uint64(i+2), value))
+		is.NoErr(err)
+		is.True(changed[0].problem != nil)
+		is.Equal(s.revision, uint64(i+2))
+		is.Equal(len(s.view.byName["a"].Targets), 3) // the last good version
+	}
+	fresh, _, err := emptyState().apply(object(1, []byte("{")))
+	is.NoErr(err)
+	is.Equal(len(fresh.view.services), 0)
+}
--- a/internal/platform/platformtest/client.go
+++ b/internal/platform/platformtest/client.go
@@ -220,7 +220,7 @@
 	}
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
-	if after < c.p.compacted {
+	if after < c.p.compacted || after > c.p.revision {
 		return platform.Listing{}, nil, platform.ErrCompacted
 	}
 	c.tick()
--- a/internal/platform/platformtest/platformtest.go
+++ b/internal/platform/platformtest/platformtest.go
@@ -80,6 +80,16 @@
 	p.wake()
 }
 
+// Reset takes the platform back to its beginning, without objects and at
+// revision 0, as a restore of an empty backup would.
+func (p *Platform) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.objects)
+	p.revision, p.compacted, p.changes = 0, 0, nil
+	p.wake()
+}
+
 // Release applies, in their order, the writes held by HoldNextWrites. A write
 // whose condition no longer holds is dropped.
 func (p *Platform) Release() {
