Relay: state for operators; connection faults, bad answers and late budgets tested

The budget header is now written when the connection is had: it stated the time before the wait for a connection, so a target was told more than was left. An attempt whose time ended in that wait is stopped before its first byte.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -48,12 +48,13 @@
 //
 // cancel must be that of ctx.
 func (t *target) send(ctx context.Context, cancel context.CancelFunc, a *attempt) answer {
-	w := &wire{cancel: cancel}
-	left := time.Until(a.deadline)
-	if left <= 0 || ctx.Err() != nil {
+	w := &wire{cancel: cancel, ctx: ctx, deadline: a.deadline}
+	if w.late() {
 		return answer{outcome: outcome.NotSent, reason: query.ReasonBudget, cause: errNoTime}
 	}
-	res, err := t.transport.RoundTrip(t.request(w.trace(ctx), a, left))
+	req := t.request(w.trace(ctx), a)
+	w.header = req.Header
+	res, err := t.transport.RoundTrip(req)
 	if err != nil {
 		return unanswered(w.outcome(), err)
 	}
@@ -63,7 +64,7 @@
 
 // request builds the HTTP request. It has neither GetBody nor an idempotency
 // key, so net/http never sends it again by itself.
-func (t *target) request(ctx context.Context, a *attempt, left time.Duration) *http.Request {
+func (t *target) request(ctx context.Context, a *attempt) *http.Request {
 	h := make(http.Header, 8)
 	h["Content-Type"] = jsonType
 	h[targetapi.HeaderRequest] = []string{a.requestID}
@@ -71,7 +72,6 @@
 	h[targetapi.HeaderService] = []string{a.service}
 	h[targetapi.HeaderShard] = []string{strconv.FormatUint(uint64(a.shard), 10)}
 	h[targetapi.HeaderSnapshot] = []string{strconv.FormatUint(a.snapshot, 10)}
-	h[targetapi.HeaderBudget] = []string{strconv.FormatFloat(float64(left)/float64(time.Millisecond), 'f', 3, 64)}
 	r := &http.Request{
 		Method: http.MethodPost, URL: t.shardURL, Host: t.conf.Address,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -213,33 +213,54 @@
 
 // wire watches how far an attempt got.
 type wire struct {
-	cancel context.CancelFunc
+	ctx      context.Context
+	cancel   context.CancelFunc // of ctx
+	deadline time.Time
+	header   http.Header // of the request
+
 	conn   *conn // nil: no connection of our own kind, or none yet
 	before uint64
 	got    bool
 }
 
+// late reports whether the attempt must not be sent any more.
+func (w *wire) late() bool { return w.ctx.Err() != nil || !time.Now().Before(w.deadline) }
+
 // trace returns ctx with the hooks that watch the attempt.
 func (w *wire) trace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: w.gotConn})
 }
 
-// gotConn runs before the first byte is written. A second connection for one
-// attempt would be a second send: it is stopped here, before it writes.
+// gotConn runs before the first byte is written, and after the wait for a
+// connection: only now is it known what is left of the budget. An attempt
+// that came too late is stopped here, and so is a second connection for one
+// attempt, which would be a second send.
 func (w *wire) gotConn(info httptrace.GotConnInfo) {
-	c, own := info.Conn.(*conn)
-	own = own && !c.shared
-	if w.got {
-		w.cancel()
-		if own {
-			c.seal()
-		}
+	c, _ := info.Conn.(*conn)
+	if c != nil && c.shared {
+		c = nil
+	}
+	if w.got || w.late() {
+		w.stop(c)
 		return
 	}
 	w.got = true
-	if own {
-		w.conn, w.before = c, c.written()
+	w.conn = c
+	if c != nil {
+		w.before = c.written()
+	}
+	left := float64(time.Until(w.deadline)) / float64(time.Millisecond)
+	w.header[targetapi.HeaderBudget] = []string{strconv.FormatFloat(left, 'f', 3, 64)}
+}
+
+// stop keeps the attempt from being written to the connection.
+func (w *wire) stop(c *conn) {
+	w.cancel()
+	if c != nil {
+		c.seal()
+		return
 	}
+	w.got = true // a shared connection can't be sealed: nothing is proved
 }
 
 // outcome tells what became of an attempt without an answer. It is called
--- /dev/null
+++ b/internal/relay/faults_test.go
@@ -0,0 +1,295 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+)
+
+// fault is what a target does in place of a whole answer.
+type fault struct {
+	name    string
+	serve   func(w http.ResponseWriter, r *http.Request, a targetapi.Answer)
+	outcome outcome.Outcome
+	reason  query.Reason
+}
+
+func changed(f func(*targetapi.Answer)) func(http.ResponseWriter, *http.Request, targetapi.Answer) {
+	return func(w http.ResponseWriter, _ *http.Request, a targetapi.Answer) {
+		f(&a)
+		_ = json.NewEncoder(w).Encode(a)
+	}
+}
+
+func rejecting(status int, body targetapi.Rejection) func(http.ResponseWriter, *http.Request, targetapi.Answer) {
+	return func(w http.ResponseWriter, _ *http.Request, _ targetapi.Answer) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(body)
+	}
+}
+
+// raw answers with bytes of its own and closes the connection.
+func raw(text string) func(http.ResponseWriter, *http.Request, targetapi.Answer) {
+	return func(w http.ResponseWriter, _ *http.Request, _ targetapi.Answer) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		_, _ = io.WriteString(c, text)
+		_ = c.Close()
+	}
+}
+
+func truncated(announced, sent int) func(http.ResponseWriter, *http.Request, targetapi.Answer) {
+	return func(w http.ResponseWriter, _ *http.Request, a targetapi.Answer) {
+		body, _ := json.Marshal(a)
+		if announced > 0 {
+			w.Header().Set("Content-Length", "999")
+		}
+		_, _ = w.Write(body[:len(body)-sent])
+		panic(http.ErrAbortHandler)
+	}
+}
+
+var faults = []fault{
+	{"crossed request", changed(func(a *targetapi.Answer) { a.RequestID = "r0" }), outcome.Unknown, query.ReasonBadAnswer},
+	{"late answer of another attempt", changed(func(a *targetapi.Answer) { a.AttemptID = "a0" }), outcome.Unknown, query.ReasonBadAnswer},
+	{"other service", changed(func(a *targetapi.Answer) { a.Service = "x" }), outcome.Unknown, query.ReasonBadAnswer},
+	{"other shard", changed(func(a *targetapi.Answer) { a.Shard++ }), outcome.Unknown, query.ReasonBadAnswer},
+	{"other snapshot", changed(func(a *targetapi.Answer) { a.Snapshot-- }), outcome.Unknown, query.ReasonBadAnswer},
+	{"rows missing", changed(func(a *targetapi.Answer) { a.Rows = nil }), outcome.Unknown, query.ReasonBadAnswer},
+	{"total below rows", changed(func(a *targetapi.Answer) { a.TotalRows = 0 }), outcome.Unknown, query.ReasonBadAnswer},
+	{"doubled", func(w http.ResponseWriter, _ *http.Request, a targetapi.Answer) {
+		body, _ := json.Marshal(a)
+		_, _ = w.Write(append(body, body...))
+	}, outcome.Unknown, query.ReasonBadAnswer},
+	{"too large", func(w http.ResponseWriter, _ *http.Request, a targetapi.Answer) {
+		a.Text = string(make([]byte, 70<<10))
+		_ = json.NewEncoder(w).Encode(a)
+	}, outcome.Unknown, query.ReasonBadAnswer},
+	{"truncated, length known", truncated(999, 5), outcome.Unknown, query.ReasonConnection},
+	{"truncated, chunked", truncated(0, 5), outcome.Unknown, query.ReasonConnection},
+	{"cut before the answer", raw(""), outcome.Unknown, query.ReasonConnection},
+	{"cut within the header", raw("HTTP/1.1 200 O"), outcome.Unknown, query.ReasonConnection},
+	{"not HTTP", raw("hello\r\n\r\n"), outcome.Unknown, query.ReasonConnection},
+	{"redirect", func(w http.ResponseWriter, r *http.Request, _ targetapi.Answer) {
+		http.Redirect(w, r, targetapi.PathShard, http.StatusTemporaryRedirect)
+	}, outcome.Unknown, query.ReasonBadAnswer},
+	{"error without a code", rejecting(500, targetapi.Rejection{}), outcome.Unknown, query.ReasonBadAnswer},
+	{"code of another status", rejecting(409, targetapi.Rejection{Code: targetapi.CodeShed}), outcome.Unknown, query.ReasonBadAnswer},
+	{"status without proof", rejecting(429, targetapi.Rejection{Code: targetapi.CodeShed}), outcome.Unknown, query.ReasonBadAnswer},
+	{"crossed rejection", rejecting(503, targetapi.Rejection{Code: targetapi.CodeShed, AttemptID: "a0"}), outcome.Unknown, query.ReasonBadAnswer},
+	{"failed", rejecting(500, targetapi.Rejection{Code: targetapi.CodeFailed}), outcome.Failed, query.ReasonTargetFailed},
+	{"shed", rejecting(503, targetapi.Rejection{Code: targetapi.CodeShed}), outcome.Rejected, query.ReasonOverload},
+	{"draining", rejecting(503, targetapi.Rejection{Code: targetapi.CodeDraining}), outcome.Rejected, query.ReasonDraining},
+	{"snapshot not held", rejecting(409, targetapi.Rejection{Code: targetapi.CodeSnapshotNotHeld}), outcome.Rejected, query.ReasonSnapshotNotHeld},
+}
+
+func smallAnswers(_ *fixture, c *Config) { c.MaxAnswerBytes = 64 << 10 }
+
+// With one replica the fault is the result; no answer is made of it.
+func TestFaultIsToldTruly(t *testing.T) {
+	for _, x := range faults {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(1, 1, smallAnswers)
+				defer f.close()
+				f.targets[0].serve = x.serve
+				got, err := f.search(t.Context(), batch(1, time.Second))
+				is.NoErr(err)
+				is.Equal(got[0].Outcome, x.outcome)
+				is.Equal(got[0].Reason, x.reason)
+				is.Equal(len(got[0].Rows), 0)
+				is.Equal(got[0].after, time.Duration(0)) // given up at once
+				is.Equal(got[0].RetryAfter > 0, x.reason != query.ReasonSnapshotNotHeld)
+			})
+		})
+	}
+}
+
+// With a sound replica left, a search gets its answer there.
+func TestFaultOfOneReplicaIsMended(t *testing.T) {
+	for _, x := range faults {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(8, 2, smallAnswers)
+				defer f.close()
+				f.targets[0].serve = x.serve
+				got, err := f.search(t.Context(), batch(8, time.Second))
+				is.NoErr(err)
+				for _, r := range got {
+					is.Equal(r.Outcome, outcome.Done)
+				}
+				is.True(f.targets[0].count() > 0)
+			})
+		})
+	}
+}
+
+func reserve(budget time.Duration) query.Reserve {
+	return query.Reserve{RequestID: "r1", ReservationID: "v1", Service: "s", Item: "i", Budget: budget}
+}
+
+// A reservation reaches the target one time, whatever the fault, and what is
+// told of it is true.
+func TestFaultOfAReservation(t *testing.T) {
+	for _, x := range faults {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(4, 2, smallAnswers)
+				defer f.close()
+				q := reserve(time.Second)
+				target, refusal := f.relay.Pick(q, []string{"t1"})
+				is.True(refusal == nil)
+				is.Equal(target, "t0")
+				f.targets[0].serve = x.serve
+				got := f.relay.Send(t.Context(), q, target, "a1")
+				is.Equal(got.Outcome, x.outcome)
+				is.Equal(got.Reason, x.reason)
+				is.Equal(f.targets[0].count(), 1)
+				is.Equal(f.targets[1].count(), 0)
+			})
+		})
+	}
+}
+
+func TestReservationAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(4, 3)
+		defer f.close()
+		got := f.relay.Send(t.Context(), reserve(time.Second), "t1", "a1")
+		is.Equal(got, query.Reservation{RequestID: "r1", ReservationID: "v1", Outcome: outcome.Done,
+			Granted: true, Answer: "kept", Target: "t1"})
+		is.Equal(f.targets[1].seen[0].attempt, "a1")
+		is.Equal(f.targets[1].seen[0].kind, targetapi.KindReserve)
+	})
+}
+
+// brokenConn fails its first write. Whether a byte left can't be known.
+type brokenConn struct{ net.Conn }
+
+func (brokenConn) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+func TestCutsBeforeAndDuringTheSend(t *testing.T) {
+	for name, x := range map[string]struct {
+		dial func(ctx context.Context) (net.Conn, error)
+		want outcome.Outcome
+	}{
+		"refused": {func(context.Context) (net.Conn, error) { return nil, net.ErrClosed }, outcome.NotSent},
+		"never connected": {func(ctx context.Context) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}, outcome.NotSent},
+		"write failed": {func(context.Context) (net.Conn, error) {
+			c, other := net.Pipe()
+			time.AfterFunc(time.Minute, func() { _ = other.Close() })
+			return brokenConn{c}, nil
+		}, outcome.Unknown},
+		"cut during the send": {func(context.Context) (net.Conn, error) {
+			c, other := net.Pipe()
+			go func() {
+				_, _ = io.ReadFull(other, make([]byte, 40))
+				_ = other.Close()
+			}()
+			return c, nil
+		}, outcome.Unknown},
+		"nobody reads": {func(context.Context) (net.Conn, error) {
+			c, other := net.Pipe()
+			time.AfterFunc(time.Minute, func() { _ = other.Close() })
+			return c, nil
+		}, outcome.Unknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(1, 1)
+				defer f.close()
+				f.relay.dial = func(ctx context.Context, _, _ string) (net.Conn, error) { return x.dial(ctx) }
+				is.Equal(f.relay.Send(t.Context(), reserve(time.Second), "t0", "a1").Outcome, x.want)
+				got, err := f.search(t.Context(), batch(1, time.Second))
+				is.NoErr(err)
+				is.Equal(got[0].Outcome, x.want)
+				time.Sleep(time.Hour)
+			})
+		})
+	}
+}
+
+// A connection that was sealed never writes again, and tells of each write
+// that began before.
+func TestSealedConnectionWritesNoMore(t *testing.T) {
+	is := is.New(t)
+	here, there := net.Pipe()
+	defer func() { _ = there.Close() }()
+	go func() { _, _ = io.Copy(io.Discard, there) }()
+	c := &conn{Conn: here, closed: func() {}}
+	_, err := c.Write([]byte("x"))
+	is.NoErr(err)
+	is.Equal(c.seal(), uint64(1))
+	_, err = c.Write([]byte("y"))
+	is.True(err != nil)
+	is.Equal(c.written(), uint64(1))
+}
+
+// The budget is looked at right before the send: what waited in the queue, or
+// for a connection, past its time is not sent.
+func TestReservationIsNotSentPastItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(1, 1, rules(func(r *catalog.Rules) { r.ConnectionsPerRelay = 1 }))
+		defer f.close()
+		f.targets[0].delay = 10 * time.Second
+		go func() { _ = f.relay.Send(t.Context(), reserve(20*time.Second), "t0", "a1") }()
+		synctest.Wait()
+		begin := time.Now()
+		got := f.relay.Send(t.Context(), reserve(time.Second), "t0", "a2") // waits behind a1
+		is.Equal(got.Outcome, outcome.NotSent)
+		is.Equal(time.Since(begin), time.Second)
+		done, cancel := context.WithCancel(t.Context())
+		cancel()
+		is.Equal(f.relay.Send(done, reserve(time.Second), "t0", "a3").Outcome, outcome.NotSent)
+		is.Equal(f.relay.Send(t.Context(), reserve(0), "t0", "a4").Outcome, outcome.NotSent)
+		time.Sleep(time.Minute)
+		is.Equal(f.targets[0].count(), 1)
+	})
+}
+
+// The target is told what remains after the wait for a connection.
+func TestBudgetIsTheRemainingOne(t *testing.T) {
+	for _, protocol := range []string{protocolHTTP1, protocolH2C} {
+		t.Run(protocol, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(1, 1, rules(func(r *catalog.Rules) { r.Protocol = protocol }))
+				defer f.close()
+				var told string
+				f.targets[0].serve = func(w http.ResponseWriter, r *http.Request, a targetapi.Answer) {
+					told = r.Header.Get(targetapi.HeaderBudget)
+					_ = json.NewEncoder(w).Encode(a)
+				}
+				f.relay.dial = func(context.Context, string, string) (net.Conn, error) {
+					time.Sleep(100 * time.Millisecond)
+					return f.targets[0].dial()
+				}
+				is.Equal(f.relay.Send(t.Context(), reserve(time.Second), "t0", "a1").Outcome, outcome.Done)
+				is.Equal(told, "900.000")
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/relay/learn.go
@@ -0,0 +1,87 @@
+package relay
+
+import (
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/policy"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+)
+
+// done ends a granted try: its place goes back, the policies learn from it,
+// and the place goes to the next in the queue.
+func (p *pool) done(t *try, a answer) {
+	now := time.Now()
+	took := now.Sub(t.started)
+	sig := t.signal(a)
+	p.mu.Lock()
+	p.running--
+	p.release(now, t, sig, blames(a))
+	p.learn(now, t, a, took)
+	refused := p.drain(now)
+	p.mu.Unlock()
+	refused.tell()
+}
+
+func (p *pool) learn(now time.Time, t *try, a answer, took time.Duration) {
+	p.noteSuspect(now, t.target)
+	if a.outcome == outcome.Done {
+		p.queue.Served(took)
+		t.target.stats.latency.record(now, took)
+		if t.set != nil {
+			t.set.hedger.Observe(now, took)
+		}
+		return
+	}
+	t.target.stats.last = a.reason
+	switch a.reason {
+	case query.ReasonOverload:
+		t.target.stats.sheds++
+	case query.ReasonDraining:
+		p.leave(now, t.target, signAnswer)
+	case query.ReasonBudget, query.ReasonSnapshotNotHeld:
+	default:
+		t.target.stats.errors++
+	}
+	if a.reason == query.ReasonBadAnswer {
+		p.relay.metrics.bad.WithLabelValues(p.name).Inc()
+		p.relay.log.Event(evBadAnswer).Str("service", p.name).Str("target", t.target.conf.ID).
+			Str("cause", a.cause.Error()).Msg("")
+	}
+}
+
+// noteSuspect logs that a target has just been set aside.
+func (p *pool) noteSuspect(now time.Time, t *target) {
+	is := t.rep.Outlier.Ejected(now)
+	if is && !t.suspect {
+		p.relay.log.Event(evTargetSuspect).Str("service", p.name).Str("target", t.conf.ID).
+			Str("reason", string(t.stats.last)).Float64("failure_ratio", t.rep.Outlier.FailureRatio()).Msg("")
+	}
+	t.suspect = is
+}
+
+// release gives the try's place back. An orderly refusal tells nothing of the
+// target but ends a probe.
+func (p *pool) release(now time.Time, t *try, sig policy.Signal, blame bool) {
+	r := t.target.rep
+	took := now.Sub(t.started)
+	if blame || r.Outlier.Ejected(now) {
+		r.Done(now, took, sig, t.replicas())
+		return
+	}
+	r.Limiter.Release(now, took, sig)
+}
+
+// leave notes a sign of leaving.
+func (p *pool) leave(now time.Time, t *target, s sign) {
+	if t.health.leave(now, s) {
+		p.left(t)
+	}
+}
+
+func (p *pool) left(t *target) {
+	p.stranding = true
+	p.relay.log.Event(evTargetLeaving).Str("service", p.name).Str("target", t.conf.ID).
+		Str("sign", string(t.health.leaving)).Msg("")
+	p.relay.metrics.leaving.WithLabelValues(p.name, string(t.health.leaving)).Inc()
+}
--- a/internal/relay/poll.go
+++ b/internal/relay/poll.go
@@ -28,6 +28,7 @@
 		wait := r.cfg.StatusInterval.Std()
 		alive := make(map[*target]time.Time, len(next))
 		for _, p := range r.current().pools {
+			p.closeForeign()
 			for _, t := range p.polled() {
 				at, known := next[t]
 				if !known || !at.After(now) {
@@ -67,6 +68,17 @@
 	return append([]*target(nil), p.targets...)
 }
 
+// closeForeign closes the idle connections to targets that this host no longer
+// relays; they count against the targets' limits.
+func (p *pool) closeForeign() {
+	p.mu.Lock()
+	own := p.own
+	p.mu.Unlock()
+	if !own {
+		p.close()
+	}
+}
+
 func (p *pool) poll(ctx context.Context, t *target) {
 	ctx, cancel := context.WithTimeout(ctx, p.relay.cfg.StatusTimeout.Std())
 	defer cancel()
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -2,13 +2,10 @@
 
 import (
 	"math/rand/v2"
-	"sort"
-	"strings"
 	"sync"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
-	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
@@ -38,21 +35,6 @@
 	own       bool // this host is one of them
 }
 
-// replicaSet is the targets that hold the same shards.
-type replicaSet struct {
-	targets  []*target
-	replicas []*policy.Replica // of the same targets
-	hedger   *policy.Hedger
-}
-
-func (s *replicaSet) add(t *target) {
-	s.targets = append(s.targets, t)
-	s.replicas = append(s.replicas, t.rep)
-}
-
-// placement tells the replica set of each shard in one snapshot.
-type placement struct{ shards []*replicaSet }
-
 // refusal is the word on a try that gets no place.
 type refusal struct {
 	try    *try
@@ -130,16 +112,6 @@
 	return true
 }
 
-// healthyFree reports whether a holder that is not set aside has a free place.
-func (p *pool) healthyFree(now time.Time, t *try) bool {
-	for i, h := range t.holders {
-		if t.holds(i) && h.rep.Limiter.Free(now) && !h.rep.Outlier.Ejected(now) {
-			return true
-		}
-	}
-	return false
-}
-
 func (t *try) anyUsable() bool {
 	for i := range t.holders {
 		if t.holds(i) {
@@ -159,171 +131,6 @@
 	return query.ReasonNoTarget
 }
 
-// take chooses a holder with a free place and takes the place.
-func (p *pool) take(now time.Time, t *try) bool {
-	if !t.anyFree(now) {
-		return false
-	}
-	i := p.choose(now, t)
-	if i < 0 {
-		return false
-	}
-	h := t.holders[i]
-	h.rep.Send(now)
-	h.stats.attempts++
-	p.relay.metrics.attempts.Inc()
-	t.spent |= 1 << i
-	t.target, t.started = h, now
-	p.running++
-	return true
-}
-
-func (t *try) anyFree(now time.Time) bool {
-	for i, h := range t.holders {
-		if t.holds(i) && h.rep.Limiter.Free(now) {
-			return true
-		}
-	}
-	return false
-}
-
-// choose returns the index of the holder that the policy picks, -1 if none. A
-// hedge looks in other failure domains than that of its first try before it
-// looks in the same.
-func (p *pool) choose(now time.Time, t *try) int {
-	replicas := t.replicas()
-	pick := func(usable func(i int) bool) int {
-		r := policy.Pick(now, p.rng, t.kind, replicas, func(r *policy.Replica) bool {
-			return usable(index(replicas, r))
-		})
-		return index(replicas, r)
-	}
-	if t.kind == policy.Hedge {
-		elsewhere := func(i int) bool { return t.holds(i) && t.holders[i].conf.FailureDomain != t.avoid }
-		if i := pick(elsewhere); i >= 0 {
-			return i
-		}
-	}
-	if i := pick(t.holds); i >= 0 || t.kind == policy.Hedge {
-		return i
-	}
-	return pick(func(i int) bool { return t.holds(i) && p.overEjected(now, t.holders[i]) })
-}
-
-func index(replicas []*policy.Replica, r *policy.Replica) int {
-	for i, x := range replicas {
-		if x == r {
-			return i
-		}
-	}
-	return -1
-}
-
-// overEjected reports whether the target is set aside although MaxSuspect of
-// the service's targets, all worse than it, are so already. It then still
-// gets the work that finds no other place.
-func (p *pool) overEjected(now time.Time, h *target) bool {
-	if !h.rep.Outlier.Ejected(now) {
-		return false
-	}
-	worse := 0
-	for _, o := range p.targets {
-		if o != h && o.rep.Outlier.Ejected(now) && o.worseThan(h) {
-			worse++
-		}
-	}
-	return worse >= int(p.relay.cfg.MaxSuspect*float64(len(p.targets)))
-}
-
-// worseThan orders targets that are set aside, by id where all else is equal.
-func (t *target) worseThan(o *target) bool {
-	a, b := t.rep.Outlier, o.rep.Outlier
-	if a.FailureRatio() != b.FailureRatio() {
-		return a.FailureRatio() > b.FailureRatio()
-	}
-	if a.Latency() != b.Latency() {
-		return a.Latency() > b.Latency()
-	}
-	return t.conf.ID > o.conf.ID
-}
-
-// done ends a granted try: its place goes back, the policies learn from it,
-// and the place goes to the next in the queue.
-func (p *pool) done(t *try, a answer) {
-	now := time.Now()
-	took := now.Sub(t.started)
-	sig := t.signal(a)
-	p.mu.Lock()
-	p.running--
-	p.release(now, t, sig, blames(a))
-	p.learn(now, t, a, took)
-	refused := p.drain(now)
-	p.mu.Unlock()
-	refused.tell()
-}
-
-func (p *pool) learn(now time.Time, t *try, a answer, took time.Duration) {
-	p.noteSuspect(now, t.target)
-	if a.outcome == outcome.Done {
-		p.queue.Served(took)
-		if t.set != nil {
-			t.set.hedger.Observe(now, took)
-		}
-		return
-	}
-	t.target.stats.last = a.reason
-	switch a.reason {
-	case query.ReasonOverload:
-		t.target.stats.sheds++
-	case query.ReasonDraining:
-		p.leave(now, t.target, signAnswer)
-	case query.ReasonBudget, query.ReasonSnapshotNotHeld:
-	default:
-		t.target.stats.errors++
-	}
-	if a.reason == query.ReasonBadAnswer {
-		p.relay.metrics.bad.WithLabelValues(p.name).Inc()
-		p.relay.log.Event(evBadAnswer).Str("service", p.name).Str("target", t.target.conf.ID).
-			Str("cause", a.cause.Error()).Msg("")
-	}
-}
-
-// noteSuspect logs that a target has just been set aside.
-func (p *pool) noteSuspect(now time.Time, t *target) {
-	is := t.rep.Outlier.Ejected(now)
-	if is && !t.suspect {
-		p.relay.log.Event(evTargetSuspect).Str("service", p.name).Str("target", t.conf.ID).
-			Str("reason", string(t.stats.last)).Float64("failure_ratio", t.rep.Outlier.FailureRatio()).Msg("")
-	}
-	t.suspect = is
-}
-
-// release gives the try's place back. An orderly refusal tells nothing of the
-// target but ends a probe.
-func (p *pool) release(now time.Time, t *try, sig policy.Signal, blame bool) {
-	r := t.target.rep
-	took := now.Sub(t.started)
-	if blame || r.Outlier.Ejected(now) {
-		r.Done(now, took, sig, t.replicas())
-		return
-	}
-	r.Limiter.Release(now, took, sig)
-}
-
-// leave notes a sign of leaving.
-func (p *pool) leave(now time.Time, t *target, s sign) {
-	if t.health.leave(now, s) {
-		p.left(t)
-	}
-}
-
-func (p *pool) left(t *target) {
-	p.stranding = true
-	p.relay.log.Event(evTargetLeaving).Str("service", p.name).Str("target", t.conf.ID).
-		Str("sign", string(t.health.leaving)).Msg("")
-	p.relay.metrics.leaving.WithLabelValues(p.name, string(t.health.leaving)).Inc()
-}
-
 // drain grants what places there are, and returns the tries that can no
 // longer be served, to be told without the lock.
 func (p *pool) drain(now time.Time) refusals {
@@ -427,45 +234,3 @@
 	defer p.mu.Unlock()
 	return p.queue.Remove(&t.waiter)
 }
-
-// placement returns where the shards of a snapshot are; nil if the snapshot
-// is not known.
-func (p *pool) placement(id uint64) *placement {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if m, ok := p.maps[id]; ok {
-		return m
-	}
-	for _, s := range p.relay.view.Snapshots(p.conf.Workload) {
-		if s.ID == id {
-			p.maps[id] = p.place(s.Services[p.name])
-			return p.maps[id]
-		}
-	}
-	return nil
-}
-
-func (p *pool) place(m catalog.ShardMap) *placement {
-	pl := &placement{shards: make([]*replicaSet, len(m.Shards))}
-	for i, ids := range m.Shards {
-		pl.shards[i] = p.set(ids)
-	}
-	return pl
-}
-
-func (p *pool) set(ids []string) *replicaSet {
-	sorted := append([]string(nil), ids...)
-	sort.Strings(sorted)
-	key := strings.Join(sorted, "\x00")
-	if s, ok := p.sets[key]; ok {
-		return s
-	}
-	s := &replicaSet{hedger: policy.NewHedger(p.conf.Rules.HedgeQuantile, p.conf.Rules.HedgeBudget)}
-	for _, id := range sorted {
-		if t, ok := p.byID[id]; ok && len(s.targets) < maxHolders {
-			s.add(t)
-		}
-	}
-	p.sets[key] = s
-	return s
-}
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -77,6 +77,7 @@
 	p.mu.Lock()
 	first := p.queue == nil
 	rules := first || !reflect.DeepEqual(p.conf.Rules, s.Rules)
+	was := p.own
 	p.conf, p.own = s, contains(relays, p.relay.members.Self().ID)
 	if first {
 		p.queue = policy.NewQueue[*try](policy.QueueConfig{
@@ -86,7 +87,7 @@
 	if rules {
 		p.retries = policy.NewBudget(s.Rules.RetryBudget)
 	}
-	closing := p.updateTargets(now, s, max(len(relays), 1), rules)
+	closing := p.updateTargets(now, s, max(len(relays), 1), rules, was != p.own)
 	p.maps = map[uint64]*placement{}
 	p.sets = p.keepSets(rules)
 	p.stranding = true
@@ -108,7 +109,7 @@
 }
 
 // updateTargets returns the targets whose idle connections are to be closed.
-func (p *pool) updateTargets(now time.Time, s catalog.Service, relays int, rules bool) []*target {
+func (p *pool) updateTargets(now time.Time, s catalog.Service, relays int, rules, turned bool) []*target {
 	var closing []*target
 	old := p.byID
 	p.byID, p.targets = make(map[string]*target, len(s.Targets)), nil
@@ -123,8 +124,8 @@
 			delete(old, c.ID)
 		}
 		p.setDrained(t, c.Drained)
-		if relays != p.relays && ok {
-			t.share(now, s.Rules, relays)
+		if relays != p.relays || turned || !ok {
+			t.share(now, s.Rules, relays, p.own)
 		}
 		if !p.own {
 			closing = append(closing, t)
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -38,6 +38,7 @@
 	errors   int64
 	attempts int64
 	last     query.Reason // of the newest attempt without an answer
+	latency  *latencies
 }
 
 func (r *Relay) newTarget(s catalog.Service, c catalog.Target, relays int, now time.Time) *target {
@@ -47,6 +48,7 @@
 		shardURL: &url.URL{Scheme: "http", Host: c.Address, Path: targetapi.PathShard},
 	}
 	t.rep = policy.NewReplica(c.ID, t.local, c.Slots, relays, ceiling(s.Rules, c))
+	t.stats.latency = newLatencies()
 	t.transport = r.newTransport(s.Rules, t)
 	t.health.drained = c.Drained
 	t.rep.Ramp.Restart(now, r.cfg.ColdRamp.Std())
@@ -67,9 +69,14 @@
 func (t *target) usable() bool { return !t.gone && t.health.usable() }
 
 // share gives the target a limit for another number of relays; the attempts
-// in flight count under it.
-func (t *target) share(now time.Time, rules catalog.Rules, relays int) {
-	l := policy.NewLimiter(t.conf.Slots, relays, ceiling(rules, t.conf))
+// in flight count under it. A host that is no relay of the service, and is
+// asked only by hosts with another view, does with one connection.
+func (t *target) share(now time.Time, rules catalog.Rules, relays int, own bool) {
+	most := 1
+	if own {
+		most = ceiling(rules, t.conf)
+	}
+	l := policy.NewLimiter(t.conf.Slots, relays, most)
 	for range t.rep.Limiter.InFlight() {
 		l.Take(now)
 	}
