Catalog: watchers that stand in go on while they are needed

Hosts that stood in for cut-off watchers stopped as soon as their own word of the platform had spread, and began again 15 s later. Holding on for a fixed time was ruled out, as it only makes the gap rarer. Now words carry the level of the watcher that got them, and a host looks at those of lower levels only.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -44,7 +44,7 @@
 	mu       sync.Mutex // guards what follows, and changes of state
 	rng      *rand.Rand
 	fresh    *freshness
-	platform time.Time // date of the platform's newest word known, also through peers
+	words    words // of the platform, also through peers
 	started  time.Time
 	hint     member.Host // with the newest revision hinted at
 	wasStale bool
@@ -221,11 +221,10 @@
 
 // heardPlatform takes a word of the platform asked for at the given time.
 func (c *Catalog) heardPlatform(asked time.Time) {
+	place := rank(c.members.Self(), c.members.Hosts())
 	c.mu.Lock()
 	c.fresh.confirm(asked, c.known())
-	if asked.After(c.platform) {
-		c.platform = asked
-	}
+	c.words.hear(level(place, c.cfg.WatchersPerDomain), asked)
 	c.mu.Unlock()
 	c.noteFreshness()
 }
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -153,10 +153,9 @@
 	case out.Complete > 0:
 		c.fresh.confirmStale(from.ID, asked)
 	}
-	if out.PlatformAgeUs >= 0 {
-		heard := asked.Add(-time.Duration(out.PlatformAgeUs) * time.Microsecond)
-		if heard.After(c.platform) {
-			c.platform = heard
+	for l, age := range out.PlatformAgeUs {
+		if age >= 0 {
+			c.words.hear(l, asked.Add(-time.Duration(age)*time.Microsecond))
 		}
 	}
 	c.mu.Unlock()
--- a/internal/catalog/serve.go
+++ b/internal/catalog/serve.go
@@ -22,10 +22,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	out.Stale = c.fresh.stale(now)
-	out.PlatformAgeUs = -1
-	if !c.platform.IsZero() {
-		out.PlatformAgeUs = now.Sub(c.platform).Microseconds()
-	}
+	out.PlatformAgeUs = c.words.ages(now)
 	c.mu.Unlock()
 	c.metrics.served.Add(float64(proto.Size(out)))
 	return out, nil
--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -88,9 +88,11 @@
 			}
 		}
 		f.pass(2 * DefaultConfig().TakeoverAfter.Std())
-		revision := f.write(testService("a"))
-		f.pass(withinSeconds)
-		is.Equal(f.inForce(revision), 60)
+		for range 10 { // others stand in, and go on doing so
+			revision := f.write(testService("a"))
+			f.pass(withinSeconds)
+			is.Equal(f.inForce(revision), 60)
+		}
 	})
 }
 
@@ -246,12 +248,25 @@
 	is.Equal(rank(places[5], hosts), 4)
 }
 
-func TestWatchersWidenWithoutWordOfThePlatform(t *testing.T) {
+func TestLevelsStandInOneAfterAnother(t *testing.T) {
 	is := is.New(t)
+	is.Equal([]int{level(1, 2), level(2, 2), level(3, 2), level(4, 2), level(8, 2), level(16, 2)}, []int{0, 1, 1, 2, 3, levels})
+
 	const span = 15 * time.Second
-	is.Equal(watchers(2, 0, span), 2)
-	is.Equal(watchers(2, span, span), 2)
-	is.Equal(watchers(2, span+1, span), 4)
-	is.Equal(watchers(2, 2*span+1, span), 8)
-	is.Equal(watchers(2, time.Hour, span), 2*maxWidening)
+	start := time.Now()
+	var w words
+	needs := func(after time.Duration) []bool {
+		var all []bool
+		for l := range levels + 1 {
+			all = append(all, w.needed(l, start.Add(after), start, span))
+		}
+		return all
+	}
+	is.Equal(needs(span), []bool{true, false, false, false, false})
+	is.Equal(needs(2*span), []bool{true, true, false, false, false})
+	is.Equal(needs(time.Hour), []bool{true, true, true, true, false})
+	w.hear(1, start.Add(time.Hour)) // goes on, and the levels above it need not
+	is.Equal(needs(time.Hour), []bool{true, true, false, false, false})
+	w.hear(0, start.Add(time.Hour))
+	is.Equal(needs(time.Hour), []bool{true, false, false, false, false})
 }
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -79,7 +79,7 @@
 }
 
 // shouldWatch decides whether this host is a watcher now. It is if its place
-// among the hosts of its failure domain is low enough; or if no peer has
+// among the hosts of its failure domain says so; or if no peer has
 // confirmed its configuration for half of the time after which it is stale,
 // since then the platform is all that is left.
 func (c *Catalog) shouldWatch() bool {
@@ -100,12 +100,8 @@
 
 // watcherAt decides for a host that has a configuration; c.mu is held.
 func (c *Catalog) watcherAt(place int, now time.Time) bool {
-	heard := c.platform
-	if heard.IsZero() {
-		heard = c.started
-	}
-	span := c.cfg.TakeoverAfter.Std()
-	if place < watchers(c.cfg.WatchersPerDomain, now.Sub(heard), span) {
+	l := level(place, c.cfg.WatchersPerDomain)
+	if c.words.needed(l, now, c.started, c.cfg.TakeoverAfter.Std()) {
 		return true
 	}
 	return now.Sub(c.fresh.confirmed) > c.cfg.StaleAfter.Std()/2
