Host wired from its modules; serve, check, exec and stand-in commands; examples

The three addresses are taken before any module is made, because the membership tells them to others and a port in use is better found before a start. A stop ends requests by their budgets: the settings refuse a hard limit that could cut one off.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -89,24 +89,18 @@
 	}
 }
 
-// Listen opens the listener before Start, so that its address is known to
-// modules that tell it to others. Without it Start listens.
-func (s *Server) Listen() error {
-	if s.ln != nil {
-		return nil
-	}
-	ln, err := net.Listen("tcp", s.address)
-	if err != nil {
-		return Error.New("listen: %w", err)
-	}
-	s.ln = ln
-	return nil
-}
+// On makes the server use a listener that is open already, so that its
+// address can be known before Start. The server closes it at Stop.
+func (s *Server) On(ln net.Listener) { s.ln = ln }
 
-// Start listens and serves until Stop.
+// Start serves until Stop, and listens first unless it was given a listener.
 func (s *Server) Start(context.Context) error {
-	if err := s.Listen(); err != nil {
-		return err
+	if s.ln == nil {
+		ln, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return Error.New("listen: %w", err)
+		}
+		s.ln = ln
 	}
 	s.serving = true
 	go func() {
@@ -117,28 +111,17 @@
 	return nil
 }
 
-// Addr returns the address listened on, after Listen or Start.
+// Addr returns the address listened on, after On or Start.
 func (s *Server) Addr() string { return s.ln.Addr().String() }
 
 // Stop takes no new connections and waits for the requests in flight; when ctx
 // is done first it cuts them off and says so.
 func (s *Server) Stop(ctx context.Context) error {
 	if !s.serving {
-		return s.closeUnused()
+		return nil
 	}
 	if err := s.server.Shutdown(ctx); err != nil {
 		return Error.New("requests in flight on %s were cut off: %w", s.address, errors.Join(err, s.server.Close()))
 	}
 	return nil
 }
-
-// closeUnused closes a listener that never served.
-func (s *Server) closeUnused() error {
-	if s.ln == nil {
-		return nil
-	}
-	if err := s.ln.Close(); err != nil {
-		return Error.New("close unused listener: %w", err)
-	}
-	return nil
-}
--- /dev/null
+++ b/internal/cli/check.go
@@ -0,0 +1,67 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+
+	"rhubarbwood.example/rhubarbwood/internal/host"
+	"rhubarbwood.example/rhubarbwood/internal/settings"
+	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
+	"rhubarbwood.example/rhubarbwood/internal/standin/target"
+)
+
+// Kinds of settings files.
+const (
+	kindHost     = "host"
+	kindPlatform = "platform"
+	kindTarget   = "target"
+)
+
+type checkCommand struct {
+	env  Env
+	Kind string `long:"kind" choice:"host" choice:"platform" choice:"target" default:"host" description:"What the files are for"`
+	Args struct {
+		Files []string `positional-arg-name:"FILE" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute checks every file, reports every problem of all of them, and prints
+// the effective settings of those that are right.
+func (c *checkCommand) Execute([]string) error {
+	var faults []error
+	for _, file := range c.Args.Files {
+		text, err := effective(c.Kind, file)
+		if err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		fmt.Fprintf(c.env.Out, "// %s\n%s\n", file, text)
+	}
+	return usage(errors.Join(faults...))
+}
+
+// usage turns an error about settings into its exit code.
+func usage(err error) error {
+	if err == nil {
+		return nil
+	}
+	return fail(ExitUsage, "%s", err)
+}
+
+func effective(kind, file string) (string, error) {
+	switch kind {
+	case kindPlatform:
+		return load(file, objectstore.DefaultConfig())
+	case kindTarget:
+		return load(file, target.DefaultConfig())
+	}
+	return load(file, host.DefaultSettings())
+}
+
+func load[T any](file string, defaults T) (string, error) {
+	loaded, err := settings.Load(file, defaults)
+	if err != nil {
+		return "", err
+	}
+	return settings.Effective(loaded)
+}
--- /dev/null
+++ b/internal/cli/client.go
@@ -0,0 +1,107 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	goahttp "goa.design/goa/v3/http"
+
+	operatehttp "rhubarbwood.example/rhubarbwood/gen/http/operate/client"
+	queryhttp "rhubarbwood.example/rhubarbwood/gen/http/query/client"
+	"rhubarbwood.example/rhubarbwood/gen/operate"
+	"rhubarbwood.example/rhubarbwood/gen/query"
+)
+
+// maxAnswer bounds the body of an answer that a command reads, in bytes.
+const maxAnswer = 64 << 20
+
+// client talks to one host.
+type client struct {
+	wire    *recorder
+	query   *queryhttp.Client
+	operate *operatehttp.Client
+}
+
+func newClient(entry, operators string, timeout time.Duration) *client {
+	wire := &recorder{http: &http.Client{Timeout: timeout}}
+	enc, dec := goahttp.RequestEncoder, goahttp.ResponseDecoder
+	return &client{
+		wire:    wire,
+		query:   queryhttp.NewClient("http", entry, wire, enc, dec, false),
+		operate: operatehttp.NewClient("http", operators, wire, enc, dec, false),
+	}
+}
+
+func (c *client) search(ctx context.Context, p *query.SearchPayload) (*query.SearchAnswer, error) {
+	return call[*query.SearchAnswer](ctx, c, c.query.Search(), p)
+}
+
+func (c *client) reserve(ctx context.Context, p *query.ReservePayload) (*query.ReservationAnswer, error) {
+	return call[*query.ReservationAnswer](ctx, c, c.query.Reserve(), p)
+}
+
+func (c *client) statement(ctx context.Context, p *operate.StatementPayload) (*operate.StatementResult, error) {
+	return call[*operate.StatementResult](ctx, c, c.operate.Statement(), p)
+}
+
+func call[T any](ctx context.Context, c *client, endpoint func(context.Context, any) (any, error), payload any) (T, error) {
+	var none T
+	result, err := endpoint(ctx, payload)
+	if err != nil {
+		if c.wire.err != nil {
+			return none, &lostError{sent: !isDial(c.wire.err), cause: c.wire.err}
+		}
+		return none, err
+	}
+	return result.(T), nil
+}
+
+// lostError is a call without an answer. If sent is false, no byte of it left.
+type lostError struct {
+	sent  bool
+	cause error
+}
+
+// Error tells the cause.
+func (e *lostError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *lostError) Unwrap() error { return e.cause }
+
+// isDial reports whether the connection was never made.
+func isDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// recorder keeps the last answer's body, which is printed as it came when
+// JSON is wanted, and the last error.
+type recorder struct {
+	http *http.Client
+	body []byte
+	err  error
+}
+
+// Do sends the request.
+func (r *recorder) Do(req *http.Request) (*http.Response, error) {
+	r.body, r.err = nil, nil
+	resp, err := r.http.Do(req)
+	if err != nil {
+		r.err = err
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		r.err = err
+		return nil, err
+	}
+	r.body = body
+	resp.Body = io.NopCloser(bytes.NewReader(body))
+	return resp, nil
+}
--- /dev/null
+++ b/internal/cli/events.go
@@ -0,0 +1,17 @@
+package cli
+
+import (
+	"fmt"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+)
+
+type eventsCommand struct{ env Env }
+
+// Execute prints the catalogue in the form of docs/EVENTS.md.
+func (c *eventsCommand) Execute([]string) error {
+	if _, err := fmt.Fprint(c.env.Out, event.Catalogue()); err != nil {
+		return Error.New("print events: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/host/errors.go
@@ -0,0 +1,6 @@
+package host
+
+import "github.com/zeebo/errs"
+
+// Error is the class of this package's errors.
+var Error = errs.Class("host")
--- /dev/null
+++ b/internal/host/modules.go
@@ -0,0 +1,198 @@
+package host
+
+import (
+	"context"
+
+	"rhubarbwood.example/rhubarbwood/internal/api"
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/claim"
+	"rhubarbwood.example/rhubarbwood/internal/delivery"
+	"rhubarbwood.example/rhubarbwood/internal/entry"
+	"rhubarbwood.example/rhubarbwood/internal/kernel"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/peer"
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/relay"
+	"rhubarbwood.example/rhubarbwood/internal/relayrpc"
+)
+
+// Names of the modules.
+const (
+	modPlatform   = "platform"    // client of the platform
+	modPeerPool   = "peer_pool"   // connections to other hosts
+	modPeerServer = "peer_server" // listener for other hosts
+	modMembers    = "members"
+	modCatalog    = "catalog"
+	modRelay      = "relay"
+	modClaims     = "claims"
+	modRelayRPC   = "relay_rpc" // this host's relay, for other hosts
+	modDelivery   = "delivery"
+	modEntry      = "entry"
+	modOperators  = "operators" // operators' listener
+	modCallers    = "callers"   // callers' listener
+)
+
+// register names every module with those it depends on. Modules stop in the
+// reverse order: callers first, so that all they need is still there, and the
+// platform and the connections to peers last.
+func (h *Host) register() {
+	k := h.kernel
+	k.Register(modPlatform, h.newPlatform)
+	k.Register(modPeerPool, newPeerPool)
+	k.Register(modPeerServer, h.newPeerServer)
+	k.Register(modMembers, h.newMembers, modPlatform, modPeerPool, modPeerServer)
+	k.Register(modCatalog, h.newCatalog, modPlatform, modPeerPool, modPeerServer, modMembers)
+	k.Register(modRelay, h.newRelay, modPlatform, modMembers, modCatalog)
+	k.Register(modClaims, h.newClaims, modPlatform, modPeerPool, modPeerServer, modMembers, modCatalog, modRelay)
+	k.Register(modRelayRPC, h.newRelayRPC, modPeerServer, modRelay, modClaims)
+	k.Register(modDelivery, h.newDelivery, modPlatform, modMembers)
+	k.Register(modEntry, h.newEntry, modPeerPool, modMembers, modCatalog, modRelay, modClaims, modRelayRPC, modDelivery)
+	k.Register(modOperators, h.newOperators, modMembers, modCatalog, modDelivery)
+	k.Register(modCallers, h.newCallers, modEntry, modOperators)
+}
+
+func (h *Host) newPlatform(kernel.Finder) (kernel.Module, error) {
+	return platform.New(h.settings.Platform, h.log, h.metrics), nil
+}
+
+func newPeerPool(kernel.Finder) (kernel.Module, error) { return peer.NewPool(), nil }
+
+func (h *Host) newPeerServer(kernel.Finder) (kernel.Module, error) {
+	s := peer.NewServer(h.settings.Addresses.Peers)
+	s.On(h.listeners.peers)
+	return s, nil
+}
+
+func (h *Host) newMembers(f kernel.Finder) (kernel.Module, error) {
+	var u finds
+	store := find[platform.Store](f, &u, modPlatform)
+	pool := find[peer.Dialer](f, &u, modPeerPool)
+	server := find[*peer.Server](f, &u, modPeerServer)
+	if u.err != nil {
+		return nil, u.err
+	}
+	self := member.Host{
+		ID:            h.settings.ID,
+		FailureDomain: h.settings.FailureDomain,
+		Peer:          h.Addresses().Peers,
+		API:           h.Addresses().Callers,
+	}
+	m := member.New(h.settings.Member, self, store, member.DRPC{Dialer: pool}, h.log, h.metrics)
+	h.parts.members = m
+	return m, m.Register(server)
+}
+
+func (h *Host) newCatalog(f kernel.Finder) (kernel.Module, error) {
+	var u finds
+	store := find[platform.Store](f, &u, modPlatform)
+	pool := find[peer.Dialer](f, &u, modPeerPool)
+	server := find[*peer.Server](f, &u, modPeerServer)
+	members := find[*member.Members](f, &u, modMembers)
+	if u.err != nil {
+		return nil, u.err
+	}
+	c := catalog.New(h.settings.Catalog, store, members, catalog.NewPeerPuller(pool), members, h.log, h.metrics)
+	members.Follow(c)
+	h.parts.catalog = c
+	return c, peerpb.DRPCRegisterConfiguration(server, c)
+}
+
+func (h *Host) newRelay(f kernel.Finder) (kernel.Module, error) {
+	var u finds
+	store := find[platform.Store](f, &u, modPlatform)
+	members := find[member.View](f, &u, modMembers)
+	services := find[catalog.View](f, &u, modCatalog)
+	if u.err != nil {
+		return nil, u.err
+	}
+	return relay.New(h.settings.Relay, services, members, store, h.log, h.metrics), nil
+}
+
+func (h *Host) newClaims(f kernel.Finder) (kernel.Module, error) {
+	var u finds
+	store := find[platform.Store](f, &u, modPlatform)
+	pool := find[peer.Dialer](f, &u, modPeerPool)
+	server := find[*peer.Server](f, &u, modPeerServer)
+	members := find[member.View](f, &u, modMembers)
+	services := find[catalog.View](f, &u, modCatalog)
+	sender := find[claim.Sender](f, &u, modRelay)
+	if u.err != nil {
+		return nil, u.err
+	}
+	c := claim.New(h.settings.Claim, store, sender, claim.NewPeerAsker(pool), members, services, h.log, h.metrics)
+	return c, peerpb.DRPCRegisterClaims(server, c)
+}
+
+func (h *Host) newRelayRPC(f kernel.Finder) (kernel.Module, error) {
+	var u finds
+	server := find[*peer.Server](f, &u, modPeerServer)
+	searcher := find[relay.Searcher](f, &u, modRelay)
+	reserver := find[claim.Reserver](f, &u, modClaims)
+	if u.err != nil {
+		return nil, u.err
+	}
+	s := relayrpc.NewServer(searcher, reserver)
+	h.parts.relayRPC = s
+	return relayRPCModule{s}, s.Register(server)
+}
+
+// relayRPCModule stops a relayrpc.Server by letting its work end.
+type relayRPCModule struct{ server *relayrpc.Server }
+
+// Start does nothing: the peer listener serves.
+func (m relayRPCModule) Start(context.Context) error { return nil }
+
+// Stop refuses new work and waits for what runs.
+func (m relayRPCModule) Stop(ctx context.Context) error {
+	m.server.Drain()
+	return m.server.Wait(ctx)
+}
+
+func (h *Host) newDelivery(f kernel.Finder) (kernel.Module, error) {
+	var u finds
+	store := find[platform.Store](f, &u, modPlatform)
+	members := find[member.View](f, &u, modMembers)
+	if u.err != nil {
+		return nil, u.err
+	}
+	return delivery.New(h.settings.Delivery, store, members, h.log, h.metrics), nil
+}
+
+func (h *Host) newEntry(f kernel.Finder) (kernel.Module, error) {
+	var u finds
+	pool := find[peer.Dialer](f, &u, modPeerPool)
+	members := find[member.View](f, &u, modMembers)
+	cat := find[*catalog.Catalog](f, &u, modCatalog)
+	local := relays{
+		self:     h.settings.ID,
+		dialer:   pool,
+		searcher: find[relay.Searcher](f, &u, modRelay),
+		reserver: find[claim.Reserver](f, &u, modClaims),
+	}
+	recorder := find[delivery.Recorder](f, &u, modDelivery)
+	if u.err != nil {
+		return nil, u.err
+	}
+	return entry.New(h.settings.Entry, cat, members, local, cat, recorder, h.log, h.metrics), nil
+}
+
+func (h *Host) newOperators(kernel.Finder) (kernel.Module, error) {
+	operators := make([]api.Operator, len(h.settings.Operators))
+	for i, o := range h.settings.Operators {
+		operators[i] = api.Operator{Name: o.Name, Token: o.Token.Reveal()}
+	}
+	s := api.NewOperators(h.settings.API, h.settings.Addresses.Operators, operators, noStatements{}, h, h.metrics, h.log)
+	s.On(h.listeners.operators)
+	return s, nil
+}
+
+func (h *Host) newCallers(f kernel.Finder) (kernel.Module, error) {
+	e, err := kernel.Find[api.Entry](f, modEntry)
+	if err != nil {
+		return nil, err
+	}
+	s := api.NewCallers(h.settings.API, h.settings.Addresses.Callers, e, h, h.log)
+	s.On(h.listeners.callers)
+	return s, nil
+}
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -10,7 +10,14 @@
 
 	plog "github.com/phuslu/log"
 
+	"rhubarbwood.example/rhubarbwood/internal/api"
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/claim"
+	"rhubarbwood.example/rhubarbwood/internal/delivery"
+	"rhubarbwood.example/rhubarbwood/internal/entry"
+	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/relay"
 	"rhubarbwood.example/rhubarbwood/internal/settings"
 	"rhubarbwood.example/rhubarbwood/internal/unit"
 )
@@ -18,15 +25,21 @@
 // Settings are the settings of one host. Each part with rules of its own is the
 // Config of the package that uses it.
 type Settings struct {
-	ID            string    `json:"host"`
-	FailureDomain string    `json:"failure_domain"`
-	Addresses     Addresses `json:"addresses"`
-	Operators     Operators `json:"operators"`
-	Log           Log       `json:"log"`
-	Stop          Stop      `json:"stop"`
-	Limits        Limits    `json:"limits"`
+	ID            string     `json:"host"`
+	FailureDomain string     `json:"failure_domain"`
+	Addresses     Addresses  `json:"addresses"`
+	Operators     []Operator `json:"operators"`
+	Log           Log        `json:"log"`
+	Stop          Stop       `json:"stop"`
 
 	Platform platform.Config `json:"platform"`
+	Member   member.Config   `json:"member"`
+	Catalog  catalog.Config  `json:"catalog"`
+	Relay    relay.Config    `json:"relay"`
+	Claim    claim.Config    `json:"claim"`
+	Delivery delivery.Config `json:"delivery"`
+	Entry    entry.Config    `json:"entry"`
+	API      api.Config      `json:"api"`
 }
 
 // Addresses are where the host listens, each an IP address with a port; port
@@ -38,8 +51,9 @@
 	Peers     string `json:"peers"`     // other hosts
 }
 
-// Operators is who may run statements.
-type Operators struct {
+// Operator is a person or program that may run statements.
+type Operator struct {
+	Name  string          `json:"name"`
 	Token settings.Secret `json:"token"` // bearer token
 }
 
@@ -55,19 +69,11 @@
 	HardLimit     unit.Duration `json:"hard_limit"`     // after which the process ends and says what it cut
 }
 
-// Limits bound what one caller may ask.
-type Limits struct {
-	MaxBody int `json:"max_body"` // bytes of a request's body
-}
-
 // Bounds of the settings.
 const (
-	maxBody         = 16 << 20
-	minTokenLength  = 16
-	maxBalancerLag  = time.Minute
-	maxHardLimit    = 10 * time.Minute
-	defaultMaxBody  = 64 << 10
-	defaultHardStop = 30 * time.Second
+	minTokenLength = 16
+	maxBalancerLag = time.Minute
+	maxHardLimit   = 10 * time.Minute
 )
 
 // DefaultSettings returns the defaults. It lacks what only the operator knows:
@@ -77,20 +83,47 @@
 		Log: Log{Level: "info"},
 		Stop: Stop{
 			BalancerLag:   unit.Duration(5 * time.Second),
-			ModuleTimeout: unit.Duration(5 * time.Second),
-			HardLimit:     unit.Duration(defaultHardStop),
+			ModuleTimeout: unit.Duration(35 * time.Second),
+			HardLimit:     unit.Duration(time.Minute),
 		},
-		Limits: Limits{MaxBody: defaultMaxBody},
 
 		Platform: platform.DefaultConfig(),
+		Member:   member.DefaultConfig(),
+		Catalog:  catalog.DefaultConfig(),
+		Relay:    relay.DefaultConfig(),
+		Claim:    claim.DefaultConfig(),
+		Delivery: delivery.DefaultConfig(),
+		Entry:    entry.DefaultConfig(),
+		API:      api.DefaultConfig(),
 	}
 }
 
 var name = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
 
-// Validate checks the host's own fields; the parts check themselves.
+// Validate checks the host's own fields and what several parts must agree on;
+// the parts check themselves.
 func (s Settings) Validate() error {
-	return errors.Join(checkName("host", s.ID), checkName("failure_domain", s.FailureDomain))
+	return errors.Join(
+		checkName("host", s.ID),
+		checkName("failure_domain", s.FailureDomain),
+		s.checkStop(),
+	)
+}
+
+// checkStop makes sure that a stop has the time to end every request in
+// flight, however long its budget.
+func (s Settings) checkStop() error {
+	budget := s.Entry.MaxBudget
+	var problems []error
+	if s.Stop.ModuleTimeout <= budget {
+		problems = append(problems, fmt.Errorf("stop.module_timeout %s: want more than entry.max_budget, which is %s",
+			s.Stop.ModuleTimeout, budget))
+	}
+	if least := s.Stop.BalancerLag + budget; s.Stop.HardLimit <= least {
+		problems = append(problems, fmt.Errorf("stop.hard_limit %s: want more than balancer_lag and entry.max_budget together, which is %s",
+			s.Stop.HardLimit, least))
+	}
+	return errors.Join(problems...)
 }
 
 func checkName(field, value string) error {
@@ -112,12 +145,16 @@
 	)
 }
 
-// Validate checks that the token can't be guessed.
-func (o Operators) Validate() error {
-	if len(o.Token) < minTokenLength {
-		return fmt.Errorf("token: want at least %d characters, got %d", minTokenLength, len(o.Token))
+// Validate checks the name, and that the token can't be guessed.
+func (o Operator) Validate() error {
+	return errors.Join(checkName("name", o.Name), o.checkToken())
+}
+
+func (o Operator) checkToken() error {
+	if len(o.Token) >= minTokenLength {
+		return nil
 	}
-	return nil
+	return fmt.Errorf("token: want at least %d characters, got %d", minTokenLength, len(o.Token))
 }
 
 // Validate checks that the level is a known one.
@@ -132,35 +169,18 @@
 // Plog returns the level in the form of the log library.
 func (l Log) Plog() plog.Level { return plog.ParseLevel(l.Level) }
 
-// Validate checks the ranges, and that the hard limit leaves room for the
-// balancer's lag.
+// Validate checks the ranges.
 func (s Stop) Validate() error {
 	return errors.Join(
 		checkRange("balancer_lag", s.BalancerLag, 0, maxBalancerLag),
 		checkRange("module_timeout", s.ModuleTimeout, time.Millisecond, maxHardLimit),
 		checkRange("hard_limit", s.HardLimit, time.Second, maxHardLimit),
-		s.checkOrder(),
 	)
 }
 
-func (s Stop) checkOrder() error {
-	if s.HardLimit > s.BalancerLag {
-		return nil
-	}
-	return fmt.Errorf("hard_limit %s: want more than balancer_lag, which is %s", s.HardLimit, s.BalancerLag)
-}
-
 func checkRange(field string, d unit.Duration, low, high time.Duration) error {
 	if d.Std() >= low && d.Std() <= high {
 		return nil
 	}
 	return fmt.Errorf("%s %s: want %s to %s", field, d, low, high)
 }
-
-// Validate checks the range.
-func (l Limits) Validate() error {
-	if l.MaxBody < 1 || l.MaxBody > maxBody {
-		return fmt.Errorf("max_body %d: want 1 to %d bytes", l.MaxBody, maxBody)
-	}
-	return nil
-}
--- a/internal/host/settings_test.go
+++ b/internal/host/settings_test.go
@@ -23,8 +23,8 @@
     "operators": "127.0.0.1:0",
     "peers": "[::1]:7000", // trailing comma
   },
-  "operators": {"token": "sixteen-letters-or-more"},
-  "stop": {"hard_limit": "45s"},
+  "operators": [{"name": "on-call", "token": "sixteen-letters-or-more"}],
+  "stop": {"hard_limit": "46s"},
   "platform": {"addresses": ["127.0.0.1:9000"]},
 }
 `
@@ -52,9 +52,9 @@
 	h, problems := load(t, good)
 	is.Equal(len(problems), 0)
 	is.Equal(h.ID, "salt-lake-1")
-	is.Equal(h.Stop.HardLimit.Std(), 45*time.Second)  // of the file
+	is.Equal(h.Stop.HardLimit.Std(), 46*time.Second)  // of the file
 	is.Equal(h.Stop.BalancerLag.Std(), 5*time.Second) // default
-	is.Equal(h.Operators.Token.Reveal(), "sixteen-letters-or-more")
+	is.Equal(h.Operators[0].Token.Reveal(), "sixteen-letters-or-more")
 }
 
 func TestEffectiveHidesSecrets(t *testing.T) {
@@ -62,7 +62,7 @@
 	h, _ := load(t, good)
 	text, err := settings.Effective(h)
 	is.NoErr(err)
-	is.True(strings.Contains(text, `"hard_limit": "45s"`))
+	is.True(strings.Contains(text, `"hard_limit": "46s"`))
 	is.True(strings.Contains(text, `"balancer_lag": "5s"`))
 	is.True(!strings.Contains(text, "sixteen"))
 	is.True(!strings.Contains(fmt.Sprint(h), "sixteen"))
@@ -82,16 +82,20 @@
 			[]string{`3:11: host: want a string, got 7`},
 		},
 		"number without a unit": {
-			[][2]string{{`"45s"`, `45`}},
-			[]string{`11:26: stop.hard_limit: duration must be a string with a unit such as "250ms", got 45`},
+			[][2]string{{`"46s"`, `46`}},
+			[]string{`11:26: stop.hard_limit: duration must be a string with a unit such as "250ms", got 46`},
 		},
 		"wrong unit": {
-			[][2]string{{`"45s"`, `"45 sec"`}},
-			[]string{`11:26: stop.hard_limit: duration "45 sec": want a number with a unit such as "250ms"`},
+			[][2]string{{`"46s"`, `"46 sec"`}},
+			[]string{`11:26: stop.hard_limit: duration "46 sec": want a number with a unit such as "250ms"`},
 		},
 		"out of range": {
-			[][2]string{{`"45s"`, `"45h"`}},
-			[]string{`11:26: stop.hard_limit: hard_limit 45h0m0s: want 1s to 10m0s`},
+			[][2]string{{`"46s"`, `"46h"`}},
+			[]string{`11:26: stop.hard_limit: hard_limit 46h0m0s: want 1s to 10m0s`},
+		},
+		"too short to end requests in flight": {
+			[][2]string{{`"46s"`, `"31s"`}},
+			[]string{`11:26: stop.hard_limit: stop.hard_limit 31s: want more than balancer_lag and entry.max_budget together, which is 35s`},
 		},
 		"missing address": {
 			[][2]string{{`"callers": "127.0.0.1:8080",`, ``}},
@@ -119,14 +123,14 @@
 		"several at once": {
 			[][2]string{
 				{`"salt-lake-1"`, `"Salt Lake"`}, {`127.0.0.1:8080`, `localhost`},
-				{`"sixteen-letters-or-more"`, `"short"`}, {`"stop"`, `"limits": {"max_body": -1}, "stopp"`},
+				{`"sixteen-letters-or-more"`, `"short"`}, {`"stop"`, `"api": {"max_body": -1}, "stopp"`},
 			},
 			[]string{
 				`3:11: host: host "Salt Lake": want 1 to 63 lower-case letters, digits, dots or dashes`,
 				`6:16: addresses.callers: callers "localhost": want ip:port, such as "10.0.0.1:8080"`,
-				`10:26: operators.token: want at least 16 characters, got 5`,
-				`11:26: limits.max_body: max_body -1: want 1 to 16777216 bytes`,
-				`11:31: stopp: unknown field; want one of host, failure_domain, addresses, operators, log, stop, limits, platform`,
+				`10:46: operators[0].token: want at least 16 characters, got 5`,
+				`11:23: api.max_body: max_body must be at least 1 byte`,
+				`11:28: stopp: unknown field; want one of host, failure_domain, addresses, operators, log, stop, platform, member, catalog, relay, claim, delivery, entry, api`,
 			},
 		},
 	}
