Load generator and first experiments

Open loop with a seeded Poisson schedule, latencies from the intended start (TestStallShowsInTheLatencies), HDR histograms, JSON and a table. Experiments run the real entries and relays over target stand-ins on loopback, against a comparison with every decision off.

--- /dev/null
+++ b/internal/load/config.go
@@ -0,0 +1,74 @@
+// Package load is the load generator and the experiments on the decisions
+// under load. Arrivals follow a seeded Poisson schedule whatever the answers
+// do, and a latency is measured from the intended start, so that a system
+// which stalls cannot hide it.
+package load
+
+import (
+	"errors"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"rhubarbwood.example/rhubarbwood/internal/unit"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("load")
+
+const (
+	defaultRate        = 50
+	defaultDuration    = 10 * time.Second
+	defaultBudget      = time.Second
+	defaultOutstanding = 20000
+)
+
+// Config is one run against the callers' API.
+type Config struct {
+	Addresses   []string      `json:"addresses"` // host:port of the callers' API, asked in turn
+	Workload    string        `json:"workload,omitempty"`
+	Service     string        `json:"service,omitempty"`
+	Text        string        `json:"text,omitempty"`
+	Limit       int           `json:"limit,omitempty"` // rows wanted; 0: all
+	MinCoverage float64       `json:"min_coverage"`    // 0..1
+	Budget      unit.Duration `json:"budget"`
+	Caller      string        `json:"caller"`
+	Rate        float64       `json:"rate"` // requests a second
+	Duration    unit.Duration `json:"duration"`
+	Seed        uint64        `json:"seed"`
+	Outstanding int           `json:"outstanding"` // requests in flight above which arrivals are not sent, but counted
+}
+
+// DefaultConfig returns a run that still lacks addresses and a service or
+// workload.
+func DefaultConfig() Config {
+	return Config{
+		MinCoverage: 1,
+		Budget:      unit.Duration(defaultBudget),
+		Caller:      "load",
+		Rate:        defaultRate,
+		Duration:    unit.Duration(defaultDuration),
+		Seed:        1,
+		Outstanding: defaultOutstanding,
+		Limit:       10,
+	}
+}
+
+// Validate returns every problem of the configuration, joined.
+func (c Config) Validate() error {
+	var all []error
+	require := func(ok bool, format string, args ...any) {
+		if !ok {
+			all = append(all, Error.New(format, args...))
+		}
+	}
+	require(len(c.Addresses) > 0, "addresses are missing")
+	require((c.Workload == "") != (c.Service == ""), "exactly one of service and workload is wanted")
+	require(c.Rate > 0, "rate %g is not above 0", c.Rate)
+	require(c.Duration > 0, "duration %s is not above 0", c.Duration)
+	require(c.Budget > 0, "budget %s is not above 0", c.Budget)
+	require(c.MinCoverage >= 0 && c.MinCoverage <= 1, "min_coverage %g is not within 0..1", c.MinCoverage)
+	require(c.Outstanding > 0, "outstanding %d is not above 0", c.Outstanding)
+	require(c.Limit >= 0, "limit %d is negative", c.Limit)
+	return errors.Join(all...)
+}
--- /dev/null
+++ b/internal/load/straggler.go
@@ -0,0 +1,62 @@
+package load
+
+import (
+	"context"
+	"strings"
+
+	"rhubarbwood.example/rhubarbwood/internal/standin/target"
+)
+
+const (
+	stragglerP99   = 1.5  // times the run without
+	stragglerExtra = 0.05 // hedges over first tries
+)
+
+// isThird picks one target of each service.
+func isThird(t *target.Target) bool { return strings.HasSuffix(t.ID(), "-t3") }
+
+// isOneThird picks one target of one service.
+func isOneThird(t *target.Target) bool { return t.ID() == siteWorkload+"-01-t3" }
+
+func slow(factor float64, pick func(*target.Target) bool) func(*site) {
+	return func(s *site) { s.fault(target.Faults{LatencyFactor: factor}, pick) }
+}
+
+func frozen(pick func(*target.Target) bool) func(*site) {
+	return func(s *site) { s.fault(target.Faults{Freeze: target.FreezeBefore, FreezeStatus: true}, pick) }
+}
+
+// straggler makes one of three targets slow or frozen, in one service and in
+// every service, as the measured part begins.
+func straggler(ctx context.Context, o Options) (Findings, error) {
+	on, off := policyOn(), policyOff()
+	noHedge := policyOn()
+	noHedge.rules.HedgeBudget = -1
+	trials := []trial{
+		{name: "on, none", site: on, load: calmLoad},
+		{name: "on, one 10x", site: on, load: calmLoad, during: slow(10, isOneThird)},
+		{name: "on, one 100x", site: on, load: calmLoad, during: slow(100, isOneThird)},
+		{name: "on, one frozen", site: on, load: calmLoad, during: frozen(isOneThird)},
+		{name: "on, each 10x", site: on, load: calmLoad, during: slow(10, isThird)},
+		{name: "on, each frozen", site: on, load: calmLoad, during: frozen(isThird)},
+		{name: "on, saturated, one 10x", site: on, load: 2, during: slow(10, isOneThird)},
+		{name: "no hedges, none", site: noHedge, load: calmLoad},
+		{name: "no hedges, one 10x", site: noHedge, load: calmLoad, during: slow(10, isOneThird)},
+		{name: "no hedges, one frozen", site: noHedge, load: calmLoad, during: frozen(isOneThird)},
+		{name: "off, none", site: off, load: calmLoad},
+		{name: "off, one 10x", site: off, load: calmLoad, during: slow(10, isOneThird)},
+		{name: "off, one frozen", site: off, load: calmLoad, during: frozen(isOneThird)},
+	}
+	reports, err := measureAll(ctx, o, trials)
+	if err != nil {
+		return Findings{Reports: reports}, err
+	}
+	var verdicts []Verdict
+	for _, r := range reports[1:4] {
+		verdicts = append(verdicts,
+			atMost("p99 over none, "+r.Name, ratio(r.P99, reports[0].P99), stragglerP99),
+			atMost("extra load, "+r.Name, r.Extra, stragglerExtra))
+	}
+	verdicts = append(verdicts, atMost("extra load, saturated", reports[6].Extra, 0.005))
+	return Findings{Reports: reports, Verdicts: verdicts}, nil
+}
