--- /dev/null
+++ b/internal/integration/site_test.go
@@ -0,0 +1,242 @@
+// Package integration tests entries, relays and target stand-ins together in
+// virtual time, over connections in memory.
+package integration
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/claim"
+	"rhubarbwood.example/rhubarbwood/internal/delivery"
+	"rhubarbwood.example/rhubarbwood/internal/entry"
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+	"rhubarbwood.example/rhubarbwood/internal/relay"
+	"rhubarbwood.example/rhubarbwood/internal/standin/target"
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", strconv.Itoa(histories/lanes))
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// errStreamBroke is the end of a relay call that was lost in mid-answer.
+var errStreamBroke = errors.New("stream broke")
+
+// site is a few hosts and the targets that they share.
+type site struct {
+	hosts   []*host
+	targets map[string]*target.Target
+	servers []*http.Server
+	conns   map[string]*pipeListener // by target address
+	stray   map[string]bool          // targets that answer from another snapshot
+}
+
+// host is one host's own view of the configuration, its relay and its entry.
+type host struct {
+	site     *site
+	self     member.Host
+	services []catalog.Service
+	relay    *relay.Relay
+	entry    *entry.Entry
+	loseAt   int // calls to this host's relay break after that many results; -1: never
+
+	mu        sync.Mutex
+	revision  uint64
+	snapshots []catalog.Snapshot // newest first
+}
+
+func (h *host) Service(name string) (catalog.Service, bool) {
+	i := slices.IndexFunc(h.services, func(s catalog.Service) bool { return s.Name == name })
+	if i < 0 {
+		return catalog.Service{}, false
+	}
+	return h.services[i], true
+}
+func (h *host) Workload(string) []catalog.Service { return h.services }
+func (h *host) Services() []catalog.Service       { return h.services }
+func (h *host) Self() member.Host                 { return h.self }
+func (h *host) Generation() uint64                { return 1 }
+func (h *host) Stale() bool                       { return false }
+func (h *host) Record(delivery.Delivery)          {}
+
+func (h *host) Snapshots(string) []catalog.Snapshot {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.snapshots
+}
+
+func (h *host) Revision() uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.revision
+}
+
+func (h *host) Hosts() []member.Host {
+	var all []member.Host
+	for _, o := range h.site.hosts {
+		all = append(all, o.self)
+	}
+	return all
+}
+
+// publish makes the host see a snapshot.
+func (h *host) publish(s catalog.Snapshot) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.revision++
+	h.snapshots = append(slices.Clone(h.snapshots), s)
+	slices.SortFunc(h.snapshots, func(a, b catalog.Snapshot) int { return int(b.ID) - int(a.ID) })
+}
+
+// retire makes the host forget a snapshot.
+func (h *host) retire(id uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.revision++
+	h.snapshots = slices.DeleteFunc(slices.Clone(h.snapshots), func(s catalog.Snapshot) bool { return s.ID == id })
+}
+
+func (h *host) Reserver(member.Host) claim.Reserver { return nil }
+
+func (h *host) Searcher(to member.Host) relay.Searcher {
+	for _, o := range h.site.hosts {
+		if o.self.ID == to.ID {
+			return lossy{o.relay, o.loseAt}
+		}
+	}
+	return nil
+}
+
+// lossy breaks a relay call after some results.
+type lossy struct {
+	relay.Searcher
+	after int
+}
+
+func (l lossy) Search(ctx context.Context, b query.Batch, emit func(query.ShardResult)) error {
+	if l.after < 0 {
+		return l.Searcher.Search(ctx, b, emit)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sent := 0
+	err := l.Searcher.Search(ctx, b, func(r query.ShardResult) {
+		if sent < l.after {
+			emit(r)
+		}
+		if sent++; sent == l.after {
+			cancel()
+		}
+	})
+	return errors.Join(err, errStreamBroke)
+}
+
+// pipeListener is a listener of connections in memory.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (l *pipeListener) Close() error   { l.once.Do(func() { close(l.closed) }); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (s *site) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	l, ok := s.conns[address]
+	if !ok {
+		return nil, fmt.Errorf("no target at %s", address)
+	}
+	here, there := net.Pipe()
+	select {
+	case l.conns <- there:
+		return here, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// newSite starts the hosts and targets. The services hold no snapshot yet.
+func newSite(hosts, relays int, services []catalog.Service, configs []target.Config) *site {
+	s := &site{targets: make(map[string]*target.Target), conns: make(map[string]*pipeListener)}
+	for _, c := range configs {
+		s.startTarget(c)
+	}
+	for i := range services {
+		services[i].Rules.Relays = relays
+	}
+	for i := range hosts {
+		s.hosts = append(s.hosts, &host{
+			site: s, services: services, loseAt: -1,
+			self: member.Host{ID: fmt.Sprintf("host-%d", i), FailureDomain: "salt-lake", State: member.Alive},
+		})
+	}
+	for _, h := range s.hosts {
+		h.relay = relay.New(relay.DefaultConfig(), h, h, nil, event.Discard(), prometheus.NewRegistry())
+		h.relay.DialWith(s.dial)
+		_ = h.relay.Start(context.Background())
+		h.entry = entry.New(entry.DefaultConfig(), h, h, h, h, h, event.Discard(), prometheus.NewRegistry())
+	}
+	return s
+}
+
+func (s *site) startTarget(c target.Config) {
+	t := target.New(c)
+	l := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	server := &http.Server{Handler: s.strayed(c.ID, t.Handler())}
+	s.targets[c.ID] = t
+	s.conns[c.Listen] = l
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+}
+
+// strayed makes a target run every third request in the snapshot before the
+// one asked for, and say so truly, while it is told to stray.
+func (s *site) strayed(id string, next http.Handler) http.Handler {
+	var count atomic.Int64
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		snapshot, err := strconv.Atoi(r.Header.Get(targetapi.HeaderSnapshot))
+		if s.stray[id] && err == nil && count.Add(1)%3 == 0 {
+			r.Header.Set(targetapi.HeaderSnapshot, strconv.Itoa(snapshot-1))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// stop ends everything that newSite started.
+func (s *site) stop() {
+	for _, t := range s.targets {
+		t.SetFaults(target.Faults{})
+	}
+	for _, h := range s.hosts {
+		_ = h.relay.Stop(context.Background())
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
