--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -27,6 +27,7 @@
 	}
 	h := t.holders[i]
 	h.rep.Send(now)
+	h.untried = false
 	h.stats.attempts++
 	p.relay.metrics.attempts.Inc()
 	t.spent |= 1 << i
@@ -55,6 +56,9 @@
 		})
 		return index(replicas, r)
 	}
+	if i := p.untried(now, t); i >= 0 {
+		return i
+	}
 	if t.kind == policy.Hedge {
 		elsewhere := func(i int) bool { return t.holds(i) && t.holders[i].conf.FailureDomain != t.avoid }
 		if i := pick(elsewhere); i >= 0 {
@@ -67,6 +71,21 @@
 	return pick(func(i int) bool { return t.holds(i) && p.overEjected(now, t.holders[i]) })
 }
 
+// untried returns a holder that got no attempt since it was first seen or
+// started, once its ramp admits it, -1 if there is none. What a target costs
+// is known only after it was tried.
+func (p *pool) untried(now time.Time, t *try) int {
+	if t.kind != policy.FirstTry {
+		return -1
+	}
+	for i, h := range t.holders {
+		if h.untried && t.holds(i) && h.rep.Limiter.Free(now) && h.rep.Ramp.Takes(now, p.rng.Float64()) {
+			return i
+		}
+	}
+	return -1
+}
+
 func index(replicas []*policy.Replica, r *policy.Replica) int {
 	for i, x := range replicas {
 		if x == r {
--- /dev/null
+++ b/internal/relay/health_test.go
@@ -0,0 +1,222 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+	"rhubarbwood.example/rhubarbwood/internal/unit"
+)
+
+// load searches one shard each interval until the span has passed.
+func (f *fixture) load(t *testing.T, span, interval time.Duration) (done, all int) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(interval) {
+		got, err := f.search(t.Context(), batch(1, time.Second))
+		if err != nil {
+			t.Fatal(err)
+		}
+		all++
+		if got[0].Outcome == outcome.Done {
+			done++
+		}
+	}
+	return done, all
+}
+
+// since counts the shard requests that reached the target after the time.
+func (f *fakeTarget) since(at time.Time) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, s := range f.seen {
+		if s.at.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+const leaveWithin = 3 * time.Second
+
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	for name, sign := range map[string]func(f *fixture){
+		"answer, status claims ready": func(f *fixture) {
+			f.targets[0].set(func(x *fakeTarget) {
+				x.serve = func(w http.ResponseWriter, _ *http.Request, _ targetapi.Answer) {
+					reject(w, http.StatusServiceUnavailable, targetapi.CodeDraining)
+					x.set(func(x *fakeTarget) { x.serve = nil }) // and then runs what it gets
+				}
+			})
+		},
+		"status, answers claim nothing": func(f *fixture) {
+			f.targets[0].set(func(x *fakeTarget) { x.status.State = targetapi.StateDraining })
+			time.AfterFunc(leaveWithin, func() {
+				f.targets[0].set(func(x *fakeTarget) { x.status.State = targetapi.StateReady })
+			})
+		},
+		"host list, status claims ready": func(f *fixture) {
+			f.relay.hosts.(*hostList).set("t0", true)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(1, 3)
+				defer f.close()
+				list := &hostList{}
+				f.relay.hosts = list
+				is.NoErr(f.relay.Start(t.Context()))
+				f.load(t, 5*time.Second, 5*time.Millisecond)
+				is.True(f.targets[0].count() > 0)
+
+				shown := time.Now()
+				sign(f)
+				done, all := f.load(t, 20*time.Second, 5*time.Millisecond)
+				is.Equal(done, all) // the others answer
+				is.Equal(f.targets[0].since(shown.Add(leaveWithin)), 0)
+
+				list.set("t0", false)
+				f.targets[0].set(func(x *fakeTarget) { x.status.Incarnation++ })
+				back := time.Now()
+				f.load(t, 20*time.Second, 5*time.Millisecond)
+				is.True(f.targets[0].since(back) > 0) // the next incarnation works again
+			})
+		})
+	}
+}
+
+// hostList is the platform's list as a test sets it.
+type hostList struct {
+	leaving map[string]bool
+	calls   int
+}
+
+func (l *hostList) set(id string, leaving bool) { l.leaving = map[string]bool{id: leaving} }
+
+func (l *hostList) Hosts(context.Context) ([]platform.LiveHost, error) {
+	l.calls++
+	var out []platform.LiveHost
+	for id, leaving := range l.leaving {
+		out = append(out, platform.LiveHost{ID: id, Leaving: leaving})
+	}
+	return out, nil
+}
+
+// What waits for a leaving target alone is given up at once.
+func TestWaitingWorkOfALeavingTargetIsGivenUpAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(10, 1)
+		defer f.close()
+		f.targets[0].delay = time.Second
+		time.AfterFunc(100*time.Millisecond, func() {
+			f.relay.ApplyHostList([]platform.LiveHost{{ID: "t0", Leaving: true}})
+		})
+		got, err := f.search(t.Context(), batch(10, time.Minute))
+		is.NoErr(err)
+		counts := map[outcome.Outcome]int{}
+		for _, r := range got {
+			counts[r.Outcome]++
+			if r.Outcome == outcome.NotSent {
+				is.Equal(r.after, 100*time.Millisecond)
+			}
+		}
+		is.Equal(counts, map[outcome.Outcome]int{outcome.Done: 2, outcome.NotSent: 8})
+	})
+}
+
+func TestColdTargetGetsWorkGradually(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(1, 3, func(_ *fixture, c *Config) { c.ColdRamp = unit.Duration(10 * time.Second) })
+		defer f.close()
+		is.NoErr(f.relay.Start(t.Context()))
+		f.load(t, 20*time.Second, 2*time.Millisecond)
+		f.targets[0].set(func(x *fakeTarget) { x.status.Incarnation++ })
+		time.Sleep(time.Second) // the poll that shows it
+		share := func() float64 {
+			begin := time.Now()
+			_, all := f.load(t, 2*time.Second, 2*time.Millisecond)
+			return float64(f.targets[0].since(begin)) / float64(all)
+		}
+		first, second := share(), share()
+		f.load(t, 10*time.Second, 2*time.Millisecond)
+		warm := share()
+		is.True(first < warm/2)
+		is.True(first < second)
+		is.True(second < warm)
+	})
+}
+
+func TestHealthSigns(t *testing.T) {
+	at := time.Now()
+	ready := func(i uint64) targetapi.Status { return targetapi.Status{State: targetapi.StateReady, Incarnation: i} }
+	draining := func(i uint64) targetapi.Status {
+		return targetapi.Status{State: targetapi.StateDraining, Incarnation: i}
+	}
+	for name, x := range map[string]struct {
+		do     func(h *health)
+		usable bool
+	}{
+		"ready":              {func(h *health) { h.status(at, ready(1)) }, true},
+		"ready again lies":   {func(h *health) { h.status(at, draining(1)); h.status(at, ready(1)) }, false},
+		"new incarnation":    {func(h *health) { h.status(at, draining(1)); h.status(at, ready(2)) }, true},
+		"late old status":    {func(h *health) { h.status(at, ready(2)); h.status(at, draining(1)) }, true},
+		"late old ready":     {func(h *health) { h.status(at, draining(2)); h.status(at, ready(1)) }, false},
+		"starts draining":    {func(h *health) { h.status(at, ready(1)); h.status(at, draining(2)) }, false},
+		"first status later": {func(h *health) { h.leave(at, signAnswer); h.status(at, ready(5)) }, false},
+		"list, then live":    {func(h *health) { h.list(at, true, 0); h.list(at, false, 0) }, false},
+		"list lags behind": {func(h *health) {
+			h.status(at, ready(1))
+			h.list(at, true, 0)
+			h.status(at, ready(2))
+			h.list(at, true, 0)
+		}, true},
+		"list meant the last": {func(h *health) { h.status(at, ready(1)); h.list(at, true, time.Minute); h.list(at, false, time.Minute) }, true},
+		"drained":             {func(h *health) { h.drained = true; h.status(at, ready(9)) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var h health
+			x.do(&h)
+			is.New(t).Equal(h.usable(), x.usable)
+		})
+	}
+}
+
+func TestOperatorsDrainStandsUntilUndone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(1, 2)
+		defer f.close()
+		is.NoErr(f.relay.Start(t.Context()))
+		drain := func(on bool) {
+			f.view.change(func(s *catalog.Service) {
+				next, err := Drain(*s, "t0", on)
+				is.NoErr(err)
+				*s = next
+			})
+		}
+		f.load(t, time.Second, 5*time.Millisecond)
+		is.True(f.targets[0].count() > 0)
+		drain(true)
+		begin := time.Now()
+		f.load(t, 5*time.Second, 5*time.Millisecond)
+		f.targets[0].set(func(x *fakeTarget) { x.status.Incarnation++ })
+		f.load(t, 5*time.Second, 5*time.Millisecond)
+		is.Equal(f.targets[0].since(begin), 0)
+		is.Equal(f.relay.Targets()[0].State, TargetDrained)
+		_, refusal := f.relay.Pick(reserve(time.Second), []string{"t1"})
+		is.True(refusal != nil)
+		drain(false)
+		f.load(t, 10*time.Second, 5*time.Millisecond)
+		is.True(f.targets[0].since(begin) > 0)
+	})
+}
--- a/internal/relay/hedge.go
+++ b/internal/relay/hedge.go
@@ -26,7 +26,7 @@
 }
 
 func (r *run) lookAt(from time.Time, k *task) {
-	delay, on := k.pool.hedgeDelay(k.set)
+	delay, on := k.set.hedgeDelay()
 	if !on {
 		return
 	}
@@ -54,7 +54,7 @@
 		r.lookAt(now, k)
 		return
 	}
-	delay, on := k.pool.hedgeDelay(k.set)
+	delay, on := k.set.hedgeDelay()
 	if !on {
 		return
 	}
@@ -86,11 +86,14 @@
 }
 
 // hedgeDelay returns after what time a try of the replica set is hedged.
-func (p *pool) hedgeDelay(s *replicaSet) (time.Duration, bool) {
-	if len(s.targets) < 2 {
-		return 0, false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return s.hedger.Delay()
+func (s *replicaSet) hedgeDelay() (time.Duration, bool) {
+	d := time.Duration(s.delay.Load())
+	return d, d > 0 && len(s.targets) > 1
+}
+
+// observe takes the latency of a valid answer; the pool's lock is held.
+func (s *replicaSet) observe(now time.Time, latency time.Duration) {
+	s.hedger.Observe(now, latency)
+	d, _ := s.hedger.Delay()
+	s.delay.Store(int64(d))
 }
--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -29,7 +29,7 @@
 		p.queue.Served(took)
 		t.target.stats.latency.record(now, took)
 		if t.set != nil {
-			t.set.hedger.Observe(now, took)
+			t.set.observe(now, took)
 		}
 		return
 	}
--- /dev/null
+++ b/internal/relay/load_test.go
@@ -0,0 +1,355 @@
+package relay
+
+import (
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/policy"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+)
+
+func rejectAll(code string, status int) func(http.ResponseWriter, *http.Request, targetapi.Answer) {
+	return func(w http.ResponseWriter, _ *http.Request, _ targetapi.Answer) { reject(w, status, code) }
+}
+
+// A search that every replica refuses is given up at the moment of the last
+// refusal, with the time to come back, and costs no more than its budget.
+func TestGivenUpIsEmittedAtOnce(t *testing.T) {
+	for name, x := range map[string]struct {
+		serve    func(http.ResponseWriter, *http.Request, targetapi.Answer)
+		retries  float64
+		reason   query.Reason
+		attempts int
+		after    bool
+	}{
+		"shed everywhere":             {rejectAll(targetapi.CodeShed, 503), 10, query.ReasonOverload, 3, true},
+		"shed, no retry budget":       {rejectAll(targetapi.CodeShed, 503), -1, query.ReasonOverload, 1, true},
+		"not held, no retry budget":   {rejectAll(targetapi.CodeSnapshotNotHeld, 409), -1, query.ReasonSnapshotNotHeld, 3, false},
+		"draining, no retry budget":   {rejectAll(targetapi.CodeDraining, 503), -1, query.ReasonDraining, 3, true},
+		"connections cut, no budget":  {raw(""), -1, query.ReasonConnection, 1, true},
+		"connections cut, everywhere": {raw(""), 10, query.ReasonConnection, 3, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(1, 3, rules(func(r *catalog.Rules) { r.RetryBudget = x.retries }))
+				defer f.close()
+				for _, target := range f.targets {
+					target.serve = x.serve
+				}
+				got, err := f.search(t.Context(), batch(1, time.Hour))
+				is.NoErr(err)
+				is.Equal(got[0].after, time.Duration(0))
+				is.Equal(got[0].Reason, x.reason)
+				is.Equal(got[0].Outcome.NotRun(), x.reason != query.ReasonConnection)
+				is.Equal(got[0].Attempts, x.attempts)
+				is.Equal(got[0].RetryAfter > 0, x.after)
+			})
+		})
+	}
+}
+
+func TestBudgetEndsAtTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(4, 1)
+		defer f.close()
+		f.targets[0].delay = time.Hour
+		got, err := f.search(t.Context(), batch(4, 100*time.Millisecond))
+		is.NoErr(err)
+		counts := map[outcome.Outcome]int{}
+		for _, r := range got {
+			is.Equal(r.after, 100*time.Millisecond)
+			is.Equal(r.Reason, query.ReasonBudget)
+			is.True(r.RetryAfter > 0)
+			counts[r.Outcome]++
+		}
+		is.Equal(counts, map[outcome.Outcome]int{outcome.Unknown: 2, outcome.NotSent: 2}) // two places
+		none, err := f.search(t.Context(), batch(4, 0))
+		is.NoErr(err)
+		is.Equal(none[3].Outcome, outcome.NotSent)
+	})
+}
+
+// Under overload what can't be served in its budget is refused when it comes,
+// not when its budget ends.
+func TestOverloadIsRefusedOnArrival(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(200, 3)
+		defer f.close()
+		for _, target := range f.targets {
+			target.delay = 10 * time.Millisecond
+		}
+		alone, err := f.search(t.Context(), batch(200, 10*time.Second)) // shows the time of service
+		is.NoErr(err)
+		for _, r := range alone {
+			is.Equal(r.Outcome, outcome.Done) // a wide search is no overload by itself
+		}
+		var wait sync.WaitGroup
+		wait.Go(func() { _, _ = f.search(t.Context(), batch(200, 10*time.Second)) })
+		time.Sleep(50 * time.Millisecond)
+		late := batch(100, 20*time.Millisecond)
+		for i := 0; policy.Rank(late.RequestID) <= policy.Rank("r1"); i++ {
+			late.RequestID = "late" + strconv.Itoa(i) // of no higher standing than those that wait
+		}
+		got, err := f.search(t.Context(), late)
+		is.NoErr(err)
+		refused := 0
+		for _, r := range got {
+			if r.Outcome == outcome.NotSent && r.after == 0 && r.RetryAfter > 0 {
+				refused++
+			}
+		}
+		is.True(refused >= 80)
+		wait.Wait()
+	})
+}
+
+func TestHedgeOvertakesAFrozenReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(1, 3, rules(func(r *catalog.Rules) { r.HedgeBudget = 0.5 }))
+		defer f.close()
+		f.load(t, 2*time.Second, 5*time.Millisecond)
+		before := f.targets[0].count()
+		f.targets[0].set(func(x *fakeTarget) { x.delay = time.Hour })
+		hedged := 0
+		for range 20 {
+			got, err := f.search(t.Context(), batch(1, time.Second))
+			is.NoErr(err)
+			is.Equal(got[0].Outcome, outcome.Done)
+			is.True(got[0].after < 20*time.Millisecond)
+			hedged += got[0].Attempts - 1
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.True(hedged > 0)
+		is.Equal(f.targets[0].count(), before+hedged)
+		synctest.Wait()
+		for _, s := range f.relay.Targets() {
+			is.Equal(s.InFlight, 0) // the loser was cancelled
+		}
+	})
+}
+
+func TestNoHedgeWhileSaturated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(12, 3, rules(func(r *catalog.Rules) { r.HedgeBudget = 0.5 }))
+		defer f.close()
+		f.load(t, 2*time.Second, 5*time.Millisecond)
+		for _, target := range f.targets {
+			target.set(func(x *fakeTarget) { x.delay = 100 * time.Millisecond })
+		}
+		begin := time.Now()
+		got, err := f.search(t.Context(), batch(6, time.Second)) // one for each place
+		is.NoErr(err)
+		is.Equal(len(got), 6)
+		sent := 0
+		for _, target := range f.targets {
+			sent += target.since(begin.Add(-1))
+		}
+		is.Equal(sent, 6)
+	})
+}
+
+// A target that fails gets probing work only, and one replica is always asked.
+func TestFailingTargetIsSetAside(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(1, 3)
+		defer f.close()
+		f.load(t, time.Second, 5*time.Millisecond)
+		f.targets[0].set(func(x *fakeTarget) { x.serve = raw("") })
+		f.load(t, time.Second, 5*time.Millisecond)
+		begin := time.Now()
+		done, all := f.load(t, 10*time.Second, 5*time.Millisecond)
+		is.Equal(done, all)
+		is.True(f.targets[0].since(begin) < 20) // of about 1400
+		is.Equal(f.relay.Targets()[0].State, TargetSuspect)
+		for _, target := range f.targets[1:] {
+			target.set(func(x *fakeTarget) { x.serve = raw("") })
+		}
+		f.load(t, 10*time.Second, 5*time.Millisecond)
+		begin = time.Now()
+		f.load(t, time.Second, 5*time.Millisecond)
+		asked := 0
+		for _, target := range f.targets {
+			asked += target.since(begin)
+		}
+		is.True(asked > 100) // with all set aside all are asked
+	})
+}
+
+// When most targets are set aside, those beyond the bound still take what
+// finds no other place.
+func TestSetAsideIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(6, 3)
+		defer f.close()
+		f.load(t, time.Second, 5*time.Millisecond)
+		for _, target := range f.targets[1:] {
+			target.set(func(x *fakeTarget) { x.serve = raw("") })
+		}
+		for range 20 {
+			_, _ = f.search(t.Context(), batch(6, time.Second))
+		}
+		states := map[TargetState]int{}
+		for _, s := range f.relay.Targets() {
+			states[s.State]++
+		}
+		is.Equal(states[TargetSuspect], 2)
+		for _, target := range f.targets {
+			target.set(func(x *fakeTarget) { x.serve, x.delay = nil, time.Second })
+		}
+		got, err := f.search(t.Context(), batch(4, time.Minute))
+		is.NoErr(err)
+		for _, r := range got {
+			is.True(r.after <= time.Second) // not in two rounds on the one that is left
+		}
+	})
+}
+
+// relaysOf returns relays on other hosts of the fixture's targets.
+func (f *fixture) relaysOf(n int) []*fixture {
+	all := []*fixture{f}
+	for i := 1; i < n; i++ {
+		g := &fixture{view: f.view, targets: f.targets, members: &members{self: "h" + strconv.Itoa(i)}}
+		g.relay = New(f.relay.cfg, g.view, g.members, nil, f.relay.log, nil)
+		g.relay.dial = g.dial
+		all = append(all, g)
+	}
+	return all
+}
+
+// Hosts come and go, each host learns of it at another time, and entries with
+// old views ask hosts that are relays no more. The targets' connections stay
+// below their limit all the while.
+func TestConnectionsStayBelowTheLimitWhileMembershipChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const limit, hosts, live = 25, 16, 12
+		f := newFixture(8, 3)
+		all := f.relaysOf(hosts)
+		for i, g := range all {
+			g.members.set(window(0, live)...)
+			is.NoErr(g.relay.Start(t.Context()))
+			if i == 0 {
+				continue
+			}
+			defer func() { _ = g.relay.Stop(t.Context()) }()
+		}
+		defer f.close()
+		var work sync.WaitGroup
+		end := time.Now().Add(10 * time.Second)
+		for _, g := range all {
+			work.Go(func() {
+				for time.Now().Before(end) {
+					if g.relay.Assigned("s") {
+						_, _ = g.search(t.Context(), batch(8, time.Second))
+					}
+					time.Sleep(20 * time.Millisecond)
+				}
+			})
+		}
+		for first := 1; first <= hosts-live; first++ {
+			time.Sleep(2 * time.Second)
+			for i, g := range all {
+				time.AfterFunc(time.Duration(i)*100*time.Millisecond, func() { g.members.set(window(first, live)...) })
+			}
+		}
+		work.Wait()
+		for _, target := range f.targets {
+			is.True(target.most > limit/2) // the test does load them
+			is.True(target.most <= limit)
+		}
+	})
+}
+
+func window(first, n int) []string {
+	ids := make([]string, n)
+	for i := range ids {
+		ids[i] = "h" + strconv.Itoa(first+i)
+	}
+	return ids
+}
+
+func TestForeignServiceIsServedAndCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(4, 2, rules(func(r *catalog.Rules) { r.Relays = 1 }))
+		defer f.close()
+		f.members.set("h0")
+		is.True(f.relay.Assigned("s"))
+		f.members.self = "h9" // is not among the hosts
+		f.members.set("h0")
+		is.True(!f.relay.Assigned("s"))
+		got, err := f.search(t.Context(), batch(4, time.Second))
+		is.NoErr(err)
+		is.Equal(got[3].Outcome, outcome.Done)
+		is.Equal(testutil.ToFloat64(f.relay.metrics.foreign.WithLabelValues("s")), 1.0)
+		for _, target := range f.targets {
+			is.True(target.most <= 1)
+		}
+		is.Equal(f.relay.Load("s"), 0.0)
+	})
+}
+
+// What waits has no goroutine: a wide search needs no more than the places.
+func TestWideSearchHasFewGoroutines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(500, 3)
+		defer f.close()
+		_, _ = f.search(t.Context(), batch(500, time.Minute)) // opens the connections
+		time.Sleep(time.Second)
+		before := runtime.NumGoroutine()
+		most := 0
+		time.AfterFunc(20*time.Millisecond, func() { most = runtime.NumGoroutine() })
+		got, err := f.search(t.Context(), batch(500, time.Minute))
+		is.NoErr(err)
+		is.Equal(len(got), 500)
+		is.True(most-before < 40)
+	})
+}
+
+func TestHostListIsReadByFewHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(1, 1)
+		defer f.close()
+		all := f.relaysOf(40)
+		lists := make([]*hostList, len(all))
+		shared := 0
+		for i, g := range all {
+			g.members.set(window(0, 40)...)
+			lists[i] = &hostList{}
+			g.relay.hosts = lists[i]
+			g.relay.Share = func([]platform.LiveHost) { shared++ }
+			is.NoErr(g.relay.Start(t.Context()))
+		}
+		time.Sleep(15 * time.Second)
+		for _, g := range all[1:] {
+			is.NoErr(g.relay.Stop(t.Context()))
+		}
+		calls := 0
+		for _, l := range lists {
+			calls += l.calls
+		}
+		is.Equal(calls, shared)
+		is.True(calls >= 12*9 && calls <= 12*12) // 12 readers, 15 s, one call in 1.5 s or so
+	})
+}
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -3,6 +3,7 @@
 import (
 	"sort"
 	"strings"
+	"sync/atomic"
 
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
@@ -13,6 +14,7 @@
 	targets  []*target
 	replicas []*policy.Replica // of the same targets
 	hedger   *policy.Hedger
+	delay    atomic.Int64 // the hedger's, to be read without the lock
 }
 
 func (s *replicaSet) add(t *target) {
--- a/internal/relay/poll.go
+++ b/internal/relay/poll.go
@@ -98,6 +98,7 @@
 	p.mu.Lock()
 	switch t.health.status(now, s) {
 	case started:
+		t.untried = true
 		t.rep.Restart(now, p.relay.cfg.ColdRamp.Std())
 		p.relay.log.Event(evTargetStarted).Str("service", p.name).Str("target", t.conf.ID).
 			Uint64("incarnation", s.Incarnation).Msg("")
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -134,9 +134,6 @@
 // drain grants what places there are, and returns the tries that can no
 // longer be served, to be told without the lock.
 func (p *pool) drain(now time.Time) refusals {
-	if p.queue.Len() == 0 {
-		return nil
-	}
 	out := p.expire(now, nil)
 	stranded := false
 	fits := func(t *try) bool {
@@ -187,18 +184,29 @@
 // expireEvery bounds how often the whole queue is looked through.
 const expireEvery = 2 * time.Millisecond
 
+// expire takes out who had to make room, and now and then who can no longer
+// be served.
 func (p *pool) expire(now time.Time, out refusals) refusals {
+	for _, w := range p.queue.Evictions() {
+		out = append(out, p.refuse(now, w))
+	}
 	if now.Sub(p.expired) < expireEvery {
 		return out
 	}
 	p.expired = now
 	for _, w := range p.queue.Expire(now) {
-		after := policy.RetryAfter(p.queue.ExpectedWait(now, w.Urgency), p.rng.Float64())
-		out = append(out, refusal{w.Item, query.ReasonBudget, after})
+		out = append(out, p.refuse(now, w))
 	}
 	return out
 }
 
+// refuse gives up a try before its budget has ended, for load.
+func (p *pool) refuse(now time.Time, w *policy.Waiter[*try]) refusal {
+	p.relay.metrics.shed.WithLabelValues(p.name).Inc()
+	after := policy.RetryAfter(p.queue.ExpectedWait(now, w.Urgency), p.rng.Float64())
+	return refusal{w.Item, query.ReasonOverload, after}
+}
+
 // pace sets the timer that wakes the queue when no release will.
 func (p *pool) pace(now time.Time) {
 	if p.queue.Len() == 0 {
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -24,6 +24,7 @@
 	deadline time.Time
 	rank     float64
 	tasks    []task
+	lanes    []*lane
 	left     int // tasks without a final result
 	emit     func(query.ShardResult)
 	hedgeAt  time.Time // next look for tries to hedge; zero: none
@@ -37,6 +38,7 @@
 type task struct {
 	key     query.ShardKey
 	pool    *pool
+	lane    *lane
 	set     *replicaSet
 	tries   []*try
 	live    int // tries that wait or run
@@ -130,7 +132,8 @@
 		r.refusePart(part, query.ReasonNoSnapshot)
 		return
 	}
-	first := make([]*try, 0, len(part.Shards))
+	l := &lane{pool: p, width: p.laneWidth(), held: make([]*try, 0, len(part.Shards))}
+	r.lanes = append(r.lanes, l)
 	block := make([]try, len(part.Shards))
 	for i, shard := range part.Shards {
 		if int(shard) >= len(pl.shards) {
@@ -138,13 +141,13 @@
 			continue
 		}
 		r.tasks = append(r.tasks, task{
-			key: query.ShardKey{Service: part.Service, Shard: shard}, pool: p, set: pl.shards[shard],
+			key: query.ShardKey{Service: part.Service, Shard: shard}, pool: p, lane: l, set: pl.shards[shard],
 		})
 		t := &block[i]
 		r.fill(t, &r.tasks[len(r.tasks)-1], policy.FirstTry)
-		first = append(first, t)
+		l.held = append(l.held, t)
 	}
-	p.submit(time.Now(), first...)
+	l.feed(time.Now())
 }
 
 // fill makes t a try of a task.
@@ -201,6 +204,10 @@
 	for i := range box {
 		r.take(&box[i])
 	}
+	now := time.Now()
+	for _, l := range r.lanes {
+		l.feed(now)
+	}
 }
 
 // take takes the end of a try: the first valid answer is the task's result,
@@ -224,6 +231,9 @@
 		return
 	}
 	r.finish(k)
+	if x.refused && x.reason == query.ReasonOverload {
+		r.giveUp(k.lane, x.retryAfter)
+	}
 }
 
 // note sums the ends of a task's tries: the outcome is that of all of them
@@ -284,6 +294,9 @@
 func (r *run) result(k *task, x query.ShardResult) {
 	k.final = true
 	r.left--
+	if k.lane != nil {
+		k.lane.out--
+	}
 	r.abandon(k)
 	x.Key, x.Snapshot, x.Outcome = k.key, r.batch.Snapshot, k.worst
 	x.Reason, x.RetryAfter, x.Attempts = k.reason, k.retryAfter, r.sent(k)
@@ -333,6 +346,9 @@
 
 // expire gives up every task that has no result when the budget ends.
 func (r *run) expire() {
+	for _, l := range r.lanes {
+		l.held = nil
+	}
 	r.collect()
 	for i := range r.tasks {
 		k := &r.tasks[i]
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -172,6 +172,7 @@
 
 func (p *pool) renew(s *replicaSet) *replicaSet {
 	n := &replicaSet{hedger: s.hedger}
+	n.delay.Store(s.delay.Load())
 	for _, t := range s.targets {
 		now, ok := p.byID[t.conf.ID]
 		if !ok {
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -28,6 +28,7 @@
 	rep     *policy.Replica
 	health  health
 	stats   targetStats
+	untried bool // got no attempt since it was first seen or started
 	suspect bool // was set aside when last looked at
 	gone    bool // no longer in the catalog
 }
@@ -48,7 +49,7 @@
 		shardURL: &url.URL{Scheme: "http", Host: c.Address, Path: targetapi.PathShard},
 	}
 	t.rep = policy.NewReplica(c.ID, t.local, c.Slots, relays, ceiling(s.Rules, c))
-	t.stats.latency = newLatencies()
+	t.untried, t.stats.latency = true, newLatencies()
 	t.transport = r.newTransport(s.Rules, t)
 	t.health.drained = c.Drained
 	t.rep.Ramp.Restart(now, r.cfg.ColdRamp.Std())
