--- /dev/null
+++ b/internal/member/bench_test.go
@@ -0,0 +1,126 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/peer"
+)
+
+// socketHost is one host over real drpc on loopback.
+type socketHost struct {
+	server  *peer.Server
+	pool    *peer.Pool
+	members *Members
+}
+
+func startSocketHost(tb testing.TB, i int, seed string, m *peer.Metrics, reg prometheus.Registerer) *socketHost {
+	tb.Helper()
+	h := &socketHost{server: peer.NewServer("127.0.0.1:0", peer.WithMetrics(m)), pool: peer.NewPool(peer.WithMetrics(m))}
+	late := &lateMembers{}
+	if err := late.register(h.server); err != nil {
+		tb.Fatal(err)
+	}
+	if err := h.server.Start(context.Background()); err != nil {
+		tb.Fatal(err)
+	}
+	cfg := DefaultConfig()
+	if seed != "" {
+		cfg.Seeds = []string{seed}
+	}
+	self := Host{ID: fmt.Sprintf("kolkata-entry-%03d", i), FailureDomain: "park-circus", Peer: h.server.Addr(), API: h.server.Addr()}
+	h.members = New(cfg, self, downStore{}, DRPC{h.pool}, event.Discard(), reg)
+	late.set(h.members)
+	if err := h.members.Start(context.Background()); err != nil {
+		tb.Fatal(err)
+	}
+	return h
+}
+
+func (h *socketHost) stop() {
+	h.members.cancel()
+	h.members.work.Wait()
+	done, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = h.server.Stop(done)
+	_ = h.pool.Stop(done)
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// total sums a counter over all its labels.
+func total(reg *prometheus.Registry, name string) float64 {
+	families, _ := reg.Gather()
+	sum := 0.0
+	for _, f := range families {
+		if f.GetName() == name {
+			for _, m := range f.Metric {
+				sum += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return sum
+}
+
+// BenchmarkFleet measures what the membership costs a host, for
+// docs/design/membership.md. Run it alone:
+//
+//	go test ./internal/member -run '^$' -bench Fleet -benchtime 1x
+func BenchmarkFleet(b *testing.B) {
+	const settle, measured = 12 * time.Second, 20 * time.Second
+	for _, n := range []int{3, 6, 12, 24, 48, 96} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			reg := prometheus.NewRegistry()
+			m := peer.NewMetrics(reg)
+			seed := ""
+			for i := range n {
+				h := startSocketHost(b, i, seed, m, nil)
+				defer h.stop()
+				seed = h.server.Addr()
+			}
+			for b.Loop() {
+				time.Sleep(settle)
+				cpu, calls, bytes := processorTime(), total(reg, "rhubarbwood_peer_calls_total"), total(reg, "rhubarbwood_peer_bytes_total")
+				dials := total(reg, "rhubarbwood_peer_dials_total")
+				time.Sleep(measured)
+				per := float64(n) * measured.Seconds()
+				b.ReportMetric(float64((processorTime()-cpu).Microseconds())/per, "cpu-us/host/s")
+				b.ReportMetric((total(reg, "rhubarbwood_peer_calls_total")-calls)/per, "calls/host/s")
+				b.ReportMetric((total(reg, "rhubarbwood_peer_bytes_total")-bytes)/per, "bytes/host/s")
+				b.ReportMetric((total(reg, "rhubarbwood_peer_dials_total")-dials)/per, "dials/host/s")
+			}
+		})
+	}
+}
+
+// BenchmarkTable measures what grows with the number of hosts known.
+func BenchmarkTable(b *testing.B) {
+	for _, n := range []int{9, 48, 720} {
+		table := full(n)
+		b.Run(fmt.Sprintf("message/hosts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				table.updates(8, "")
+			}
+		})
+		b.Run(fmt.Sprintf("view/hosts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				table.hosts(Host{ID: "self"})
+			}
+		})
+		b.Run(fmt.Sprintf("expire/hosts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				table.expire(time.Time{}, time.Second, time.Hour, 3)
+			}
+		})
+	}
+}
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -95,58 +95,53 @@
 		m.heard = time.Now()
 		m.table.answered(peer.ID)
 	}
-	refuted := m.apply(peer, sends)
+	m.apply(peer, sends)
 	for _, i := range infos {
 		if u, ok := fromInfo(i); ok {
-			refuted = m.apply(u, sends) || refuted
+			m.apply(u, sends)
 		}
 	}
 	m.publish()
 	m.mu.Unlock()
-	if refuted {
-		m.Announce()
-	}
 	if peer.Revision > m.revisions.Revision() {
 		m.revisions.Hint(peer.Host)
 	}
 }
 
-// apply takes in one update and reports whether this host had to refute it.
-// m.mu is held.
-func (m *Members) apply(u update, sends int) bool {
+// apply takes in one update. m.mu is held.
+func (m *Members) apply(u update, sends int) {
 	if u.ID == m.self.ID {
-		return m.refute(u)
+		m.refute(u)
+		return
 	}
 	m.table.apply(u, time.Now(), sends, m.rng)
-	return false
 }
 
 // refute answers an untrue update of this host with a newer version of the
-// truth. A higher incarnation than its own comes from an earlier start under
-// a faster clock, or from a second host with this id. m.mu is held.
-func (m *Members) refute(u update) bool {
-	if m.stopped {
-		return false
-	}
+// truth, which the next messages carry. A higher incarnation than its own
+// comes from an earlier start under a faster clock, or from a second host
+// with this id. m.mu is held.
+func (m *Members) refute(u update) {
+	told := m.self
 	switch {
-	case u.Incarnation > m.self.Incarnation:
+	case m.stopped || u.Incarnation < told.Incarnation:
+		return
+	case u.Incarnation > told.Incarnation:
 		m.raise(u.Host)
-	case u.Incarnation < m.self.Incarnation || u.Version < m.self.Version:
-		return false
-	case u.Version == m.self.Version && u.State == m.self.State:
-		return false
-	default:
-		m.self.Version = u.Version + 1
-		m.metrics.refutations.Inc()
-		m.log.Event(evRefuted).Str("state", string(u.State)).Uint64("version", m.self.Version).Msg("")
+		return
+	case u.Version < told.Version || u.Version == told.Version && u.State == told.State:
+		return
 	}
+	m.self.Version = u.Version + 1
 	m.table.changed = true
-	return true
+	m.metrics.refutations.Inc()
+	m.log.Event(evRefuted).Str("state", string(u.State)).Uint64("version", m.self.Version).Msg("")
 }
 
 // raise moves this host past another record of its id. m.mu is held.
 func (m *Members) raise(other Host) {
 	m.self.Incarnation = other.Incarnation + 1
 	m.self.Version = 0
+	m.table.changed = true
 	m.log.Event(evIncarnationRaised).Uint64("incarnation", m.self.Incarnation).Str("peer_address", other.Peer).Msg("")
 }
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -199,7 +199,10 @@
 func (m *Members) lock() {
 	revision := m.revisions.Revision()
 	m.mu.Lock()
-	m.self.Revision = max(m.self.Revision, revision)
+	if revision > m.self.Revision {
+		m.self.Revision = revision
+		m.table.news = true
+	}
 }
 
 // publish makes the changes of the table visible. m.mu is held. Changes of
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -153,6 +153,35 @@
 	})
 }
 
+func TestLeaveTellsASmallFleetBeforeItReturns(t *testing.T) {
+	inBubble(t, func(t *testing.T, net *network) {
+		all := startAll(t, net, 9)
+		all[7].Leave(context.Background())
+		is.New(t).True(heldAs(all, 7, Leaving))
+	})
+}
+
+func TestHostThatMissedTheListLearnsItFromProbes(t *testing.T) {
+	inBubble(t, func(t *testing.T, net *network) {
+		all := startAll(t, net, 60)
+		time.Sleep(time.Minute) // until nothing is news
+		late := net.start(downStore{}, 60, func(m *Members) { m.cfg.Seeds = nil })
+		is.New(t).Equal(len(late.Hosts()), 1)
+		late.table.learn(all[0].Self(), time.Now(), late.rng)
+		within(t, 15*time.Second, "knows nearly all", func() bool { return len(late.Hosts()) >= 58 })
+	})
+}
+
+func TestListTakenAtStartIsNoNews(t *testing.T) {
+	inBubble(t, func(t *testing.T, net *network) {
+		is := is.New(t)
+		startAll(t, net, 20)
+		late := net.start(downStore{}, 20)
+		is.Equal(len(late.Hosts()), 21)
+		is.Equal(len(late.table.unsent()), 0) // else it would crowd out what is
+	})
+}
+
 // revisions is a configuration that pulls the revision of the host hinted at.
 type revisions struct {
 	net   *network
@@ -177,11 +206,11 @@
 	}
 }
 
-func TestRevisionReachesAllWithinSeconds(t *testing.T) {
+func TestRevisionReachesAllWithinASecond(t *testing.T) {
 	inBubble(t, func(t *testing.T, net *network) {
 		all := startAll(t, net, 60, func(m *Members) { m.Follow(&revisions{net: net, self: m}) })
 		all[17].revisions.(*revisions).set(42)
-		within(t, 4*time.Second, "in force everywhere", func() bool {
+		within(t, time.Second, "in force everywhere", func() bool {
 			return each(all, func(m *Members) bool { return m.Self().Revision == 42 })
 		})
 		within(t, time.Minute, "known everywhere to be in force", func() bool {
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -128,7 +128,6 @@
 	m.mu.Lock()
 	if stands.Incarnation > m.self.Incarnation || stands.Incarnation == m.self.Incarnation && stands.Peer != m.self.Peer {
 		m.raise(stands)
-		m.table.changed = true
 		m.publish()
 	}
 	self := m.self.Host
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -12,13 +13,17 @@
 )
 
 const (
-	idlePerHost = 64               // connections of a class kept open to one host between calls
-	idleExpiry  = 30 * time.Second // after which an unused connection is closed
+	idlePerHost = 64 // connections of a class kept open to one host between calls
 	dialTimeout = time.Second
 	maxPerHost  = 256 // connections of a class open to one host, those being dialled included
 	maxDials    = 16  // connections of a class being dialled to one host at once
 )
 
+// idleExpiry is after how long an unused connection is closed. Control calls
+// go to random hosts: in a small fleet each comes round within seconds; in a
+// large one none does, and open connections would only pile up.
+var idleExpiry = map[class]time.Duration{control: 10 * time.Second, data: 30 * time.Second}
+
 // Dialer gives connections to other hosts. A drpc connection carries one call
 // at a time, so calls that overlap use several.
 type Dialer interface {
@@ -28,7 +33,7 @@
 // Pool is the Dialer of a host.
 type Pool struct {
 	opts options
-	pool *drpcpool.Pool[key, drpcpool.Conn]
+	idle map[class]*drpcpool.Pool[key, drpcpool.Conn]
 
 	mu    sync.Mutex
 	hosts map[key]*dialing
@@ -48,13 +53,15 @@
 
 // NewPool returns an empty pool.
 func NewPool(opts ...Option) *Pool {
-	return &Pool{
-		opts: newOptions(opts),
-		pool: drpcpool.New[key, drpcpool.Conn](drpcpool.Options{
-			Expiration: idleExpiry, KeyCapacity: idlePerHost,
-		}),
+	p := &Pool{
+		opts:  newOptions(opts),
+		idle:  map[class]*drpcpool.Pool[key, drpcpool.Conn]{},
 		hosts: map[key]*dialing{},
 	}
+	for cl, expiry := range idleExpiry {
+		p.idle[cl] = drpcpool.New[key, drpcpool.Conn](drpcpool.Options{Expiration: expiry, KeyCapacity: idlePerHost})
+	}
+	return p
 }
 
 // Conn returns a connection to the address; each call on it takes an idle one
@@ -68,15 +75,19 @@
 
 // Stop closes the idle connections.
 func (p *Pool) Stop(context.Context) error {
-	if err := p.pool.Close(); err != nil {
-		return Error.New("close idle connections: %w", err)
+	var problems []error
+	for _, idle := range p.idle {
+		if err := idle.Close(); err != nil {
+			problems = append(problems, Error.New("close idle connections: %w", err))
+		}
 	}
-	return nil
+	return errors.Join(problems...)
 }
 
 // get returns a connection of a class.
 func (p *Pool) get(ctx context.Context, address, rpc string) drpc.Conn {
-	return p.pool.Get(ctx, key{address, classOf(rpc)}, p.dial)
+	cl := classOf(rpc)
+	return p.idle[cl].Get(ctx, key{address, cl}, p.dial)
 }
 
 // dial opens a connection within the bounds of the key.
