--- a/internal/standin/objectstore/objectstore_test.go
+++ b/internal/standin/objectstore/objectstore_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -217,7 +216,7 @@
 		got <- err.Error()
 	}()
 	for s.Counters().WaitingWatches == 0 {
-		runtime.Gosched()
+		time.Sleep(time.Millisecond)
 	}
 	is.NoErr(srv.Shutdown(t.Context()))
 	is.Equal(<-got, "200 OK")
--- a/internal/standin/target/faults_test.go
+++ b/internal/standin/target/faults_test.go
@@ -122,7 +122,9 @@
 func TestFreezeOfAShare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		tgt := New(testConfig())
+		cfg := testConfig()
+		cfg.Slots = 100 // all thaw at once, and none is to be shed
+		tgt := New(cfg)
 		tgt.SetFaults(Faults{Freeze: FreezeBefore, FreezeShare: 0.5})
 		c := newClient(tgt)
 		answered := 0
--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -28,7 +28,14 @@
 func (t *Target) serveShard(w http.ResponseWriter, r *http.Request) {
 	drained, _ := t.drained()
 	t.counts.received(drained)
-	req, err := readShardRequest(r)
+	// The whole body is read first, because the server notices a client that
+	// has gone only then.
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil {
+		t.counts.ended("", ResultCancelled)
+		panic(http.ErrAbortHandler)
+	}
+	req, err := readShardRequest(r.Header, body)
 	if err != nil {
 		t.counts.ended("", ResultBad)
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -54,17 +61,10 @@
 	}
 }
 
-// readShardRequest reads the whole body first, because the server notices a
-// client that has gone only then.
-func readShardRequest(r *http.Request) (shardRequest, error) {
-	arrived := time.Now()
+func readShardRequest(h http.Header, body []byte) (shardRequest, error) {
 	req := shardRequest{
-		requestID: r.Header.Get(targetapi.HeaderRequest),
-		attemptID: r.Header.Get(targetapi.HeaderAttempt),
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
-	if err != nil {
-		return req, Error.New("read body: %w", err)
+		requestID: h.Get(targetapi.HeaderRequest),
+		attemptID: h.Get(targetapi.HeaderAttempt),
 	}
 	if err := json.Unmarshal(body, &req.Request); err != nil {
 		return req, Error.New("body: %w", err)
@@ -75,10 +75,11 @@
 	if req.requestID == "" || req.attemptID == "" {
 		return req, Error.New("%s or %s is missing", targetapi.HeaderRequest, targetapi.HeaderAttempt)
 	}
-	if req.key, err = readShardKey(r.Header); err != nil {
+	var err error
+	if req.key, err = readShardKey(h); err != nil {
 		return req, err
 	}
-	req.deadline, err = readDeadline(r.Header, arrived)
+	req.deadline, err = readDeadline(h, time.Now())
 	return req, err
 }
 
--- a/internal/standin/target/server_test.go
+++ b/internal/standin/target/server_test.go
@@ -117,14 +117,29 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		got := make(chan received, 1)
 		go func() { got <- c.send(ctx, reserve("a2")) }()
-		until(func() bool { return tgt.Counters().Received == 3 })
+		until(t, func() bool { return tgt.Counters().Received == 3 })
 		cancel()
 		is.True((<-got).err != nil)
-		until(func() bool { return tgt.Counters().Count(ResultCancelled) == 1 })
+		until(t, func() bool { return tgt.Counters().Count(ResultCancelled) == 1 })
 		is.Equal(len(tgt.Executions()), 1)
 	}
 }
 
+// A client that goes before its body has come has not sent a bad request.
+func TestGoneBeforeItsBodyIsCancelled(t *testing.T) {
+	is := is.New(t)
+	tgt := New(testConfig())
+	srv := start(t, tgt)
+	c, err := net.Dial("tcp", srv.address)
+	is.NoErr(err)
+	_, err = io.WriteString(c, "POST "+targetapi.PathShard+" HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n")
+	is.NoErr(err)
+	until(t, func() bool { return tgt.Counters().Received == 1 })
+	is.NoErr(c.Close())
+	until(t, func() bool { return len(tgt.Counters().Requests) > 0 })
+	is.Equal(tgt.Counters().Count(ResultCancelled), uint64(1))
+}
+
 func TestShutdownLetsRequestsEnd(t *testing.T) {
 	for _, h2 := range []bool{false, true} {
 		is := is.New(t)
@@ -134,7 +149,7 @@
 		tgt.SetFaults(Faults{Freeze: FreezeAfter})
 		got := make(chan received, 1)
 		go func() { got <- c.send(t.Context(), reserve("a1")) }()
-		until(func() bool { return len(tgt.Executions()) == 1 })
+		until(t, func() bool { return len(tgt.Executions()) == 1 })
 		stopped := make(chan error, 1)
 		go func() { stopped <- srv.Shutdown(t.Context()) }()
 		is.NoErr(<-srv.served) // takes no more
@@ -197,11 +212,11 @@
 	c := newClient(tgt)
 	tgt.SetFaults(Faults{Freeze: FreezeAfter}) // no answer, but a line
 	ctx, cancel := context.WithCancel(t.Context())
-	go func() {
-		until(func() bool { return len(tgt.Executions()) == 1 })
-		cancel()
-	}()
-	is.True(c.send(ctx, reserve("a1")).err != nil)
+	got := make(chan received, 1)
+	go func() { got <- c.send(ctx, reserve("a1")) }()
+	until(t, func() bool { return len(tgt.Executions()) == 1 })
+	cancel()
+	is.True((<-got).err != nil)
 	is.NoErr(tgt.CloseLog())
 	b, err := os.ReadFile(cfg.ExecutionLog)
 	is.NoErr(err)
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -6,9 +6,9 @@
 	"errors"
 	"io"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -43,10 +43,16 @@
 	return &client{http.Client{Transport: &tr}, testHost}
 }
 
+// untilLimit ends a test that would wait for ever; nothing is asserted on it.
+const untilLimit = 30 * time.Second
+
 // until waits for the condition.
-func until(condition func() bool) {
-	for !condition() {
-		runtime.Gosched()
+func until(t *testing.T, condition func() bool) {
+	for limit := time.Now().Add(untilLimit); !condition(); {
+		if time.Now().After(limit) {
+			t.Fatal("the condition did not come")
+		}
+		time.Sleep(time.Millisecond)
 	}
 }
 
