Target stand-in: what is known of attempts outlives the process

Cause: a restarted target that settles would have called an attempt of its earlier process never run, and so have allowed a second run. It now reads its execution log at the start, and keeps refusals beside it. Seen to fail on a scratch copy: refusals or attempts not kept or not restored, stock not restored.

--- a/internal/standin/target/attempts.go
+++ b/internal/standin/target/attempts.go
@@ -1,8 +1,6 @@
 package target
 
 import (
-	"encoding/json"
-	"os"
 	"sync"
 
 	"rhubarbwood.example/rhubarbwood/internal/targetapi"
@@ -12,6 +10,7 @@
 type Execution struct {
 	Target        string `json:"target"`
 	Incarnation   uint64 `json:"incarnation"`
+	Service       string `json:"service"`
 	ReservationID string `json:"reservation_id"`
 	AttemptID     string `json:"attempt_id"`
 	RequestID     string `json:"request_id"`
@@ -19,6 +18,22 @@
 	Granted       bool   `json:"granted"`
 }
 
+// answer is what the target answers to the reservation.
+func (e Execution) answer() targetapi.Answer {
+	text := e.Item + " reserved"
+	if !e.Granted {
+		text = e.Item + " is out of stock"
+	}
+	return targetapi.Answer{
+		RequestID: e.RequestID,
+		AttemptID: e.AttemptID,
+		Service:   e.Service,
+		Rows:      []targetapi.Row{},
+		Granted:   e.Granted,
+		Text:      text,
+	}
+}
+
 type attempt struct {
 	refused bool // settled as never run
 	running bool
@@ -32,7 +47,7 @@
 	stock      map[string]int
 	executions []Execution
 	attempts   map[string]*attempt
-	file       *os.File // nil: in memory only
+	journal    *journal // nil: in memory only
 }
 
 func newDesk(stock map[string]int) *desk {
@@ -43,45 +58,20 @@
 	return d
 }
 
-func (d *desk) open(path string) error {
-	if path == "" {
-		return nil
-	}
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
-	if err != nil {
-		return Error.New("open execution log: %w", err)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.file = f
-	return nil
-}
-
-func (d *desk) close() error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.file == nil {
-		return nil
-	}
-	f := d.file
-	d.file = nil
-	return Error.Wrap(f.Close())
-}
-
 // begin runs the reservation: it logs the execution and takes from the stock.
 // It reports false, and does nothing, if the attempt was settled as never run.
-func (d *desk) begin(e Execution) (granted, ok bool) {
+func (d *desk) begin(e Execution) (ran Execution, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a := d.attempts[e.AttemptID]
 	if a != nil && a.refused {
-		return false, false
+		return e, false
 	}
-	d.attempts[e.AttemptID] = &attempt{running: true}
 	e.Granted = d.takeLocked(e.Item)
 	d.executions = append(d.executions, e)
-	d.writeLocked(e)
-	return e.Granted, true
+	d.attempts[e.AttemptID] = &attempt{running: true}
+	d.journal.ran(e)
+	return e, true
 }
 
 func (d *desk) takeLocked(item string) bool {
@@ -96,21 +86,6 @@
 	return true
 }
 
-// writeLocked adds a line to the file. A log that cannot be written would make
-// every count of runs untrue, so the target must not go on.
-func (d *desk) writeLocked(e Execution) {
-	if d.file == nil {
-		return
-	}
-	line, err := json.Marshal(e)
-	if err == nil {
-		_, err = d.file.Write(append(line, '\n'))
-	}
-	if err != nil {
-		panic(Error.New("write execution log: %w", err))
-	}
-}
-
 // finish records the answer of an attempt that ran.
 func (d *desk) finish(a targetapi.Answer) {
 	d.mu.Lock()
@@ -127,6 +102,7 @@
 	if a == nil {
 		a = &attempt{refused: true}
 		d.attempts[attemptID] = a
+		d.journal.refused(attemptID)
 	}
 	return targetapi.Settlement{
 		AttemptID: attemptID,
--- a/internal/standin/target/run.go
+++ b/internal/standin/target/run.go
@@ -171,17 +171,13 @@
 // reserve runs a reservation to its end, even if the client goes: the
 // execution is logged at its beginning.
 func (t *Target) reserve(r shardRequest) reply {
-	granted, ok := t.desk.begin(t.execution(r))
+	e, ok := t.desk.begin(t.execution(r))
 	if !ok {
 		return refusedAttempt()
 	}
 	t.work(context.Background())
-	answer := r.echo()
-	answer.Granted = granted
-	answer.Text = r.Item + " reserved"
-	if !granted {
-		answer.Text = r.Item + " is out of stock"
-	}
+	answer := e.answer()
+	answer.Shard, answer.Snapshot = r.key.shard, r.key.snapshot
 	t.desk.finish(answer)
 	return t.reply(answer)
 }
@@ -192,6 +188,7 @@
 	return Execution{
 		Target:        t.cfg.ID,
 		Incarnation:   t.incarnation,
+		Service:       r.key.service,
 		ReservationID: r.ReservationID,
 		AttemptID:     r.attemptID,
 		RequestID:     r.requestID,
--- a/internal/standin/target/server_test.go
+++ b/internal/standin/target/server_test.go
@@ -224,3 +224,24 @@
 	is.NoErr(json.Unmarshal(b, &e))
 	is.Equal(e, tgt.Executions()[0])
 }
+
+func TestWhatIsKnownOfAttemptsOutlivesTheProcess(t *testing.T) {
+	is := is.New(t)
+	cfg := testConfig()
+	cfg.ExecutionLog = filepath.Join(t.TempDir(), "executions")
+	cfg.Stock = map[string]int{"pressure cooker": 1}
+	first := New(cfg)
+	is.NoErr(first.OpenLog())
+	granted := newClient(first).send(t.Context(), reserve("ran")).answer
+	is.True(!first.desk.settle("refused").Ran)
+	is.NoErr(first.CloseLog())
+
+	second := New(cfg)
+	is.NoErr(second.OpenLog())
+	defer func() { is.NoErr(second.CloseLog()) }()
+	c := newClient(second)
+	is.Equal(second.Executions(), first.Executions())
+	is.Equal(second.desk.settle("ran"), targetapi.Settlement{AttemptID: "ran", Ran: true, Answer: granted})
+	is.Equal(c.send(t.Context(), reserve("refused")).rejection.Code, targetapi.CodeRefusedAttempt)
+	is.True(!c.send(t.Context(), reserve("other")).answer.Granted) // the stock is gone
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -59,7 +59,8 @@
 	return t
 }
 
-// OpenLog opens the execution log's file, if one is configured.
+// OpenLog opens the execution log's file, if one is configured, and takes over
+// what an earlier process wrote there: executions, stock and settled attempts.
 func (t *Target) OpenLog() error { return t.desk.open(t.cfg.ExecutionLog) }
 
 // CloseLog closes it.
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -163,7 +163,7 @@
 	is.True(!c.send(t.Context(), reserve("a2")).answer.Granted) // out of stock, but it ran
 	log := tgt.Executions()
 	is.Equal(len(log), 2)
-	is.Equal(log[0], Execution{Target: "t1", Incarnation: 1, ReservationID: "r1", AttemptID: "a1",
+	is.Equal(log[0], Execution{Target: "t1", Incarnation: 1, Service: testService, ReservationID: "r1", AttemptID: "a1",
 		RequestID: "q1", Item: "pressure cooker", Granted: true})
 }
 
