plan: as many relays as the smallest target has slots, one a failure domain at least

Before, every host was a relay where connections allowed: 9 relays for 2 slots. Rules.Relays still says otherwise.

--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -35,35 +35,47 @@
 // ForService returns the relays of a service among the hosts, as many as the
 // connection limit of its tightest target and its rules allow.
 func ForService(s catalog.Service, hosts []member.Host) []member.Host {
-	return Relays(s.Name, hosts, setOf(s, usable(hosts)).Relays)
+	return Relays(s.Name, hosts, setOf(s, sizeOf(hosts)).Relays)
 }
 
 // ForServices returns the relays of all services, with the load of the hosts
-// bounded. While every host relays every service it tells the same as
-// ForService.
+// bounded. Where the bound does not bind it tells the same as ForService.
 func ForServices(services []catalog.Service, hosts []member.Host) *Assignment {
-	n := usable(hosts)
+	size := sizeOf(hosts)
 	sets := make([]ReplicaSet, len(services))
 	for i, s := range services {
-		sets[i] = setOf(s, n)
+		sets[i] = setOf(s, size)
 	}
 	return Assign(sets, hosts)
 }
 
-func setOf(s catalog.Service, hosts int) ReplicaSet {
-	relays := hosts
+// setOf tells how many relays the targets of a service have: the rules' bound,
+// or, if they name none, one for each slot of the smallest target and no fewer
+// than failure domains. More would give the target more requests at once than
+// it runs, as each relay needs at least one in flight.
+func setOf(s catalog.Service, f fleetSize) ReplicaSet {
+	relays := f.hosts
 	for _, t := range s.Targets {
-		relays = min(relays, RelayCount(hosts, t.Connections, s.Rules.ConnectionsPerRelay, s.Rules.Relays))
+		limit := s.Rules.Relays
+		if limit == 0 {
+			limit = max(t.Slots, f.domains)
+		}
+		relays = min(relays, RelayCount(f.hosts, t.Connections, s.Rules.ConnectionsPerRelay, limit))
 	}
 	return ReplicaSet{Service: s.Name, Targets: len(s.Targets), Relays: relays}
 }
 
-func usable(hosts []member.Host) int {
+// fleetSize counts the usable hosts and their failure domains.
+type fleetSize struct{ hosts, domains int }
+
+func sizeOf(hosts []member.Host) fleetSize {
+	domains := make(map[string]bool)
 	n := 0
 	for _, h := range hosts {
 		if h.Usable() {
 			n++
+			domains[h.FailureDomain] = true
 		}
 	}
-	return n
+	return fleetSize{n, len(domains)}
 }
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -91,15 +91,21 @@
 	is.Equal(len(a.Relays("service-0001")), 5)
 }
 
-func TestSmallFleetRelaysEverythingEverywhere(t *testing.T) {
+func TestRelaysFollowTheSlotsUnlessRulesSayOtherwise(t *testing.T) {
 	is := is.New(t)
 	s := catalog.Service{Name: "guest-portal-01", Targets: []catalog.Target{
-		{ID: "a", Connections: 25}, {ID: "b", Connections: 25}, {ID: "c", Connections: 25},
+		{ID: "a", Connections: 25, Slots: 2}, {ID: "b", Connections: 25, Slots: 2},
 	}}
 	s.Rules.ConnectionsPerRelay = 2
-	hosts := fleet(9, 3)
-	is.Equal(len(ForService(s, hosts)), 9)
-	is.Equal(ids(ForService(s, hosts)), ids(ForServices([]catalog.Service{s}, hosts).Relays(s.Name)))
+	is.Equal(len(ForService(s, fleet(9, 3))), 3) // one in each failure domain
+	is.Equal(len(ForService(s, fleet(2, 2))), 2) // every host
+	s.Targets[0].Slots, s.Targets[1].Slots = 6, 6
+	is.Equal(len(ForService(s, fleet(9, 3))), 6)
+	s.Rules.Relays = 9
+	is.Equal(len(ForService(s, fleet(9, 3))), 9)
+	is.Equal(ids(ForService(s, fleet(9, 3))), ids(ForServices([]catalog.Service{s}, fleet(9, 3)).Relays(s.Name)))
+	s.Targets[0].Connections = 5
+	is.Equal(len(ForService(s, fleet(9, 3))), 2) // two of the four that a fifth leaves
 }
 
 func TestCoverAsksARelayOfEachService(t *testing.T) {
