Model of the claim protocol for spin, with eight broken twins

Cause: the rapid histories draw faults at random; the model tries every order of steps, pauses and late writes for two and three requests on one reservation. Checked: at most one execution; no request told 'not run' has run or runs later. One twin was not refuted at first, as its error needs a fourth attempt; it has that bound now.

--- /dev/null
+++ b/model/check.sh
@@ -0,0 +1,64 @@
+#!/bin/sh
+# Checks the models with spin: each true one must pass, and spin must find an
+# error in each broken twin, so that a check that cannot fail is noticed.
+# Needs spin and a C compiler. Works in a temporary directory.
+set -eu
+
+models=$(cd "$(dirname "$0")" && pwd)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+failures=0
+
+# run MODEL FLAGS...: compiles and searches; the report is in $work/out.
+run() {
+	model=$1
+	shift
+	cp "$models/$model.pml" "$work/"
+	(
+		cd "$work"
+		spin -a "$@" "$model.pml" >spin.out 2>&1 || { cat spin.out; exit 2; }
+		cc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=4000 -o pan pan.c
+		./pan -m50000 -E >out 2>&1 || true
+	)
+}
+
+# holds MODEL FLAGS...: the search must be complete and find no error.
+holds() {
+	run "$@"
+	if grep -q 'errors: 0' "$work/out" && ! grep -qE 'max search depth too small|out of memory|interrupted' "$work/out"; then
+		echo "ok       $* ($(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$work/out") states)"
+	else
+		echo "FAILED   $*"
+		tail -n 20 "$work/out"
+		failures=$((failures + 1))
+	fi
+}
+
+# refuted MODEL TWIN FLAGS...: the search must violate an assertion.
+refuted() {
+	model=$1
+	twin=$2
+	shift 2
+	run "$model" "-D$twin" "$@"
+	if grep -q 'assertion violated' "$work/out" && ! grep -q 'invalid array index' "$work/out"; then
+		echo "refuted  $model $twin"
+	else
+		echo "FAILED   $model $twin was not refuted"
+		tail -n 20 "$work/out"
+		failures=$((failures + 1))
+	fi
+}
+
+# Reservations. Two requests with two faults, three with one.
+holds claim -DREQUESTS=2 -DFAULTS=2
+holds claim -DREQUESTS=3 -DFAULTS=1
+refuted claim NO_RECHECK -DREQUESTS=2 -DFAULTS=2
+refuted claim RELEASE_AFTER_SEND -DREQUESTS=2 -DFAULTS=2
+refuted claim TAKEOVER_WITHOUT_SETTLE -DREQUESTS=2 -DFAULTS=2
+refuted claim RESEND_ON_TIMEOUT -DREQUESTS=2 -DFAULTS=2
+refuted claim SEND_UNSETTLED -DREQUESTS=2 -DFAULTS=2
+refuted claim SECOND_TARGET_WITHOUT_UPDATE -DREQUESTS=2 -DFAULTS=2 -DATTEMPTS=5
+refuted claim REMOVE_EARLY -DREQUESTS=2 -DFAULTS=2
+refuted claim RELEASE_BY_REMOVAL -DREQUESTS=3 -DFAULTS=1
+
+exit $((failures > 0))
--- /dev/null
+++ b/model/claim.pml
@@ -0,0 +1,310 @@
+/*
+ * A reservation's record and its target, for one reservation id.
+ *
+ * Each Request is one request of the caller, at a host of its own choice; the
+ * hosts share nothing but the record, the word on their own attempts (Ask) and
+ * the target. A host that freezes at any step and wakes at any later time, or
+ * never, is the interleaving itself. The view of who lives is not trusted: a
+ * request that meets another's attempt may always take its host for dead. So
+ * may any write meet an outage of the platform, of any length.
+ *
+ * Checked: the target runs the reservation at most once, and no request that
+ * was told "not run" has run or runs later.
+ *
+ * Each macro named in check.sh switches one mechanism off or adds one wrong
+ * step; spin must refute each of them.
+ */
+
+#ifndef REQUESTS
+#define REQUESTS 3
+#endif
+#ifndef ATTEMPTS
+#define ATTEMPTS 4  /* attempt 0 is none */
+#endif
+#define SLOTS 2 /* writes on their way that land late, or never */
+#ifndef FAULTS
+#define FAULTS   3  /* answers lost and writes held back, in all */
+#endif
+
+/* Phases of a record; NONE is no record. */
+#define NONE     0
+#define SENDING  1
+#define RELEASED 2
+#define SETTLED  3
+#define UNCLEAR  4  /* settled as unknown */
+
+/* Results of a conditional write. */
+#define APPLIED    0
+#define CONFLICT   1
+#define NOTAPPLIED 2
+#define AMBIGUOUS  3
+
+/* The platform. Versions start again from 1 after a removal. */
+byte version = 0;
+byte phase = NONE;
+byte attempt = 0;
+bool writtenPast = false; /* the record was written past the horizon */
+bool past = false;        /* the platform's clock is past the horizon */
+bool wellPast = false;    /* and past the age of removal */
+byte faults = FAULTS;
+
+typedef Write { bool used; byte ver; byte ph; byte att };
+Write late[SLOTS];
+
+/* The target. */
+byte runs = 0;
+byte sheds = 1;
+bool ran[ATTEMPTS];
+bool refused[ATTEMPTS];
+
+/* What hosts know of their own attempts, and what callers were told. */
+bool neverRuns[ATTEMPTS];
+bool requestRan[REQUESTS];
+bool toldNotRun[REQUESTS];
+byte attempts = 0;
+byte begun = 0;
+
+inline apply(wantVer, newPhase, newAttempt) {
+	if
+	:: version == wantVer && newPhase == NONE -> version = 0; phase = NONE; attempt = 0; writtenPast = false
+	:: version == wantVer && newPhase != NONE ->
+		version++; phase = newPhase; attempt = newAttempt; writtenPast = past
+	:: else -> skip
+	fi
+}
+
+/*
+ * put writes if the version stands; cv, cp, ca and cw are the record then. It
+ * is used inside atomic: what follows it there works on local variables only.
+ */
+inline put(ifVer, toPhase, toAttempt) {
+	if
+	:: version == ifVer -> apply(ifVer, toPhase, toAttempt); result = APPLIED
+	:: version != ifVer -> result = CONFLICT
+	:: faults > 0 -> faults--; apply(ifVer, toPhase, toAttempt); result = AMBIGUOUS
+	:: faults > 0 && !late[0].used ->
+		faults--; late[0].used = true; late[0].ver = ifVer; late[0].ph = toPhase; late[0].att = toAttempt; result = AMBIGUOUS
+	:: faults > 0 && late[0].used && !late[1].used ->
+		faults--; late[1].used = true; late[1].ver = ifVer; late[1].ph = toPhase; late[1].att = toAttempt; result = AMBIGUOUS
+	:: true -> result = NOTAPPLIED
+	fi;
+	if
+	:: result <= CONFLICT -> cv = version; cp = phase; ca = attempt; cw = writtenPast
+	:: else -> cv = 0; cp = NONE; ca = 0; cw = false
+	fi
+}
+
+/* Inside atomic. */
+inline tellNotRun() {
+	assert(!requestRan[me]);
+	toldNotRun[me] = true
+}
+
+proctype Request(byte me) {
+	byte base, cv, cp, ca, result, tries;
+	byte mine = 0;  /* the newest attempt */
+	byte held = 0;  /* an earlier one that was rejected, named by the record */
+	bool cw, doubt;
+
+	/* Requests are alike, so the order in which they begin is fixed. The host
+	   looks at the clock; its reading may be old. */
+	atomic {
+		me == begun;
+		begun++;
+		if
+		:: past -> goto end
+		:: true -> base = 0
+		fi
+	};
+next:
+	atomic {
+		if
+		:: attempts + 1 < ATTEMPTS -> attempts++; mine = attempts
+		:: else -> goto end
+		fi;
+		doubt = false;
+		tries = 0
+	};
+take:
+	atomic {
+		put(base, SENDING, mine);
+		if
+		:: result == APPLIED -> goto own
+		:: result == CONFLICT && ca == mine && cp == SENDING -> goto own
+		:: result == CONFLICT && !(ca == mine && cp == SENDING) -> neverRuns[mine] = true; held = 0; goto met
+		:: result == NOTAPPLIED && !doubt -> goto giveUp
+		:: result == AMBIGUOUS || (result == NOTAPPLIED && doubt) ->
+			doubt = true;
+			if
+			:: tries < 1 -> tries++; goto take
+			:: true -> goto giveUp
+			fi
+		fi
+	};
+giveUp:
+	atomic {
+#ifdef SEND_UNSETTLED
+		if
+		:: doubt -> cv = base + 1; goto send
+		:: else -> skip
+		fi;
+#endif
+		neverRuns[mine] = true;
+		tellNotRun();
+		if
+		:: !doubt && held == 0 -> goto end
+		:: else -> goto release
+		fi
+	};
+own:
+	atomic {
+		held = 0;
+#ifndef NO_RECHECK
+		if
+		:: cw -> neverRuns[mine] = true; base = cv; goto release /* told as expired */
+		:: else -> skip
+		fi;
+#endif
+		if
+		:: true -> /* the budget has ended */
+			neverRuns[mine] = true; base = cv; tellNotRun(); goto release
+		:: true -> skip
+		fi
+	};
+send:
+	/* The bytes are on their way, and arrive at any later time. */
+	atomic {
+		if
+		:: refused[mine] -> goto rejected
+		:: !refused[mine] && sheds > 0 -> sheds--; goto rejected
+		:: !refused[mine] ->
+			runs++;
+			assert(runs <= 1);
+			assert(!toldNotRun[me]);
+			ran[mine] = true;
+			requestRan[me] = true
+		fi;
+		tries = 0;
+		if
+		:: true -> base = cv; goto outcome
+		:: true -> skip /* the target's answer is lost */
+		fi
+	};
+	atomic {
+#ifdef RELEASE_AFTER_SEND
+		base = cv; goto release;
+#endif
+#ifdef RESEND_ON_TIMEOUT
+		base = cv; goto next;
+#endif
+		put(cv, UNCLEAR, mine);
+		goto end
+	};
+outcome:
+	atomic {
+		put(base, SETTLED, mine);
+		if
+		:: result >= NOTAPPLIED && tries < 1 -> tries++; goto outcome
+		:: else -> goto end
+		fi
+	};
+rejected:
+	atomic {
+		neverRuns[mine] = true;
+		held = mine;
+		base = cv;
+		if
+		:: true -> /* another target */
+#ifdef SECOND_TARGET_WITHOUT_UPDATE
+			if
+			:: attempts + 1 < ATTEMPTS -> attempts++; mine = attempts; goto send
+			:: else -> goto end
+			fi
+#else
+			goto next
+#endif
+		:: true -> tellNotRun(); goto release
+		fi
+	};
+met:
+	atomic {
+		if
+		:: cp == NONE -> goto end /* told as expired */
+		:: cp == SETTLED -> assert(ran[ca]); goto end
+		:: cp == RELEASED -> base = cv; goto next
+		:: (cp == SENDING || cp == UNCLEAR) && neverRuns[ca] -> base = cv; goto next /* its host says so */
+		:: (cp == SENDING || cp == UNCLEAR) -> goto end /* told as unknown */
+#ifdef TAKEOVER_WITHOUT_SETTLE
+		:: (cp == SENDING || cp == UNCLEAR) -> base = cv; goto next
+#endif
+		:: (cp == SENDING || cp == UNCLEAR) -> /* ask the target */
+			if
+			:: ran[ca] -> mine = ca; base = cv; tries = 0; goto outcome
+			:: else -> refused[ca] = true; base = cv; goto next
+			fi
+		fi
+	};
+release:
+	/* Neither mine nor held runs any more, whoever meets them. */
+	tries = 0;
+free:
+	atomic {
+#ifdef RELEASE_BY_REMOVAL
+		if
+		:: version > 0 && attempt == mine && phase == SENDING -> base = version
+		:: else -> goto end
+		fi;
+		put(base, NONE, mine);
+#else
+		put(base, RELEASED, mine);
+#endif
+		if
+		:: result == APPLIED -> goto end
+		:: result == CONFLICT && cp == SENDING && (ca == mine || ca == held) && cv != base -> base = cv; goto free
+		:: result == CONFLICT && !(cp == SENDING && (ca == mine || ca == held) && cv != base) -> goto end
+		:: result >= NOTAPPLIED ->
+			if
+			:: tries < 1 -> tries++; goto free
+			:: true -> goto end /* abandoned, or the host is lost */
+			fi
+		fi
+	};
+end:
+	atomic { base = 0; cv = 0; cp = 0; ca = 0; result = 0; tries = 0; mine = 0; held = 0; cw = false; doubt = false }
+}
+
+/* Writes that were held back land at any time, or never. */
+proctype Network() {
+end:
+	do
+	:: atomic { late[0].used -> apply(late[0].ver, late[0].ph, late[0].att);
+		late[0].used = false; late[0].ver = 0; late[0].ph = 0; late[0].att = 0 }
+	:: atomic { late[1].used -> apply(late[1].ver, late[1].ph, late[1].att);
+		late[1].used = false; late[1].ver = 0; late[1].ph = 0; late[1].att = 0 }
+	od
+}
+
+/* The horizon passes, and later old records are removed. */
+proctype Clock() {
+#ifdef REMOVE_EARLY
+	atomic { version > 0 -> version = 0; phase = NONE; attempt = 0; writtenPast = false };
+#endif
+	past = true;
+	wellPast = true;
+end:
+	do
+	:: atomic { wellPast && version > 0 -> version = 0; phase = NONE; attempt = 0; writtenPast = false }
+	od
+}
+
+init {
+	byte i = 0;
+	atomic {
+		run Network();
+		run Clock();
+		do
+		:: i < REQUESTS -> run Request(i); i++
+		:: else -> break
+		od
+	}
+}
