--- a/internal/delivery/windows.go
+++ b/internal/delivery/windows.go
@@ -116,7 +116,7 @@
 	w.mu.Unlock()
 	wait := max(rest, 0)
 	if w.queue.head() != nil {
-		wait = min(wait, retryWait)
+		wait = min(wait, retryWait(w.failures))
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -131,8 +131,17 @@
 	return false
 }
 
-// retryWait is the time between tries while the platform takes no window.
-const retryWait = time.Second
+const (
+	firstRetryWait = time.Second
+	lastRetryWait  = 16 * time.Second
+	maxDoublings   = 4
+)
+
+// retryWait returns the time from a try that failed to the next, as the try
+// after each failure encodes the window anew.
+func retryWait(failures int) time.Duration {
+	return min(firstRetryWait<<min(max(failures-1, 0), maxDoublings), lastRetryWait)
+}
 
 // finish closes the final window and writes until all is written or the
 // context of Stop is done.
@@ -147,7 +156,7 @@
 		case <-w.last.Done():
 			w.tellLost()
 			return
-		case <-time.After(retryWait):
+		case <-time.After(firstRetryWait):
 		}
 	}
 }
