--- a/internal/member/bench_test.go
+++ b/internal/member/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"syscall"
 	"testing"
 	"time"
@@ -78,7 +79,7 @@
 //	go test ./internal/member -run '^$' -bench Fleet -benchtime 1x
 func BenchmarkFleet(b *testing.B) {
 	const settle, measured = 12 * time.Second, 20 * time.Second
-	for _, n := range []int{3, 6, 12, 24, 48, 96} {
+	for _, n := range []int{3, 6, 12, 24, 48, 96, 240, 400} {
 		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
 			reg := prometheus.NewRegistry()
 			m := peer.NewMetrics(reg)
@@ -98,6 +99,9 @@
 				b.ReportMetric((total(reg, "rhubarbwood_peer_calls_total")-calls)/per, "calls/host/s")
 				b.ReportMetric((total(reg, "rhubarbwood_peer_bytes_total")-bytes)/per, "bytes/host/s")
 				b.ReportMetric((total(reg, "rhubarbwood_peer_dials_total")-dials)/per, "dials/host/s")
+				var mem runtime.MemStats
+				runtime.ReadMemStats(&mem)
+				b.ReportMetric(float64(mem.HeapInuse+mem.StackInuse)/1024/float64(n), "KB/host")
 			}
 		})
 	}
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -13,12 +13,13 @@
 		return nil, Error.New("host has stopped")
 	}
 	m.receive(req.From, req.Updates, m.sends())
+	m.compare(req.From, req.Digest)
 	reply := &peerpb.ProbeReply{}
 	if req.Indirect {
 		reply.Reached = m.probeFor(ctx, req.TargetId)
 	}
 	self, updates := m.message(req.From.GetId(), req.All)
-	reply.Self, reply.Updates = self, updates
+	reply.Self, reply.Updates, reply.Digest = self, updates, m.view.Load().digest
 	return reply, nil
 }
 
@@ -71,6 +72,7 @@
 		about = ""
 	}
 	req.From, req.Updates = m.message(about, false)
+	req.Digest = m.view.Load().digest
 	reply, err := m.prober.Probe(ctx, address, req)
 	if err != nil {
 		return nil, Error.New("probe %s: %w", address, err)
@@ -80,6 +82,7 @@
 		sends = 0 // news to this host alone
 	}
 	m.receive(reply.Self, reply.Updates, sends)
+	m.compare(reply.Self, reply.Digest)
 	return reply, nil
 }
 
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -57,6 +57,7 @@
 	table   *table
 	rng     *rand.Rand
 	heard   time.Time
+	sync    syncing
 	stopped bool // this host has told its end and must not refute it
 
 	cancel context.CancelFunc
@@ -71,6 +72,7 @@
 type snapshot struct {
 	hosts      []Host
 	generation uint64
+	digest     uint64
 }
 
 // New returns the membership of the host self, whose State, Incarnation and
@@ -86,7 +88,7 @@
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		revisions: noRevisions{},
 	}
-	m.view.Store(&snapshot{hosts: []Host{self}, generation: 1})
+	m.replaceView(1)
 	return m
 }
 
@@ -216,7 +218,9 @@
 
 func (m *Members) replaceView(generation uint64) {
 	m.table.changed, m.table.news = false, false
-	m.view.Store(&snapshot{hosts: m.table.hosts(m.self.Host), generation: generation})
+	m.view.Store(&snapshot{
+		hosts: m.table.hosts(m.self.Host), generation: generation, digest: m.table.digest(m.self),
+	})
 }
 
 // size returns how many hosts are not dead, this one included.
--- a/internal/member/metrics.go
+++ b/internal/member/metrics.go
@@ -12,6 +12,7 @@
 	kindReconnect = "reconnect"
 	kindAnnounce  = "announce"
 	kindJoin      = "join"
+	kindSync      = "sync"
 )
 
 type metrics struct {
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -32,6 +32,7 @@
 		last = now
 		m.expire(now)
 		m.probeNext(ctx, round)
+		m.resync(ctx, now)
 	}
 }
 
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -1,9 +1,12 @@
 package member
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // update is a host as one host tells it to another. Version orders the
@@ -298,6 +301,26 @@
 	return out
 }
 
+// digest returns a hash of which versions of which hosts are held and not
+// dead, self included. It is the same in any order. Suspicion is left out: it
+// comes and goes without a new version.
+func (t *table) digest(self update) uint64 {
+	sum := self.hash()
+	for _, r := range t.rows {
+		if r.State != Dead && !r.unconfirmed {
+			sum ^= r.hash()
+		}
+	}
+	return sum
+}
+
+func (u update) hash() uint64 {
+	b := append([]byte(u.ID), 0)
+	b = binary.LittleEndian.AppendUint64(b, u.Incarnation)
+	b = binary.LittleEndian.AppendUint64(b, u.Version)
+	return xxhash.Sum64(b)
+}
+
 // hosts returns the hosts that are not dead, with self, sorted by id.
 func (t *table) hosts(self Host) []Host {
 	out := []Host{self}
