--- a/internal/delivery/compact.go
+++ b/internal/delivery/compact.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
@@ -25,7 +27,8 @@
 	log   *event.Log
 	clock platformClock
 	pace  *rate.Limiter // of removals
-	last  time.Time     // slot of the last round that ended well
+	burn  *burnGauge
+	last  time.Time // slot of the last round that ended well
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -34,11 +37,14 @@
 // checkInterval is how often a host looks whether a round is its own.
 const checkInterval = 30 * time.Second
 
-// NewCompactor returns a compactor. Every host has one.
-func NewCompactor(cfg Config, store platform.Store, view member.View, log *event.Log) *Compactor {
+// NewCompactor returns a compactor. Every host has one. After a round it sets
+// the gauges of burn, for the objectives of the services that are given.
+func NewCompactor(cfg Config, store platform.Store, view member.View, services func() []catalog.Service,
+	log *event.Log, reg prometheus.Registerer) *Compactor {
 	return &Compactor{
 		cfg: cfg, store: store, view: view, log: log, clock: platformClock{store: store},
 		pace: rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), 1),
+		burn: newBurnGauge(NewReporter(cfg, store, view, log), services, reg),
 	}
 }
 
@@ -80,10 +86,18 @@
 		return
 	}
 	slot := fine.slotOf(now.Add(-settle)).Add(-fine.slot)
-	if slot.Equal(c.last) || owner(slot, c.view.Hosts()) != c.view.Self().ID {
+	if owner(slot, c.view.Hosts()) != c.view.Self().ID {
+		c.burn.clear()
 		return
 	}
-	if err := c.round(ctx, now); err != nil {
+	if slot.Equal(c.last) {
+		return
+	}
+	err := c.round(ctx, now)
+	if err == nil {
+		err = c.burn.set(ctx)
+	}
+	if err != nil {
 		c.log.Event(evCompactFailed).Err(err).Msg("")
 		return
 	}
--- a/internal/delivery/fleet_test.go
+++ b/internal/delivery/fleet_test.go
@@ -8,6 +8,9 @@
 	"strings"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
@@ -23,6 +26,7 @@
 	hosts    map[string]*host
 	driven   map[string]uint64 // by host and incarnation
 	runs     int
+	services []catalog.Service // whose burn is told
 }
 
 // fataler is a test or a property.
@@ -34,6 +38,7 @@
 type host struct {
 	*Windows
 	compactor *Compactor
+	metrics   *prometheus.Registry
 	info      member.Host
 	client    *platformtest.Client
 }
@@ -58,10 +63,10 @@
 
 func (f *fleet) start(id string) {
 	f.runs++
-	h := &host{info: member.Host{ID: id, Incarnation: uint64(f.runs), State: member.Alive}, client: f.platform.Client()}
+	h := &host{info: member.Host{ID: id, Incarnation: uint64(f.runs), State: member.Alive}, client: f.platform.Client(), metrics: prometheus.NewRegistry()}
 	f.live = append(slices.Clone(f.live), h.info)
 	h.Windows = New(f.cfg, h.client, view{f, h.info}, event.Discard(), nil)
-	h.compactor = NewCompactor(f.cfg, h.client, view{f, h.info}, event.Discard())
+	h.compactor = NewCompactor(f.cfg, h.client, view{f, h.info}, func() []catalog.Service { return f.services }, event.Discard(), h.metrics)
 	f.hosts[id] = h
 	_ = h.Start(context.Background())
 	_ = h.compactor.Start(context.Background())
