Relay: status polls leave attempts their way; membership changes are planned beside the searches

A poll of a frozen status held a connection for which an attempt then waited in the HTTP client, though another target was free: seen as 400 ms instead of 200 ms with the mechanism off. A change of membership means a new plan for every service; searches no longer wait for it.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -9,7 +9,7 @@
 // healthyFree reports whether a holder that is not set aside has a free place.
 func (p *pool) healthyFree(now time.Time, t *try) bool {
 	for i, h := range t.holders {
-		if t.holds(i) && h.rep.Limiter.Free(now) && !h.rep.Outlier.Ejected(now) {
+		if t.holds(i) && h.free(now) && !h.rep.Outlier.Ejected(now) {
 			return true
 		}
 	}
@@ -38,7 +38,7 @@
 
 func (t *try) anyFree(now time.Time) bool {
 	for i, h := range t.holders {
-		if t.holds(i) && h.rep.Limiter.Free(now) {
+		if t.holds(i) && h.free(now) {
 			return true
 		}
 	}
@@ -52,7 +52,8 @@
 	replicas := t.replicas()
 	pick := func(usable func(i int) bool) int {
 		r := policy.Pick(now, p.rng, t.kind, replicas, func(r *policy.Replica) bool {
-			return usable(index(replicas, r))
+			i := index(replicas, r)
+			return usable(i) && !t.holders[i].crowded()
 		})
 		return index(replicas, r)
 	}
@@ -79,7 +80,7 @@
 		return -1
 	}
 	for i, h := range t.holders {
-		if h.untried && t.holds(i) && h.rep.Limiter.Free(now) && h.rep.Ramp.Takes(now, p.rng.Float64()) {
+		if h.untried && t.holds(i) && h.free(now) && h.rep.Ramp.Takes(now, p.rng.Float64()) {
 			return i
 		}
 	}
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -70,8 +70,8 @@
 // newTransport returns the HTTP client side of one target.
 func (r *Relay) newTransport(rules catalog.Rules, t *target) *http.Transport {
 	tr := &http.Transport{
-		MaxConnsPerHost:     rules.ConnectionsPerRelay,
-		MaxIdleConnsPerHost: rules.ConnectionsPerRelay,
+		MaxConnsPerHost:     connections(rules),
+		MaxIdleConnsPerHost: connections(rules),
 		IdleConnTimeout:     r.cfg.IdleTimeout.Std(),
 		DisableCompression:  true,
 		Protocols:           new(http.Protocols),
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -105,6 +105,7 @@
 
 	mu     sync.Mutex
 	delay  time.Duration
+	frozen bool // the status does not answer
 	status targetapi.Status
 	seen   []seen
 	dials  int
@@ -170,8 +171,13 @@
 func (f *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == targetapi.PathStatus {
 		f.mu.Lock()
-		defer f.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(f.status)
+		frozen, status := f.frozen, f.status
+		f.mu.Unlock()
+		if frozen {
+			<-r.Context().Done()
+			return
+		}
+		_ = json.NewEncoder(w).Encode(status)
 		return
 	}
 	var q targetapi.Request
--- a/internal/relay/health_test.go
+++ b/internal/relay/health_test.go
@@ -220,3 +220,22 @@
 		is.True(f.targets[0].since(begin) > 0)
 	})
 }
+
+// A status that does not answer holds a connection. An attempt that it leaves
+// no connection for goes to another target and does not wait.
+func TestFrozenStatusDelaysNoSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(4, 2)
+		defer f.close()
+		f.targets[0].frozen, f.targets[0].delay = true, 200*time.Millisecond
+		is.NoErr(f.relay.Start(t.Context()))
+		time.Sleep(10 * time.Millisecond) // the first poll is at work
+		got, err := f.search(t.Context(), batch(4, time.Second))
+		is.NoErr(err)
+		for _, r := range got {
+			is.Equal(r.Outcome, outcome.Done)
+			is.True(r.after <= 200*time.Millisecond)
+		}
+	})
+}
--- a/internal/relay/poll.go
+++ b/internal/relay/poll.go
@@ -82,7 +82,9 @@
 func (p *pool) poll(ctx context.Context, t *target) {
 	ctx, cancel := context.WithTimeout(ctx, p.relay.cfg.StatusTimeout.Std())
 	defer cancel()
+	p.setPolling(t, true)
 	s, err := t.status(ctx)
+	p.setPolling(t, false)
 	if err != nil {
 		p.relay.metrics.polls.WithLabelValues("status", "failed").Inc()
 		return
@@ -91,6 +93,17 @@
 	p.applyStatus(t, s)
 }
 
+func (p *pool) setPolling(t *target, on bool) {
+	p.mu.Lock()
+	t.polling = on
+	var refused refusals
+	if !on {
+		refused = p.drain(time.Now())
+	}
+	p.mu.Unlock()
+	refused.tell()
+}
+
 // applyStatus takes a status. Of its claims only a start and a draining state
 // count; that it is ready proves nothing, its answers show that.
 func (p *pool) applyStatus(t *target, s targetapi.Status) {
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -176,7 +176,7 @@
 		return true
 	}
 	for _, t := range p.targets {
-		if t.rep.Limiter.Free(now) {
+		if t.free(now) {
 			return true
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,10 +47,11 @@
 	// reads, for hosts that do not read it themselves.
 	Share func([]platform.LiveHost)
 
-	table atomic.Pointer[table]
-	mu    sync.Mutex // of building tables
-	stop  context.CancelFunc
-	work  sync.WaitGroup
+	table    atomic.Pointer[table]
+	mu       sync.Mutex // of building tables
+	planning atomic.Bool
+	stop     context.CancelFunc
+	work     sync.WaitGroup
 }
 
 // New returns a relay of the services in view. hosts may be nil; then the
@@ -120,9 +121,10 @@
 	return run.search()
 }
 
-// Assigned reports whether this host is one of the relays of the service.
+// Assigned reports whether this host is one of the relays of the service, as
+// of the newest membership.
 func (r *Relay) Assigned(service string) bool {
-	p := r.pool(service)
+	p := r.rebuild().pools[service]
 	if p == nil {
 		return false
 	}
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -22,13 +22,21 @@
 // pool returns the pool of a service, nil if there is no such service.
 func (r *Relay) pool(service string) *pool { return r.current().pools[service] }
 
-// current returns the table of the newest configuration and membership.
+// current returns the table of the newest configuration. A change of
+// membership is worked in beside the searches, as it means a new plan for
+// every service; until then the assignment before serves as well.
 func (r *Relay) current() *table {
 	t := r.table.Load()
-	if t.built && t.revision == r.view.Revision() && t.generation == r.members.Generation() {
-		return t
+	if !t.built || t.revision != r.view.Revision() {
+		return r.rebuild()
 	}
-	return r.rebuild()
+	if t.generation != r.members.Generation() && r.planning.CompareAndSwap(false, true) {
+		go func() {
+			defer r.planning.Store(false)
+			r.rebuild()
+		}()
+	}
+	return t
 }
 
 func (r *Relay) rebuild() *table {
@@ -41,17 +49,13 @@
 		built: true, revision: r.view.Revision(), generation: r.members.Generation(),
 		pools: make(map[string]*pool),
 	}
-	if old.built && old.revision == next.revision && old.generation == next.generation {
+	moved := !old.built || old.generation != next.generation
+	if !moved && old.revision == next.revision {
 		return old
 	}
 	hosts := r.members.Hosts()
 	for _, s := range r.view.Services() {
-		p, ok := old.pools[s.Name]
-		if !ok {
-			p = r.newPool(s.Name)
-		}
-		p.update(s, hosts)
-		next.pools[s.Name] = p
+		next.pools[s.Name] = r.renewPool(old.pools[s.Name], s, hosts, moved)
 	}
 	for name, p := range old.pools {
 		if _, ok := next.pools[name]; !ok {
@@ -62,6 +66,26 @@
 	return next
 }
 
+func (r *Relay) renewPool(p *pool, s catalog.Service, hosts []member.Host, moved bool) *pool {
+	switch {
+	case p == nil:
+		p = r.newPool(s.Name)
+		p.update(s, hosts)
+	case moved || !reflect.DeepEqual(p.conf, s):
+		p.update(s, hosts)
+	default:
+		p.forgetMaps()
+	}
+	return p
+}
+
+// forgetMaps drops what was read of snapshots; some may be gone.
+func (p *pool) forgetMaps() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maps = map[uint64]*placement{}
+}
+
 func (r *Relay) newPool(name string) *pool {
 	return &pool{
 		relay: r, name: name, byID: map[string]*target{},
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -21,9 +21,12 @@
 	transport http.RoundTripper
 	shardURL  *url.URL
 	maxAnswer int64
-	open      atomic.Int64 // connections now
-	opened    atomic.Int64 // connections ever
-	rowsHint  atomic.Int64 // rows of the newest answer
+	// connections is the most that this relay holds to the target.
+	connections int
+	exclusive   bool         // a connection carries one attempt at a time
+	open        atomic.Int64 // connections now
+	opened      atomic.Int64 // connections ever
+	rowsHint    atomic.Int64 // rows of the newest answer
 
 	// Guarded by the pool's lock.
 	rep     *policy.Replica
@@ -31,6 +34,7 @@
 	stats   targetStats
 	untried bool // got no attempt since it was first seen or started
 	suspect bool // was set aside when last looked at
+	polling bool // a status poll is at work
 	gone    bool // no longer in the catalog
 }
 
@@ -46,6 +50,7 @@
 func (r *Relay) newTarget(s catalog.Service, c catalog.Target, relays int, now time.Time) *target {
 	t := &target{
 		service: s.Name, conf: c, maxAnswer: r.cfg.MaxAnswerBytes,
+		connections: connections(s.Rules), exclusive: s.Rules.Protocol != protocolH2C,
 		local:    c.FailureDomain == r.members.Self().FailureDomain,
 		shardURL: &url.URL{Scheme: "http", Host: c.Address, Path: targetapi.PathShard},
 	}
@@ -62,11 +67,14 @@
 // target runs.
 func ceiling(rules catalog.Rules, c catalog.Target) int {
 	if rules.Protocol == protocolH2C {
-		return max(c.Slots, rules.ConnectionsPerRelay)
+		return max(c.Slots, connections(rules))
 	}
-	return rules.ConnectionsPerRelay
+	return connections(rules)
 }
 
+// connections returns the most connections to one target.
+func connections(rules catalog.Rules) int { return max(rules.ConnectionsPerRelay, 1) }
+
 // usable reports whether the target may be given new work at all.
 func (t *target) usable() bool { return !t.gone && t.health.usable() }
 
@@ -85,6 +93,16 @@
 	t.rep.Limiter = l
 }
 
+// free reports whether an attempt may be given to the target now.
+func (t *target) free(now time.Time) bool { return t.rep.Limiter.Free(now) && !t.crowded() }
+
+// crowded reports whether a status poll has the connection that a further
+// attempt would need. Waiting for it in the HTTP client, the attempt could
+// not be given to another target.
+func (t *target) crowded() bool {
+	return t.polling && t.exclusive && t.rep.Limiter.InFlight() >= t.connections-1
+}
+
 // closeIdle closes the connections that carry nothing.
 func (t *target) closeIdle() {
 	if tr, ok := t.transport.(*http.Transport); ok {
