--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 BIN := $(CURDIR)/.cache/bin
 
-.PHONY: build demo test model lint bench generate clean
+.PHONY: build demo test model lint bench generate docs clean
 
 build:
 	go build -o bin/rhubarbwood ./cmd/rhubarbwood
@@ -40,3 +40,7 @@
 
 clean:
 	rm -rf bin .cache
+
+# The pages that are made from the code, and the examples.
+docs:
+	go test ./internal/cli ./internal/host ./examples -run 'Page|Files' -update
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -51,14 +51,14 @@
 func effective(kind, file string) (string, error) {
 	switch kind {
 	case kindPlatform:
-		return load(file, objectstore.DefaultConfig())
+		return loadAndPrint(file, objectstore.DefaultConfig())
 	case kindTarget:
-		return load(file, target.DefaultConfig())
+		return loadAndPrint(file, target.DefaultConfig())
 	}
-	return load(file, host.DefaultSettings())
+	return loadAndPrint(file, host.DefaultSettings())
 }
 
-func load[T any](file string, defaults T) (string, error) {
+func loadAndPrint[T any](file string, defaults T) (string, error) {
 	loaded, err := settings.Load(file, defaults)
 	if err != nil {
 		return "", err
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -88,9 +88,11 @@
 	}
 	add("serve", "Run a host", &serveCommand{env: env})
 	add("check", "Check settings files and print the settings in effect", &checkCommand{env: env})
+	add("demo", "Run a small site on loopback, ask it, and serve until interrupted", &demoCommand{env: env})
 	add("exec", "Run statements", &execCommand{env: env})
 	standin := add("standin", "Run a stand-in for the platform or for a target", &struct{}{})
 	addStandins(standin, env)
+	add("load", "Put load on hosts, or run experiments over stand-ins", &loadCommand{env: env})
 	add("events", "Print the catalogue of log events", &eventsCommand{env: env})
 	add("version", "Print the version", &versionCommand{env: env})
 	return p
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -32,7 +32,7 @@
 		return fail(ExitFailed, "host %s: %s", s.ID, err)
 	}
 	at := h.Addresses()
-	fmt.Fprintf(c.env.Out, "ready callers=%s operators=%s peers=%s\n", at.Callers, at.Operators, at.Peers)
+	fmt.Fprintf(c.env.Out, "started callers=%s operators=%s peers=%s\n", at.Callers, at.Operators, at.Peers)
 	c.waitForStop(h)
 	return c.stop(h)
 }
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,171 @@
+// Package demo runs a small site in one process on loopback: a stand-in for
+// the platform, eight targets and three hosts, over real sockets.
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/host"
+	"rhubarbwood.example/rhubarbwood/internal/settings"
+	"rhubarbwood.example/rhubarbwood/internal/standin/fixture"
+	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
+	"rhubarbwood.example/rhubarbwood/internal/standin/target"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("demo")
+
+const (
+	freePort = "127.0.0.1:0"
+	hosts    = 3
+
+	readyTimeout = 10 * time.Second
+)
+
+// Token is the operators' token of the demo.
+const Token = "token-of-the-demo"
+
+// Options tell where the first host listens; the others take free ports.
+type Options struct {
+	Callers   string
+	Operators string
+	Log       func(host string) *event.Log
+}
+
+// Site is a running demo.
+type Site struct {
+	layout   fixture.Layout
+	hosts    []*host.Host
+	standins []standin
+	serving  sync.WaitGroup
+}
+
+// standin is a stand-in that serves.
+type standin interface {
+	Serve(ln net.Listener) error
+	Shutdown(ctx context.Context) error
+}
+
+// Start starts the whole site. If a part fails, none is left running.
+func Start(ctx context.Context, o Options) (*Site, error) {
+	s := &Site{}
+	if err := s.start(ctx, o); err != nil {
+		return nil, errors.Join(Error.Wrap(err), s.Stop(context.WithoutCancel(ctx)))
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context, o Options) error {
+	if err := s.startTargets(); err != nil {
+		return err
+	}
+	platform, err := s.startPlatform()
+	if err != nil {
+		return err
+	}
+	for i := range hosts {
+		if err := s.startHost(ctx, s.hostSettings(i, platform, o), o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startTargets starts the targets on free ports and keeps a layout with the
+// addresses that they took.
+func (s *Site) startTargets() error {
+	addresses := map[string]string{}
+	free := fixture.Options{Address: func(string) string { return freePort }}
+	for _, c := range fixture.Demo(free).Targets {
+		address, err := s.serve(target.NewServer(target.New(c)))
+		if err != nil {
+			return fmt.Errorf("target %s: %w", c.ID, err)
+		}
+		addresses[c.ID] = address
+	}
+	s.layout = fixture.Demo(fixture.Options{Address: func(id string) string { return addresses[id] }})
+	return nil
+}
+
+func (s *Site) startPlatform() (string, error) {
+	c := objectstore.DefaultConfig()
+	c.Seeds = s.layout.Seeds()
+	address, err := s.serve(objectstore.NewServer(objectstore.New(c)))
+	if err != nil {
+		return "", fmt.Errorf("platform: %w", err)
+	}
+	return address, nil
+}
+
+// serve starts a stand-in on a free port and returns its address.
+func (s *Site) serve(in standin) (string, error) {
+	ln, err := net.Listen("tcp", freePort)
+	if err != nil {
+		return "", err
+	}
+	s.standins = append(s.standins, in)
+	s.serving.Go(func() { _ = in.Serve(ln) }) // ends at Shutdown
+	return ln.Addr().String(), nil
+}
+
+func (s *Site) hostSettings(i int, platform string, o Options) host.Settings {
+	domain := s.layout.Domains[i%len(s.layout.Domains)]
+	hs := host.DefaultSettings()
+	hs.ID = domain + "-1"
+	hs.FailureDomain = domain
+	hs.Addresses = host.Addresses{Callers: freePort, Operators: freePort, Peers: freePort}
+	if i == 0 {
+		hs.Addresses.Callers, hs.Addresses.Operators = o.Callers, o.Operators
+	}
+	hs.Operators = []host.Operator{{Name: "demo", Token: settings.Secret(Token)}}
+	hs.Platform.Addresses = []string{platform}
+	hs.Stop.BalancerLag = 0 // no balancer stands before it
+	return hs
+}
+
+func (s *Site) startHost(ctx context.Context, hs host.Settings, o Options) error {
+	h, err := host.New(hs, o.Log(hs.ID))
+	if err != nil {
+		return fmt.Errorf("host %s: %w", hs.ID, err)
+	}
+	if err := h.Start(ctx); err != nil {
+		return fmt.Errorf("host %s: %w", hs.ID, err)
+	}
+	s.hosts = append(s.hosts, h)
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return h.WaitReady(ctx)
+}
+
+// Hosts returns where the hosts listen.
+func (s *Site) Hosts() []host.Addresses {
+	all := make([]host.Addresses, len(s.hosts))
+	for i, h := range s.hosts {
+		all[i] = h.Addresses()
+	}
+	return all
+}
+
+// Targets returns the number of targets.
+func (s *Site) Targets() int { return len(s.layout.Targets) }
+
+// Stop stops the hosts gracefully, one after another, and then the stand-ins.
+func (s *Site) Stop(ctx context.Context) error {
+	var faults []error
+	for _, h := range s.hosts {
+		faults = append(faults, h.Stop(ctx))
+	}
+	for _, in := range s.standins {
+		faults = append(faults, in.Shutdown(ctx))
+	}
+	s.serving.Wait()
+	return Error.Wrap(errors.Join(faults...))
+}
--- /dev/null
+++ b/internal/e2e/process_test.go
@@ -0,0 +1,195 @@
+// Package e2e tests the built binary as separate processes on loopback. It
+// waits for conditions only, never for a fixed time.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// patience bounds every wait, so that a broken build fails instead of hanging.
+const patience = 30 * time.Second
+
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "rhubarbwood-e2e-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "rhubarbwood")
+	build := exec.Command("go", "build", "-o", binary, "rhubarbwood.example/rhubarbwood/cmd/rhubarbwood")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// process is one running process of the binary.
+type process struct {
+	name  string
+	cmd   *exec.Cmd
+	lines chan string // standard output, by line
+	log   syncBuffer  // standard error
+	ended chan struct{}
+	err   error // of Wait, once ended is closed
+}
+
+// syncBuffer is written by a process and read by a test.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write appends.
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// String returns all that was written.
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// start starts the binary. At the end of the test the process is killed if
+// it still runs, and its log is shown if the test failed.
+func start(t *testing.T, name string, args ...string) *process {
+	t.Helper()
+	p := &process{name: name, cmd: exec.Command(binary, args...), lines: make(chan string, 16), ended: make(chan struct{})}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.cmd.Stderr = &p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go p.read(out)
+	t.Cleanup(func() { p.cleanup(t) })
+	return p
+}
+
+// read takes the output to its end before Wait, which closes the pipe.
+func (p *process) read(out io.Reader) {
+	for s := bufio.NewScanner(out); s.Scan(); {
+		p.lines <- s.Text()
+	}
+	close(p.lines)
+	p.err = p.cmd.Wait()
+	close(p.ended)
+}
+
+func (p *process) cleanup(t *testing.T) {
+	_ = p.cmd.Process.Kill() // fails if it has ended, as it should have
+	<-p.ended
+	if t.Failed() {
+		t.Logf("log of %s:\n%s", p.name, p.log.String())
+	}
+}
+
+// line returns the next line of standard output with this first word.
+func (p *process) line(t *testing.T, word string) string {
+	t.Helper()
+	timeout := time.After(patience)
+	for {
+		select {
+		case line, open := <-p.lines:
+			if !open {
+				t.Fatalf("%s ended before it said %q:\n%s", p.name, word, p.log.String())
+			}
+			if rest, ok := strings.CutPrefix(line, word+" "); ok {
+				return rest
+			}
+		case <-timeout:
+			t.Fatalf("%s did not say %q:\n%s", p.name, word, p.log.String())
+		}
+	}
+}
+
+func (p *process) signal(t *testing.T, s os.Signal) {
+	t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatalf("signal %s: %v", p.name, err)
+	}
+}
+
+// exitCode waits for the end of the process.
+func (p *process) exitCode(t *testing.T) int {
+	t.Helper()
+	select {
+	case <-p.ended:
+	case <-time.After(patience):
+		t.Fatalf("%s did not end:\n%s", p.name, p.log.String())
+	}
+	return code(t, p.err)
+}
+
+// stop asks the process to stop and returns its exit code.
+func (p *process) stop(t *testing.T) int {
+	t.Helper()
+	p.signal(t, syscall.SIGTERM)
+	return p.exitCode(t)
+}
+
+func code(t *testing.T, err error) int {
+	t.Helper()
+	var exit *exec.ExitError
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &exit):
+		return exit.ExitCode()
+	}
+	t.Fatal(err)
+	return -1
+}
+
+// output is what a command that ends by itself gave.
+type output struct {
+	code     int
+	out, err string
+}
+
+// run runs the binary to its end.
+func run(t *testing.T, args ...string) output {
+	t.Helper()
+	var out, errs bytes.Buffer
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout, cmd.Stderr = &out, &errs
+	err := cmd.Run()
+	return output{code(t, err), out.String(), errs.String()}
+}
+
+// until asks again and again until the condition holds.
+func until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(10 * time.Millisecond) // between two questions; nothing is judged by it
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -62,6 +62,9 @@
 // Discard returns a log that writes nothing.
 func Discard() *Log { return New(io.Discard, plog.PanicLevel, "") }
 
+// SetLevel changes the least level that is written.
+func (l *Log) SetLevel(level plog.Level) { l.logger.SetLevel(level) }
+
 // Event begins a line for e. The caller adds the fields that e declares and
 // ends with Msg:
 //
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -11,18 +11,20 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/peer"
 	"rhubarbwood.example/rhubarbwood/internal/relayrpc"
 )
 
 // Host is one process of the system.
 type Host struct {
-	settings  Settings
-	log       *event.Log
-	life      *kernel.Lifecycle
-	kernel    *kernel.Kernel
-	metrics   *prometheus.Registry
-	listeners listeners
-	parts     parts
+	settings    Settings
+	log         *event.Log
+	life        *kernel.Lifecycle
+	kernel      *kernel.Kernel
+	metrics     *prometheus.Registry
+	peerMetrics *peer.Metrics
+	listeners   listeners
+	parts       parts
 }
 
 // parts are the modules that the host itself calls.
@@ -46,6 +48,7 @@
 		metrics:   prometheus.NewRegistry(),
 		listeners: ln,
 	}
+	h.peerMetrics = peer.NewMetrics(h.metrics)
 	h.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.kernel = kernel.New(h.life, s.Stop.ModuleTimeout.Std(), log)
 	h.register()
@@ -63,7 +66,7 @@
 		return Error.Wrap(err)
 	}
 	at := h.Addresses()
-	h.log.Event(evHostReady).Str("callers", at.Callers).Str("operators", at.Operators).Str("peers", at.Peers).
+	h.log.Event(evHostStarted).Str("callers", at.Callers).Str("operators", at.Operators).Str("peers", at.Peers).
 		Str("failure_domain", h.settings.FailureDomain).Msg("")
 	return nil
 }
@@ -82,6 +85,21 @@
 	return nil
 }
 
+// readyPoll is the time between two looks at readiness.
+const readyPoll = 5 * time.Millisecond
+
+// WaitReady waits until the host takes callers, or returns why it doesn't
+// when ctx is done.
+func (h *Host) WaitReady(ctx context.Context) error {
+	for {
+		err := h.Ready()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		wait(ctx, readyPoll)
+	}
+}
+
 // Leaving reports whether the host is stopping.
 func (h *Host) Leaving() bool { return h.life.State() >= kernel.Leaving }
 
--- a/internal/host/modules.go
+++ b/internal/host/modules.go
@@ -39,7 +39,7 @@
 func (h *Host) register() {
 	k := h.kernel
 	k.Register(modPlatform, h.newPlatform)
-	k.Register(modPeerPool, newPeerPool)
+	k.Register(modPeerPool, h.newPeerPool)
 	k.Register(modPeerServer, h.newPeerServer)
 	k.Register(modMembers, h.newMembers, modPlatform, modPeerPool, modPeerServer)
 	k.Register(modCatalog, h.newCatalog, modPlatform, modPeerPool, modPeerServer, modMembers)
@@ -48,7 +48,7 @@
 	k.Register(modRelayRPC, h.newRelayRPC, modPeerServer, modRelay, modClaims)
 	k.Register(modDelivery, h.newDelivery, modPlatform, modMembers)
 	k.Register(modEntry, h.newEntry, modPeerPool, modMembers, modCatalog, modRelay, modClaims, modRelayRPC, modDelivery)
-	k.Register(modOperators, h.newOperators, modMembers, modCatalog, modDelivery)
+	k.Register(modOperators, h.newOperators, modPlatform, modMembers, modCatalog, modRelay, modClaims)
 	k.Register(modCallers, h.newCallers, modEntry, modOperators)
 }
 
@@ -56,10 +56,12 @@
 	return platform.New(h.settings.Platform, h.log, h.metrics), nil
 }
 
-func newPeerPool(kernel.Finder) (kernel.Module, error) { return peer.NewPool(), nil }
+func (h *Host) newPeerPool(kernel.Finder) (kernel.Module, error) {
+	return peer.NewPool(peer.WithMetrics(h.peerMetrics)), nil
+}
 
 func (h *Host) newPeerServer(kernel.Finder) (kernel.Module, error) {
-	s := peer.NewServer(h.settings.Addresses.Peers)
+	s := peer.NewServer(h.settings.Addresses.Peers, peer.WithMetrics(h.peerMetrics))
 	s.On(h.listeners.peers)
 	return s, nil
 }
@@ -177,16 +179,6 @@
 	return entry.New(h.settings.Entry, cat, members, local, cat, recorder, h.log, h.metrics), nil
 }
 
-func (h *Host) newOperators(kernel.Finder) (kernel.Module, error) {
-	operators := make([]api.Operator, len(h.settings.Operators))
-	for i, o := range h.settings.Operators {
-		operators[i] = api.Operator{Name: o.Name, Token: o.Token.Reveal()}
-	}
-	s := api.NewOperators(h.settings.API, h.settings.Addresses.Operators, operators, noStatements{}, h, h.metrics, h.log)
-	s.On(h.listeners.operators)
-	return s, nil
-}
-
 func (h *Host) newCallers(f kernel.Finder) (kernel.Module, error) {
 	e, err := kernel.Find[api.Entry](f, modEntry)
 	if err != nil {
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -25,8 +25,8 @@
 // Settings are the settings of one host. Each part with rules of its own is the
 // Config of the package that uses it.
 type Settings struct {
-	ID            string     `json:"host"`
-	FailureDomain string     `json:"failure_domain"`
+	ID            string     `json:"host"`           // name of the host, the same at each start
+	FailureDomain string     `json:"failure_domain"` // that the host stands in, as the services' targets name it
 	Addresses     Addresses  `json:"addresses"`
 	Operators     []Operator `json:"operators"`
 	Log           Log        `json:"log"`
@@ -46,15 +46,15 @@
 // 0 takes a free one. They are told to others as they stand, so none may be
 // the unspecified address.
 type Addresses struct {
-	Callers   string `json:"callers"`   // callers' API, health and metrics
-	Operators string `json:"operators"` // operators' API
+	Callers   string `json:"callers"`   // callers' API and health
+	Operators string `json:"operators"` // operators' API, health and metrics
 	Peers     string `json:"peers"`     // other hosts
 }
 
 // Operator is a person or program that may run statements.
 type Operator struct {
-	Name  string          `json:"name"`
-	Token settings.Secret `json:"token"` // bearer token
+	Name  string          `json:"name"`  // as changes tell who made them
+	Token settings.Secret `json:"token"` // bearer token, at least 16 characters
 }
 
 // Log is what is logged.
--- /dev/null
+++ b/internal/host/statements.go
@@ -0,0 +1,86 @@
+package host
+
+import (
+	"context"
+
+	"rhubarbwood.example/rhubarbwood/internal/api"
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/claim"
+	"rhubarbwood.example/rhubarbwood/internal/delivery"
+	"rhubarbwood.example/rhubarbwood/internal/kernel"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/operate"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+	"rhubarbwood.example/rhubarbwood/internal/relay"
+)
+
+func (h *Host) newOperators(f kernel.Finder) (kernel.Module, error) {
+	var u finds
+	store := find[platform.Store](f, &u, modPlatform)
+	members := find[member.View](f, &u, modMembers)
+	cat := find[*catalog.Catalog](f, &u, modCatalog)
+	claims := find[*claim.Claims](f, &u, modClaims)
+	targets := find[*relay.Relay](f, &u, modRelay)
+	if u.err != nil {
+		return nil, u.err
+	}
+	exec := operate.New(operate.Parts{
+		Members: members,
+		Store:   store,
+		Catalog: cat,
+		Editor:  catalog.NewEditor(cat),
+		Reports: delivery.NewReporter(h.settings.Delivery, store, members, h.log),
+		Claims:  claims,
+		Relay:   targetStates{targets},
+	})
+	s := api.NewOperators(h.settings.API, h.settings.Addresses.Operators, h.operators(), statements{exec}, h, h.metrics, h.log)
+	s.On(h.listeners.operators)
+	return s, nil
+}
+
+func (h *Host) operators() []api.Operator {
+	operators := make([]api.Operator, len(h.settings.Operators))
+	for i, o := range h.settings.Operators {
+		operators[i] = api.Operator{Name: o.Name, Token: o.Token.Reveal()}
+	}
+	return operators
+}
+
+// statements is the api.Executor over the executor of statements.
+type statements struct{ exec *operate.Executor }
+
+// Execute runs a statement's text.
+func (s statements) Execute(ctx context.Context, operator, statement string, dryRun bool) (api.Result, error) {
+	t, err := s.exec.ExecuteText(ctx, operator, statement, dryRun)
+	if err != nil {
+		return api.Result{}, err
+	}
+	return api.Result{Columns: t.Columns, Rows: t.Rows, Message: t.Message}, nil
+}
+
+// targetStates tells the executor the targets that this host relays.
+type targetStates struct{ relay *relay.Relay }
+
+// TargetStates returns the relayed targets.
+func (s targetStates) TargetStates() []operate.Target {
+	var relayed []operate.Target
+	for _, t := range s.relay.Targets() {
+		if !t.Relayed {
+			continue
+		}
+		relayed = append(relayed, operate.Target{
+			Service:     t.Service,
+			ID:          t.ID,
+			State:       string(t.State),
+			InFlight:    t.InFlight,
+			Limit:       int(t.Limit),
+			Connections: int(t.Connections),
+			Attempts:    t.Attempts,
+			Sheds:       t.Shed,
+			Errors:      t.Errors,
+			LastReason:  query.Reason(t.Reason),
+		})
+	}
+	return relayed
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -62,6 +62,22 @@
 f:2:16: named.b.hosts: want 1 or more`)
 }
 
+// strictFleet checks its zones by itself once more, as some types do.
+type strictFleet struct {
+	Zone zone `json:"zone"`
+}
+
+func (f strictFleet) Validate() error {
+	return errors.Join(f.Zone.Validate(), errors.New("zone: want a delay"))
+}
+
+func TestOuterValidatorRepeatsNothing(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse("f", []byte(`{"zone": {"hosts": 0}}`), strictFleet{})
+	is.True(err != nil)
+	is.Equal(err.Error(), "f:1:10: zone: want a delay\nf:1:20: zone.hosts: want 1 or more")
+}
+
 func TestMissingFile(t *testing.T) {
 	is := is.New(t)
 	_, err := Load(filepath.Join(t.TempDir(), "none"), fleet{})
