--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"flag"
 	"net"
 	"net/http"
 	"os"
@@ -26,6 +27,8 @@
 		serveBenchTargets()
 		return
 	}
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "40")
 	code := m.Run()
 	if err := goleak.Find(); code == 0 && err != nil {
 		println("goroutines leaked:", err.Error())
--- /dev/null
+++ b/internal/relay/standin_test.go
@@ -0,0 +1,109 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/query"
+	"rhubarbwood.example/rhubarbwood/internal/standin"
+	standintarget "rhubarbwood.example/rhubarbwood/internal/standin/target"
+)
+
+// faultyTargets serves stand-ins that draw their faults, over loopback.
+func faultyTargets(t *rapid.T, n int) (targets []*standintarget.Target, addresses []string, stop func()) {
+	var servers []*standintarget.Server
+	var work sync.WaitGroup
+	share := rapid.Float64Range(0, 0.25)
+	for i := range n {
+		c := benchConfig(i)
+		c.ServiceTime, c.Seed = standin.Latency{}, uint64(rapid.IntRange(1, 1<<20).Draw(t, "seed"))
+		c.Faults = standintarget.Faults{
+			Shed: share.Draw(t, "shed"), Fail: share.Draw(t, "fail"), CutBefore: share.Draw(t, "cut_before"),
+			Cut: share.Draw(t, "cut"), Crossed: share.Draw(t, "crossed"), Truncate: share.Draw(t, "truncate"),
+			ShortJSON: share.Draw(t, "short_json"), ShortRows: share.Draw(t, "short_rows"),
+		}
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		target := standintarget.New(c)
+		server := standintarget.NewServer(target)
+		work.Go(func() { _ = server.Serve(ln) })
+		targets, servers = append(targets, target), append(servers, server)
+		addresses = append(addresses, ln.Addr().String())
+	}
+	return targets, addresses, func() {
+		for _, s := range servers {
+			_ = s.Shutdown(context.Background())
+		}
+		work.Wait()
+	}
+}
+
+// Whatever the faults, and over both protocols: a reservation runs at most
+// once; one told as not run has no execution, one told as done has one; an
+// answer to a search is the shard's own rows of the snapshot asked for.
+func TestOutcomesAreTrueUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		targets, addresses, stop := faultyTargets(t, 3)
+		defer stop()
+		protocol := rapid.SampledFrom([]string{protocolHTTP1, protocolH2C}).Draw(t, "protocol")
+		f := benchRelay(addresses, 2, func(r *catalog.Rules) { r.Protocol, r.RetryBudget = protocol, 1 })
+		defer func() { _ = f.relay.Stop(context.Background()); f.relay.pool("s").close() }()
+		for i := range 12 {
+			checkReservation(t, f, targets, i)
+		}
+		checkSearch(t, f)
+	})
+}
+
+func checkReservation(t *rapid.T, f *fixture, targets []*standintarget.Target, i int) {
+	q := query.Reserve{RequestID: "q" + strconv.Itoa(i), ReservationID: fmt.Sprintf("v%d", i), Service: "s",
+		Item: strconv.Itoa(i), Budget: 10 * time.Second}
+	target, refusal := f.relay.Pick(q, nil)
+	if refusal != nil {
+		return
+	}
+	got := f.relay.Send(context.Background(), q, target, "a"+strconv.Itoa(i))
+	runs := 0
+	for _, x := range targets {
+		for _, e := range x.Executions() {
+			if e.ReservationID == q.ReservationID {
+				runs++
+			}
+		}
+	}
+	if runs > 1 || (got.Outcome.NotRun() && runs != 0) || (got.Outcome == outcome.Done && runs != 1) {
+		t.Fatalf("%s told of a reservation that ran %d times: %+v", got.Outcome, runs, got)
+	}
+}
+
+func checkSearch(t *rapid.T, f *fixture) {
+	got, err := f.search(context.Background(), batch(30, 10*time.Second))
+	if err != nil || len(got) != 30 {
+		t.Fatalf("%d results: %v", len(got), err)
+	}
+	for shard, r := range got {
+		if r.Outcome != outcome.Done {
+			continue
+		}
+		want := standintarget.Rows("s", shard, 7, benchRows, "")
+		if len(r.Rows) != len(want) {
+			t.Fatalf("shard %d: %d rows for %d", shard, len(r.Rows), len(want))
+		}
+		for i, x := range r.Rows {
+			if x.Key != want[i].Key || x.Value != want[i].Value || x.Shard != shard || x.Service != "s" {
+				t.Fatalf("shard %d: row %+v for %+v", shard, x, want[i])
+			}
+		}
+	}
+}
