--- a/internal/host/modules.go
+++ b/internal/host/modules.go
@@ -28,6 +28,7 @@
 	modClaims     = "claims"
 	modRelayRPC   = "relay_rpc" // this host's relay, for other hosts
 	modDelivery   = "delivery"
+	modCompactor  = "compactor" // of delivery windows
 	modEntry      = "entry"
 	modOperators  = "operators" // operators' listener
 	modCallers    = "callers"   // callers' listener
@@ -47,6 +48,7 @@
 	k.Register(modClaims, h.newClaims, modPlatform, modPeerPool, modPeerServer, modMembers, modCatalog, modRelay)
 	k.Register(modRelayRPC, h.newRelayRPC, modPeerServer, modRelay, modClaims)
 	k.Register(modDelivery, h.newDelivery, modPlatform, modMembers)
+	k.Register(modCompactor, h.newCompactor, modPlatform, modMembers, modCatalog)
 	k.Register(modEntry, h.newEntry, modPeerPool, modMembers, modCatalog, modRelay, modClaims, modRelayRPC, modDelivery)
 	k.Register(modOperators, h.newOperators, modPlatform, modMembers, modCatalog, modRelay, modClaims)
 	k.Register(modCallers, h.newCallers, modEntry, modOperators)
@@ -161,6 +163,17 @@
 	return delivery.New(h.settings.Delivery, store, members, h.log, h.metrics), nil
 }
 
+func (h *Host) newCompactor(f kernel.Finder) (kernel.Module, error) {
+	var u finds
+	store := find[platform.Store](f, &u, modPlatform)
+	members := find[member.View](f, &u, modMembers)
+	services := find[catalog.View](f, &u, modCatalog)
+	if u.err != nil {
+		return nil, u.err
+	}
+	return delivery.NewCompactor(h.settings.Delivery, store, members, services.Services, h.log, h.metrics), nil
+}
+
 func (h *Host) newEntry(f kernel.Finder) (kernel.Module, error) {
 	var u finds
 	pool := find[peer.Dialer](f, &u, modPeerPool)
