--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -32,7 +32,9 @@
 // combines their outcomes with outcome.Combine.
 type Claims struct {
 	cfg      Config
-	ledger   ledger
+	store    platform.Store
+	records  ledger
+	gate     *createGate
 	sender   Sender
 	asker    Asker
 	view     member.View
@@ -56,7 +58,7 @@
 	log *event.Log, reg prometheus.Registerer) *Claims {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Claims{
-		cfg: cfg, ledger: ledger{store}, sender: sender, asker: asker, view: view, services: services,
+		cfg: cfg, records: ledger{store}, gate: newCreateGate(), store: store, sender: sender, asker: asker, view: view, services: services,
 		log: log, metrics: newMetrics(reg), mem: newMemory(cfg.Remember.Std(), cfg.RememberMax),
 		ctx: ctx, cancel: cancel, slots: make(chan struct{}, cfg.Background),
 	}
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -26,7 +26,8 @@
 	ambiguous                     // it may have been applied, or may be later
 )
 
-// ledger keeps one record per reservation in the platform.
+// ledger keeps one record per reservation in the platform. Writes are
+// conditional on the record's version, which only grows.
 type ledger struct{ store platform.Store }
 
 // put writes rec if the record has the version; 0 creates it.
@@ -77,7 +78,7 @@
 // written returns when the record was written, by the platform's clock, or a
 // little later.
 func (c *Claims) written(e entry) time.Time {
-	if now, known := c.ledger.store.Now(); known && now.After(e.changed) {
+	if now, known := c.store.Now(); known && now.After(e.changed) {
 		return now
 	}
 	return e.changed
--- a/internal/claim/lookup.go
+++ b/internal/claim/lookup.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		return Settlement{}, err
 	}
-	e, err := c.ledger.get(ctx, id)
+	e, err := c.records.get(ctx, id)
 	if err != nil {
 		return Settlement{}, err
 	}
--- a/internal/claim/runner.go
+++ b/internal/claim/runner.go
@@ -34,6 +34,9 @@
 		if refusal != nil {
 			return f.noTarget(base, refusal)
 		}
+		if base.version == 0 && !f.c.gate.enter() {
+			return f.notRun(query.ReasonOverload)
+		}
 		a := f.c.mem.begin(f.id.String(), f.newRecord(target))
 		t := f.take(base, a)
 		switch t.by {
@@ -62,10 +65,10 @@
 // horizon by it is surely so, and one that seems to lie ahead is judged again
 // by a fresh reading.
 func (f *runner) checkTime() (res query.Reservation, stop bool) {
-	now, known := f.c.ledger.store.Now()
+	now, known := f.c.store.Now()
 	if !known || f.id.ahead(now, f.c.cfg.MaxAhead.Std()) {
-		_, err := f.c.ledger.get(f.ctx, f.id)
-		now, known = f.c.ledger.store.Now()
+		_, err := f.c.records.get(f.ctx, f.id)
+		now, known = f.c.store.Now()
 		if err != nil || !known {
 			return refuse(query.ReasonPlatform, f.c.cfg.RetryAfter.Std()), true
 		}
@@ -110,7 +113,11 @@
 func (f *runner) take(base entry, a *attempt) taking {
 	doubt := false
 	for n := 0; ; n++ {
-		e, result := f.c.ledger.put(f.ctx, f.id, base.version, a.rec)
+		start := time.Now()
+		e, result := f.c.records.put(f.ctx, f.id, base.version, a.rec)
+		if base.version == 0 && n == 0 {
+			f.c.gate.leave(time.Since(start), result)
+		}
 		switch result {
 		case applied:
 			return taking{by: self, entry: e}
@@ -238,7 +245,7 @@
 	case f.held != nil:
 		e = f.releaseHeld(base)
 	case base.version == 0:
-		e, _ = f.c.ledger.get(f.ctx, f.id) // a failure leaves the refusal, which is true as well
+		e, _ = f.c.records.get(f.ctx, f.id) // a failure leaves the refusal, which is true as well
 	}
 	if e.version == 0 {
 		return res
@@ -255,7 +262,7 @@
 func (f *runner) releaseHeld(base entry) entry {
 	ctx, cancel := context.WithTimeout(f.ctx, f.c.cfg.OutcomeWait.Std())
 	defer cancel()
-	e, result := f.c.ledger.put(ctx, f.id, base.version, f.held.rec.released())
+	e, result := f.c.records.put(ctx, f.id, base.version, f.held.rec.released())
 	if result != applied && result != conflict {
 		f.c.release(f.id, base.version, f.held)
 		return entry{}
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	for s.left > 0 {
-		now, known := c.ledger.store.Now()
+		now, known := c.store.Now()
 		if !known || now.Sub(sliceEnd(cur.Slice)) <= removeAfter {
 			return nil
 		}
@@ -116,7 +116,7 @@
 	if err := s.call(ctx); err != nil {
 		return false, err
 	}
-	list, err := s.c.ledger.store.List(ctx, sliceKind(slice))
+	list, err := s.c.store.List(ctx, sliceKind(slice))
 	if err != nil {
 		return false, Error.New("list old records: %w", err)
 	}
@@ -141,7 +141,7 @@
 	if err := s.call(ctx); err != nil {
 		return err
 	}
-	err := s.c.ledger.store.Delete(ctx, o.Kind, o.Name, o.Version)
+	err := s.c.store.Delete(ctx, o.Kind, o.Name, o.Version)
 	var con *platform.Conflict
 	if err != nil && !errors.As(err, &con) && !errors.Is(err, platform.ErrNotFound) {
 		return Error.New("remove old record: %w", err)
@@ -156,9 +156,9 @@
 	if err := s.call(ctx); err != nil {
 		return cursor{}, 0, err
 	}
-	obj, err := s.c.ledger.store.Get(ctx, cursorKind, cursorName)
+	obj, err := s.c.store.Get(ctx, cursorKind, cursorName)
 	if errors.Is(err, platform.ErrNotFound) {
-		now, _ := s.c.ledger.store.Now()
+		now, _ := s.c.store.Now()
 		return cursor{Slice: sliceOf(now.Add(-removeAfter)) - firstSlices}, 0, nil
 	}
 	if err != nil {
@@ -179,7 +179,7 @@
 	if err := s.call(ctx); err != nil {
 		return 0, err
 	}
-	obj, err := s.c.ledger.store.Put(ctx, cursorKind, cursorName, version, value)
+	obj, err := s.c.store.Put(ctx, cursorKind, cursorName, version, value)
 	if err != nil {
 		return 0, Error.New("write sweep cursor: %w", err)
 	}
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -19,7 +19,7 @@
 // remembered at least until the write has ended.
 func (c *Claims) record(ctx context.Context, id reservationID, version uint64, rec Record, a *attempt) {
 	written := c.inBackground(id, func(ctx context.Context) bool {
-		e, result := c.ledger.put(ctx, id, version, rec)
+		e, result := c.records.put(ctx, id, version, rec)
 		if result == conflict && (e.rec.Attempt != rec.Attempt || e.rec.Phase != Settled) {
 			c.log.Event(evRecordTaken).Str("reservation", id.String()).Str("attempt", rec.Attempt).
 				Str("found_attempt", e.rec.Attempt).Str("found_phase", string(e.rec.Phase)).Msg("")
@@ -43,7 +43,7 @@
 	rec := mine[0].rec.released()
 	c.inBackground(id, func(ctx context.Context) bool {
 		for {
-			e, result := c.ledger.put(ctx, id, version, rec)
+			e, result := c.records.put(ctx, id, version, rec)
 			if result != conflict {
 				return result == applied
 			}
