--- a/internal/policy/outlier.go
+++ b/internal/policy/outlier.go
@@ -10,6 +10,7 @@
 	failureWeight  = 0.2 // of the newest outcome in the failure ratio
 	failureEject   = 0.5 // failure ratio from which a target is set aside
 	slowRatio      = 3.0 // latency over the best of the others from which it is
+	lateRatio      = 2.0 // the same for one attempt that was given up; it counts as a failure
 	minOutcomes    = 5   // before which nothing is judged
 	trialOutcomes  = 20  // good ones after which an ejection is forgotten
 	ejectFirst     = time.Second
@@ -26,14 +27,15 @@
 // is soon found bad again; after that time one request at a time probes it.
 type Outlier struct {
 	latency   float64 // moving average, seconds
-	failures  float64 // moving average, 0..1
+	failures  float64 // moving average, 0..1, of failed and late attempts
 	outcomes  int
 	good      int // since the last ejection
 	ejected   bool
 	ejectedTo time.Time
 	ejectFor  time.Duration
 	probing   bool
-	seen      time.Time // newest attempt judged
+	seen      time.Time   // newest attempt judged
+	running   []time.Time // when each attempt in flight was sent
 }
 
 // NewOutlier returns the state of a target of which nothing is known.
@@ -41,6 +43,7 @@
 
 // Sent tells that an attempt went to the target.
 func (o *Outlier) Sent(now time.Time) {
+	o.running = append(o.running, now)
 	if o.ProbeDue(now) {
 		o.probing = true
 	}
@@ -49,6 +52,7 @@
 // Observe takes the end of one attempt. best is the lowest latency among the
 // other targets of the replica set, 0 if there is none.
 func (o *Outlier) Observe(now time.Time, latency time.Duration, s Signal, best time.Duration) {
+	o.ended(now.Add(-latency))
 	if o.ejected && !o.probing {
 		return // sent before the ejection, or for want of any other target
 	}
@@ -59,6 +63,7 @@
 	o.fade(now)
 	o.outcomes++
 	o.blend(latency, s)
+	o.blendFailure(latency, s, best)
 	if o.bad(best) {
 		o.eject(now)
 		return
@@ -86,10 +91,10 @@
 // Cost returns the expected time to an answer with the given requests in
 // flight ahead, in seconds; failures count as many times the latency. What was
 // seen long ago counts less and less, so that a target once slow is tried
-// again.
+// again; an attempt in flight counts as an answer that took that long.
 func (o *Outlier) Cost(now time.Time, inFlight int, limit float64) float64 {
 	faded := o.faded(now)
-	per := o.latency * faded * (1 + failurePenalty*o.failures*faded)
+	per := max(o.latency*faded, o.oldest(now)) * (1 + failurePenalty*o.failures*faded)
 	return per * (1 + float64(inFlight)/math.Max(limit, 1))
 }
 
@@ -132,15 +137,43 @@
 	case s == Served || (s == Abandoned && seconds > o.latency):
 		o.latency += latencyWeight * (seconds - o.latency)
 	}
-	switch s {
-	case Served:
+}
+
+// blendFailure counts an attempt that was given up much later than the others
+// answer as a failure: a hedge overtook it, and how long it would have taken
+// will never be known.
+func (o *Outlier) blendFailure(latency time.Duration, s Signal, best time.Duration) {
+	late := best > 0 && latency.Seconds() > lateRatio*best.Seconds()
+	switch {
+	case s == Served:
 		o.failures -= failureWeight * o.failures
-	case Errored:
+	case s == Errored || (s == Abandoned && late):
 		o.failures += failureWeight * (1 - o.failures)
-	case Shed, Abandoned:
 	}
 }
 
+// ended forgets the attempt in flight that was sent nearest to a time.
+func (o *Outlier) ended(sent time.Time) {
+	nearest := -1
+	for i, at := range o.running {
+		if nearest < 0 || at.Sub(sent).Abs() < o.running[nearest].Sub(sent).Abs() {
+			nearest = i
+		}
+	}
+	if nearest >= 0 {
+		o.running = append(o.running[:nearest], o.running[nearest+1:]...)
+	}
+}
+
+// oldest returns how long the oldest attempt in flight has run, in seconds.
+func (o *Outlier) oldest(now time.Time) float64 {
+	longest := 0.0
+	for _, at := range o.running {
+		longest = max(longest, now.Sub(at).Seconds())
+	}
+	return longest
+}
+
 func (o *Outlier) forgive(s Signal) {
 	if s != Served || o.ejectFor == 0 {
 		return
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -99,7 +100,9 @@
 // its last incarnation showed.
 func (r *Replica) Restart(now time.Time, span time.Duration) {
 	r.Ramp.Restart(now, span)
+	running := r.Outlier.running
 	r.Outlier = NewOutlier()
+	r.Outlier.running = running
 }
 
 func (r *Replica) bestOther(now time.Time, all []*Replica) time.Duration {
@@ -137,15 +140,22 @@
 	return nil
 }
 
+// worthWaiting is how many times the expected time at a replica without a
+// place a free one may take; a slower one is left free and the attempt waits.
+const worthWaiting = 1.5
+
 func cheapest(now time.Time, rng *rand.Rand, replicas []*Replica) *Replica {
 	var free []*Replica
 	var options []Option
+	most := worthWaiting * cheapestFull(now, replicas)
 	for _, r := range replicas {
 		if !r.Limiter.Free(now) {
 			continue
 		}
-		free = append(free, r)
-		options = append(options, r.option(now, rng))
+		if o := r.option(now, rng); o.Cost <= most {
+			free = append(free, r)
+			options = append(options, o)
+		}
 	}
 	i := Choose(rng, options)
 	if i < 0 {
@@ -154,9 +164,25 @@
 	return free[i]
 }
 
+// cheapestFull returns the lowest cost of a replica whose place will come free
+// by an answer; infinite if there is none.
+func cheapestFull(now time.Time, replicas []*Replica) float64 {
+	least := math.Inf(1)
+	for _, r := range replicas {
+		if r.Limiter.InFlight() > 0 && !r.Limiter.Free(now) {
+			least = min(least, r.cost(now))
+		}
+	}
+	return least
+}
+
+func (r *Replica) cost(now time.Time) float64 {
+	return r.Outlier.Cost(now, r.Limiter.InFlight(), r.Limiter.Limit())
+}
+
 func (r *Replica) option(now time.Time, rng *rand.Rand) Option {
 	return Option{
-		Cost:   r.Outlier.Cost(now, r.Limiter.InFlight(), r.Limiter.Limit()),
+		Cost:   r.cost(now),
 		Local:  r.Local,
 		Barred: !r.Ramp.Takes(now, rng.Float64()),
 	}
--- a/internal/policy/replica_test.go
+++ b/internal/policy/replica_test.go
@@ -95,6 +95,45 @@
 	}
 }
 
+func TestOvertakenAttemptsSetATargetAside(t *testing.T) {
+	is := is.New(t)
+	o := NewOutlier()
+	for range 20 {
+		o.Observe(start, 5*time.Millisecond, Served, 5*time.Millisecond)
+	}
+	overtaken := 0
+	for !o.Ejected(start) {
+		o.Observe(start, 14*time.Millisecond, Abandoned, 5*time.Millisecond)
+		overtaken++
+		is.True(overtaken < 10)
+	}
+	p := NewOutlier()
+	for range 100 { // given up early: by the caller, not for being slow
+		p.Observe(start, 4*time.Millisecond, Abandoned, 5*time.Millisecond)
+	}
+	is.True(!p.Ejected(start))
+}
+
+func TestAttemptWaitsRatherThanGoToASlowFreeTarget(t *testing.T) {
+	is := is.New(t)
+	replicas := three()
+	now := start
+	for range 20 {
+		for _, r := range replicas[:2] {
+			r.Outlier.Observe(now, 5*time.Millisecond, Served, 0)
+		}
+	}
+	replicas[2].Send(now) // no answer to this one
+	now = at(40 * time.Millisecond)
+	is.True(Pick(now, seeded(), FirstTry, replicas, nil).ID != "c")
+	for _, r := range replicas[:2] {
+		r.Send(now)
+		r.Send(now)
+	}
+	is.True(replicas[2].Limiter.Free(now))
+	is.True(Pick(now, seeded(), FirstTry, replicas, nil) == nil)
+}
+
 func TestTargetThatRecoversGetsWorkAgain(t *testing.T) {
 	is := is.New(t)
 	replicas := three()
