--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -23,6 +23,9 @@
 	shortQueue = 4
 	burstSpan  = 100 * time.Millisecond
 
+	// saturatedAfter is how many times of service somebody must have waited.
+	saturatedAfter = 3
+
 	overloadHold = 250 * time.Millisecond
 	smoothing    = 0.1 // weight of the newest sample in a moving average
 	doubt        = 100 // part of the time of service taken off at each refusal for it
@@ -88,6 +91,7 @@
 	interval    time.Duration // mean time between two grants while requests wait
 	service     time.Duration // mean time from grant to answer
 	lastGrant   time.Time
+	emptyAt     time.Time // when nobody waited last
 }
 
 // NewQueue returns an empty queue.
@@ -104,6 +108,7 @@
 	}
 	c := q.class(w.Urgency)
 	w.joined, w.Evicted = now, false
+	q.noteEmpty(now)
 	c.add(w)
 	q.cut(now, w.Urgency)
 	if w.Evicted {
@@ -161,6 +166,7 @@
 	if w != nil {
 		q.granted(now, w)
 		q.class(w.Urgency).noteLength(now, q.short(w.Urgency))
+		q.noteEmpty(now)
 	}
 	return w
 }
@@ -183,6 +189,22 @@
 	return q.class(u).overloaded(now)
 }
 
+// Saturated reports whether the targets have had no place to spare for longer
+// than a few answers take. A request that waits for the next answer does not
+// make them so. While they are, extra attempts only take places from others.
+func (q *Queue[T]) Saturated(now time.Time) bool {
+	if q.interactive.overloaded(now) || q.deferrable.overloaded(now) {
+		return true
+	}
+	return q.Len() > 0 && now.Sub(q.emptyAt) > saturatedAfter*q.service
+}
+
+func (q *Queue[T]) noteEmpty(now time.Time) {
+	if q.Len() == 0 {
+		q.emptyAt = now
+	}
+}
+
 // ExpectedWait returns how long a request of the class that joins now, behind
 // all others, would wait for its grant.
 func (q *Queue[T]) ExpectedWait(now time.Time, u query.Urgency) time.Duration {
--- a/internal/policy/queue_test.go
+++ b/internal/policy/queue_test.go
@@ -147,6 +147,21 @@
 	is.True(!q.Push(at(100*time.Millisecond), waiter(3, query.Interactive, at(150*time.Millisecond))).Admitted)
 }
 
+func TestQueueIsSaturatedOnlyWhenItStaysFull(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue[int](QueueConfig{})
+	q.Served(10 * time.Millisecond)
+	push := func(now time.Time) { q.Push(now, waiter(1, query.Interactive, now.Add(time.Hour))) }
+	push(start)
+	is.True(!q.Saturated(at(20 * time.Millisecond))) // waits for the next answer
+	q.Pop(at(20*time.Millisecond), nil)
+	push(at(25 * time.Millisecond))
+	is.True(!q.Saturated(at(50 * time.Millisecond)))
+	push(at(50 * time.Millisecond))
+	q.Pop(at(55*time.Millisecond), nil)
+	is.True(q.Saturated(at(60 * time.Millisecond))) // somebody waits since 25 ms
+}
+
 func TestQueueExpiresWhatCannotBeServedAnyMore(t *testing.T) {
 	is := is.New(t)
 	q := NewQueue[int](QueueConfig{ByArrival: true})
