--- a/internal/relayrpc/relayrpc_test.go
+++ b/internal/relayrpc/relayrpc_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -286,12 +287,32 @@
 	reply := r.client.Reserve(t.Context(), query.Reserve{RequestID: "r2", ReservationID: "v", Budget: 10 * time.Second})
 	is.Equal(reply.Outcome, outcome.NotSent)
 	is.Equal(reply.Reason, query.ReasonDraining)
-	stopped, cancel := context.WithCancel(t.Context())
-	cancel()
-	is.True(s.Wait(stopped) != nil) // the first batch still runs
 	close(finish)
 	e := <-ended
 	is.NoErr(e.err)
 	is.Equal(len(e.got), 3)
 	is.NoErr(s.Wait(t.Context()))
 }
+
+func TestWaitReturnsWhenTheLastWorkHasEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewServer(nil, nil)
+		is.True(s.begin())
+		is.True(s.begin())
+		returned := false
+		go func() {
+			is.NoErr(s.Wait(context.Background()))
+			returned = true
+		}()
+		s.end()
+		s.Drain()
+		s.Drain()
+		synctest.Wait()
+		is.True(!returned)
+		is.Equal(s.Running(), 1)
+		s.end()
+		synctest.Wait()
+		is.True(returned)
+	})
+}
