Delivery objects as protobuf, summed by the minute and in shards

Windows are summed by the minute, five minutes and the hour, in up to 16 shards, each summed and read apart. The gauge of burn shows one report, whole: a scrape met half of one in a test.

--- a/internal/delivery/codec.go
+++ b/internal/delivery/codec.go
@@ -7,6 +7,9 @@
 	"io"
 	"sync"
 
+	"google.golang.org/protobuf/proto"
+
+	"rhubarbwood.example/rhubarbwood/internal/delivery/deliverypb"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
@@ -16,7 +19,8 @@
 	maxDecoded    = 64 << 20                 // of one object, against a corrupt one
 )
 
-// envelope is the value of every object of this package: JSON, compressed.
+// envelope is the value of every object of this package: a protobuf message,
+// compressed.
 type envelope struct {
 	Format int    `json:"format"`
 	Data   []byte `json:"data"`
@@ -25,22 +29,26 @@
 // gzip writers hold most of a megabyte each, so they are kept.
 var writers = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
 
-func encode(v any) ([]byte, error) {
+func encode(m proto.Message) ([]byte, error) {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, Error.New("encode: %w", err)
+	}
 	var buf bytes.Buffer
 	w := writers.Get().(*gzip.Writer)
 	defer writers.Put(w)
 	w.Reset(&buf)
-	if err := json.NewEncoder(w).Encode(v); err != nil {
-		return nil, Error.New("encode: %w", err)
+	if _, err := w.Write(b); err != nil {
+		return nil, Error.New("compress: %w", err)
 	}
 	if err := w.Close(); err != nil {
 		return nil, Error.New("compress: %w", err)
 	}
-	b, err := json.Marshal(envelope{Format: formatVersion, Data: buf.Bytes()})
-	return b, Error.Wrap(err)
+	value, err := json.Marshal(envelope{Format: formatVersion, Data: buf.Bytes()})
+	return value, Error.Wrap(err)
 }
 
-func decode(value []byte, into any) error {
+func decode(value []byte, into proto.Message) error {
 	var e envelope
 	if err := json.Unmarshal(value, &e); err != nil {
 		return Error.New("decode: %w", err)
@@ -52,7 +60,11 @@
 	if err != nil {
 		return Error.New("decompress: %w", err)
 	}
-	if err := json.NewDecoder(io.LimitReader(r, maxDecoded)).Decode(into); err != nil {
+	b, err := io.ReadAll(io.LimitReader(r, maxDecoded))
+	if err != nil {
+		return Error.New("decompress: %w", err)
+	}
+	if err := proto.Unmarshal(b, into); err != nil {
 		return Error.New("decode: %w", err)
 	}
 	return nil
@@ -62,7 +74,7 @@
 // one object.
 func encodeWindow(w *Window) ([]byte, error) {
 	for {
-		value, err := encode(w.object())
+		value, err := encode(w.message())
 		if err != nil || len(value) <= maxValue {
 			return value, err
 		}
@@ -71,11 +83,11 @@
 }
 
 func decodeWindow(value []byte) (*Window, error) {
-	var o windowObject
-	if err := decode(value, &o); err != nil {
+	m := &deliverypb.Window{}
+	if err := decode(value, m); err != nil {
 		return nil, err
 	}
-	return o.window()
+	return windowOfMessage(m)
 }
 
 // sameValue reports whether two values hold the same data. The platform may
--- a/internal/delivery/compact.go
+++ b/internal/delivery/compact.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,34 +19,42 @@
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
-// Compactor sums windows up: those of five minutes into one sum, and those
-// of an hour into a coarser one; and it removes what is past retention. Each
-// round is one host's, chosen by hashing the time. Two hosts that both think
-// it theirs write the same, so nothing needs to be agreed.
+// Compactor sums windows up, level by level, and removes what is past
+// retention. Each round is one host's, chosen by hashing shard and time. Two
+// hosts that both think it theirs write the same, so nothing needs to be agreed.
 type Compactor struct {
 	cfg   Config
 	store platform.Store
 	view  member.View
 	log   *event.Log
 	clock platformClock
-	pace  *rate.Limiter // of removals
+	pace  *rate.Limiter        // of removals
+	last  [MaxShards]time.Time // slots of the last rounds that ended well
+	known [MaxShards]map[string]*index
 	burn  *burnGauge
-	last  time.Time // slot of the last round that ended well
+	told  time.Time // slot of the last burn
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
 
-// checkInterval is how often a host looks whether a round is its own.
-const checkInterval = 30 * time.Second
+const (
+	// checkInterval is how often a host looks whether a round is its own.
+	checkInterval = 15 * time.Second
+	// burnInterval is how often the gauges of burn are set.
+	burnInterval = 5 * time.Minute
+	// paceShare is the part of the platform's writes for windows that one host
+	// takes for its removals; hosts may work on several shards at once.
+	paceShare = 0.25
+)
 
-// NewCompactor returns a compactor. Every host has one. After a round it sets
-// the gauges of burn, for the objectives of the services that are given.
+// NewCompactor returns a compactor. Every host has one. One host at a time
+// also sets the gauges of burn, for the objectives of the services given.
 func NewCompactor(cfg Config, store platform.Store, view member.View, services func() []catalog.Service,
 	log *event.Log, reg prometheus.Registerer) *Compactor {
 	return &Compactor{
 		cfg: cfg, store: store, view: view, log: log, clock: platformClock{store: store},
-		pace: rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), 1),
+		pace: rate.NewLimiter(rate.Limit(cfg.WritesPerSecond*paceShare), 1),
 		burn: newBurnGauge(NewReporter(cfg, store, view, log), services, reg),
 	}
 }
@@ -74,84 +85,108 @@
 			return
 		case <-ticker.C:
 		}
-		c.check(ctx)
+		now, ok := c.clock.now()
+		if !ok {
+			continue
+		}
+		for shard := range MaxShards {
+			c.check(ctx, now, shard)
+		}
+		c.tellBurn(ctx, now)
 	}
 }
 
-// check does a round if the newest slot that is due is this host's and not
-// done yet.
-func (c *Compactor) check(ctx context.Context) {
-	now, ok := c.clock.now()
-	if !ok {
+// check does a round in the shard if the newest slot that is due is this
+// host's and not done yet.
+func (c *Compactor) check(ctx context.Context, now time.Time, shard int) {
+	l := levels[0]
+	slot := l.slotOf(now.Add(-settle)).Add(-l.slot)
+	if slot.Equal(c.last[shard]) || !c.owns(slot, shard) {
 		return
 	}
-	slot := fine.slotOf(now.Add(-settle)).Add(-fine.slot)
-	if owner(slot, c.view.Hosts()) != c.view.Self().ID {
-		c.burn.clear()
+	if err := c.round(ctx, now, shard); err != nil {
+		c.log.Event(evCompactFailed).Err(err).Msg("")
 		return
 	}
-	if slot.Equal(c.last) {
+	c.last[shard] = slot
+}
+
+// noShard is hashed in place of a shard for the host that tells the burn.
+const noShard = -1
+
+func (c *Compactor) tellBurn(ctx context.Context, now time.Time) {
+	slot := now.UTC().Truncate(burnInterval)
+	if !c.owns(slot, noShard) {
+		c.burn.clear()
 		return
 	}
-	err := c.round(ctx, now)
-	if err == nil {
-		err = c.burn.set(ctx)
+	if slot.Equal(c.told) {
+		return
 	}
-	if err != nil {
+	if err := c.burn.set(ctx); err != nil {
 		c.log.Event(evCompactFailed).Err(err).Msg("")
 		return
 	}
-	c.last = slot
+	c.told = slot
 }
 
-// owner returns the host with the highest hash together with the slot.
-func owner(slot time.Time, hosts []member.Host) string {
+// owns reports whether this host has the highest hash together with the slot
+// and the shard.
+func (c *Compactor) owns(slot time.Time, shard int) bool {
 	var best uint64
 	var id string
-	for _, h := range hosts {
+	for _, h := range c.view.Hosts() {
 		if !h.Usable() {
 			continue
 		}
-		hash := xxhash.Sum64String(fine.name(slot, 0) + "/" + h.ID)
+		hash := xxhash.Sum64String(fmt.Sprintf("%d.%d.%s", slot.Unix(), shard, h.ID))
 		if id == "" || hash > best {
 			best, id = hash, h.ID
 		}
 	}
-	return id
+	return id == c.view.Self().ID
 }
 
-// round sums up everything that is due, also what earlier rounds left.
-func (c *Compactor) round(ctx context.Context, now time.Time) error {
-	listing, err := c.store.List(ctx, platform.KindWindow, kindIndex)
+// round sums up everything in the shard that is due, also what earlier rounds
+// left.
+func (c *Compactor) round(ctx context.Context, now time.Time, shard int) error {
+	listing, err := c.store.List(ctx, inShard(platform.KindWindow, shard), inShard(kindIndex, shard))
 	if err != nil {
 		return Error.New("list windows: %w", err)
 	}
-	indexes, windows := readIndexes(listing.Objects, c.unreadable)
+	indexes, windows := readIndexes(listing.Objects, c.known[shard], c.unreadable)
+	c.remember(shard, indexes)
 	summed := coveredBy(allSpans(indexes))
+	l := levels[0]
 	due := map[time.Time][]platform.Object{}
 	for _, o := range windows {
-		if slot := fine.slotOf(o.Created); !now.Before(slot.Add(fine.slot + settle)) {
+		if slot := l.slotOf(o.Created); !now.Before(slot.Add(l.slot + settle)) {
 			due[slot] = append(due[slot], o)
 		}
 	}
-	for _, slot := range sortedSlots(due) {
-		if err := c.sumWindows(ctx, newSum(fine, slot, indexes), due[slot], summed); err != nil {
+	for _, slot := range sortedKeys(due) {
+		if err := c.sumWindows(ctx, newSum(l, shard, slot, indexes), due[slot], summed); err != nil {
 			return err
 		}
 	}
-	if err := c.sumHours(ctx, now, indexes); err != nil {
-		return err
+	for i := range len(levels) - 1 {
+		if err := c.sumLevel(ctx, now, shard, levels[i], levels[i+1], indexes); err != nil {
+			return err
+		}
 	}
 	return c.retain(ctx, now, indexes)
 }
 
-func sortedSlots(m map[time.Time][]platform.Object) []time.Time {
-	var slots []time.Time
-	for t := range m {
-		slots = append(slots, t)
+// remember keeps the indexes of a shard for the host's next round.
+func (c *Compactor) remember(shard int, indexes []*index) {
+	c.known[shard] = map[string]*index{}
+	for _, x := range indexes {
+		c.known[shard][x.name()] = x
 	}
-	slices.SortFunc(slots, time.Time.Compare)
-	return slots
+}
+
+func sortedKeys[V any](m map[time.Time]V) []time.Time {
+	return slices.SortedFunc(maps.Keys(m), time.Time.Compare)
 }
 
 // sumWindows sums the windows of a slot and removes them. Windows that a sum
@@ -184,23 +219,24 @@
 	return nil
 }
 
-// sumHours sums the fine sums of each hour whose time is over, and removes them.
-func (c *Compactor) sumHours(ctx context.Context, now time.Time, indexes []*index) error {
+// sumLevel sums the sums of a level whose time is over into the next level's,
+// and removes them.
+func (c *Compactor) sumLevel(ctx context.Context, now time.Time, shard int, from, to level, indexes []*index) error {
 	over := superseded(indexes)
-	hours := map[time.Time][]*index{}
+	slots := map[time.Time][]*index{}
 	var removable []*index
 	for _, x := range indexes {
-		hour := coarse.slotOf(x.Slot)
-		if x.Kind != fine.kind || now.Before(hour.Add(coarse.slot+fine.keep)) {
+		slot := to.slotOf(x.Slot)
+		if x.level != from || now.Before(slot.Add(to.slot+from.keep)) {
 			continue
 		}
 		removable = append(removable, x)
 		if !over[x] {
-			hours[hour] = append(hours[hour], x)
+			slots[slot] = append(slots[slot], x)
 		}
 	}
-	for hour, parts := range hours {
-		if err := c.sumHour(ctx, newSum(coarse, hour, indexes), parts); err != nil {
+	for _, slot := range sortedKeys(slots) {
+		if err := c.sumSums(ctx, newSum(to, shard, slot, indexes), slots[slot]); err != nil {
 			return err
 		}
 	}
@@ -212,12 +248,12 @@
 	return nil
 }
 
-func (c *Compactor) sumHour(ctx context.Context, s *sum, parts []*index) error {
+func (c *Compactor) sumSums(ctx context.Context, s *sum, parts []*index) error {
 	reader, err := newPartReader(ctx, c.store, nil)
 	if err != nil {
 		return err
 	}
-	slices.SortFunc(parts, func(a, b *index) int { return a.Slot.Compare(b.Slot) })
+	slices.SortFunc(parts, func(a, b *index) int { return strings.Compare(a.name(), b.name()) })
 	for _, x := range parts {
 		s.addIndex(x)
 		if err := reader.rows(ctx, x, func(p piece) { s.addRows(p.end, p.rows) }); err != nil {
@@ -239,3 +275,7 @@
 	}
 	return nil
 }
+
+func (c *Compactor) unreadable(o platform.Object, err error) {
+	c.log.Event(evUnreadable).Str("object", o.Kind+"/"+o.Name).Err(err).Msg("")
+}
--- a/internal/delivery/config.go
+++ b/internal/delivery/config.go
@@ -31,6 +31,9 @@
 	// reservations, and refused or partial searches. Those left out are counted.
 	MaxReservations int `json:"max_reservations"`
 	MaxExceptions   int `json:"max_exceptions"`
+	// Shards is how many shards the hosts' windows are spread over, at most
+	// MaxShards; about one for 45 hosts. All are always read.
+	Shards int `json:"shards"`
 	// Retention is how long reports reach back.
 	Retention unit.Duration `json:"retention"`
 }
@@ -44,6 +47,7 @@
 	defaultMaxPending      = 6
 	defaultMaxReservations = 2000
 	defaultMaxExceptions   = 500
+	defaultShards          = 1
 	defaultRetention       = 4 * 24 * time.Hour
 
 	minMinInterval = time.Second
@@ -67,6 +71,7 @@
 		MaxPending:      defaultMaxPending,
 		MaxReservations: defaultMaxReservations,
 		MaxExceptions:   defaultMaxExceptions,
+		Shards:          defaultShards,
 		Retention:       unit.Duration(defaultRetention),
 	}
 }
@@ -88,6 +93,7 @@
 	check(c.MaxPending >= minMaxPending, "max_pending: want at least %d", minMaxPending)
 	check(c.MaxReservations >= 0, "max_reservations: want 0 or more")
 	check(c.MaxExceptions >= 0, "max_exceptions: want 0 or more")
+	check(c.Shards >= 1 && c.Shards <= MaxShards, "shards: %d is not between 1 and %d", c.Shards, MaxShards)
 	check(c.Retention.Std() >= minRetention, "retention: want at least %s", minRetention)
 	return errors.Join(problems...)
 }
--- a/internal/delivery/flush.go
+++ b/internal/delivery/flush.go
@@ -28,7 +28,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.cfg.WriteTimeout.Std())
 	defer cancel()
-	_, err = w.store.Put(ctx, platform.KindWindow, p.window.name(), 0, value)
+	_, err = w.store.Put(ctx, w.kind(p.window.Host), p.window.name(), 0, value)
 	var conflict *platform.Conflict
 	var unavailable *platform.Unavailable
 	switch {
@@ -46,6 +46,11 @@
 	return Error.New("write window %s: %w", p.window.name(), err)
 }
 
+// kind returns the kind of the host's windows.
+func (w *Windows) kind(host string) string {
+	return inShard(platform.KindWindow, shardOf(host, w.cfg.Shards))
+}
+
 // value returns what to write: for a window in doubt the same as before.
 func (w *Windows) value(p *pending) ([]byte, error) {
 	if p.inDoubt() {
--- a/internal/delivery/gather.go
+++ b/internal/delivery/gather.go
@@ -31,44 +31,83 @@
 
 // gather reads what was delivered since; records only if they are wanted.
 func (r *Reporter) gather(ctx context.Context, since time.Duration, withRecords bool) (*material, error) {
-	var m *material
+	if _, ok := r.store.Now(); !ok {
+		if _, err := r.store.Hosts(ctx); err != nil { // any answer tells the time
+			return nil, Error.New("ask the platform for its time: %w", err)
+		}
+	}
+	now, ok := r.store.Now()
+	if !ok {
+		return nil, Error.New("the platform has not told its time")
+	}
+	m := &material{now: now}
+	m.completeness.From = now.Add(-min(since, r.cfg.Retention.Std()))
+	for shard := range MaxShards {
+		if err := r.gatherShard(ctx, m, shard, withRecords); err != nil {
+			return nil, err
+		}
+	}
+	r.judge(m)
+	return m, nil
+}
+
+// gatherShard reads one shard, and begins anew if a sum was replaced by a
+// coarser one while it was read.
+func (r *Reporter) gatherShard(ctx context.Context, m *material, shard int, withRecords bool) error {
 	var err error
 	for range gatherTries {
-		m, err = r.gatherOnce(ctx, since, withRecords)
+		one := &material{completeness: Completeness{From: m.completeness.From}}
+		err = r.readShard(ctx, one, shard, withRecords)
+		if err == nil {
+			m.join(one)
+			return nil
+		}
 		if !errors.Is(err, errPartGone) {
 			break
 		}
 	}
-	return m, err
+	return err
 }
 
-// gatherOnce lists windows and indexes at one revision, so that each window is
+// readShard lists windows and indexes at one revision, so that each window is
 // in exactly one place: in a sum, or by itself.
-func (r *Reporter) gatherOnce(ctx context.Context, since time.Duration, withRecords bool) (*material, error) {
-	listing, err := r.store.List(ctx, platform.KindWindow, kindIndex)
+func (r *Reporter) readShard(ctx context.Context, m *material, shard int, withRecords bool) error {
+	listing, err := r.store.List(ctx, inShard(platform.KindWindow, shard), inShard(kindIndex, shard))
 	if err != nil {
-		return nil, Error.New("list windows: %w", err)
+		return Error.New("list windows: %w", err)
 	}
-	now, ok := r.store.Now()
-	if !ok {
-		return nil, Error.New("the platform has not told its time")
+	if now, ok := r.store.Now(); ok {
+		m.now = now
 	}
-	m := &material{now: now}
-	m.completeness.From = now.Add(-min(since, r.cfg.Retention.Std()))
-	indexes, windows := readIndexes(listing.Objects, func(o platform.Object, err error) { r.unreadable(m, o, err) })
+	indexes, windows := readIndexes(listing.Objects, nil, func(o platform.Object, err error) { r.unreadable(m, o, err) })
 	summed := coveredBy(allSpans(indexes))
 	if err := r.addSums(ctx, m, indexes, withRecords); err != nil {
-		return nil, err
+		return err
 	}
 	for _, o := range windows {
 		r.addWindow(m, o, summed)
 	}
-	r.judge(m)
-	return m, nil
+	return nil
+}
+
+// join adds what was read of a shard.
+func (m *material) join(from *material) {
+	if from.now.After(m.now) {
+		m.now = from.now
+	}
+	m.pieces = append(m.pieces, from.pieces...)
+	m.records = append(m.records, from.records...)
+	m.spans = append(m.spans, from.spans...)
+	m.seen = append(m.seen, from.seen...)
+	c := &m.completeness
+	c.Windows += from.completeness.Windows
+	c.Folded += from.completeness.Folded
+	c.LeftOut += from.completeness.LeftOut
+	c.Unreadable = append(c.Unreadable, from.completeness.Unreadable...)
 }
 
-// addSums takes the sums of the report's time. A fine sum that is in a coarse
-// one too is on its way out.
+// addSums takes the sums of the report's time. A sum that is in a coarser one
+// too is on its way out.
 func (r *Reporter) addSums(ctx context.Context, m *material, indexes []*index, withRecords bool) error {
 	over := superseded(indexes)
 	wanted := slices.DeleteFunc(slices.Clone(indexes), func(x *index) bool {
--- a/internal/delivery/gauge.go
+++ b/internal/delivery/gauge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -10,36 +11,63 @@
 )
 
 // burnGauge tells the burn of all objectives as metrics. Only the host that
-// did the last round of compaction has values, so that a fleet computes them
-// once; what the report lacks is told beside them.
+// computed it last has values, so that a fleet computes them once; what the
+// report lacks is told beside them. A scrape sees one report, whole.
 type burnGauge struct {
 	reporter *Reporter
 	services func() []catalog.Service
-	rate     *prometheus.GaugeVec
-	missing  prometheus.Gauge
+	rate     *prometheus.Desc
+	missing  *prometheus.Desc
+
+	mu     sync.Mutex
+	report *BurnReport // nil: this host does not tell
 }
 
 func newBurnGauge(r *Reporter, services func() []catalog.Service, reg prometheus.Registerer) *burnGauge {
 	g := &burnGauge{
 		reporter: r, services: services,
-		rate: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "rhubarbwood_delivery_burn_ratio",
-			Help: "Burn rate of an objective over a window; at 1 its budget lasts exactly its period. Told by one host at a time.",
-		}, []string{"service", "objective", "window"}),
-		missing: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "rhubarbwood_delivery_burn_missing_hosts",
-			Help: "Host incarnations of which the burn lacks windows.",
-		}),
+		rate: prometheus.NewDesc("rhubarbwood_delivery_burn_ratio",
+			"Burn rate of an objective over a window; at 1 its budget lasts exactly its period. Told by one host at a time.",
+			[]string{"service", "objective", "window"}, nil),
+		missing: prometheus.NewDesc("rhubarbwood_delivery_burn_missing_hosts",
+			"Host incarnations of which the burn lacks windows. Told by one host at a time.", nil, nil),
 	}
 	if reg != nil {
-		reg.MustRegister(g.rate, g.missing)
+		reg.MustRegister(g)
 	}
 	return g
 }
 
-func (g *burnGauge) clear() {
-	g.rate.Reset()
-	g.missing.Set(0)
+// Describe implements prometheus.Collector.
+func (g *burnGauge) Describe(ch chan<- *prometheus.Desc) {
+	ch <- g.rate
+	ch <- g.missing
+}
+
+// Collect implements prometheus.Collector.
+func (g *burnGauge) Collect(ch chan<- prometheus.Metric) {
+	g.mu.Lock()
+	report := g.report
+	g.mu.Unlock()
+	if report == nil {
+		return
+	}
+	for _, o := range report.Objectives {
+		for _, b := range o.Burns {
+			ch <- prometheus.MustNewConstMetric(g.rate, prometheus.GaugeValue, b.Rate,
+				o.Objective.Service, string(o.Objective.Aim), windowLabel(b.Window))
+		}
+	}
+	missing := len(report.Completeness.Open) + len(report.Completeness.Missing)
+	ch <- prometheus.MustNewConstMetric(g.missing, prometheus.GaugeValue, float64(missing))
+}
+
+func (g *burnGauge) clear() { g.tell(nil) }
+
+func (g *burnGauge) tell(r *BurnReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.report = r
 }
 
 func (g *burnGauge) set(ctx context.Context) error {
@@ -51,13 +79,7 @@
 	if err != nil {
 		return err
 	}
-	g.rate.Reset()
-	for _, o := range report.Objectives {
-		for _, b := range o.Burns {
-			g.rate.WithLabelValues(o.Objective.Service, string(o.Objective.Aim), windowLabel(b.Window)).Set(b.Rate)
-		}
-	}
-	g.missing.Set(float64(len(report.Completeness.Open) + len(report.Completeness.Missing)))
+	g.tell(&report)
 	return nil
 }
 
--- a/internal/delivery/parts.go
+++ b/internal/delivery/parts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 
+	"rhubarbwood.example/rhubarbwood/internal/delivery/deliverypb"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
@@ -22,7 +23,7 @@
 	r := &partReader{store: store, listed: map[string]map[string][]byte{}}
 	parts := map[string]int{}
 	for _, x := range wanted {
-		parts[x.Kind] += x.Parts
+		parts[x.partKind()] += x.Parts
 	}
 	for kind, n := range parts {
 		if n < manyParts {
@@ -72,7 +73,7 @@
 // rows calls take for each slot's rows in the parts of a sum.
 func (r *partReader) rows(ctx context.Context, x *index, take func(piece)) error {
 	for i := range x.Parts {
-		value, err := r.part(ctx, x.Kind, partName(x.name(), i))
+		value, err := r.part(ctx, x.partKind(), partName(x.name(), i))
 		if err != nil {
 			return err
 		}
@@ -83,25 +84,17 @@
 	return nil
 }
 
-// eachSlot reads a part, whose rows are sorted by slot.
 func eachSlot(value []byte, take func(piece)) error {
-	var p rowPart
-	if err := decode(value, &p); err != nil {
+	m := &deliverypb.RowPart{}
+	if err := decode(value, m); err != nil {
 		return err
 	}
-	for len(p.Rows) > 0 {
-		end, n := p.Rows[0].End, 0
-		var objects []rowObject
-		for n < len(p.Rows) && p.Rows[n].End.Equal(end) {
-			objects = append(objects, p.Rows[n].rowObject)
-			n++
-		}
-		rows, err := rowsOf(objects)
-		if err != nil {
+	for _, slot := range m.GetSlots() {
+		r := newRows()
+		if err := r.addMessage(slot.GetRows()); err != nil {
 			return err
 		}
-		take(piece{end: end, rows: rows})
-		p.Rows = p.Rows[n:]
+		take(piece{end: fromMillis(slot.GetEndMs()), rows: r})
 	}
 	return nil
 }
@@ -115,11 +108,11 @@
 			if err != nil {
 				return nil, err
 			}
-			var p recordPart
-			if err := decode(value, &p); err != nil {
+			m := &deliverypb.RecordPart{}
+			if err := decode(value, m); err != nil {
 				return nil, err
 			}
-			all = append(all, p.Records...)
+			all = append(all, recordsOf(m.GetRecords())...)
 		}
 	}
 	return all, nil
--- a/internal/delivery/plot.go
+++ b/internal/delivery/plot.go
@@ -35,9 +35,9 @@
 	if err != nil {
 		return nil, Completeness{}, err
 	}
-	step := fine
+	step := levels[1]
 	if since > BurnWindows[2] {
-		step = coarse
+		step = levels[2]
 	}
 	var all []Series
 	for _, o := range Objectives(services) {
--- a/internal/delivery/record.go
+++ b/internal/delivery/record.go
@@ -11,24 +11,24 @@
 // Record is one delivery that is kept as it was: a reservation, a refusal or
 // a partial answer.
 type Record struct {
-	Request     string        `json:"q"`
-	Reservation string        `json:"v,omitempty"`
-	Caller      string        `json:"c"`
-	Service     string        `json:"s"`
-	Outcome     string        `json:"o"`
-	Reason      query.Reason  `json:"r,omitempty"`
-	Coverage    float64       `json:"f,omitempty"`
-	Snapshot    uint64        `json:"n,omitempty"`
-	Latency     time.Duration `json:"l"`
-	Attempts    int           `json:"a,omitempty"`
-	Host        string        `json:"h,omitempty"` // that answered; set when read
-	Until       time.Time     `json:"t,omitzero"`  // end of its window; set when read
+	Request     string
+	Reservation string
+	Caller      string
+	Service     string
+	Outcome     outcome.Outcome
+	Reason      query.Reason
+	Coverage    float64
+	Snapshot    uint64
+	Latency     time.Duration
+	Attempts    int
+	Host        string    // that answered; set when read
+	Until       time.Time // end of its window; set when read
 }
 
 func recordOf(d Delivery) Record {
 	return Record{
 		Request: d.RequestID, Reservation: d.ReservationID, Caller: d.Caller, Service: d.Service,
-		Outcome: d.Outcome.String(), Reason: d.Reason, Coverage: d.Coverage, Snapshot: d.Snapshot,
+		Outcome: d.Outcome, Reason: d.Reason, Coverage: d.Coverage, Snapshot: d.Snapshot,
 		Latency: d.Latency, Attempts: d.Attempts,
 	}
 }
--- a/internal/delivery/rollup.go
+++ b/internal/delivery/rollup.go
@@ -3,101 +3,114 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	"rhubarbwood.example/rhubarbwood/internal/delivery/deliverypb"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
-// Kinds of the objects that hold the sums of many windows. A sum is one index
-// and its parts. The index is written last, so a sum without one does not
-// count; it tells which windows the sum holds, so none counts twice.
-const (
-	kindIndex  = "window-index"
-	kindFine   = "window-5m"
-	kindCoarse = "window-1h"
-)
+// Kinds of the objects that hold the sums of many windows, apart from the kind
+// of their parts, which is the level's. A sum is one index and its parts. The
+// index is written last, so a sum without one does not count; it tells which
+// windows the sum holds, so none counts twice.
+const kindIndex = "window-index"
+
+// MaxShards is the number of shards that are read. A host's windows are all in
+// one shard, so shards are summed and read apart, each within bounds.
+const MaxShards = 16
+
+// inShard returns the kind in a shard.
+func inShard(kind string, shard int) string {
+	if shard == 0 {
+		return kind
+	}
+	return fmt.Sprintf("%s.%d", kind, shard)
+}
+
+// shardOf returns the shard of a host's windows.
+func shardOf(host string, shards int) int {
+	return int(xxhash.Sum64String(host) % uint64(shards))
+}
 
 // level is one resolution of sums. Windows belong to the slot in which the
 // platform created them: once that has passed, no window can come to it.
 type level struct {
-	kind string // of its parts
-	slot time.Duration
-	keep time.Duration // how long its sums stay, when a coarser level follows
+	place int
+	kind  string // of its parts
+	slot  time.Duration
+	keep  time.Duration // after the next level's slot, in which its sums stay as they are
 }
 
-var (
-	fine   = level{kind: kindFine, slot: 5 * time.Minute, keep: 7 * time.Hour}
-	coarse = level{kind: kindCoarse, slot: time.Hour}
-)
+// levels are the resolutions, finest first. The burn over five minutes is told
+// to the minute, the burn over an hour and six to five minutes.
+var levels = []level{
+	{place: 0, kind: "window-1m", slot: time.Minute, keep: 10 * time.Minute},
+	{place: 1, kind: "window-5m", slot: 5 * time.Minute, keep: 7 * time.Hour},
+	{place: 2, kind: "window-1h", slot: time.Hour},
+}
+
+func levelOf(kind string) (level, bool) {
+	for _, l := range levels {
+		if l.kind == kind {
+			return l, true
+		}
+	}
+	return level{}, false
+}
 
-// settle is how long after its slot a window stays by itself, so that reports
-// on the last minutes need no sums.
-const settle = 6 * time.Minute
+// settle is how long after its slot a window is summed up at the earliest. It
+// makes up for hosts that know the platform's clock to a few seconds only.
+const settle = 15 * time.Second
 
 func (l level) slotOf(t time.Time) time.Time { return t.UTC().Truncate(l.slot) }
 
 // ended returns the end of the slot in which t is the end of a window.
 func (l level) ended(t time.Time) time.Time { return l.slotOf(t.Add(-1)).Add(l.slot) }
 
-func (l level) name(slot time.Time, serial int) string {
-	return fmt.Sprintf("%s.%d.%d", l.kind, slot.Unix(), serial)
-}
-
 func partName(name string, part int) string { return fmt.Sprintf("%s.%d", name, part) }
 
 // index is the head of a sum.
 type index struct {
-	Kind    string        `json:"kind"` // of the parts
-	Slot    time.Time     `json:"slot"`
-	Serial  int           `json:"serial,omitempty"` // of several sums of one slot
-	Parts   int           `json:"parts"`
-	Records []recordSet   `json:"records,omitempty"`
-	Windows uint64        `json:"windows"`
-	Spans   []Span        `json:"spans"`
-	Seen    []Incarnation `json:"seen,omitempty"` // that have no window in the sum
-	Folded  uint64        `json:"folded,omitempty"`
-	LeftOut uint64        `json:"left_out,omitempty"`
+	level   level
+	Slot    time.Time
+	Shard   int
+	Serial  int // of several sums of one slot
+	Parts   int
+	Records []recordSet
+	Windows uint64
+	Spans   []Span
+	Seen    []Incarnation // that have no window in the sum
+	Folded  uint64
+	LeftOut uint64
 
 	version uint64 // in the platform
 }
 
 // recordSet names the objects that hold the single records of a sum.
 type recordSet struct {
-	Name  string `json:"name"`
-	Parts int    `json:"parts"`
+	Name  string
+	Parts int
 }
 
-func (x *index) level() level {
-	if x.Kind == coarse.kind {
-		return coarse
-	}
-	return fine
+// name is that of the index; its parts have it with their number.
+func (x *index) name() string {
+	return fmt.Sprintf("%s.%d.%d.%d", x.level.kind, x.Shard, x.Slot.Unix(), x.Serial)
 }
 
-func (x *index) name() string { return x.level().name(x.Slot, x.Serial) }
+func (x *index) kind() string { return inShard(kindIndex, x.Shard) }
 
-func (x *index) end() time.Time { return x.Slot.Add(x.level().slot) }
+func (x *index) partKind() string { return inShard(x.level.kind, x.Shard) }
 
-// timedRow is a row with the end of the slot in which it was delivered, which
-// may be earlier than the slot in which its window was written.
-type timedRow struct {
-	End time.Time `json:"t"`
-	rowObject
-}
-
-type rowPart struct {
-	Rows []timedRow `json:"rows"`
-}
-
-type recordPart struct {
-	Records []Record `json:"records"`
-}
+func (x *index) end() time.Time { return x.Slot.Add(x.level.slot) }
 
 // sum adds windows up.
 type sum struct {
-	level   level
 	index   index
-	rows    map[time.Time]*rows
+	rows    map[time.Time]*rows // by end of the slot in which they were delivered, which may be earlier than the sum's
 	records []Record
 }
 
@@ -105,10 +118,10 @@
 const maxSumKeys = 50_000
 
 // newSum returns an empty sum for the slot, beside those that the slot has.
-func newSum(l level, slot time.Time, indexes []*index) *sum {
-	s := &sum{level: l, index: index{Kind: l.kind, Slot: slot}, rows: map[time.Time]*rows{}}
+func newSum(l level, shard int, slot time.Time, indexes []*index) *sum {
+	s := &sum{index: index{level: l, Shard: shard, Slot: slot}, rows: map[time.Time]*rows{}}
 	for _, x := range indexes {
-		if x.Kind == l.kind && x.Slot.Equal(slot) {
+		if x.level == l && x.Slot.Equal(slot) {
 			s.index.Serial = max(s.index.Serial, x.Serial+1)
 		}
 	}
@@ -125,7 +138,7 @@
 }
 
 func (s *sum) addRows(end time.Time, from *rows) {
-	end = s.level.ended(end)
+	end = s.index.level.ended(end)
 	if s.rows[end] == nil {
 		s.rows[end] = newRows()
 	}
@@ -154,23 +167,35 @@
 	}
 }
 
-func (s *sum) timedRows() []timedRow {
-	var all []timedRow
-	for _, end := range sortedTimes(s.rows) {
-		for _, o := range s.rows[end].objects() {
-			all = append(all, timedRow{End: end, rowObject: o})
+// timedKey is one row of a sum.
+type timedKey struct {
+	end time.Time
+	key Key
+}
+
+func (s *sum) timedKeys() []timedKey {
+	var all []timedKey
+	for _, end := range sortedKeys(s.rows) {
+		for _, k := range s.rows[end].sorted() {
+			all = append(all, timedKey{end: end, key: k})
 		}
 	}
 	return all
 }
 
-func sortedTimes(m map[time.Time]*rows) []time.Time {
-	var times []time.Time
-	for t := range m {
-		times = append(times, t)
+// part returns the message of some rows, which are sorted by slot.
+func (s *sum) part(keys []timedKey) proto.Message {
+	m := &deliverypb.RowPart{}
+	for len(keys) > 0 {
+		end := keys[0].end
+		var ofSlot []Key
+		for len(keys) > 0 && keys[0].end.Equal(end) {
+			ofSlot = append(ofSlot, keys[0].key)
+			keys = keys[1:]
+		}
+		m.Slots = append(m.Slots, &deliverypb.Slot{EndMs: millis(end), Rows: s.rows[end].message(ofSlot)})
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	return times
+	return m
 }
 
 // chunkItems is how many items an object holds at most.
@@ -178,7 +203,7 @@
 
 // encodeChunks encodes the items in as many values as it takes for each to fit
 // an object.
-func encodeChunks[T any](items []T, wrap func([]T) any) ([][]byte, error) {
+func encodeChunks[T any](items []T, wrap func([]T) proto.Message) ([][]byte, error) {
 	var values [][]byte
 	for chunk := range slices.Chunk(items, chunkItems) {
 		more, err := encodeChunk(chunk, wrap)
@@ -190,7 +215,7 @@
 	return values, nil
 }
 
-func encodeChunk[T any](items []T, wrap func([]T) any) ([][]byte, error) {
+func encodeChunk[T any](items []T, wrap func([]T) proto.Message) ([][]byte, error) {
 	value, err := encode(wrap(items))
 	if err != nil {
 		return nil, err
@@ -210,15 +235,20 @@
 	return append(first, second...), err
 }
 
-// readIndexes takes the indexes out of a listing; the rest are windows.
-func readIndexes(objects []platform.Object, unreadable func(platform.Object, error)) (indexes []*index, windows []platform.Object) {
+// readIndexes takes the indexes out of a listing; the rest are windows. An
+// index never changes, so those that are known need no decoding.
+func readIndexes(objects []platform.Object, known map[string]*index, unreadable func(platform.Object, error)) (indexes []*index, windows []platform.Object) {
 	for _, o := range objects {
-		if o.Kind != kindIndex {
+		if !strings.HasPrefix(o.Kind, kindIndex) {
 			windows = append(windows, o)
 			continue
 		}
-		x := &index{version: o.Version}
-		if err := decode(o.Value, x); err != nil {
+		if x, ok := known[o.Name]; ok && x.version == o.Version {
+			indexes = append(indexes, x)
+			continue
+		}
+		x, err := readIndex(o)
+		if err != nil {
 			unreadable(o, err)
 			continue
 		}
@@ -227,6 +257,19 @@
 	return indexes, windows
 }
 
+func readIndex(o platform.Object) (*index, error) {
+	m := &deliverypb.Index{}
+	if err := decode(o.Value, m); err != nil {
+		return nil, err
+	}
+	x, err := indexOfMessage(m)
+	if err != nil {
+		return nil, err
+	}
+	x.version = o.Version
+	return x, nil
+}
+
 // allSpans returns the windows that are in sums.
 func allSpans(indexes []*index) []Span {
 	var spans []Span
@@ -236,18 +279,17 @@
 	return joinSpans(spans)
 }
 
-// superseded returns the fine sums whose windows are all in coarse ones too.
+// superseded returns the sums whose windows are all in coarser ones too.
 func superseded(indexes []*index) map[*index]bool {
-	var spans []Span
-	for _, x := range indexes {
-		if x.Kind == coarse.kind {
-			spans = append(spans, x.Spans...)
-		}
-	}
-	held := coveredBy(joinSpans(spans))
 	over := map[*index]bool{}
-	for _, x := range indexes {
-		over[x] = x.Kind == fine.kind && !slices.ContainsFunc(x.Spans, func(s Span) bool { return !held.holdsAll(s) })
+	for _, l := range levels {
+		coarser := slices.DeleteFunc(slices.Clone(indexes), func(x *index) bool { return x.level.place <= l.place })
+		held := coveredBy(allSpans(coarser))
+		for _, x := range indexes {
+			if x.level == l {
+				over[x] = !slices.ContainsFunc(x.Spans, func(s Span) bool { return !held.holdsAll(s) })
+			}
+		}
 	}
 	return over
 }
--- a/internal/delivery/rows.go
+++ b/internal/delivery/rows.go
@@ -85,6 +85,13 @@
 
 func (r *rows) merge(from *rows, maxKeys int) {
 	r.folded += from.folded
+	if len(r.sums)+len(from.sums) <= maxKeys { // nothing is folded, so the order does not matter
+		for k, sums := range from.sums {
+			s, _ := r.get(k, maxKeys)
+			s.merge(sums)
+		}
+		return
+	}
 	for _, k := range from.bySize() {
 		sums := from.sums[k]
 		s, folded := r.at(k, maxKeys)
--- a/internal/delivery/span.go
+++ b/internal/delivery/span.go
@@ -9,11 +9,11 @@
 // Span is a run of windows of one incarnation that is in the platform.
 type Span struct {
 	Incarnation
-	First uint64    `json:"f"`
-	Last  uint64    `json:"l"`
-	Start time.Time `json:"s,omitzero"` // of the first window
-	End   time.Time `json:"e,omitzero"` // of the last window
-	Final bool      `json:"x,omitempty"`
+	First uint64
+	Last  uint64
+	Start time.Time // of the first window
+	End   time.Time // of the last window
+	Final bool
 }
 
 func spanOf(w *Window) Span {
--- a/internal/delivery/sumstore.go
+++ b/internal/delivery/sumstore.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
+	"google.golang.org/protobuf/proto"
+
+	"rhubarbwood.example/rhubarbwood/internal/delivery/deliverypb"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
@@ -11,11 +15,13 @@
 func (c *Compactor) write(ctx context.Context, s *sum) error {
 	s.finish()
 	name := s.index.name()
-	records, err := encodeChunks(s.records, func(r []Record) any { return recordPart{Records: r} })
+	records, err := encodeChunks(s.records, func(r []Record) proto.Message {
+		return &deliverypb.RecordPart{Records: recordMessages(r)}
+	})
 	if err != nil {
 		return err
 	}
-	rows, err := encodeChunks(s.timedRows(), func(r []timedRow) any { return rowPart{Rows: r} })
+	rows, err := encodeChunks(s.timedKeys(), s.part)
 	if err != nil {
 		return err
 	}
@@ -26,14 +32,14 @@
 	if err := c.putParts(ctx, platform.KindRecord, name, records); err != nil {
 		return err
 	}
-	if err := c.putParts(ctx, s.level.kind, name, rows); err != nil {
+	if err := c.putParts(ctx, s.index.partKind(), name, rows); err != nil {
 		return err
 	}
-	head, err := encode(s.index)
+	head, err := encode(s.index.message())
 	if err != nil {
 		return err
 	}
-	return c.put(ctx, kindIndex, name, head)
+	return c.put(ctx, s.index.kind(), name, head)
 }
 
 func (c *Compactor) putParts(ctx context.Context, kind, name string, values [][]byte) error {
@@ -61,7 +67,7 @@
 			return err
 		case sameValue(conflict.Current.Value, value):
 			return nil
-		case kind == kindIndex:
+		case strings.HasPrefix(kind, kindIndex):
 			return Error.New("index %s was written by another host", name)
 		case conflict.Current.Version == version:
 			return Error.New("write %s/%s: %w", kind, name, err)
@@ -75,7 +81,7 @@
 // time is over, as a coarser sum names them too.
 func (c *Compactor) removeSum(ctx context.Context, x *index, withRecords bool) error {
 	for i := range x.Parts {
-		if err := c.remove(ctx, x.Kind, partName(x.name(), i), 1); err != nil {
+		if err := c.remove(ctx, x.partKind(), partName(x.name(), i), 1); err != nil {
 			return err
 		}
 	}
@@ -84,7 +90,7 @@
 			return err
 		}
 	}
-	return c.remove(ctx, kindIndex, x.name(), x.version)
+	return c.remove(ctx, x.kind(), x.name(), x.version)
 }
 
 func (c *Compactor) removeRecords(ctx context.Context, sets []recordSet) error {
@@ -126,7 +132,3 @@
 	defer cancel()
 	return Error.Wrap(f(ctx))
 }
-
-func (c *Compactor) unreadable(o platform.Object, err error) {
-	c.log.Event(evUnreadable).Str("object", o.Kind+"/"+o.Name).Err(err).Msg("")
-}
--- a/internal/operate/reports.go
+++ b/internal/operate/reports.go
@@ -133,7 +133,7 @@
 	}
 	t := newTable(fieldRequest, "reservation", "caller", "service", "outcome", "reason", "coverage", "snapshot", "latency", "host", "until")
 	for _, r := range records {
-		t.add(r.Request, r.Reservation, r.Caller, r.Service, r.Outcome, string(r.Reason), fraction(r.Coverage),
+		t.add(r.Request, r.Reservation, r.Caller, r.Service, r.Outcome.String(), string(r.Reason), fraction(r.Coverage),
 			number(r.Snapshot), milliseconds(r.Latency), r.Host, r.Until.UTC().Format(time.RFC3339))
 	}
 	if err := t.where(s.Where); err != nil {
