--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Regenerates the committed code: goa under gen/, protobuf and drpc under
-# internal/peer/peerpb. Needs protoc (Debian: protobuf-compiler).
+# internal/peer/peerpb, protobuf under internal/delivery/deliverypb. Needs protoc (Debian: protobuf-compiler).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=$PWD/.cache/bin
@@ -10,4 +10,7 @@
   --go_out=. --go_opt=module=rhubarbwood.example/rhubarbwood \
   --go-drpc_out=. --go-drpc_opt=module=rhubarbwood.example/rhubarbwood \
   internal/peer/peerpb/peer.proto
+PATH=$bin:$PATH protoc -I internal/delivery/deliverypb \
+  --go_out=. --go_opt=module=rhubarbwood.example/rhubarbwood \
+  internal/delivery/deliverypb/delivery.proto
 PATH=$bin:$PATH goa gen rhubarbwood.example/rhubarbwood/design
