Stop of a host under test; the last host serves its callers to the end

Before: a leaving host was no relay even of its own callers, so the last one refused them (no_relay, not run) while the balancer still sent. Entry and relay now see a leaving host as alive if none else is left.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -111,12 +111,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, h.settings.Stop.HardLimit.Std())
 	defer cancel()
-	h.kernel.Advance(kernel.Leaving)
-	h.log.Event(evHostLeaving).Stringer("balancer_lag", h.settings.Stop.BalancerLag).
-		Stringer("hard_limit", h.settings.Stop.HardLimit).Msg("")
-
-	h.parts.members.Leave(ctx)
-	h.parts.relayRPC.Drain()
+	h.leave(ctx)
 	wait(ctx, h.settings.Stop.BalancerLag.Std())
 	if err := h.kernel.Stop(ctx); err != nil {
 		h.log.Event(evHostCut).Err(err).Dur("took", time.Since(began)).Msg("")
@@ -126,6 +121,16 @@
 	return nil
 }
 
+// leave turns new work away: the balancer's by readiness, relayed work by the
+// membership and by refusing it. Callers who still come are served.
+func (h *Host) leave(ctx context.Context) {
+	h.kernel.Advance(kernel.Leaving)
+	h.log.Event(evHostLeaving).Stringer("balancer_lag", h.settings.Stop.BalancerLag).
+		Stringer("hard_limit", h.settings.Stop.HardLimit).Msg("")
+	h.parts.members.Leave(ctx)
+	h.parts.relayRPC.Drain()
+}
+
 // StopRepeated notes that a stop was asked for while one goes on.
 func (h *Host) StopRepeated() { h.log.Event(evStopRepeated).Msg("") }
 
--- a/internal/host/modules.go
+++ b/internal/host/modules.go
@@ -110,7 +110,7 @@
 	if u.err != nil {
 		return nil, u.err
 	}
-	return relay.New(h.settings.Relay, services, members, store, h.log, h.metrics), nil
+	return relay.New(h.settings.Relay, services, lastHostView{members}, store, h.log, h.metrics), nil
 }
 
 func (h *Host) newClaims(f kernel.Finder) (kernel.Module, error) {
@@ -189,7 +189,7 @@
 	if u.err != nil {
 		return nil, u.err
 	}
-	return entry.New(h.settings.Entry, cat, members, local, cat, recorder, h.log, h.metrics), nil
+	return entry.New(h.settings.Entry, cat, lastHostView{members}, local, cat, recorder, h.log, h.metrics), nil
 }
 
 func (h *Host) newCallers(f kernel.Finder) (kernel.Module, error) {
