--- a/internal/knownred/judge.go
+++ b/internal/knownred/judge.go
@@ -13,6 +13,10 @@
 	passes []string // tests of the list that passed or didn't run
 }
 
+// makeFailed is make's exit status when a command of it failed. Any other says
+// that it was ended from outside, so that tests may not have run.
+const makeFailed = 2
+
 // judge holds the results against the list. A failed command without a failed
 // package is a failure before or after the tests, and never a known one.
 func judge(list []known, results []result, status int) report {
@@ -25,6 +29,9 @@
 		failedPackages++
 		r.add(list, p)
 	}
+	if status != 0 && status != makeFailed {
+		r.red = append(r.red, fmt.Sprintf("the command was ended with status %d", status))
+	}
 	if status != 0 && failedPackages == 0 {
 		r.red = append(r.red, fmt.Sprintf("the command failed with status %d, and not in a test", status))
 	}
--- a/internal/knownred/knownred_test.go
+++ b/internal/knownred/knownred_test.go
@@ -30,6 +30,7 @@
 		"panic in a known test":     {list, "--- FAIL: TestSweep (0.00s)\npanic: boom\nFAIL\trhubarbwood.example/rhubarbwood/internal/claim\t0.1s\n", 2, false, "RED: internal/claim: not built"},
 		"not built":                 {list, "FAIL\trhubarbwood.example/rhubarbwood/internal/plan [build failed]\n" + failing, 2, false, "RED: internal/plan: not built"},
 		"vet failed":                {list, "# internal/plan\nvet: bad\n", 2, false, "RED: the command failed with status 2"},
+		"ended from outside":        {list, passing + failing, 124, false, "RED: the command was ended with status 124"},
 		"nothing was tested":        {"", "", 0, false, "RED: the log holds no package"},
 	}
 	for name, test := range tests {
