--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -44,7 +44,7 @@
 	m.lock()
 	defer m.mu.Unlock()
 	if all {
-		return toInfo(m.self), toInfos(m.table.all())
+		return toInfo(m.self), toInfos(m.table.all(time.Now().Add(-tellDead)))
 	}
 	return toInfo(m.self), toInfos(m.table.updates(m.cfg.UpdatesPerMessage, about))
 }
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -172,6 +172,16 @@
 	})
 }
 
+func TestManyHostsStartedAtOnceMeet(t *testing.T) {
+	inBubble(t, func(t *testing.T, net *network) {
+		var all []*Members
+		for i := range 100 {
+			all = append(all, net.start(downStore{}, i))
+		}
+		within(t, 20*time.Second, "met", func() bool { return everywhere(all, 100) })
+	})
+}
+
 func TestListTakenAtStartIsNoNews(t *testing.T) {
 	inBubble(t, func(t *testing.T, net *network) {
 		is := is.New(t)
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -14,6 +14,8 @@
 	// syncPerHost is the time between two whole lists, for each host on them,
 	// so that the bytes a second are bounded whatever the fleet's size.
 	syncPerHost = 20 * time.Millisecond
+	// tellDead is for how long a whole list tells a death.
+	tellDead = 10 * time.Minute
 )
 
 // syncing decides when to ask for a whole list. Bounded messages carry the
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -290,11 +290,12 @@
 	return rows
 }
 
-// all returns every confirmed host that is not dead.
-func (t *table) all() []update {
+// all returns every confirmed host that is not dead or has died since recent,
+// so that one who holds it alive learns of it.
+func (t *table) all(recent time.Time) []update {
 	var out []update
 	for _, r := range t.rows {
-		if r.State != Dead && !r.unconfirmed {
+		if !r.unconfirmed && (r.State != Dead || r.since.After(recent)) {
 			out = append(out, r.update)
 		}
 	}
