--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -49,8 +49,8 @@
 		RememberMax: 20000,
 		SweepEvery:  unit.Duration(time.Minute),
 		Sweepers:    2,
-		SweepCalls:  600,
-		SweepRate:   10,
+		SweepCalls:  1200,
+		SweepRate:   20,
 	}
 }
 
--- a/internal/claim/failure_test.go
+++ b/internal/claim/failure_test.go
@@ -26,7 +26,7 @@
 // sweepAll removes every record that is old enough.
 func (h *host) sweepAll(is *is.I) {
 	h.claims.cfg.SweepCalls = many
-	is.NoErr(h.claims.sweep(context.Background(), rate.NewLimiter(rate.Inf, 1)))
+	is.NoErr(h.claims.sweep(context.Background(), rate.NewLimiter(rate.Inf, 1), 0))
 }
 
 func TestCreateAnswerLost(t *testing.T) {
--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -126,7 +126,7 @@
 	synctest.Wait()
 	for _, h := range m.hosts {
 		if !h.isDead() {
-			go func() { _ = h.claims.sweep(context.Background(), rate.NewLimiter(rate.Inf, 1)) }()
+			go func() { _ = h.claims.sweep(context.Background(), rate.NewLimiter(rate.Inf, 1), 0) }()
 			break
 		}
 	}
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -44,35 +44,32 @@
 			t.Stop()
 			return
 		}
-		if !sweeps(c.view, c.cfg.Sweepers) {
+		rank := sweepRank(c.view, c.cfg.Sweepers)
+		if rank < 0 {
 			continue
 		}
-		if err := c.sweep(ctx, limit); err != nil && ctx.Err() == nil {
+		if err := c.sweep(ctx, limit, rank); err != nil && ctx.Err() == nil {
 			c.log.Event(evSweepFailed).Err(err).Msg("")
 		}
 	}
 }
 
-// sweeps reports whether this host is among the n hosts with the lowest
-// hashes. Hosts need not agree: one too many costs calls, and none too few
-// lasts no longer than the views differ.
-func sweeps(v member.View, n int) bool {
+// sweepRank returns this host's place among the n hosts with the lowest
+// hashes, -1 if it is none of them. Hosts need not agree: one too many costs
+// calls, and one too few lasts no longer than the views differ.
+func sweepRank(v member.View, n int) int {
 	hosts := slices.Clone(v.Hosts())
 	slices.SortFunc(hosts, func(a, b member.Host) int {
 		return cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID))
 	})
-	for _, h := range hosts[:min(n, len(hosts))] {
-		if h.ID == v.Self().ID {
-			return true
-		}
-	}
-	return false
+	self := v.Self().ID
+	return slices.IndexFunc(hosts[:min(n, len(hosts))], func(h member.Host) bool { return h.ID == self })
 }
 
 // sweep removes records slice by slice from the cursor on, until it meets a
 // slice that is too young or has spent the calls of a round.
-func (c *Claims) sweep(ctx context.Context, limit *rate.Limiter) error {
-	s := &sweeper{c: c, limit: limit, left: c.cfg.SweepCalls}
+func (c *Claims) sweep(ctx context.Context, limit *rate.Limiter, rank int) error {
+	s := &sweeper{c: c, limit: limit, left: c.cfg.SweepCalls, backwards: rank%2 == 1}
 	cur, version, err := s.readCursor(ctx)
 	if err != nil {
 		return err
@@ -82,10 +79,13 @@
 		if !known || now.Sub(sliceEnd(cur.Slice)) <= removeAfter {
 			return nil
 		}
-		done, err := s.slice(ctx, cur.Slice)
-		if err != nil || !done {
+		empty, err := s.slice(ctx, cur.Slice)
+		if err != nil {
 			return err
 		}
+		if !empty {
+			continue // list it again: all that it held is gone, or was changed meanwhile
+		}
 		cur.Slice++
 		version, err = s.writeCursor(ctx, version, cur)
 		var con *platform.Conflict
@@ -103,6 +103,9 @@
 	c     *Claims
 	limit *rate.Limiter
 	left  int // calls of this round
+	// backwards is the order of every second sweeper, so that two of them
+	// share a slice and meet in its middle.
+	backwards bool
 }
 
 // call waits for the rate limit and counts a call.
@@ -111,8 +114,8 @@
 	return s.limit.Wait(ctx)
 }
 
-// slice removes the records of one slice; done when none is left.
-func (s *sweeper) slice(ctx context.Context, slice int64) (done bool, err error) {
+// slice removes the records of one slice; empty if it had none.
+func (s *sweeper) slice(ctx context.Context, slice int64) (empty bool, err error) {
 	if err := s.call(ctx); err != nil {
 		return false, err
 	}
@@ -120,36 +123,45 @@
 	if err != nil {
 		return false, Error.New("list old records: %w", err)
 	}
+	if s.backwards {
+		slices.Reverse(list.Objects)
+	}
 	removed := 0
 	for _, o := range list.Objects {
 		if s.left <= 0 {
 			return false, nil
 		}
-		if err := s.remove(ctx, o); err != nil {
+		gone, err := s.remove(ctx, o)
+		if err != nil {
 			return false, err
 		}
+		if gone {
+			break
+		}
 		removed++
 	}
 	if removed > 0 {
 		s.c.log.Event(evSwept).Int("removed", removed).Int64("slice", slice).Msg("")
 	}
-	return true, nil
+	return len(list.Objects) == 0, nil
 }
 
-// remove deletes one record. A conflict means that another sweeper was there.
-func (s *sweeper) remove(ctx context.Context, o platform.Object) error {
+// remove deletes one record; gone if it was not there as listed, since another
+// sweeper has come as far.
+func (s *sweeper) remove(ctx context.Context, o platform.Object) (gone bool, err error) {
 	if err := s.call(ctx); err != nil {
-		return err
+		return false, err
 	}
-	err := s.c.store.Delete(ctx, o.Kind, o.Name, o.Version)
+	err = s.c.store.Delete(ctx, o.Kind, o.Name, o.Version)
 	var con *platform.Conflict
-	if err != nil && !errors.As(err, &con) && !errors.Is(err, platform.ErrNotFound) {
-		return Error.New("remove old record: %w", err)
+	if errors.As(err, &con) || errors.Is(err, platform.ErrNotFound) {
+		return true, nil
 	}
-	if err == nil {
-		s.c.metrics.removed.Inc()
+	if err != nil {
+		return false, Error.New("remove old record: %w", err)
 	}
-	return nil
+	s.c.metrics.removed.Inc()
+	return false, nil
 }
 
 func (s *sweeper) readCursor(ctx context.Context) (cursor, uint64, error) {
--- a/internal/claim/sweep_test.go
+++ b/internal/claim/sweep_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,13 +52,33 @@
 		kind := mustID(newID(start)).kind()
 		for len(w.platform.Objects(kind)) > 0 {
 			before := w.platform.Calls("get") + w.platform.Calls("put") + w.platform.Calls("list") + w.platform.Calls("delete")
-			is.NoErr(h.claims.sweep(context.Background(), rate.NewLimiter(rate.Inf, 1)))
+			is.NoErr(h.claims.sweep(context.Background(), rate.NewLimiter(rate.Inf, 1), 0))
 			after := w.platform.Calls("get") + w.platform.Calls("put") + w.platform.Calls("list") + w.platform.Calls("delete")
 			is.True(after-before <= 13) // and one to move the cursor
 		}
 	})
 }
 
+// Two hosts that sweep at once share the work.
+func TestSweepersShareASlice(t *testing.T) {
+	inWorld(t, 2, func(is *is.I, w *world) {
+		start := time.Now()
+		for range 100 {
+			is.Equal(w.hosts[0].reserve(reservation(newID(start))).Outcome, outcome.Done)
+		}
+		time.Sleep(removeAfter + time.Hour)
+		var wg sync.WaitGroup
+		for rank, h := range w.hosts {
+			h.reserve(reservation(newID(time.Now())))
+			limit := rate.NewLimiter(10, 1)
+			wg.Go(func() { _ = h.claims.sweep(context.Background(), limit, rank) })
+		}
+		wg.Wait()
+		is.Equal(len(w.platform.Objects(mustID(newID(start)).kind())), 0)
+		is.True(w.platform.Calls("delete") <= 102)
+	})
+}
+
 // At 720 hosts two sweep, and the platform sees their rate and no more.
 func TestFewHostsSweep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -71,7 +92,7 @@
 		sweepers := 0
 		for _, h := range v.hosts {
 			v.self = h
-			if sweeps(v, DefaultConfig().Sweepers) {
+			if sweepRank(v, DefaultConfig().Sweepers) >= 0 {
 				sweepers++
 			}
 		}
