Relay: every attempt ends at its target's policy; no ramp when none is set

An orderly refusal was not told to the outlier, whose list of attempts in flight would grow. A cold_ramp of 0 took the policy's default of 10 s instead of none. Hedges ask the queue whether it stays full, not whether it is empty: a wide batch keeps it from being empty until it ends.

--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -16,7 +16,7 @@
 	sig := t.signal(a)
 	p.mu.Lock()
 	p.running--
-	p.release(now, t, sig, blames(a))
+	p.release(now, t, sig)
 	p.learn(now, t, a, took)
 	refused := p.drain(now)
 	p.mu.Unlock()
@@ -61,16 +61,14 @@
 	t.suspect = is
 }
 
-// release gives the try's place back. An orderly refusal tells nothing of the
-// target but ends a probe.
-func (p *pool) release(now time.Time, t *try, sig policy.Signal, blame bool) {
-	r := t.target.rep
-	took := now.Sub(t.started)
-	if blame || r.Outlier.Ejected(now) {
-		r.Done(now, took, sig, t.replicas())
-		return
+// release gives the try's place back, and the target's policies learn from
+// its end.
+func (p *pool) release(now time.Time, t *try, sig policy.Signal) {
+	peers := t.peers
+	if t.set != nil {
+		peers = t.set.replicas
 	}
-	r.Limiter.Release(now, took, sig)
+	t.target.rep.Done(now, now.Sub(t.started), sig, peers)
 }
 
 // leave notes a sign of leaving.
--- a/internal/relay/poll.go
+++ b/internal/relay/poll.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/targetapi"
 )
 
@@ -111,8 +112,9 @@
 	p.mu.Lock()
 	switch t.health.status(now, s) {
 	case started:
-		t.untried = true
-		t.rep.Restart(now, p.relay.cfg.ColdRamp.Std())
+		t.rep.Restart(now, 0) // forgets what the last incarnation showed
+		t.rep.Ramp = policy.Ramp{}
+		t.warmUp(now, p.relay.cfg.ColdRamp.Std())
 		p.relay.log.Event(evTargetStarted).Str("service", p.name).Str("target", t.conf.ID).
 			Uint64("incarnation", s.Incarnation).Msg("")
 	case left:
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -106,7 +106,7 @@
 func (p *pool) hedge(now time.Time, t *try) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	saturated := p.queue.Len() > 0 || !p.healthyFree(now, t)
+	saturated := p.queue.Saturated(now) || !p.healthyFree(now, t)
 	if !t.set.hedger.Take(now, saturated) || !p.take(now, t) {
 		return false
 	}
--- a/internal/relay/reserve.go
+++ b/internal/relay/reserve.go
@@ -139,7 +139,7 @@
 	if !usable {
 		return notSent(query.ReasonDraining)
 	}
-	_, shard, snapshot, ok := p.locate(q.Item)
+	set, shard, snapshot, ok := p.locate(q.Item)
 	if !ok {
 		return notSent(query.ReasonNoSnapshot)
 	}
@@ -149,7 +149,7 @@
 	if err != nil {
 		return notSent(query.ReasonBadRequest)
 	}
-	s := &single{pool: p, fate: make(chan answer, 1), ctx: ctx, attempt: &attempt{
+	s := &single{pool: p, peers: set.replicas, fate: make(chan answer, 1), ctx: ctx, attempt: &attempt{
 		id: attemptID, requestID: q.RequestID, service: q.Service, shard: shard,
 		snapshot: snapshot, body: body, deadline: deadline,
 	}}
@@ -183,13 +183,14 @@
 // single is one attempt to one given target, sent one time at most.
 type single struct {
 	pool    *pool
+	peers   []*policy.Replica
 	ctx     context.Context
 	attempt *attempt
 	fate    chan answer
 }
 
 func (s *single) run(t *target) answer {
-	tr := &try{owner: s, kind: policy.FirstTry, holders: []*target{t}}
+	tr := &try{owner: s, kind: policy.FirstTry, holders: []*target{t}, peers: s.peers}
 	tr.waiter.Urgency, tr.waiter.Deadline, tr.waiter.Rank = s.pool.urgency(), s.attempt.deadline, mustRun
 	s.pool.submit(time.Now(), tr)
 	timer := time.NewTimer(time.Until(s.attempt.deadline))
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -55,13 +55,22 @@
 		shardURL: &url.URL{Scheme: "http", Host: c.Address, Path: targetapi.PathShard},
 	}
 	t.rep = policy.NewReplica(c.ID, t.local, c.Slots, relays, ceiling(s.Rules, c))
-	t.untried, t.stats.latency = true, newLatencies()
+	t.stats.latency = newLatencies()
 	t.transport = r.newTransport(s.Rules, t)
 	t.health.drained = c.Drained
-	t.rep.Ramp.Restart(now, r.cfg.ColdRamp.Std())
+	t.warmUp(now, r.cfg.ColdRamp.Std())
 	return t
 }
 
+// warmUp begins the ramp of a target that was just seen or has just started;
+// with no span there is none.
+func (t *target) warmUp(now time.Time, span time.Duration) {
+	t.untried = true
+	if span > 0 {
+		t.rep.Ramp.Restart(now, span)
+	}
+}
+
 // ceiling returns the most attempts in flight that the connections carry. An
 // HTTP/1.1 connection carries one; one h2c connection carries as many as the
 // target runs.
--- a/internal/relay/try.go
+++ b/internal/relay/try.go
@@ -27,8 +27,9 @@
 	kind    policy.Try
 	set     *replicaSet // nil: counts for no budget of extra attempts
 	holders []*target
-	spent   uint64 // bit i: holders[i] is not to be asked
-	avoid   string // failure domain better not used, of the try that this one hedges
+	peers   []*policy.Replica // compared with, if there is no set
+	spent   uint64            // bit i: holders[i] is not to be asked
+	avoid   string            // failure domain better not used, of the try that this one hedges
 	waiter  policy.Waiter[*try]
 
 	// Set when granted.
@@ -54,22 +55,17 @@
 	return []*policy.Replica{t.holders[0].rep}
 }
 
-// signal translates the end of a try for the policies.
+// signal translates the end of a try for the policies. A refusal that belongs
+// to an orderly target speaks neither for nor against it.
 func (t *try) signal(a answer) policy.Signal {
-	switch {
-	case a.outcome == outcome.Done:
+	if a.outcome == outcome.Done {
 		return policy.Served
-	case a.reason == query.ReasonOverload:
+	}
+	switch a.reason {
+	case query.ReasonOverload:
 		return policy.Shed
-	case a.reason == query.ReasonBudget:
+	case query.ReasonBudget, query.ReasonDraining, query.ReasonSnapshotNotHeld, query.ReasonUnsettled:
 		return policy.Abandoned
 	}
 	return policy.Errored
 }
-
-// blames reports whether the end of a try speaks against its target. Refusals
-// that belong to an orderly target do not.
-func blames(a answer) bool {
-	return a.reason != query.ReasonDraining && a.reason != query.ReasonSnapshotNotHeld &&
-		a.reason != query.ReasonUnsettled
-}
