--- a/internal/load/direct.go
+++ b/internal/load/direct.go
@@ -35,8 +35,8 @@
 
 // newDirect returns a searcher that holds up to a number of connections to a
 // target; 0 is no limit.
-func newDirect(view catalog.View, connections, retries int) *direct {
-	t := &http.Transport{MaxConnsPerHost: connections, MaxIdleConnsPerHost: idlePerHost}
+func newDirect(view catalog.View, n network, connections, retries int) *direct {
+	t := &http.Transport{MaxConnsPerHost: connections, MaxIdleConnsPerHost: idlePerHost, DialContext: n.dial}
 	return &direct{view: view, http: &http.Client{Transport: t}, retries: retries}
 }
 
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -36,10 +36,27 @@
 type siteConfig struct {
 	hosts       int
 	rules       catalog.Rules
-	direct      bool // every decision off: see direct
-	connections int  // direct: to one target from one host, 0 for no limit
-	retries     int  // direct
-	queue       int  // of a target; 0 is the stand-in's default
+	direct      bool    // every decision off: see direct
+	connections int     // direct: to one target from one host, 0 for no limit
+	retries     int     // direct
+	queue       int     // of a target; 0 is the stand-in's default
+	network     network // nil: loopback
+}
+
+// network connects hosts and targets.
+type network interface {
+	listen(targetID string) (net.Listener, error)
+	dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// loopback is the network of the machine.
+type loopback struct{}
+
+func (loopback) listen(string) (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+
+func (loopback) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, network, address)
 }
 
 // site is started by newSite and ended by close.
@@ -60,6 +77,9 @@
 }
 
 func newSite(ctx context.Context, c siteConfig) (*site, error) {
+	if c.network == nil {
+		c.network = loopback{}
+	}
 	s := &site{listeners: make(map[string]net.Listener), searchers: make(map[string]relay.Searcher)}
 	layout, err := s.layout(c)
 	if err != nil {
@@ -81,7 +101,7 @@
 func (s *site) layout(c siteConfig) (fixture.Layout, error) {
 	var failed error
 	address := func(id string) string {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := c.network.listen(id)
 		if err != nil {
 			failed = Error.New("listen for target %s: %w", id, err)
 			return ""
@@ -117,10 +137,11 @@
 	h := &siteHost{metrics: prometheus.NewRegistry()}
 	id := members.Self().ID
 	if c.direct {
-		h.direct = newDirect(s.catalog, c.connections, c.retries)
+		h.direct = newDirect(s.catalog, c.network, c.connections, c.retries)
 		s.searchers[id] = h.direct
 	} else {
 		h.relay = relay.New(relayConfig(), s.catalog, members, nil, event.Discard(), h.metrics)
+		h.relay.DialWith(c.network.dial)
 		if err := h.relay.Start(ctx); err != nil {
 			return Error.New("start relay of %s: %w", id, err)
 		}
--- a/internal/policy/hedge.go
+++ b/internal/policy/hedge.go
@@ -16,10 +16,9 @@
 	hedgeLowest     = time.Millisecond // shortest delay
 	hedgeReserve    = 3                // hedges that a new replica set may send at once
 	everyday        = 0.25             // part of the budget for the slow tries of healthy targets
-	hedgeCheck      = 200              // first tries between two looks at what was spent
-	stretchStep     = 1.1
-	stretchMost     = 2.0
-	histLowest      = 1 // microseconds
+	overtaken       = 1.25             // times the delay that a hedged try is taken to last
+	delayMost       = 4.0              // times the median
+	histLowest      = 1                // microseconds
 	histHighest     = 60_000_000
 	histDigits      = 2
 )
@@ -34,50 +33,26 @@
 	since    time.Time
 	samples  int
 	delay    time.Duration
-	stretch  float64 // factor on the quantile, at least 1
-	firsts   int     // since the last look
-	taken    int
 }
 
 // NewHedger returns the hedger of a replica set. quantile is 0..1 and budget
 // the hedges per first try; a budget of zero or less turns hedging off.
 //
-// The quantile is raised, and the delay stretched, until everyday hedges take
-// no more than a quarter of the budget: what was spent on those is missing
-// when a target turns slow.
+// The quantile is raised until everyday hedges take a quarter of the budget:
+// what was spent on those is missing when a target turns slow.
 func NewHedger(quantile, budget float64) *Hedger {
 	h := &Hedger{
 		quantile: max(quantile, 1-everyday*budget),
 		budget:   NewBudget(budget),
 		now:      newHistogram(),
 		old:      newHistogram(),
-		stretch:  1,
 	}
 	h.budget.tokens = hedgeReserve
 	return h
 }
 
 // First counts a first try.
-func (h *Hedger) First(now time.Time) {
-	h.budget.First(now)
-	h.firsts++
-	if h.firsts >= hedgeCheck {
-		h.look()
-	}
-}
-
-// look compares what was spent with the everyday part of the budget.
-// Latencies of tries that a hedge overtook are never known, so the quantile of
-// those that are would hedge too often.
-func (h *Hedger) look() {
-	spent := float64(h.taken) / float64(h.firsts)
-	if spent > everyday*h.budget.ratio {
-		h.stretch = min(h.stretch*stretchStep, stretchMost)
-	} else {
-		h.stretch = max(h.stretch/stretchStep, 1)
-	}
-	h.firsts, h.taken = 0, 0
-}
+func (h *Hedger) First(now time.Time) { h.budget.First(now) }
 
 // Observe takes the latency of a valid answer, from the send of the attempt
 // that gave it.
@@ -97,16 +72,18 @@
 	if h.delay == 0 || h.budget.ratio <= 0 {
 		return 0, false
 	}
-	return time.Duration(float64(h.delay) * h.stretch), true
+	return h.delay, true
 }
 
 // Take asks for one hedge when its delay has passed. saturated tells whether
-// a further request of the replica set would have to wait.
+// the replica set has no place to spare. The try that is hedged counts as a
+// slow one: what it would have taken is not known when the hedge wins, and the
+// quantile of the known latencies alone would be too low.
 func (h *Hedger) Take(now time.Time, saturated bool) bool {
 	if saturated || !h.budget.Take(now) {
 		return false
 	}
-	h.taken++
+	h.Observe(now, time.Duration(overtaken*float64(h.delay)))
 	return true
 }
 
@@ -125,8 +102,9 @@
 func (h *Hedger) refresh() {
 	both := hdrhistogram.Import(h.old.Export())
 	both.Merge(h.now)
-	us := both.ValueAtQuantile(h.quantile * 100)
-	h.delay = max(time.Duration(us)*time.Microsecond, hedgeLowest)
+	us := float64(both.ValueAtQuantile(h.quantile * 100))
+	most := delayMost * float64(both.ValueAtQuantile(50))
+	h.delay = max(time.Duration(min(us, most))*time.Microsecond, hedgeLowest)
 }
 
 func newHistogram() *hdrhistogram.Histogram {
