--- a/internal/relay/hostlist.go
+++ b/internal/relay/hostlist.go
@@ -58,9 +58,13 @@
 	hosts, err := r.hosts.Hosts(ctx)
 	if err != nil {
 		r.metrics.polls.WithLabelValues("host_list", "failed").Inc()
-		r.log.Event(evHostList).Str("cause", err.Error()).Msg("")
+		if !r.listUnread {
+			r.log.Event(evHostList).Str("cause", err.Error()).Msg("")
+		}
+		r.listUnread = true
 		return
 	}
+	r.listUnread = false
 	r.metrics.polls.WithLabelValues("host_list", "answered").Inc()
 	r.ApplyHostList(hosts)
 	if r.Share != nil {
--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -45,12 +45,23 @@
 		t.target.stats.errors++
 	}
 	if a.reason == query.ReasonBadAnswer {
-		p.relay.metrics.bad.WithLabelValues(p.name).Inc()
-		p.relay.log.Event(evBadAnswer).Str("service", p.name).Str("target", t.target.conf.ID).
-			Str("cause", a.cause.Error()).Msg("")
+		p.noteBadAnswer(now, t.target, a.cause)
 	}
 }
 
+// logEvery bounds the log lines of a target that answers badly all the time.
+const logEvery = 10 * time.Second
+
+func (p *pool) noteBadAnswer(now time.Time, t *target, cause error) {
+	p.relay.metrics.bad.WithLabelValues(p.name).Inc()
+	if now.Sub(t.badLogged) < logEvery {
+		return
+	}
+	t.badLogged = now
+	p.relay.log.Event(evBadAnswer).Str("service", p.name).Str("target", t.conf.ID).
+		Str("cause", cause.Error()).Msg("")
+}
+
 // noteSuspect logs that a target has just been set aside.
 func (p *pool) noteSuspect(now time.Time, t *target) {
 	is := t.rep.Outlier.Ejected(now)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,8 +50,11 @@
 	table    atomic.Pointer[table]
 	mu       sync.Mutex // of building tables
 	planning atomic.Bool
-	stop     context.CancelFunc
-	work     sync.WaitGroup
+
+	listUnread bool // the last read of the host list failed; of its goroutine
+
+	stop context.CancelFunc
+	work sync.WaitGroup
 }
 
 // New returns a relay of the services in view. hosts may be nil; then the
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -29,13 +29,14 @@
 	rowsHint    atomic.Int64 // rows of the newest answer
 
 	// Guarded by the pool's lock.
-	rep     *policy.Replica
-	health  health
-	stats   targetStats
-	untried bool // got no attempt since it was first seen or started
-	suspect bool // was set aside when last looked at
-	polling bool // a status poll is at work
-	gone    bool // no longer in the catalog
+	rep       *policy.Replica
+	health    health
+	stats     targetStats
+	untried   bool      // got no attempt since it was first seen or started
+	suspect   bool      // was set aside when last looked at
+	polling   bool      // a status poll is at work
+	badLogged time.Time // when a bad answer was last logged
+	gone      bool      // no longer in the catalog
 }
 
 // targetStats counts for operators.
