exec asks for all rows and any coverage when told so

The generated client sends the API's default in place of a zero, so "min coverage 0" was refused as if complete coverage had been asked for. Seen to fail without the encoder: TestSearchAsksForAllRowsAndAnyCoverage, 1 != 0.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -23,6 +23,7 @@
 // client talks to one host.
 type client struct {
 	wire    *recorder
+	entry   string
 	query   *queryhttp.Client
 	operate *operatehttp.Client
 }
@@ -32,13 +33,32 @@
 	enc, dec := goahttp.RequestEncoder, goahttp.ResponseDecoder
 	return &client{
 		wire:    wire,
+		entry:   entry,
 		query:   queryhttp.NewClient("http", entry, wire, enc, dec, false),
 		operate: operatehttp.NewClient("http", operators, wire, enc, dec, false),
 	}
 }
 
 func (c *client) search(ctx context.Context, p *query.SearchPayload) (*query.SearchAnswer, error) {
-	return call[*query.SearchAnswer](ctx, c, c.query.Search(), p)
+	enc := func(r *http.Request) goahttp.Encoder { return exactEncoder{goahttp.RequestEncoder(r), p} }
+	exact := queryhttp.NewClient("http", c.entry, c.wire, enc, goahttp.ResponseDecoder, false)
+	return call[*query.SearchAnswer](ctx, c, exact.Search(), p)
+}
+
+// exactEncoder sends the limit and the minimum coverage as they are. The
+// generated client takes a zero for a field that wasn't set and would send the
+// default: 20 rows instead of all, complete coverage instead of any.
+type exactEncoder struct {
+	goahttp.Encoder
+	search *query.SearchPayload
+}
+
+// Encode writes the body.
+func (e exactEncoder) Encode(v any) error {
+	if body, ok := v.(**queryhttp.SearchRequestBody); ok {
+		(*body).Limit, (*body).MinCoverage = e.search.Limit, e.search.MinCoverage
+	}
+	return e.Encoder.Encode(v)
 }
 
 func (c *client) reserve(ctx context.Context, p *query.ReservePayload) (*query.ReservationAnswer, error) {
--- a/internal/cli/exec_test.go
+++ b/internal/cli/exec_test.go
@@ -125,6 +125,15 @@
 	is.Equal(f.search.MinCoverage, 1.0)
 }
 
+// A zero that was asked for isn't taken for the API's default.
+func TestSearchAsksForAllRowsAndAnyCoverage(t *testing.T) {
+	is := is.New(t)
+	f := &fakeHost{answer: partial()}
+	is.Equal(f.exec(t, `search service guest-portal-01 "" min coverage 0`).code, ExitOK)
+	is.Equal(f.search.MinCoverage, 0.0)
+	is.Equal(f.search.Limit, 0)
+}
+
 func TestSearchJSON(t *testing.T) {
 	is := is.New(t)
 	r := (&fakeHost{answer: partial()}).exec(t, "--output", "json", `search workload guest-portal "x"`)
