Entry: successors of a service's relays are asked when all its relays were

Cause: during a rolling stop some requests were told unknown_service (404): a host that had just joined was asked as the one relay of a service before its configuration had come, and no other relay was left to ask. Ruled out: services that vanish from the catalog. After: a relay that does not know the service is treated as lost, and the hosts that would relay if it were gone are asked.

--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -56,10 +57,14 @@
 	ctx, cancel := context.WithTimeout(ctx, budget)
 	defer cancel()
 	last := query.Reservation{Outcome: outcome.NotSent, Reason: query.ReasonNoRelay}
-	order := e.reserveOrder(r)
-	order = order[:min(len(order), e.cfg.MaxRelays)]
-	for i, h := range order {
-		next, lost := e.reserveAt(ctx, h, r, i == len(order)-1)
+	tried := make(map[string]bool)
+	for n := 1; n <= e.cfg.MaxRelays; n++ {
+		h, ok := e.reserveRelay(r, tried)
+		if !ok {
+			break
+		}
+		tried[h.ID] = true
+		next, lost := e.reserveAt(ctx, h, r, n == e.cfg.MaxRelays)
 		last = follow(last, next)
 		if !lost || ctx.Err() != nil {
 			break
@@ -91,11 +96,12 @@
 	return result, late || relayLost(result)
 }
 
-// relayLost reports whether the relay could not be reached, was lost, or is
-// leaving.
+// relayLost reports whether the relay could not be reached, was lost, is
+// leaving, or has not learned of the service yet.
 func relayLost(r query.Reservation) bool {
 	switch r.Reason {
-	case query.ReasonConnection, query.ReasonDraining, query.ReasonStale, query.ReasonNotRelay, query.ReasonNoSnapshot:
+	case query.ReasonConnection, query.ReasonDraining, query.ReasonStale, query.ReasonNotRelay,
+		query.ReasonNoSnapshot, query.ReasonUnknownService:
 		return r.Outcome != outcome.Done
 	}
 	return false
@@ -111,26 +117,32 @@
 	return next
 }
 
-// reserveOrder returns the relays of the service in the order in which they
-// are asked: repeats of one id meet at the same relay, where they join, and
-// relays that were lost of late come last.
-func (e *Entry) reserveOrder(r query.Reserve) []member.Host {
+// reserveRelay returns the relay to be asked next. Repeats of one id meet at
+// the same relay, where they join; relays that were lost of late come last,
+// and then the successors of those tried.
+func (e *Entry) reserveRelay(r query.Reserve, tried map[string]bool) (member.Host, bool) {
 	now := time.Now()
-	hosts := slices.Clone(e.router.candidates(r.Service))
-	weight := func(h member.Host) uint64 { return xxhash.Sum64String(r.ReservationID + "\x00" + h.ID) }
-	slices.SortFunc(hosts, func(a, b member.Host) int {
-		if x, y := e.router.avoided(a.ID, now), e.router.avoided(b.ID, now); x != y {
-			if y {
-				return -1
-			}
-			return 1
+	for _, hosts := range [][]member.Host{e.router.candidates(r.Service), e.router.successors(r.Service, tried)} {
+		left := slices.DeleteFunc(slices.Clone(hosts), func(h member.Host) bool { return tried[h.ID] })
+		if len(left) > 0 {
+			return slices.MinFunc(left, e.byReservation(r.ReservationID, now)), true
 		}
-		if weight(a) > weight(b) {
-			return -1
+	}
+	return member.Host{}, false
+}
+
+// byReservation orders relays for a reservation id.
+func (e *Entry) byReservation(id string, now time.Time) func(a, b member.Host) int {
+	weight := func(h member.Host) uint64 { return xxhash.Sum64String(id + "\x00" + h.ID) }
+	late := func(h member.Host) int {
+		if e.router.avoided(h.ID, now) {
+			return 1
 		}
-		return 1
-	})
-	return hosts
+		return 0
+	}
+	return func(a, b member.Host) int {
+		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(weight(b), weight(a)))
+	}
 }
 
 // bandOf returns the label of a coverage in metrics.
--- a/internal/entry/reserve_test.go
+++ b/internal/entry/reserve_test.go
@@ -29,11 +29,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(2, 2, 1)
 				e := w.entry()
-				order := e.reserveOrder(oneReservation)
-				w.relays[order[0].ID].reserve = func() query.Reservation {
+				one, _ := e.reserveRelay(oneReservation, nil)
+				two, _ := e.reserveRelay(oneReservation, map[string]bool{one.ID: true})
+				w.relays[one.ID].reserve = func() query.Reservation {
 					return query.Reservation{Outcome: first, Reason: query.ReasonConnection}
 				}
-				w.relays[order[1].ID].reserve = func() query.Reservation {
+				w.relays[two.ID].reserve = func() query.Reservation {
 					return query.Reservation{Outcome: second, Reason: query.ReasonOverload}
 				}
 				got, refusal := e.Reserve(context.Background(), oneReservation)
@@ -62,9 +63,11 @@
 			r.reserve = func() query.Reservation { return query.Reservation{Outcome: outcome.Done, Granted: true} }
 		}
 		r := oneReservation
-		for r.ReservationID = "a"; e.reserveOrder(r)[0].ID == w.hosts[0].ID; r.ReservationID += "a" {
+		first, _ := e.reserveRelay(r, nil)
+		for ; first.ID == w.hosts[0].ID; first, _ = e.reserveRelay(r, nil) {
+			r.ReservationID += "a"
 		}
-		w.relays[e.reserveOrder(r)[0].ID].frozen = true
+		w.relays[first.ID].frozen = true
 		start := time.Now()
 		got, refusal := e.Reserve(context.Background(), r)
 		is.True(refusal == nil)
@@ -72,3 +75,24 @@
 		is.True(time.Since(start) < testBudget)
 	})
 }
+
+// TestOnlyRelayDoesNotKnowTheService has the one relay of a service refuse, as
+// a host does that has just started: its successor is asked.
+func TestOnlyRelayDoesNotKnowTheService(t *testing.T) {
+	is := is.New(t)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(3, 1, 4)
+		e := w.entry()
+		for _, r := range w.relays {
+			r.reserve = func() query.Reservation { return query.Reservation{Outcome: outcome.Done, Granted: true} }
+		}
+		only := w.relays[e.router.candidates("guest-portal-00")[0].ID]
+		only.refuse = query.ReasonUnknownService
+		only.reserve = func() query.Reservation { return query.Reservation{Reason: query.ReasonUnknownService} }
+		answer, _ := e.Search(context.Background(), wholeWorkload)
+		is.True(answer != nil && answer.Coverage.Complete())
+		got, refusal := e.Reserve(context.Background(), oneReservation)
+		is.True(refusal == nil)
+		is.True(got.Granted)
+	})
+}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -75,19 +75,45 @@
 	return plan.ForService(s, r.members.Hosts())
 }
 
+// successors returns the hosts that would relay the service if those tried
+// were gone. Every entry computes the same ones, so they take over a lost
+// relay's work before the membership has noticed, and a target's connections
+// stay few.
+func (r *router) successors(service string, tried map[string]bool) []member.Host {
+	s, ok := r.catalog.Service(service)
+	if !ok {
+		return nil
+	}
+	var left []member.Host
+	for _, h := range r.members.Hosts() {
+		if !tried[h.ID] {
+			left = append(left, h)
+		}
+	}
+	return plan.ForService(s, left)
+}
+
 // choice is what one request knows when it chooses a relay.
 type choice struct {
 	tried  map[string]bool // hosts already asked for these shards
 	chosen map[string]bool // hosts that the request asks anyway: one message more costs less than one host more
 }
 
-// choose returns a relay for the service: this host if it is one, else one
-// that the request asks anyway, else the less loaded of two, own failure
-// domain first.
+// choose returns a relay for the service that was not tried yet: one of its
+// relays, or if all were tried one of their successors.
 func (r *router) choose(service string, now time.Time, c choice) (member.Host, bool) {
+	if h, ok := r.chooseOf(r.candidates(service), now, c); ok {
+		return h, true
+	}
+	return r.chooseOf(r.successors(service, c.tried), now, c)
+}
+
+// chooseOf returns this host if it is among the relays, else one that the
+// request asks anyway, else the less loaded of two, own failure domain first.
+func (r *router) chooseOf(relays []member.Host, now time.Time, c choice) (member.Host, bool) {
 	self := r.members.Self()
 	var fresh, avoided []member.Host
-	for _, h := range r.candidates(service) {
+	for _, h := range relays {
 		switch {
 		case c.tried[h.ID]:
 		case h.ID == self.ID:
