--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -7,6 +7,7 @@
 	"flag"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -125,7 +126,7 @@
 	gate     gate // a frozen host
 	sendGate gate // frozen with the request already handed to the kernel
 	holdSend int  // the send, from 1, at which sendGate shuts; 0 for none
-	sends    int
+	sends    atomic.Int32
 	careless bool // its sender does not look at the context
 	mu       sync.Mutex
 	dead     bool
@@ -161,8 +162,7 @@
 	if (ctx.Err() != nil && !h.careless) || h.isDead() {
 		return query.Reservation{Outcome: outcome.NotSent, Reason: query.ReasonBudget}
 	}
-	h.sends++
-	if h.sends == h.holdSend {
+	if int(h.sends.Add(1)) == h.holdSend {
 		h.sendGate.set(true)
 	}
 	h.sendGate.pass()
