Claims: an unknown that may yet be settled says when to come back

Cause: a caller whose budget ended first, or whose target could not be asked just now, read 0, which means never. After: the retry time of the settings; 0 only where nobody will ever know more.

--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -155,7 +155,7 @@
 	case <-f.ended:
 		return f.res, false
 	case <-ctx.Done():
-		return unsettled(0), false
+		return unsettled(c.cfg.RetryAfter.Std()), false
 	}
 }
 
--- a/internal/claim/repeat.go
+++ b/internal/claim/repeat.go
@@ -97,7 +97,16 @@
 		f.c.metrics.takeovers.WithLabelValues("settled").Inc()
 		return e, query.Reservation{}, false
 	}
-	return entry{}, unsettled(0), true
+	if f.settles(e.rec) {
+		return entry{}, unsettled(f.c.cfg.RetryAfter.Std()), true
+	}
+	return entry{}, unsettled(0), true // nobody will ever know more
+}
+
+// settles reports whether the targets of the record's service can be asked.
+func (f *runner) settles(rec Record) bool {
+	svc, ok := f.c.services.Service(rec.Service)
+	return ok && svc.Rules.Settle
 }
 
 // verdict is what a target says about an attempt.
@@ -113,8 +122,7 @@
 // targets can be asked. A running attempt is asked about again within the
 // budget.
 func (f *runner) settle(rec Record) (verdict, query.Reservation) {
-	svc, ok := f.c.services.Service(rec.Service)
-	if !ok || !svc.Rules.Settle {
+	if !f.settles(rec) {
 		return undecided, query.Reservation{}
 	}
 	for n := 0; f.ctx.Err() == nil; n++ {
