--- a/internal/delivery/bench_test.go
+++ b/internal/delivery/bench_test.go
@@ -8,13 +8,19 @@
 	"testing"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/platform/platformtest"
 )
 
 // traffic is deliveries of callers that ask services, with lognormal latency;
 // one in a hundred is in part.
-func traffic(n, callers, services int) []Delivery {
-	rng := rand.New(rand.NewPCG(1, 1))
+func traffic(n, callers, services int) []Delivery { return trafficOf(1, n, callers, services) }
+
+func trafficOf(seed uint64, n, callers, services int) []Delivery {
+	rng := rand.New(rand.NewPCG(seed, 1))
 	all := make([]Delivery, n)
 	for i := range all {
 		d := Delivery{
@@ -110,3 +116,115 @@
 		}
 	})
 }
+
+// site is a platform that holds the windows of a fleet, written minute by
+// minute and summed up.
+type site struct {
+	cfg       Config
+	platform  *platformtest.Platform
+	compactor *Compactor
+	now       time.Time
+	hosts     int
+	minutes   int
+}
+
+func newSite(hosts int) *site {
+	s := &site{cfg: DefaultConfig(), platform: platformtest.New(), hosts: hosts, now: time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)}
+	s.cfg.WritesPerSecond = 1e9 // removals are not paced here
+	s.platform.SetClock(func() time.Time { return s.now })
+	none := func() []catalog.Service { return nil }
+	s.compactor = NewCompactor(s.cfg, s.platform.Client(), view{f: &fleet{}}, none, event.Discard(), nil)
+	return s
+}
+
+// variants is how many hosts differ in what they deliver.
+const variants = 9
+
+// windowsOf returns what some hosts deliver in 60 s to callers of ten services.
+func windowsOf(callers int) []*Window {
+	var all []*Window
+	for i := range variants {
+		all = append(all, windowOf(trafficOf(uint64(i), 132*60, callers, 10)))
+	}
+	return all
+}
+
+// minute writes a window of each host and returns the bytes written.
+func (s *site) minute(b *testing.B, windows []*Window) (bytes int) {
+	for h := range s.hosts {
+		w := windows[h%variants]
+		w.Incarnation = Incarnation{Host: fmt.Sprintf("host-%03d", h), Number: 1764691973}
+		w.Number, w.Start, w.End = uint64(s.minutes), s.now, s.now.Add(time.Minute)
+		value, err := encodeWindow(w)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := s.platform.Client().Put(b.Context(), platform.KindWindow, w.name(), 0, value); err != nil {
+			b.Fatal(err)
+		}
+		bytes += len(value)
+	}
+	s.minutes++
+	s.now = s.now.Add(time.Minute)
+	return bytes
+}
+
+// round sums up what is due.
+func (s *site) round(b *testing.B) {
+	if err := s.compactor.round(b.Context(), s.now.Add(settle), 0); err != nil {
+		b.Fatal(err)
+	}
+}
+
+// BenchmarkRound tells the time of one round on one shard, with callers that
+// ask ten services, and the bytes of its windows and of the sum.
+func BenchmarkRound(b *testing.B) {
+	for _, hosts := range []int{3, 9, 45, 90} {
+		for _, callers := range []int{50, 200} {
+			b.Run(fmt.Sprintf("hosts=%d/callers=%d", hosts, callers), func(b *testing.B) {
+				s, all, in := newSite(hosts), windowsOf(callers), 0
+				b.ResetTimer()
+				for range b.N {
+					b.StopTimer()
+					in = s.minute(b, all)
+					b.StartTimer()
+					s.round(b)
+				}
+				out := 0
+				for _, o := range s.platform.Objects(levels[0].kind) {
+					out = max(out, len(o.Value))
+				}
+				b.ReportMetric(float64(in), "windows-B")
+				b.ReportMetric(float64(out), "sum-B")
+			})
+		}
+	}
+}
+
+// BenchmarkReport tells the time of a report on an hour and of the burn, and
+// the bytes that the platform holds for it.
+func BenchmarkReport(b *testing.B) {
+	for _, hosts := range []int{3, 9, 45} {
+		s, all := newSite(hosts), windowsOf(50)
+		for range 90 {
+			s.minute(b, all)
+			s.round(b)
+		}
+		s.minute(b, all)
+		held := 0
+		for _, kind := range []string{platform.KindWindow, kindIndex, levels[0].kind, levels[1].kind} {
+			for _, o := range s.platform.Objects(kind) {
+				held += len(o.Value)
+			}
+		}
+		r := NewReporter(s.cfg, s.platform.Client(), view{f: &fleet{}}, event.Discard())
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := r.Report(b.Context(), Query{By: []Field{FieldCaller}}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(held), "held-B")
+		})
+	}
+}
