--- a/internal/e2e/whole_path_test.go
+++ b/internal/e2e/whole_path_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -249,3 +250,48 @@
 	}
 	is.Equal(h.stop(t), cli.ExitOK)
 }
+
+const shortStop = `{
+  "host": "a-1",
+  "failure_domain": "a",
+  "addresses": {"callers": "127.0.0.1:0", "operators": "127.0.0.1:0", "peers": "127.0.0.1:0"},
+  "entry": {"max_budget": "100ms"},
+  "stop": {"balancer_lag": "10ms", "module_timeout": "150ms", "hard_limit": "1s"},
+  "delivery": {"stop_timeout": "100ms"},
+  "platform": {"addresses": ["%s"]},
+}`
+
+// A stop works while the platform is away, and says which windows it lost.
+func TestStopWithoutPlatform(t *testing.T) {
+	is := is.New(t)
+	s := &site{dir: t.TempDir()}
+	file := s.writeText(t, "host.jsonc", fmt.Sprintf(shortStop, s.startPlatform(t, objectstore.Seeds{})))
+	h := start(t, "a-1", "serve", "--settings", file)
+	h.line(t, "started")
+	is.Equal(s.platform.stop(t), cli.ExitOK)
+	is.Equal(h.stop(t), cli.ExitOK)
+	is.True(strings.Contains(h.log.String(), `"name":"delivery_final_window_lost"`))
+	is.True(strings.Contains(h.log.String(), `"name":"host_stopped"`))
+}
+
+// SIGHUP reads the settings again; a file with a problem changes nothing.
+func TestReload(t *testing.T) {
+	is := is.New(t)
+	s := &site{dir: t.TempDir()}
+	text := fmt.Sprintf(shortStop, s.startPlatform(t, objectstore.Seeds{}))
+	file := s.writeText(t, "host.jsonc", text)
+	h := start(t, "a-1", "serve", "--settings", file)
+	h.line(t, "started")
+	logged := func(what string) func() bool {
+		return func() bool { return strings.Contains(h.log.String(), what) }
+	}
+
+	s.writeText(t, "host.jsonc", strings.Replace(text, `"host"`, `"log": {"level": "debug"}, "host"`, 1))
+	h.signal(t, syscall.SIGHUP)
+	until(t, "the level is in force", logged(`"name":"settings_reloaded","level":"debug"`))
+	s.writeText(t, "host.jsonc", `{"host": 1}`)
+	h.signal(t, syscall.SIGHUP)
+	until(t, "the file is refused", logged(`"name":"settings_reload_refused"`))
+	is.Equal(h.stop(t), cli.ExitOK)
+	is.True(logged(`"name":"module_stopped"`)()) // a debug line
+}
