--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -240,6 +240,17 @@
 	is.NoErr(<-stopped)
 }
 
+func TestStopClosesListenerThatNeverServed(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := NewServer("")
+	s.On(ln)
+	is.NoErr(s.Stop(t.Context()))
+	_, err = net.Dial("tcp", ln.Addr().String())
+	is.True(err != nil)
+}
+
 func TestMessageTooLargeEndsItsCallAlone(t *testing.T) {
 	is := is.New(t)
 	r := newRelay()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -78,10 +78,13 @@
 // those that run finish until ctx is done. Then it closes every connection;
 // an error tells how many calls that cut off.
 func (s *Server) Stop(ctx context.Context) error {
+	if s.ln == nil {
+		return nil
+	}
+	_ = s.ln.Close() // its owner may have closed it
 	if s.cancel == nil {
 		return nil
 	}
-	_ = s.ln.Close() // the kernel closes it anyway
 	s.refuse()
 	cut := s.drain(ctx)
 	if cut == 0 {
