A stop no longer waits out a platform outage for claim records

After: reservations in flight are waited for in full, their records for stop_timeout (10 s); what is left is abandoned with an event and reads unknown, which is true. Ruled out: an error exit, as no request is cut off. The process test passes: no request to the stopping host is cut off, no reservation runs twice.

--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -49,7 +49,8 @@
 
 	mu      sync.Mutex
 	stopped bool
-	running sync.WaitGroup
+	running sync.WaitGroup // reservations in flight
+	writing sync.WaitGroup // background writes
 }
 
 // New returns the module; it answers from the start, and Start begins the
@@ -72,24 +73,36 @@
 	return nil
 }
 
-// Stop refuses new reservations, waits until those in flight have ended by
-// their budgets and their records are written, and returns at the latest when
-// ctx is done.
+// Stop refuses new reservations and waits until those in flight have ended by
+// their budgets; an error means that ctx was done first. It then waits up to
+// StopTimeout for their records. While the platform is away the writes left are
+// abandoned, each with an event: their reservations read unknown from then on.
 func (c *Claims) Stop(ctx context.Context) error {
 	c.mu.Lock()
 	c.stopped = true
 	c.mu.Unlock()
 	defer c.cancel()
+	if err := wait(ctx, &c.running); err != nil {
+		return Error.New("stop: reservations are still in flight: %w", err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.StopTimeout.Std())
+	defer cancel()
+	_ = wait(ctx, &c.writing) // what is left is abandoned
+	return nil
+}
+
+// wait waits for the group, or returns the error of ctx when that is done.
+func wait(ctx context.Context, g *sync.WaitGroup) error {
 	ended := make(chan struct{})
 	go func() {
-		c.running.Wait()
+		g.Wait()
 		close(ended)
 	}()
 	select {
 	case <-ended:
 		return nil
 	case <-ctx.Done():
-		return Error.New("stop: reservations or their records are still open: %w", ctx.Err())
+		return ctx.Err()
 	}
 }
 
--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -94,6 +94,28 @@
 	})
 }
 
+// TestStopDuringOutage stops a host whose records can't be written: it ends
+// within its stop timeout, and a repeat elsewhere is told unknown.
+func TestStopDuringOutage(t *testing.T) {
+	inWorld(t, 2, func(is *is.I, w *world) {
+		a := w.hosts[0]
+		r := reservation(newID(time.Now()))
+		a.sendGate.set(true)
+		pending := a.begin(r)
+		synctest.Wait()
+		a.client.Outage(true)
+		a.sendGate.set(false)
+		is.Equal((<-pending).Outcome, outcome.Done)
+		start := time.Now()
+		is.NoErr(a.claims.Stop(context.Background()))
+		is.Equal(time.Since(start), DefaultConfig().StopTimeout.Std())
+		a.kill()
+		again := w.hosts[1].reserve(r)
+		is.Equal(again.Outcome, outcome.Unknown)
+		is.Equal(len(w.target.runs), 1)
+	})
+}
+
 func TestLookup(t *testing.T) {
 	inWorld(t, 1, func(is *is.I, w *world) {
 		c := w.hosts[0].claims
--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -25,6 +25,7 @@
 	RetryMax    unit.Duration `json:"retry_max"`     // longest such wait
 	OutcomeWait unit.Duration `json:"outcome_wait"`  // longest that an answer waits for its outcome to be written
 	GiveUpAfter unit.Duration `json:"give_up_after"` // after which a background write is abandoned
+	StopTimeout unit.Duration `json:"stop_timeout"`  // for the records of a host that stops to be written
 	Background  int           `json:"background"`    // background writes at once
 	Remember    unit.Duration `json:"remember"`      // how long a host answers for an attempt after its end
 	RememberMax int           `json:"remember_max"`  // ended attempts remembered at most
@@ -44,6 +45,7 @@
 		RetryMax:    unit.Duration(5 * time.Second),
 		OutcomeWait: unit.Duration(50 * time.Millisecond),
 		GiveUpAfter: unit.Duration(15 * time.Minute),
+		StopTimeout: unit.Duration(10 * time.Second),
 		Background:  4096,
 		Remember:    unit.Duration(10 * time.Minute),
 		RememberMax: 20000,
@@ -68,6 +70,7 @@
 	want(c.RetryMin > 0 && c.RetryMin <= c.RetryMax, "retry_min: want more than 0 and at most retry_max")
 	want(c.OutcomeWait >= 0, "outcome_wait: want 0 or more")
 	want(c.GiveUpAfter > 0, "give_up_after: want more than 0")
+	want(c.StopTimeout > 0, "stop_timeout: want more than 0")
 	want(c.Background > 0, "background: want more than 0")
 	want(c.Remember > 0, "remember: want more than 0")
 	want(c.RememberMax > 0, "remember_max: want more than 0")
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -270,6 +270,7 @@
 	}
 	for _, h := range w.hosts {
 		h.claims.running.Wait()
+		h.claims.writing.Wait()
 	}
 }
 
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -77,10 +77,10 @@
 		close(ended)
 		return ended
 	}
-	c.running.Add(1)
+	c.writing.Add(1)
 	c.metrics.background.Inc()
 	go func() {
-		defer c.running.Done()
+		defer c.writing.Done()
 		defer close(ended)
 		c.repeat(id, try, attempts)
 		c.metrics.background.Dec()
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -219,3 +219,35 @@
 	judgeReservations(t, s, all)
 	judgeSearches(t, all)
 }
+
+// TestStopDuringFreezeDuringOutage stops one host while another is frozen and
+// the platform is away: the stop cuts nothing off that was sent to the
+// stopping host, no reservation runs twice, and each answer is true.
+func TestStopDuringFreezeDuringOutage(t *testing.T) {
+	s := startSiteWith(t, 4, 2)
+	b := newBalancer(balancerLag, s.hosts[:3])
+	defer b.close()
+	c := newCallers(b.pick)
+	c.run(4, c.search)
+	c.run(2, c.reserve)
+	c.reach(t, 50)
+	control(t, s.platformAddress, objectstore.PathFaults, objectstore.Faults{Outage: objectstore.OutageCut})
+	s.hosts[3].signal(t, syscall.SIGSTOP) // a relay of some services, and of no caller
+	c.reach(t, 20)
+	stopping := s.hosts[0]
+	if code := stopping.stop(t); code != cli.ExitOK {
+		t.Errorf("%s exits with %d:\n%s", stopping.name, code, stopping.log.String())
+	}
+	c.reach(t, 20)
+	control(t, s.platformAddress, objectstore.PathFaults, objectstore.Faults{})
+	s.hosts[3].signal(t, syscall.SIGCONT)
+	c.reach(t, 50)
+	all := c.finish()
+	for _, r := range all {
+		if r.status == 0 {
+			t.Errorf("request %s at %s was cut off: %v", r.requestID, r.host, r.err)
+		}
+	}
+	judgeReservations(t, s, all)
+	judgeSearches(t, all)
+}
