--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -9,8 +9,9 @@
 )
 
 // done ends a granted try: its place goes back, the policies learn from it,
-// and the place goes to the next in the queue.
-func (p *pool) done(t *try, a answer) {
+// and the place goes to the next in the queue. A try that it returns is the
+// caller's to run.
+func (p *pool) done(t *try, a answer) *try {
 	now := time.Now()
 	took := now.Sub(t.started)
 	sig := t.signal(a)
@@ -18,9 +19,13 @@
 	p.running--
 	p.release(now, t, sig)
 	p.learn(now, t, a, took)
+	p.handOn = true
 	refused := p.drain(now)
+	next := p.next
+	p.handOn, p.next = false, nil
 	p.mu.Unlock()
 	refused.tell()
+	return next
 }
 
 func (p *pool) learn(now time.Time, t *try, a answer, took time.Duration) {
--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -384,14 +384,14 @@
 		defer f.close()
 		f.load(t, 2*time.Second, 5*time.Millisecond)
 		var frozen atomic.Bool
-		var cancelled time.Duration
+		var cancelled atomic.Int64
 		for _, target := range f.targets {
 			target.set(func(x *fakeTarget) {
 				x.serve = func(w http.ResponseWriter, r *http.Request, a targetapi.Answer) {
 					begin := time.Now()
 					if a.Shard == 0 && frozen.CompareAndSwap(false, true) {
 						<-r.Context().Done()
-						cancelled = time.Since(begin)
+						cancelled.Store(int64(time.Since(begin)))
 						return
 					}
 					if a.Shard == 1 {
@@ -405,7 +405,7 @@
 		is.NoErr(err)
 		is.Equal(got[0].Outcome, outcome.Done)
 		is.True(got[1].after >= 500*time.Millisecond)
-		is.True(cancelled > 0 && cancelled < 100*time.Millisecond)
+		is.True(cancelled.Load() > 0 && cancelled.Load() < int64(100*time.Millisecond))
 		time.Sleep(time.Second) // the other loser's handler ends
 	})
 }
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -28,6 +28,8 @@
 	pacing  *time.Timer // wakes the queue when pacing is all that holds it
 	expired time.Time   // when the queue was last looked through
 	running int
+	handOn  bool          // the granting goroutine can run a try itself
+	next    *try          // that it is to run
 	held    int           // tries that batches hold back from the queue
 	service time.Duration // mean time from place to valid answer
 	// stranding tells that a target left since the queue was last granted
@@ -110,7 +112,7 @@
 	if !t.set.hedger.Take(now, saturated) || !p.take(now, t) {
 		return false
 	}
-	go t.owner.granted(t)
+	go p.work(t)
 	return true
 }
 
@@ -162,12 +164,28 @@
 	return out
 }
 
+// granted hands the try to the goroutine that has just ended another one, if
+// that is who grants, or to a new one.
 func (p *pool) granted(now time.Time, t *try) {
 	if t.set != nil && t.kind == policy.FirstTry {
 		p.retries.First(now)
 		t.set.hedger.First(now)
 	}
-	go t.owner.granted(t)
+	if p.handOn && p.next == nil {
+		p.next = t
+		return
+	}
+	go p.work(t)
+}
+
+// work runs a granted try, and then whatever its end leaves a place for.
+func (p *pool) work(t *try) {
+	for t != nil {
+		a := t.owner.send(t)
+		next := p.done(t, a)
+		t.owner.ended(t, a)
+		t = next
+	}
 }
 
 // mayGrant spares the queue a search that can't find anything.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,8 +115,6 @@
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	run := &run{
 		relay: r, batch: &b, ctx: ctx, body: body, deadline: deadline, emit: emit,
 		rank: policy.Rank(b.RequestID), bell: make(chan struct{}, 1),
--- a/internal/relay/reserve.go
+++ b/internal/relay/reserve.go
@@ -207,15 +207,15 @@
 	return <-s.fate
 }
 
-// granted sends the attempt. Its own deadline ends it.
-func (s *single) granted(t *try) {
+// send implements owner. The attempt's own deadline ends it.
+func (s *single) send(t *try) answer {
 	ctx, cancel := context.WithDeadline(s.ctx, s.attempt.deadline)
 	defer cancel()
-	a := t.target.send(ctx, cancel, s.attempt)
-	s.pool.done(t, a)
-	s.fate <- a
+	return t.target.send(ctx, cancel, s.attempt)
 }
 
+func (s *single) ended(_ *try, a answer) { s.fate <- a }
+
 func (s *single) refused(_ *try, reason query.Reason, after time.Duration) {
 	s.fate <- answer{outcome: outcome.NotSent, reason: reason, retryAfter: after}
 }
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -159,27 +159,36 @@
 	k.live++
 }
 
-// granted sends the try's attempt; it runs on a goroutine of its own.
-func (r *run) granted(t *try) {
-	ctx, cancel := context.WithCancel(r.ctx)
+// send implements owner. The attempt's context is not a child of the batch's,
+// which would cost a lock and a map for each: whatever ends the batch abandons
+// every task without a result, and so cancels it.
+func (r *run) send(t *try) answer {
+	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	if !r.sending(t, cancel) {
+		return answer{outcome: outcome.NotSent, reason: query.ReasonBudget, cause: errNoTime}
+	}
+	return t.target.send(ctx, cancel, &attempt{
+		id: newAttemptID(), requestID: r.batch.RequestID,
+		service: t.task.key.Service, shard: t.task.key.Shard, snapshot: r.batch.Snapshot,
+		limit: r.batch.Limit, body: r.body, deadline: r.deadline,
+	})
+}
+
+// sending notes how to cancel the try, and reports false if it was abandoned.
+func (r *run) sending(t *try, cancel context.CancelFunc) bool {
 	r.mu.Lock()
-	abandoned := t.abandoned
-	t.cancel = cancel
-	r.mu.Unlock()
-	a := answer{outcome: outcome.NotSent, reason: query.ReasonBudget, cause: errNoTime}
-	k := t.task
-	if !abandoned {
-		a = t.target.send(ctx, cancel, &attempt{
-			id: newAttemptID(), requestID: r.batch.RequestID,
-			service: k.key.Service, shard: k.key.Shard, snapshot: r.batch.Snapshot,
-			limit: r.batch.Limit, body: r.body, deadline: r.deadline,
-		})
+	defer r.mu.Unlock()
+	if t.abandoned {
+		return false
 	}
-	k.pool.done(t, a)
-	r.post(report{try: t, answer: a})
+	t.cancel = cancel
+	return true
 }
 
+// ended implements owner.
+func (r *run) ended(t *try, a answer) { r.post(report{try: t, answer: a}) }
+
 // refused takes a try that got no place.
 func (r *run) refused(t *try, reason query.Reason, after time.Duration) {
 	a := answer{outcome: outcome.NotSent, reason: reason, retryAfter: after}
--- a/internal/relay/try.go
+++ b/internal/relay/try.go
@@ -9,12 +9,13 @@
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
 
-// owner is told the fate of its tries. Both calls come without a lock held
-// and at most one of them for each try.
+// owner is told the fate of its tries: of each either send and then ended, or
+// refused. All calls come without a lock held.
 type owner interface {
-	// granted runs the try on the target that it was given; it is called on a
-	// goroutine of its own and calls pool.done when the try has ended.
-	granted(t *try)
+	// send runs the try on the target that it was given, to its end.
+	send(t *try) answer
+	// ended takes the end of a try that was sent.
+	ended(t *try, a answer)
 	// refused tells that the try was given up before it was sent.
 	refused(t *try, reason query.Reason, retryAfter time.Duration)
 }
