--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -28,6 +28,7 @@
 	domains         []string          // failure domains
 	addresses       map[string]string // of targets
 	platformAddress string
+	seed            string // quoted peer address that new hosts are told; empty: none
 	stopLag         string // balancer_lag of the hosts; empty: a short one
 }
 
@@ -112,12 +113,13 @@
   "operators": [{"name": "tester", "token": "%[3]s"}],
   "stop": {"balancer_lag": "%[5]s", "hard_limit": "50s"},
   "platform": {"addresses": ["%[4]s"]},
+  "member": {"seeds": [%[6]s]},
 }`
 
 func (s *site) startHost(t *testing.T, i int, domain, platform string) *host {
 	t.Helper()
 	name := fmt.Sprintf("%s-%d", domain, i+1)
-	file := s.writeText(t, name+".jsonc", fmt.Sprintf(hostSettings, name, domain, token, platform, cmp.Or(s.stopLag, "100ms")))
+	file := s.writeText(t, name+".jsonc", fmt.Sprintf(hostSettings, name, domain, token, platform, cmp.Or(s.stopLag, "100ms"), s.seed))
 	h := &host{process: start(t, name, "serve", "--settings", file)}
 	for _, field := range strings.Fields(h.line(t, "started")) {
 		key, value, _ := strings.Cut(field, "=")
