--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
@@ -55,6 +56,7 @@
 }
 
 var (
+	_ kernel.Module                  = (*Catalog)(nil)
 	_ View                           = (*Catalog)(nil)
 	_ peerpb.DRPCConfigurationServer = (*Catalog)(nil)
 )
@@ -121,8 +123,7 @@
 
 // Service implements View.
 func (c *Catalog) Service(name string) (Service, bool) {
-	s, ok := c.state.Load().view.byName[name]
-	return s, ok
+	return c.state.Load().view.service(name)
 }
 
 // Workload implements View.
--- a/internal/catalog/change_test.go
+++ b/internal/catalog/change_test.go
@@ -21,7 +21,7 @@
 // heldView is a View of a configuration given by the test.
 type heldView struct{ *view }
 
-func (v heldView) Service(name string) (Service, bool)  { s, ok := v.byName[name]; return s, ok }
+func (v heldView) Service(name string) (Service, bool)  { return v.service(name) }
 func (v heldView) Services() []Service                  { return v.services }
 func (v heldView) Workload(name string) []Service       { return v.workloads[name] }
 func (v heldView) Snapshots(workload string) []Snapshot { return v.snapshots[workload] }
--- a/internal/catalog/fakes_test.go
+++ b/internal/catalog/fakes_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -38,7 +39,7 @@
 	mu       sync.Mutex
 	nodes    []*node
 	apart    func(a, b string) bool // nil: all hosts reach each other
-	dead     map[string]bool        // hosts that no member view shows
+	pulls    atomic.Int64
 }
 
 type node struct {
@@ -50,7 +51,7 @@
 }
 
 func newFleet(t testing.TB) *fleet {
-	return &fleet{t: t, platform: platformtest.New(), dead: map[string]bool{}}
+	return &fleet{t: t, platform: platformtest.New()}
 }
 
 // add starts a host. Its place in the failure domains follows its number.
@@ -132,11 +133,9 @@
 func (n *node) Hosts() []member.Host {
 	var hosts []member.Host
 	for _, other := range n.f.all() {
-		if !n.f.dead[other.host.ID] {
-			h := other.host
-			h.Revision = other.catalog.Revision()
-			hosts = append(hosts, h)
-		}
+		h := other.host
+		h.Revision = other.catalog.Revision()
+		hosts = append(hosts, h)
 	}
 	return hosts
 }
@@ -159,6 +158,7 @@
 
 // Pull calls the catalog of another host.
 func (n *node) Pull(ctx context.Context, address string, in *peerpb.PullRequest) (*peerpb.PullReply, error) {
+	n.f.pulls.Add(1)
 	other := n.reach(address)
 	if other == nil {
 		<-ctx.Done()
--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -9,7 +10,9 @@
 
 	"github.com/matryer/is"
 
+	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/peer"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
@@ -226,6 +229,24 @@
 	})
 }
 
+// TestPullOverDRPC pulls between two hosts over real connections.
+func TestPullOverDRPC(t *testing.T) {
+	is := is.New(t)
+	n := &node{f: newFleet(t), host: member.Host{ID: "asking"}}
+	from := New(DefaultConfig(), n.f.platform.Client(), n, n, n, event.Discard(), nil)
+	n.catalog = from
+	is.NoErr(from.take(batch{complete: 7, revision: 5}, sourcePlatform))
+	server, pool := peer.NewServer("127.0.0.1:0"), peer.NewPool()
+	is.NoErr(peerpb.DRPCRegisterConfiguration(server, from))
+	is.NoErr(server.Start(t.Context()))
+	defer func() { _ = errors.Join(pool.Stop(context.Background()), server.Stop(context.Background())) }()
+
+	asking := New(DefaultConfig(), n.f.platform.Client(), n, NewPeerPuller(pool), n, event.Discard(), nil)
+	asking.pull(t.Context(), member.Host{ID: "answering", Peer: server.Addr()})
+	is.Equal(asking.Revision(), uint64(5))
+	is.True(asking.Stale()) // the answering host has heard nobody itself
+}
+
 func TestRankOrdersUsableHostsOfTheDomain(t *testing.T) {
 	is := is.New(t)
 	var hosts []member.Host
--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -227,7 +227,7 @@
 		is.NoErr(err)
 		is.True(changed[0].problem != nil)
 		is.Equal(s.revision, uint64(i+2))
-		is.Equal(len(s.view.byName["a"].Targets), 3) // the last good version
+		is.Equal(len(s.view.services[0].Targets), 3) // the last good version
 	}
 	fresh, _, err := emptyState().apply(object(1, []byte("{")))
 	is.NoErr(err)
