Entry: cheaper merge of wide searches

Cause: a profile of a search over 501 shards showed the channel operations for each result, maps of maps for the relays tried, and the sort of all rows. Results that come when a search is decided are now checked like all others.

--- a/internal/entry/merge.go
+++ b/internal/entry/merge.go
@@ -14,7 +14,8 @@
 // goroutine owns it.
 type merge struct {
 	snapshot  uint64
-	slots     map[query.ShardKey]*slot
+	slots     []slot
+	byKey     map[query.ShardKey]*slot
 	answered  int
 	open      int // slots that may still be answered
 	attempts  int
@@ -23,7 +24,9 @@
 
 // slot is the state of one shard.
 type slot struct {
-	pending  int // relays asked that have not given their last word
+	key      query.ShardKey
+	tried    []string // hosts asked
+	waiting  []*call  // relays asked that have not given their last word
 	answered bool
 	rows     []query.Row
 	outcomes []outcome.Outcome
@@ -33,42 +36,70 @@
 
 // newMerge returns a merge that waits for the shards of the parts.
 func newMerge(snapshot uint64, parts []query.Part) *merge {
-	m := &merge{snapshot: snapshot, slots: make(map[query.ShardKey]*slot)}
+	n := 0
 	for _, p := range parts {
-		for _, s := range p.Shards {
-			m.slots[query.ShardKey{Service: p.Service, Shard: s}] = &slot{}
+		n += len(p.Shards)
+	}
+	m := &merge{snapshot: snapshot, slots: make([]slot, 0, n), byKey: make(map[query.ShardKey]*slot, n), open: n}
+	for _, p := range parts {
+		for _, shard := range p.Shards {
+			m.slots = append(m.slots, slot{key: query.ShardKey{Service: p.Service, Shard: shard}})
 		}
 	}
-	m.open = len(m.slots)
+	for i := range m.slots {
+		m.byKey[m.slots[i].key] = &m.slots[i]
+	}
 	return m
 }
 
-// ask notes that one more relay was asked for the shard.
-func (m *merge) ask(k query.ShardKey) { m.slots[k].pending++ }
+// ask notes that a relay was asked for the shard.
+func (s *slot) ask(c *call) {
+	s.tried = append(s.tried, c.host.ID)
+	s.waiting = append(s.waiting, c)
+	c.left++
+}
 
-// offer takes a relay's last word on a shard. It reports whether the word was
-// wanted: a result for a foreign shard or another snapshot, or for a shard
-// that has its answer, is dropped.
-func (m *merge) offer(r query.ShardResult) bool {
-	s, ok := m.slots[r.Key]
+// offer takes a relay's last word on a shard and returns the shard. A result
+// for a foreign shard, or one that the relay has told already, is dropped: it
+// returns nil. An answer from another snapshot is none.
+func (m *merge) offer(c *call, r query.ShardResult) *slot {
+	s, ok := m.byKey[r.Key]
 	if !ok {
-		return false
+		return nil
+	}
+	i := slices.Index(s.waiting, c)
+	if i < 0 {
+		return nil
 	}
+	s.waiting = slices.Delete(s.waiting, i, i+1)
+	c.left--
 	m.attempts += r.Attempts
 	if r.Outcome == outcome.Done && r.Snapshot != m.snapshot {
 		r.Outcome, r.Reason = outcome.Unknown, query.ReasonBadAnswer
 	}
-	s.pending--
-	if s.answered {
-		return false
-	}
-	if r.Outcome == outcome.Done {
+	switch {
+	case s.answered:
+	case r.Outcome == outcome.Done:
 		m.answer(s, r)
-		return true
+	default:
+		s.outcomes = append(s.outcomes, r.Outcome)
+		s.result = r
+	}
+	return s
+}
+
+// openOf returns the unanswered shards that wait for the relay.
+func (m *merge) openOf(c *call) []*slot {
+	if c.left == 0 {
+		return nil
 	}
-	s.outcomes = append(s.outcomes, r.Outcome)
-	s.result = r
-	return true
+	var open []*slot
+	for i := range m.slots {
+		if s := &m.slots[i]; !s.answered && slices.Contains(s.waiting, c) {
+			open = append(open, s)
+		}
+	}
+	return open
 }
 
 func (m *merge) answer(s *slot, r query.ShardResult) {
@@ -79,13 +110,9 @@
 	m.open--
 }
 
-// unanswered reports whether the shard still wants an answer.
-func (m *merge) unanswered(k query.ShardKey) bool { return !m.slots[k].answered }
-
 // settle closes the shard if no relay is left that may answer it.
-func (m *merge) settle(k query.ShardKey) {
-	s := m.slots[k]
-	if s.answered || s.pending > 0 || s.reason != "" {
+func (m *merge) settle(s *slot) {
+	if s.answered || len(s.waiting) > 0 || s.reason != "" {
 		return
 	}
 	s.reason = s.result.Reason
@@ -106,44 +133,50 @@
 // coverage returns what was answered so far.
 func (m *merge) coverage() query.Coverage {
 	c := query.Coverage{Shards: len(m.slots), Answered: m.answered}
-	for k, s := range m.slots {
-		if !s.answered {
-			c.Missing = append(c.Missing, k)
+	for i := range m.slots {
+		if s := &m.slots[i]; !s.answered {
+			c.Missing = append(c.Missing, s.key)
 		}
 	}
-	slices.SortFunc(c.Missing, func(a, b query.ShardKey) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard))
-	})
-	return c
+	return c // slots are sorted as the parts are, by service and shard
 }
 
 // rows returns the rows of all answered shards, best first, at most limit of
 // them; 0 means all.
 func (m *merge) rows(limit int) []query.Row {
-	var all []query.Row
-	for _, s := range m.slots {
-		all = append(all, s.rows...)
-	}
-	slices.SortFunc(all, func(a, b query.Row) int {
-		return cmp.Or(
-			cmp.Compare(b.Score, a.Score),
-			cmp.Compare(a.Service, b.Service),
-			cmp.Compare(a.Shard, b.Shard),
-			cmp.Compare(a.Key, b.Key),
-		)
-	})
-	if limit > 0 && len(all) > limit {
-		all = all[:limit]
+	var best []query.Row
+	for i := range m.slots {
+		best = append(best, m.slots[i].rows...)
+		if limit > 0 && len(best) >= selectAt*limit {
+			slices.SortFunc(best, byScore)
+			best = best[:limit]
+		}
 	}
-	return all
+	slices.SortFunc(best, byScore)
+	if limit > 0 && len(best) > limit {
+		best = best[:limit]
+	}
+	return best
+}
+
+// selectAt is how many times the limit of rows is gathered before the best are
+// selected, so that a wide search never sorts all its rows.
+const selectAt = 8
+
+// byScore orders rows best first, and rows of one score by where they are from.
+func byScore(a, b query.Row) int {
+	if a.Score != b.Score {
+		return cmp.Compare(b.Score, a.Score)
+	}
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Key, b.Key))
 }
 
 // outcome returns what became of the search as a whole, for a refusal. A
 // search whose shards were answered, but too few of them, ran in vain.
 func (m *merge) outcome() outcome.Outcome {
 	all := outcome.NotSent
-	for _, s := range m.slots {
-		all = outcome.Combine(all, s.outcome())
+	for i := range m.slots {
+		all = outcome.Combine(all, m.slots[i].outcome())
 	}
 	if all == outcome.Done {
 		return outcome.Failed
@@ -157,7 +190,7 @@
 	if s.answered {
 		return outcome.Done
 	}
-	if s.pending > 0 {
+	if len(s.waiting) > 0 {
 		return outcome.Unknown
 	}
 	return outcome.Combine(s.outcomes...)
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -57,13 +57,13 @@
 	ctx, cancel := context.WithTimeout(ctx, budget)
 	defer cancel()
 	last := query.Reservation{Outcome: outcome.NotSent, Reason: query.ReasonNoRelay}
-	tried := make(map[string]bool)
+	var tried []string
 	for n := 1; n <= e.cfg.MaxRelays; n++ {
 		h, ok := e.reserveRelay(r, tried)
 		if !ok {
 			break
 		}
-		tried[h.ID] = true
+		tried = append(tried, h.ID)
 		next, lost := e.reserveAt(ctx, h, r, n == e.cfg.MaxRelays)
 		last = follow(last, next)
 		if !lost || ctx.Err() != nil {
@@ -120,10 +120,10 @@
 // reserveRelay returns the relay to be asked next. Repeats of one id meet at
 // the same relay, where they join; relays that were lost of late come last,
 // and then the successors of those tried.
-func (e *Entry) reserveRelay(r query.Reserve, tried map[string]bool) (member.Host, bool) {
+func (e *Entry) reserveRelay(r query.Reserve, tried []string) (member.Host, bool) {
 	now := time.Now()
 	for _, hosts := range [][]member.Host{e.router.candidates(r.Service), e.router.successors(r.Service, tried)} {
-		left := slices.DeleteFunc(slices.Clone(hosts), func(h member.Host) bool { return tried[h.ID] })
+		left := slices.DeleteFunc(slices.Clone(hosts), func(h member.Host) bool { return slices.Contains(tried, h.ID) })
 		if len(left) > 0 {
 			return slices.MinFunc(left, e.byReservation(r.ReservationID, now)), true
 		}
--- a/internal/entry/reserve_test.go
+++ b/internal/entry/reserve_test.go
@@ -30,7 +30,7 @@
 				w := newWorld(2, 2, 1)
 				e := w.entry()
 				one, _ := e.reserveRelay(oneReservation, nil)
-				two, _ := e.reserveRelay(oneReservation, map[string]bool{one.ID: true})
+				two, _ := e.reserveRelay(oneReservation, []string{one.ID})
 				w.relays[one.ID].reserve = func() query.Reservation {
 					return query.Reservation{Outcome: first, Reason: query.ReasonConnection}
 				}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,14 +80,14 @@
 // were gone. Every entry computes the same ones, so they take over a lost
 // relay's work before the membership has noticed, and a target's connections
 // stay few.
-func (r *router) successors(service string, tried map[string]bool) []member.Host {
+func (r *router) successors(service string, tried []string) []member.Host {
 	s, ok := r.catalog.Service(service)
 	if !ok {
 		return nil
 	}
 	var left []member.Host
 	for _, h := range r.members.Hosts() {
-		if !tried[h.ID] {
+		if !slices.Contains(tried, h.ID) {
 			left = append(left, h)
 		}
 	}
@@ -95,7 +96,7 @@
 
 // choice is what one request knows when it chooses a relay.
 type choice struct {
-	tried  map[string]bool // hosts already asked for these shards
+	tried  []string        // hosts already asked for these shards
 	chosen map[string]bool // hosts that the request asks anyway: one message more costs less than one host more
 }
 
@@ -115,7 +116,7 @@
 	var fresh, avoided []member.Host
 	for _, h := range relays {
 		switch {
-		case c.tried[h.ID]:
+		case slices.Contains(c.tried, h.ID):
 		case h.ID == self.ID:
 			return h, true
 		case r.avoided(h.ID, now):
--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -19,10 +19,9 @@
 	snapshot uint64
 	workload string
 	merge    *merge
-	tried    map[query.ShardKey]map[string]bool
-	chosen   map[string]bool
+	chosen   map[string]bool // hosts asked for any shard
 	calls    map[*call]bool
-	messages chan message
+	mailbox  *mailbox
 	last     bool // no other snapshot is left to try
 	overdue  bool // the budget ended with shards open
 }
@@ -30,8 +29,9 @@
 // call is one batch asked of one relay.
 type call struct {
 	host member.Host
-	open map[query.ShardKey]bool // shards without the relay's last word
-	late bool                    // its shards were asked of another relay as well
+	keys []query.ShardKey // asked for
+	left int              // shards without the relay's last word
+	late bool             // its shards were asked of another relay as well
 }
 
 // message is what a relay call sends: a result, or its end.
@@ -55,16 +55,22 @@
 // decided. Relay calls that are still running then are cancelled and not
 // waited for. On the last snapshot to be tried, a shard that is not held is
 // missing and ends nothing.
-func (s *scatter) run(ctx context.Context, parts []query.Part) verdict {
+func (s *scatter) run(ctx context.Context) verdict {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s.ask(ctx, keysOf(parts))
+	all := make([]*slot, len(s.merge.slots))
+	for i := range all {
+		all[i] = &s.merge.slots[i]
+	}
+	s.ask(ctx, all)
 	patience := time.NewTimer(s.patience(ctx))
 	defer patience.Stop()
-	for s.merge.open > 0 && s.merge.reachable() >= s.search.MinCoverage {
+	var batch []message
+	for !s.decided() {
 		select {
-		case m := <-s.messages:
-			if s.receive(ctx, m) == verdictUnheld {
+		case <-s.mailbox.bell:
+			batch = s.mailbox.take(batch)
+			if s.receiveAll(ctx, batch) == verdictUnheld {
 				return verdictUnheld
 			}
 		case <-patience.C:
@@ -79,16 +85,36 @@
 	return verdictAnswered
 }
 
+// decided reports whether no message can change the answer: nothing is open,
+// or the minimum is out of reach.
+func (s *scatter) decided() bool {
+	return s.merge.open == 0 || s.merge.reachable() < s.search.MinCoverage
+}
+
+// receiveAll takes messages until the search is decided; what comes after
+// that only counts.
+func (s *scatter) receiveAll(ctx context.Context, batch []message) verdict {
+	for i, m := range batch {
+		if s.decided() {
+			s.count(batch[i:])
+			break
+		}
+		if s.receive(ctx, m) == verdictUnheld {
+			s.count(batch[i+1:])
+			return verdictUnheld
+		}
+	}
+	return verdictAnswered
+}
+
 // drain takes the results that had arrived when the search was decided.
-func (s *scatter) drain() {
-	for {
-		select {
-		case m := <-s.messages:
-			if !m.end {
-				s.merge.offer(m.result)
-			}
-		default:
-			return
+func (s *scatter) drain() { s.count(s.mailbox.take(nil)) }
+
+// count takes results without asking any relay again.
+func (s *scatter) count(batch []message) {
+	for _, m := range batch {
+		if !m.end {
+			s.merge.offer(m.call, m.result)
 		}
 	}
 }
@@ -100,43 +126,41 @@
 
 // ask chooses a relay for each shard and starts one call a relay. Shards with
 // no relay left are settled.
-func (s *scatter) ask(ctx context.Context, keys []query.ShardKey) {
-	byHost := make(map[string]*call)
+func (s *scatter) ask(ctx context.Context, slots []*slot) {
+	calls := make(map[string]*call)
+	first := make(map[string]member.Host) // relay of a service's shards that were not asked for yet
 	now := time.Now()
-	for _, k := range keys {
-		h, ok := s.relayFor(k, now)
+	for _, sl := range slots {
+		h, ok := first[sl.key.Service]
+		if !ok || len(sl.tried) > 0 {
+			h, ok = s.relayFor(sl, now)
+		}
 		if !ok {
-			s.merge.settle(k)
+			s.merge.settle(sl)
 			continue
 		}
-		c := byHost[h.ID]
+		if len(sl.tried) == 0 {
+			first[sl.key.Service] = h
+		}
+		c := calls[h.ID]
 		if c == nil {
-			c = &call{host: h, open: make(map[query.ShardKey]bool)}
-			byHost[h.ID] = c
+			c = &call{host: h}
+			calls[h.ID] = c
+			s.chosen[h.ID] = true
 		}
-		c.open[k] = true
-		s.note(k, h.ID)
+		c.keys = append(c.keys, sl.key)
+		sl.ask(c)
 	}
-	for _, c := range byHost {
+	for _, c := range calls {
 		s.start(ctx, c)
 	}
 }
 
-func (s *scatter) relayFor(k query.ShardKey, now time.Time) (member.Host, bool) {
-	tried := s.tried[k]
-	if len(tried) >= s.entry.cfg.MaxRelays {
+func (s *scatter) relayFor(sl *slot, now time.Time) (member.Host, bool) {
+	if len(sl.tried) >= s.entry.cfg.MaxRelays {
 		return member.Host{}, false
 	}
-	return s.entry.router.choose(k.Service, now, choice{tried: tried, chosen: s.chosen})
-}
-
-func (s *scatter) note(k query.ShardKey, host string) {
-	if s.tried[k] == nil {
-		s.tried[k] = make(map[string]bool)
-	}
-	s.tried[k][host] = true
-	s.chosen[host] = true
-	s.merge.ask(k)
+	return s.entry.router.choose(sl.key.Service, now, choice{tried: sl.tried, chosen: s.chosen})
 }
 
 // start runs a relay call in its own goroutine.
@@ -149,19 +173,12 @@
 	go func() {
 		defer s.entry.router.end(c.host.ID)
 		err := searcher.Search(ctx, batch, func(r query.ShardResult) {
-			s.send(ctx, message{call: c, result: r})
+			s.mailbox.put(message{call: c, result: r})
 		})
-		s.send(ctx, message{call: c, end: true, err: err})
+		s.mailbox.put(message{call: c, end: true, err: err})
 	}()
 }
 
-func (s *scatter) send(ctx context.Context, m message) {
-	select {
-	case s.messages <- m:
-	case <-ctx.Done():
-	}
-}
-
 func (s *scatter) batch(ctx context.Context, c *call) query.Batch {
 	budget := remaining(ctx)
 	if allowance := s.entry.cfg.HopAllowance.Std(); budget > 2*allowance {
@@ -176,7 +193,7 @@
 		Text:      s.search.Text,
 		Limit:     s.search.Limit,
 		Budget:    budget,
-		Parts:     partsOf(c.open),
+		Parts:     partsOf(c.keys),
 	}
 }
 
@@ -186,23 +203,18 @@
 		s.finish(ctx, m)
 		return verdictAnswered
 	}
-	k := m.result.Key
-	if !m.call.open[k] {
-		return verdictAnswered // foreign, or told twice by this relay
-	}
-	delete(m.call.open, k)
-	s.merge.offer(m.result)
-	if !s.merge.unanswered(k) {
+	sl := s.merge.offer(m.call, m.result)
+	if sl == nil || sl.answered {
 		return verdictAnswered
 	}
-	reason := s.merge.slots[k].result.Reason
+	reason := sl.result.Reason
 	if reason == query.ReasonSnapshotNotHeld && !s.last {
 		return verdictUnheld
 	}
 	if relaysFault(reason) {
-		s.ask(ctx, []query.ShardKey{k})
+		s.ask(ctx, []*slot{sl})
 	}
-	s.merge.settle(k)
+	s.merge.settle(sl)
 	return verdictAnswered
 }
 
@@ -221,7 +233,7 @@
 // run; searches are idempotent, so they are asked of another relay.
 func (s *scatter) finish(ctx context.Context, m message) {
 	delete(s.calls, m.call)
-	if m.err == nil && len(m.call.open) == 0 {
+	if m.err == nil && m.call.left == 0 {
 		s.entry.router.answered(m.call.host.ID)
 		return
 	}
@@ -230,34 +242,27 @@
 	}
 	s.entry.router.lost(m.call.host.ID, time.Now())
 	s.entry.metrics.lost.Inc()
-	var again []query.ShardKey
-	for k := range m.call.open {
-		s.merge.offer(query.ShardResult{Key: k, Outcome: outcome.Unknown, Reason: query.ReasonConnection})
-		if s.merge.unanswered(k) {
-			again = append(again, k)
-		}
+	open := s.merge.openOf(m.call)
+	for _, sl := range open {
+		s.merge.offer(m.call, query.ShardResult{Key: sl.key, Outcome: outcome.Unknown, Reason: query.ReasonConnection})
 	}
-	s.ask(ctx, again)
-	for _, k := range again {
-		s.merge.settle(k)
+	s.ask(ctx, open)
+	for _, sl := range open {
+		s.merge.settle(sl)
 	}
 }
 
 // overtake asks other relays for the shards that slow remote relays left
 // open. The first valid answer counts, whoever gives it.
 func (s *scatter) overtake(ctx context.Context) {
-	var again []query.ShardKey
+	var again []*slot
 	for c := range s.calls {
 		if c.late || c.host.ID == s.entry.members.Self().ID {
 			continue // this host's own relay hedges by itself
 		}
 		c.late = true
-		for k := range c.open {
-			if s.merge.unanswered(k) {
-				again = append(again, k)
-			}
-		}
-		if len(c.open) > 0 {
+		if open := s.merge.openOf(c); len(open) > 0 {
+			again = append(again, open...)
 			s.entry.router.lost(c.host.ID, time.Now())
 			s.entry.metrics.overtaken.Inc()
 		}
--- a/internal/entry/search.go
+++ b/internal/entry/search.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
@@ -12,9 +11,6 @@
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
 
-// messageBuffer lets relay calls run ahead of the merge a little.
-const messageBuffer = 64
-
 // Search answers a search from one snapshot, or refuses it. Exactly one of the
 // results is set. It returns as soon as the answer is decided, and no later
 // than the budget ends.
@@ -85,7 +81,7 @@
 		s := e.newScatter(q, scope, pins[0])
 		tried[pins[0].ID] = true
 		s.last = len(pins) == 1 || len(tried) >= e.cfg.MaxSnapshots
-		v := s.run(ctx, scope.parts(pins[0]))
+		v := s.run(ctx)
 		all.add(s)
 		if v != verdictUnheld {
 			break
@@ -122,7 +118,8 @@
 // because the minimum was out of reach anyway don't count.
 func (s *scatter) reason() query.Reason {
 	counts := make(map[query.Reason]int)
-	for _, slot := range s.merge.slots {
+	for i := range s.merge.slots {
+		slot := &s.merge.slots[i]
 		switch {
 		case slot.answered:
 		case slot.reason == "" && s.overdue:
@@ -142,8 +139,8 @@
 
 // retryAfter returns the longest time that a missing shard asked for.
 func (s *scatter) retryAfter(least time.Duration) time.Duration {
-	for _, slot := range s.merge.slots {
-		if !slot.answered {
+	for i := range s.merge.slots {
+		if slot := &s.merge.slots[i]; !slot.answered {
 			least = max(least, slot.result.RetryAfter)
 		}
 	}
@@ -158,10 +155,9 @@
 		snapshot: snap.ID,
 		workload: scope.workload,
 		merge:    newMerge(snap.ID, scope.parts(snap)),
-		tried:    make(map[query.ShardKey]map[string]bool),
 		chosen:   make(map[string]bool),
 		calls:    make(map[*call]bool),
-		messages: make(chan message, messageBuffer),
+		mailbox:  newMailbox(),
 	}
 }
 
@@ -183,28 +179,18 @@
 	return append(held, unheld...)
 }
 
-// keysOf returns the shards of the parts.
-func keysOf(parts []query.Part) []query.ShardKey {
-	var keys []query.ShardKey
-	for _, p := range parts {
-		for _, s := range p.Shards {
-			keys = append(keys, query.ShardKey{Service: p.Service, Shard: s})
+// partsOf groups shards by service, in the order in which they come.
+func partsOf(keys []query.ShardKey) []query.Part {
+	var parts []query.Part
+	index := make(map[string]int)
+	for _, k := range keys {
+		i, ok := index[k.Service]
+		if !ok {
+			i = len(parts)
+			index[k.Service] = i
+			parts = append(parts, query.Part{Service: k.Service})
 		}
+		parts[i].Shards = append(parts[i].Shards, k.Shard)
 	}
-	return keys
-}
-
-// partsOf groups shards by service, both sorted.
-func partsOf(keys map[query.ShardKey]bool) []query.Part {
-	byService := make(map[string][]uint32)
-	for k := range keys {
-		byService[k.Service] = append(byService[k.Service], k.Shard)
-	}
-	parts := make([]query.Part, 0, len(byService))
-	for name, shards := range byService {
-		slices.Sort(shards)
-		parts = append(parts, query.Part{Service: name, Shards: shards})
-	}
-	slices.SortFunc(parts, func(a, b query.Part) int { return cmp.Compare(a.Service, b.Service) })
 	return parts
 }
