--- a/internal/entry/search_test.go
+++ b/internal/entry/search_test.go
@@ -199,7 +199,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		e := w.entry()
 		e.router.begin(remote[1].ID) // so that the one that is lost looks less loaded
-		for range 8 {                // two choices may both fall on the other one
+		for range 40 {               // two choices may both fall on the other one
 			answer, _ := e.Search(context.Background(), wholeWorkload)
 			is.True(answer.Coverage.Complete())
 			is.Equal(len(answer.Rows), 6*rowsPerShard)
