--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -409,3 +409,21 @@
 		time.Sleep(time.Second) // the other loser's handler ends
 	})
 }
+
+func TestHedgeGoesToAnotherFailureDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(1, 3, rules(func(r *catalog.Rules) { r.HedgeBudget = 0.5 }), func(f *fixture, _ *Config) {
+			f.view.service.Targets[1].FailureDomain = "fd0" // that of t0 and of the relay
+		})
+		defer f.close()
+		f.load(t, 3*time.Second, 5*time.Millisecond)
+		for _, target := range f.targets[:2] {
+			target.set(func(x *fakeTarget) { x.delay = time.Hour })
+		}
+		got, err := f.search(t.Context(), batch(1, time.Second))
+		is.NoErr(err)
+		is.Equal(got[0].Outcome, outcome.Done) // t2, whichever of the others was asked first
+		is.True(got[0].Attempts <= 2)
+	})
+}
--- a/internal/relay/standin_test.go
+++ b/internal/relay/standin_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
@@ -107,3 +108,38 @@
 		}
 	}
 }
+
+// What the target says of an attempt is taken only if it is about that one;
+// an attempt settled as never run is refused from then on.
+func TestSettle(t *testing.T) {
+	is := is.New(t)
+	c := benchConfig(0)
+	c.Settles, c.ServiceTime = true, standin.Latency{}
+	c.Faults = standintarget.Faults{Cut: 1}
+	target := standintarget.New(c)
+	server := standintarget.NewServer(target)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var work sync.WaitGroup
+	work.Go(func() { _ = server.Serve(ln) })
+	defer func() { _ = server.Shutdown(context.Background()); work.Wait() }()
+	f := benchRelay([]string{ln.Addr().String()}, 2, func(r *catalog.Rules) { r.Settle = true })
+	defer func() { f.relay.pool("s").close() }()
+	is.Equal(f.relay.Send(t.Context(), reserve(time.Minute), "t0", "ran").Outcome, outcome.Unknown)
+	got, err := f.relay.Settle(t.Context(), "s", "t0", "ran")
+	is.NoErr(err)
+	is.True(got.Ran)
+	target.SetFaults(standintarget.Faults{})
+	got, err = f.relay.Settle(t.Context(), "s", "t0", "never")
+	is.NoErr(err)
+	is.True(!got.Ran)
+	late := f.relay.Send(t.Context(), query.Reserve{RequestID: "r2", ReservationID: "v2", Service: "s", Item: "j",
+		Budget: time.Minute}, "t0", "never")
+	is.Equal(late.Outcome, outcome.Rejected)
+	is.Equal(late.Reason, query.ReasonUnsettled)
+	_, err = f.relay.Settle(t.Context(), "s", "t9", "ran")
+	is.True(err != nil)
+	f.view.change(func(s *catalog.Service) { s.Rules.Settle = false })
+	_, err = f.relay.Settle(t.Context(), "s", "t0", "ran")
+	is.True(err != nil)
+}
