--- a/internal/load/overload.go
+++ b/internal/load/overload.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"time"
 )
 
 const (
 	keptGoodput    = 0.9   // of its peak, under overload
 	saturatedExtra = 0.005 // hedges and retries over first tries
+	budgetUsed     = 0.3   // of the budget, by the p99 of answers
 )
 
 var offeredLoads = []float64{0.5, 0.9, 1.2, 2, 5}
@@ -40,6 +42,7 @@
 		r, _ := named(reports, name)
 		verdicts = append(verdicts,
 			atLeast("goodput over its peak, "+name, ratio(r.Goodput, peak), keptGoodput),
+			atMost("p99 over the budget, "+name, r.P99*float64(time.Millisecond)/float64(wideBudget), budgetUsed),
 			atMost("extra load, "+name, r.Extra, saturatedExtra))
 	}
 	return verdicts
--- a/internal/plan/assign.go
+++ b/internal/plan/assign.go
@@ -73,7 +73,11 @@
 		return 0
 	}
 	mean := float64(total) / float64(hosts)
-	return max(int(math.Ceil(loadBound*mean)), largest)
+	if largest == 0 {
+		return 0
+	}
+	whole := largest * int(math.Ceil(mean/float64(largest)))
+	return max(int(math.Ceil(loadBound*mean)), whole)
 }
 
 // placer gives hosts to services one after another.
--- a/internal/policy/class.go
+++ b/internal/policy/class.go
@@ -82,11 +82,11 @@
 	return least
 }
 
-// evict removes and returns the one with the highest rank, of equal ones the
-// last to arrive; or simply the last to arrive.
-func (c *class[T]) evict(byArrival bool) *Waiter[T] {
+// evict removes and returns the last to arrive, or the one with the highest
+// rank, of equal ones the last to arrive.
+func (c *class[T]) evict(ranked bool) *Waiter[T] {
 	most := len(c.waiting) - 1
-	for i := most - 1; i >= 0 && !byArrival; i-- {
+	for i := most - 1; i >= 0 && ranked; i-- {
 		if c.waiting[i].Rank > c.waiting[most].Rank {
 			most = i
 		}
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -37,7 +37,7 @@
 	DeferrableShare int           // at least one deferrable in so many grants
 	QueueWait       time.Duration // after which a deferrable request is refused
 	QueueDelay      time.Duration // work that waits in the interactive class
-	ByArrival       bool          // no ranks: first come first served, the last is refused
+	Ranked          bool          // under overload the lowest ranks stay, not those that came first
 }
 
 func (c QueueConfig) withDefaults() QueueConfig {
@@ -78,10 +78,10 @@
 // set. It refuses at once what it could not grant in time, grants interactive
 // before deferrable requests, and never starves the deferrable.
 //
-// A burst may wait. A queue that stands is cut to a little work: those with the
-// highest ranks are refused, and for a while the lowest rank is granted first;
-// otherwise the first come. So every queue that a wide query passes under
-// overload keeps the same queries whole.
+// A burst may wait. A queue that stands is cut to a little work: the last to
+// come are refused, before anything was run for them, so that the entry can
+// withdraw the rest of their query from other queues in time. Where nothing
+// withdraws it, Ranked keeps the same queries whole in all queues.
 type Queue[T any] struct {
 	cfg         QueueConfig
 	interactive class[T]
@@ -99,8 +99,9 @@
 
 // Push lets w wait for Pop, also when a place is free. It refuses w at once
 // when the expected wait and the time of service pass its remaining budget, or
-// when there is no room and no rank that waits is higher; those with a higher
-// one are evicted, see Evictions. Every request goes through Push and Pop.
+// when there is no room. Others may be evicted too, see Evictions: when the
+// queue has just been found standing, or for their rank. Every request goes
+// through Push and Pop.
 func (q *Queue[T]) Push(now time.Time, w *Waiter[T]) Admission {
 	wait := q.waitOf(now, w)
 	if q.tooLate(now.Add(wait), w) {
@@ -128,7 +129,7 @@
 	}
 	for c.len() > room {
 		c.overloadedAt = now
-		out := c.evict(q.cfg.ByArrival)
+		out := c.evict(q.cfg.Ranked)
 		out.Evicted = true
 		q.evicted = append(q.evicted, out)
 	}
@@ -257,7 +258,7 @@
 }
 
 func (q *Queue[T]) ranked(now time.Time, c *class[T]) bool {
-	return !q.cfg.ByArrival && c.overloaded(now)
+	return q.cfg.Ranked && c.overloaded(now)
 }
 
 // tooLate reports whether a request that is granted then cannot be served in
