Relay: what waits is looked at while nothing is released

With every target frozen the queue was looked at only at the end of a budget. Seen failing with the look off: 0 of 2 given up before the deadline.

--- a/internal/relay/faults_test.go
+++ b/internal/relay/faults_test.go
@@ -107,45 +107,43 @@
 
 func smallAnswers(_ *fixture, c *Config) { c.MaxAnswerBytes = 64 << 10 }
 
-// With one replica the fault is the result; no answer is made of it.
-func TestFaultIsToldTruly(t *testing.T) {
+// eachFault runs the test with each fault at t0, in virtual time.
+func eachFault(t *testing.T, targets int, test func(is *is.I, f *fixture, x fault)) {
 	for _, x := range faults {
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f := newFixture(1, 1, smallAnswers)
+				f := newFixture(8, targets, smallAnswers)
 				defer f.close()
 				f.targets[0].serve = x.serve
-				got, err := f.search(t.Context(), batch(1, time.Second))
-				is.NoErr(err)
-				is.Equal(got[0].Outcome, x.outcome)
-				is.Equal(got[0].Reason, x.reason)
-				is.Equal(len(got[0].Rows), 0)
-				is.Equal(got[0].after, time.Duration(0)) // given up at once
-				is.Equal(got[0].RetryAfter > 0, x.reason != query.ReasonSnapshotNotHeld)
+				test(is.New(t), f, x)
 			})
 		})
 	}
 }
 
+// With one replica the fault is the result; no answer is made of it.
+func TestFaultIsToldTruly(t *testing.T) {
+	eachFault(t, 1, func(is *is.I, f *fixture, x fault) {
+		got, err := f.search(context.Background(), batch(1, time.Second))
+		is.NoErr(err)
+		is.Equal(got[0].Outcome, x.outcome)
+		is.Equal(got[0].Reason, x.reason)
+		is.Equal(len(got[0].Rows), 0)
+		is.Equal(got[0].after, time.Duration(0)) // given up at once
+		is.Equal(got[0].RetryAfter > 0, x.reason != query.ReasonSnapshotNotHeld)
+	})
+}
+
 // With a sound replica left, a search gets its answer there.
 func TestFaultOfOneReplicaIsMended(t *testing.T) {
-	for _, x := range faults {
-		t.Run(x.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f := newFixture(8, 2, smallAnswers)
-				defer f.close()
-				f.targets[0].serve = x.serve
-				got, err := f.search(t.Context(), batch(8, time.Second))
-				is.NoErr(err)
-				for _, r := range got {
-					is.Equal(r.Outcome, outcome.Done)
-				}
-				is.True(f.targets[0].count() > 0)
-			})
-		})
-	}
+	eachFault(t, 2, func(is *is.I, f *fixture, _ fault) {
+		got, err := f.search(context.Background(), batch(8, time.Second))
+		is.NoErr(err)
+		for _, r := range got {
+			is.Equal(r.Outcome, outcome.Done)
+		}
+		is.True(f.targets[0].count() > 0)
+	})
 }
 
 func reserve(budget time.Duration) query.Reserve {
@@ -155,25 +153,17 @@
 // A reservation reaches the target one time, whatever the fault, and what is
 // told of it is true.
 func TestFaultOfAReservation(t *testing.T) {
-	for _, x := range faults {
-		t.Run(x.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				f := newFixture(4, 2, smallAnswers)
-				defer f.close()
-				q := reserve(time.Second)
-				target, refusal := f.relay.Pick(q, []string{"t1"})
-				is.True(refusal == nil)
-				is.Equal(target, "t0")
-				f.targets[0].serve = x.serve
-				got := f.relay.Send(t.Context(), q, target, "a1")
-				is.Equal(got.Outcome, x.outcome)
-				is.Equal(got.Reason, x.reason)
-				is.Equal(f.targets[0].count(), 1)
-				is.Equal(f.targets[1].count(), 0)
-			})
-		})
-	}
+	eachFault(t, 2, func(is *is.I, f *fixture, x fault) {
+		q := reserve(time.Second)
+		target, refusal := f.relay.Pick(q, []string{"t1"})
+		is.True(refusal == nil)
+		is.Equal(target, "t0")
+		got := f.relay.Send(context.Background(), q, target, "a1")
+		is.Equal(got.Outcome, x.outcome)
+		is.Equal(got.Reason, x.reason)
+		is.Equal(f.targets[0].count(), 1)
+		is.Equal(f.targets[1].count(), 0)
+	})
 }
 
 func TestReservationAnswered(t *testing.T) {
--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -427,3 +427,25 @@
 		is.True(got[0].Attempts <= 2)
 	})
 }
+
+// With every target frozen nothing is released, and what waits is still given
+// up when it can no longer be served, not at the end of its budget.
+func TestFrozenTargetsDoNotHoldWhatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(4, 1)
+		defer f.close()
+		f.targets[0].delay = 40 * time.Millisecond
+		_, _ = f.search(t.Context(), batch(4, time.Second)) // shows the time of service
+		f.targets[0].set(func(x *fakeTarget) { x.delay = time.Hour })
+		got, err := f.search(t.Context(), batch(4, time.Second))
+		is.NoErr(err)
+		early := 0
+		for _, r := range got {
+			if r.Outcome == outcome.NotSent && r.after > 0 && r.after < time.Second {
+				early++
+			}
+		}
+		is.Equal(early, 2)
+	})
+}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -227,20 +227,21 @@
 	return refusal{w.Item, query.ReasonOverload, after}
 }
 
+// queueLook is the longest time for which nobody looks at a queue in which
+// tries wait: the targets may all be frozen, and then no release does.
+const queueLook = 20 * time.Millisecond
+
 // pace sets the timer that wakes the queue when no release will.
 func (p *pool) pace(now time.Time) {
 	if p.queue.Len() == 0 {
 		return
 	}
-	wait := time.Duration(0)
+	wait := queueLook
 	for _, t := range p.targets {
-		if w := t.rep.Limiter.Wait(now); w > 0 && (wait == 0 || w < wait) {
-			wait = w
+		if w := t.rep.Limiter.Wait(now); w > 0 {
+			wait = min(wait, w)
 		}
 	}
-	if wait == 0 {
-		return
-	}
 	if p.pacing == nil {
 		p.pacing = time.AfterFunc(wait, p.wake)
 		return
