--- a/internal/e2e/whole_path_test.go
+++ b/internal/e2e/whole_path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -39,8 +40,9 @@
 	Needed   int `json:"needed"`
 }
 
-// post sends a caller's request and returns status and body.
-func (h *host) post(t *testing.T, path, requestID, body string) (*http.Response, []byte) {
+// post sends a caller's request, with further headers as names and values, and
+// returns status and body.
+func (h *host) post(t *testing.T, path, requestID, body string, headers ...string) (*http.Response, []byte) {
 	t.Helper()
 	req, err := http.NewRequest(http.MethodPost, "http://"+h.callers+path, strings.NewReader(body))
 	if err != nil {
@@ -48,6 +50,9 @@
 	}
 	req.Header.Set("X-Request-Id", requestID)
 	req.Header.Set("X-Caller", "shop-1")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		t.Fatal(err)
@@ -164,19 +169,21 @@
 	tests := map[string]struct {
 		path, body, reason string
 		status             int
+		budget             string
 	}{
-		"unknown service":   {"/v1/search", `{"service": "nobody"}`, "unknown_service", http.StatusNotFound},
-		"malformed":         {"/v1/search", `{"service": `, "bad_request", http.StatusBadRequest},
-		"unknown field":     {"/v1/search", `{"servise": "guest-portal-01"}`, "bad_request", http.StatusBadRequest},
-		"body too large":    {"/v1/search", `{"text": "` + strings.Repeat("x", 1<<17) + `"}`, "too_large", http.StatusRequestEntityTooLarge},
-		"bad reservation":   {"/v1/reservations", `{"reservation_id": "x", "service": "reservation-desk", "item": "i"}`, "bad_request", http.StatusBadRequest},
-		"neither is named":  {"/v1/search", `{}`, "bad_request", http.StatusBadRequest},
-		"negative coverage": {"/v1/search", `{"service": "guest-portal-01", "min_coverage": -1}`, "bad_request", http.StatusBadRequest},
+		"unknown service":   {"/v1/search", `{"service": "nobody"}`, "unknown_service", http.StatusNotFound, ""},
+		"malformed":         {"/v1/search", `{"service": `, "bad_request", http.StatusBadRequest, ""},
+		"unknown field":     {"/v1/search", `{"servise": "guest-portal-01"}`, "bad_request", http.StatusBadRequest, ""},
+		"body too large":    {"/v1/search", `{"text": "` + strings.Repeat("x", 1<<17) + `"}`, "too_large", http.StatusRequestEntityTooLarge, ""},
+		"bad reservation":   {"/v1/reservations", `{"reservation_id": "x", "service": "reservation-desk", "item": "i"}`, "bad_request", http.StatusBadRequest, ""},
+		"neither is named":  {"/v1/search", `{}`, "bad_request", http.StatusBadRequest, ""},
+		"budget run out":    {"/v1/search", `{"service": "guest-portal-01"}`, "budget_exhausted", http.StatusRequestTimeout, "0"},
+		"negative coverage": {"/v1/search", `{"service": "guest-portal-01", "min_coverage": -1}`, "bad_request", http.StatusBadRequest, ""},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			resp, body := s.hosts[0].post(t, test.path, "bad-1", test.body)
+			resp, body := s.hosts[0].post(t, test.path, "bad-1", test.body, "X-Budget-Ms", cmp.Or(test.budget, "500"))
 			is.Equal(resp.StatusCode, test.status)
 			var r struct {
 				Reason    string `json:"reason"`
