--- a/internal/delivery/windows.go
+++ b/internal/delivery/windows.go
@@ -34,9 +34,10 @@
 	failures int         // in a row
 	seen     map[Incarnation]bool
 
-	stop chan struct{}
-	last context.Context // of Stop; set before stop is closed
-	done chan struct{}
+	started bool
+	stop    chan struct{}
+	last    context.Context // of Stop; set before stop is closed
+	done    chan struct{}
 }
 
 // New returns the recorder of the host that view calls itself.
@@ -55,6 +56,7 @@
 	w.mu.Lock()
 	w.begin(time.Now())
 	w.mu.Unlock()
+	w.started = true
 	go w.run()
 	return nil
 }
@@ -65,6 +67,9 @@
 // platform outage must not keep a host from stopping, so that is no error.
 // Modules that record must have stopped before.
 func (w *Windows) Stop(ctx context.Context) error {
+	if !w.started {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, w.cfg.StopTimeout.Std())
 	defer cancel()
 	w.last = ctx
