--- a/internal/policy/doc.go
+++ b/internal/policy/doc.go
@@ -10,18 +10,19 @@
 // A relay keeps, for each replica set, a Queue, a Hedger, a retry Budget and
 // the Replicas, and for each shard of a batch
 //
-//   - calls Queue.Push with the Rank of the request id; a refusal is answered
-//     at once with RetryAfter;
-//   - whenever something changed (Push, Replica.Done, a timer after Wait),
-//     calls Queue.Expire, and Queue.Pop with a function that asks Pick, until
-//     Pop returns nil; for each grant Replica.Send, Hedger.First and
-//     Budget.First;
-//   - after Hedger.Delay asks Hedger.Take, with Saturated or a queue that is
-//     not empty, then Pick with Hedge;
+//   - calls Queue.Push; a refusal is answered at once with RetryAfter, and so
+//     are those of Queue.Evictions;
+//   - whenever something changed (Push, Replica.Done, a timer after
+//     Limiter.Wait), calls Queue.Expire, and Queue.Pop with a function that
+//     asks Pick, until Pop returns nil; for each grant Replica.Send,
+//     Hedger.First and Budget.First;
+//   - after Hedger.Delay asks Hedger.Take, with Queue.Saturated, then Pick with
+//     Hedge;
 //   - after an attempt that may be repeated asks Budget.Take, then Pick with
 //     Retry;
 //   - at the end of each attempt calls Replica.Done, and for a valid answer
 //     Hedger.Observe and Queue.Served.
 //
-// An entry keeps one Throttle for each workload and chooses relays with Choose.
+// A query that is refused in one queue must be withdrawn from the others at
+// once: what Queue refuses is chosen in the belief that it is.
 package policy
--- a/internal/policy/limiter.go
+++ b/internal/policy/limiter.go
@@ -120,9 +120,6 @@
 // InFlight returns the places taken.
 func (l *Limiter) InFlight() int { return l.inFlight }
 
-// Saturated reports whether a further request would have to wait.
-func (l *Limiter) Saturated(now time.Time) bool { return !l.Free(now) }
-
 func (l *Limiter) learn(now time.Time, latency time.Duration, s Signal) {
 	if l.window.since.IsZero() {
 		l.window.since = now
--- a/internal/policy/overload_test.go
+++ b/internal/policy/overload_test.go
@@ -104,23 +104,3 @@
 	is.True(below > n*24/100 && below < n*26/100)
 	is.Equal(Rank("a"), Rank("a"))
 }
-
-func TestThrottleSendsOnWhatRelaysAccept(t *testing.T) {
-	is := is.New(t)
-	var th Throttle
-	sent, accepted := 0, 0
-	for i := range 10000 { // 1,000 a second, the relays take the lowest fifth
-		now := at(time.Duration(i) * time.Millisecond)
-		rank := Rank(fmt.Sprint(i))
-		if !th.Admits(now, rank) {
-			continue
-		}
-		sent++
-		if rank < 0.2 {
-			accepted++
-			th.Accepted(now)
-		}
-	}
-	is.True(sent < 2800)     // not the 10,000 offered
-	is.True(accepted > 1900) // of 2,000 possible
-}
--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -184,12 +184,6 @@
 // Len returns the number of requests that wait.
 func (q *Queue[T]) Len() int { return q.interactive.len() + q.deferrable.len() }
 
-// Overloaded reports whether a request of the class was refused for want of
-// room a short time ago.
-func (q *Queue[T]) Overloaded(now time.Time, u query.Urgency) bool {
-	return q.class(u).overloaded(now)
-}
-
 // Saturated reports whether the targets have had no place to spare for longer
 // than a few answers take. A request that waits for the next answer does not
 // make them so. While they are, extra attempts only take places from others.
--- a/internal/policy/replica.go
+++ b/internal/policy/replica.go
@@ -56,33 +56,6 @@
 	return cheapest(now, rng, healthy)
 }
 
-// Saturated reports whether no usable and healthy replica is free.
-func Saturated(now time.Time, replicas []*Replica, usable func(*Replica) bool) bool {
-	healthy, ejected := split(now, replicas, usable)
-	if len(healthy) == 0 {
-		healthy = ejected
-	}
-	for _, r := range healthy {
-		if r.Limiter.Free(now) {
-			return false
-		}
-	}
-	return true
-}
-
-// Wait returns the time until a paced replica is free without any answer
-// coming; 0 if none is paced. The owner sets a timer for it while requests
-// wait.
-func Wait(now time.Time, replicas []*Replica) time.Duration {
-	var least time.Duration
-	for _, r := range replicas {
-		if w := r.Limiter.Wait(now); w > 0 && (least == 0 || w < least) {
-			least = w
-		}
-	}
-	return least
-}
-
 // Send takes a place at the replica for one attempt. Done must follow.
 func (r *Replica) Send(now time.Time) {
 	r.Limiter.Take(now)
