Membership tests: no unlocked reads; a probe over a pause makes no suspect

Cause: the race detector found a test reading a live table. Before: -race failed in TestHostThatMissedTheListLearnsItFromProbes. After: -race passes. The new test fails ('not true: heldAs') without the check of the time taken.

--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -9,6 +9,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 )
 
 // startAll starts n hosts while the platform is down and waits until each
@@ -141,6 +144,26 @@
 	})
 }
 
+// slowProber fails after a time that no timeout explains, as when this process
+// was stopped meanwhile.
+type slowProber struct{}
+
+func (slowProber) Probe(context.Context, string, *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	time.Sleep(time.Minute)
+	return nil, errRefused
+}
+
+func TestProbeOverAPauseMakesNoSuspect(t *testing.T) {
+	inBubble(t, func(t *testing.T, net *network) {
+		all := startAll(t, net, 2)
+		stopped := New(DefaultConfig(), Host{ID: "stopped"}, downStore{}, slowProber{}, event.Discard(), nil)
+		target := update{Host: all[1].Self()}
+		stopped.apply(target, 0)
+		stopped.probe(t.Context(), target)
+		is.New(t).True(heldAs([]*Members{stopped}, 1, Alive))
+	})
+}
+
 func TestLeaveSpreads(t *testing.T) {
 	inBubble(t, func(t *testing.T, net *network) {
 		all := startAll(t, net, 48)
@@ -165,10 +188,15 @@
 	inBubble(t, func(t *testing.T, net *network) {
 		all := startAll(t, net, 60)
 		time.Sleep(time.Minute) // until nothing is news
-		late := net.start(downStore{}, 60, func(m *Members) { m.cfg.Seeds = nil })
+		late := net.start(downStore{}, 60, func(m *Members) {
+			m.cfg.Seeds = nil
+			m.sync.last = time.Now().Add(time.Hour) // no whole list: records in turn must do
+		})
 		is.New(t).Equal(len(late.Hosts()), 1)
-		late.sync.last = time.Now().Add(time.Hour) // no whole list: records in turn must do
-		late.table.learn(all[0].Self(), time.Now(), late.rng)
+		first := all[0].Self()
+		late.mu.Lock()
+		late.table.learn(first, time.Now(), late.rng)
+		late.mu.Unlock()
 		within(t, 15*time.Second, "knows nearly all", func() bool { return len(late.Hosts()) >= 58 })
 	})
 }
@@ -189,6 +217,8 @@
 		startAll(t, net, 20)
 		late := net.start(downStore{}, 20)
 		is.Equal(len(late.Hosts()), 21)
+		late.mu.Lock()
+		defer late.mu.Unlock()
 		is.Equal(len(late.table.unsent()), 0) // else it would crowd out what is
 	})
 }
