--- a/internal/catalog/bench_test.go
+++ b/internal/catalog/bench_test.go
@@ -194,7 +194,7 @@
 			for range changes {
 				slowest = max(slowest, f.spread())
 			}
-			extra := float64(f.pulls.Load()-pulls)/changes - float64(quietPulls)/60*withinSeconds.Seconds()
+			extra := float64(f.pulls.Load()-pulls)/changes - float64(quietPulls)/60*spreadBound.Seconds()
 			perMinute := float64(hosts) * time.Minute.Seconds()
 			t.Logf("hosts %d: platform reads %.1f/s, pulls %.2f/s a host; a change is in force everywhere after at most %s and costs %.2f pulls a host",
 				hosts, float64(quietReads)/60, float64(quietPulls)/perMinute, slowest, extra/float64(hosts))
@@ -205,7 +205,7 @@
 // spread makes a change and returns when it was in force everywhere.
 func (f *fleet) spread() time.Duration {
 	revision, start, took := f.write(testService("a")), time.Now(), time.Duration(0)
-	for time.Since(start) < withinSeconds {
+	for time.Since(start) < spreadBound {
 		time.Sleep(10 * time.Millisecond)
 		synctest.Wait()
 		if took == 0 && f.inForce(revision) == len(f.nodes) {
--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	withinSeconds = 4 * time.Second // in which an accepted change is in force everywhere
-	settled       = 10 * time.Second
+	spreadBound = 4 * time.Second // in which an accepted change is in force everywhere
+	settled     = 10 * time.Second
 )
 
 // inForce returns how many hosts have the revision.
@@ -65,7 +65,7 @@
 			inFleet(t, size.hosts, size.domains, func(is *is.I, f *fleet) {
 				for range 5 {
 					revision := f.write(testService("a"))
-					f.pass(withinSeconds)
+					f.pass(spreadBound)
 					is.Equal(f.inForce(revision), size.hosts)
 				}
 			})
@@ -93,7 +93,7 @@
 		f.pass(2 * DefaultConfig().TakeoverAfter.Std())
 		for range 10 { // others stand in, and go on doing so
 			revision := f.write(testService("a"))
-			f.pass(withinSeconds)
+			f.pass(spreadBound)
 			is.Equal(f.inForce(revision), 60)
 		}
 	})
@@ -104,14 +104,14 @@
 		cut := f.nodes[3]
 		cut.client.Outage(true) // it has only its peers
 		revision := f.write(testService("b"))
-		f.pass(withinSeconds)
+		f.pass(spreadBound)
 		is.Equal(f.inForce(revision), 12)
 
 		f.platform.Outage(true)
 		f.pass(5 * time.Minute)
 		is.Equal(f.stale(), 0) // the peers hear each other
 		started := f.add("host-12", "domain-0")
-		f.pass(withinSeconds)
+		f.pass(spreadBound)
 		is.Equal(started.catalog.Revision(), revision)
 		is.True(!started.catalog.Stale())
 		_, ok := started.catalog.Service("b")
@@ -120,7 +120,7 @@
 		f.platform.Outage(false)
 		f.platform.Compact()
 		revision = f.write(testService("c"))
-		f.pass(withinSeconds)
+		f.pass(spreadBound)
 		is.Equal(f.inForce(revision), 13)
 	})
 }
@@ -139,7 +139,7 @@
 		is.Equal(report, InForce{Revision: revision, Of: 12, On: 11, Missing: []string{alone.host.ID}})
 
 		alone.client.Outage(false) // the platform alone is enough
-		f.pass(withinSeconds)
+		f.pass(spreadBound)
 		is.True(!alone.catalog.Stale())
 		is.Equal(f.inForce(revision), 12)
 	})
@@ -210,7 +210,7 @@
 
 		n.catalog.puller = n
 		revision := f.write(testService("a"))
-		f.pass(withinSeconds)
+		f.pass(spreadBound)
 		n.catalog.pull(ctx, peer.host)
 		is.True(!n.catalog.Stale())
 		is.Equal(n.catalog.Revision(), revision)
@@ -221,7 +221,7 @@
 func TestPlatformThatWentBack(t *testing.T) {
 	inFleet(t, 3, 1, func(is *is.I, f *fleet) {
 		revision := f.write(testService("b"))
-		f.pass(withinSeconds)
+		f.pass(spreadBound)
 		f.platform.Reset()
 		f.write(testService("a"))
 		f.pass(settled)
