--- a/internal/e2e/site_test.go
+++ b/internal/e2e/site_test.go
@@ -114,6 +114,7 @@
   "stop": {"balancer_lag": "%[5]s", "hard_limit": "50s"},
   "platform": {"addresses": ["%[4]s"]},
   "member": {"seeds": [%[6]s]},
+  "delivery": {"min_interval": "1s"},
 }`
 
 func (s *site) startHost(t *testing.T, i int, domain, platform string) *host {
