--- a/internal/delivery/burn_test.go
+++ b/internal/delivery/burn_test.go
@@ -73,9 +73,8 @@
 func TestBurnIsAGaugeOfOneHost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFleet(t, DefaultConfig(), 3)
+		f := newFleet(t, DefaultConfig(), 3, services...)
 		defer f.stopAll()
-		f.services = services
 		time.Sleep(checkInterval + 5*time.Second) // between the checks, when the host that told before has noticed
 		for range 60 {
 			f.serve(10, 200*time.Millisecond, 1, "")
--- a/internal/delivery/fleet_test.go
+++ b/internal/delivery/fleet_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,7 +23,7 @@
 	t        fataler
 	cfg      Config
 	platform *platformtest.Platform
-	live     []member.Host
+	live     atomic.Pointer[[]member.Host]
 	hosts    map[string]*host
 	driven   map[string]uint64 // by host and incarnation
 	runs     int
@@ -50,11 +51,11 @@
 }
 
 func (v view) Self() member.Host    { return v.self }
-func (v view) Hosts() []member.Host { return v.f.live }
+func (v view) Hosts() []member.Host { return v.f.hostsNow() }
 func (v view) Generation() uint64   { return 0 }
 
-func newFleet(t fataler, cfg Config, hosts int) *fleet {
-	f := &fleet{t: t, cfg: cfg, platform: platformtest.New(), hosts: map[string]*host{}, driven: map[string]uint64{}}
+func newFleet(t fataler, cfg Config, hosts int, services ...catalog.Service) *fleet {
+	f := &fleet{t: t, cfg: cfg, platform: platformtest.New(), hosts: map[string]*host{}, driven: map[string]uint64{}, services: services}
 	for i := range hosts {
 		f.start(fmt.Sprintf("h%d", i))
 	}
@@ -64,7 +65,7 @@
 func (f *fleet) start(id string) {
 	f.runs++
 	h := &host{info: member.Host{ID: id, Incarnation: uint64(f.runs), State: member.Alive}, client: f.platform.Client(), metrics: prometheus.NewRegistry()}
-	f.live = append(slices.Clone(f.live), h.info)
+	f.setHosts(append(slices.Clone(f.hostsNow()), h.info))
 	h.Windows = New(f.cfg, h.client, view{f, h.info}, event.Discard(), nil)
 	h.compactor = NewCompactor(f.cfg, h.client, view{f, h.info}, func() []catalog.Service { return f.services }, event.Discard(), h.metrics)
 	f.hosts[id] = h
@@ -77,7 +78,7 @@
 func (f *fleet) leave(id string, killed bool) {
 	h := f.hosts[id]
 	delete(f.hosts, id)
-	f.live = slices.DeleteFunc(slices.Clone(f.live), func(m member.Host) bool { return m.ID == id })
+	f.setHosts(slices.DeleteFunc(slices.Clone(f.hostsNow()), func(m member.Host) bool { return m.ID == id }))
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	if killed {
@@ -88,6 +89,16 @@
 	_ = h.Stop(ctx)
 }
 
+func (f *fleet) setHosts(live []member.Host) { f.live.Store(&live) }
+
+// hostsNow returns the live hosts.
+func (f *fleet) hostsNow() []member.Host {
+	if live := f.live.Load(); live != nil {
+		return *live
+	}
+	return nil
+}
+
 // ids returns the running hosts, sorted.
 func (f *fleet) ids() []string { return slices.Sorted(maps.Keys(f.hosts)) }
 
--- a/internal/delivery/sums_test.go
+++ b/internal/delivery/sums_test.go
@@ -114,6 +114,7 @@
 			}
 			time.Sleep(10 * time.Second)
 		}
+		synctest.Wait() // the host does nothing now
 		is.True(len(h.queue.items) <= cfg.MaxPending)
 		for _, p := range h.queue.items {
 			is.True(len(p.window.Rows.sums) <= cfg.MaxKeys+cfg.MaxKeys/4+1)
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -33,13 +35,13 @@
 	t        *testing.T
 	platform *platformtest.Platform
 	client   *platformtest.Client
-	hosts    []member.Host
+	hosts    atomic.Pointer[[]member.Host]
 	catalog  *catalog.Catalog
 	*Executor
 }
 
-func (w *world) Self() member.Host    { return w.hosts[0] }
-func (w *world) Hosts() []member.Host { return w.hosts }
+func (w *world) Self() member.Host    { return w.Hosts()[0] }
+func (w *world) Hosts() []member.Host { return *w.hosts.Load() }
 func (w *world) Generation() uint64   { return 0 }
 func (w *world) Announce()            {}
 func (w *world) Pull(context.Context, string, *peerpb.PullRequest) (*peerpb.PullReply, error) {
@@ -50,10 +52,11 @@
 func run(t *testing.T, test func(t *testing.T, is *is.I, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		p := platformtest.New()
-		w := &world{t: t, platform: p, client: p.Client(), hosts: []member.Host{
+		w := &world{t: t, platform: p, client: p.Client()}
+		w.hosts.Store(&[]member.Host{
 			{ID: "h0", FailureDomain: "salt-lake", State: member.Alive, Incarnation: 1, Peer: "127.0.0.1:7000"},
 			{ID: "h1", FailureDomain: "new-town", State: member.Alive, Incarnation: 1, Peer: "127.0.0.1:7001"},
-		}}
+		})
 		_, _ = w.client.Put(t.Context(), platform.KindMember, "h0", 0, []byte("{}")) // the host's own record
 		w.catalog = catalog.New(catalog.DefaultConfig(), w.client, w, w, w, event.Discard(), prometheus.NewRegistry())
 		_ = w.catalog.Start(t.Context())
@@ -129,7 +132,9 @@
 		is.Equal(c.cell(0, "has_newest"), "yes")
 		is.Equal(c.cell(1, "has_newest"), "no")
 		is.True(strings.Contains(c.Message, "in force on 1 of 2 hosts, not yet on h1"))
-		w.hosts[1].Revision = w.catalog.Revision()
+		hosts := slices.Clone(w.Hosts())
+		hosts[1].Revision = w.catalog.Revision()
+		w.hosts.Store(&hosts)
 		is.True(strings.Contains(w.do("show config").Message, "in force on 2 of 2 hosts"))
 	})
 }
