Relay: a sign of leaving is told to every relay of the service

Cause: a relay learnt of a leaving target by its own answers and status alone; above 12 hosts most read no host list, and nothing carried it to them.

A relay that sees the first sign of a target tells the other relays of the service, once an incarnation; readers of the list tell its turns, to leaving and back. Relays that join are told what stands. What was told is not told on. A sign of an older incarnation than the one seen, of an unknown service, target or kind is dropped. On a host that is no relay the list's word that a target is live again ends its sign; before, the sign stood for ever there, also once the host had become a relay.

The Share hook is gone with the assertion on it; the number of reads is checked as before.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -22,6 +22,9 @@
 	evBadAnswer = event.Define(4005, "target_bad_answer", plog.WarnLevel,
 		"An answer was truncated, crossed or otherwise not that of the attempt; it was dropped.",
 		"look at the target; its answers can't be trusted", "service", "target", "cause")
+	evSignsUntold = event.Define(4007, "target_signs_untold", plog.WarnLevel,
+		"Another relay could not be told in time that targets are leaving; it sees it by their answers and status alone.",
+		"look at that host and the way to it, if it is still a member", "to", "signs", "cause")
 	evHostList = event.Define(4006, "host_list_unread", plog.WarnLevel,
 		"The platform's list of hosts could not be read; targets that leave are seen by their answers and status alone.",
 		"look at the platform", "cause")
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -6,16 +6,25 @@
 	"rhubarbwood.example/rhubarbwood/internal/targetapi"
 )
 
-// sign tells what first showed that a target is leaving.
-type sign string
+// Sign tells what first showed that a target is leaving.
+type Sign string
 
 const (
-	signNone     sign = ""
-	signAnswer   sign = "answer"    // it refused an attempt as draining
-	signStatus   sign = "status"    // its status said draining
-	signHostList sign = "host_list" // the platform lists it as leaving
+	signNone     Sign = ""
+	signAnswer   Sign = "answer"    // it refused an attempt as draining
+	signStatus   Sign = "status"    // its status said draining
+	signHostList Sign = "host_list" // the platform lists it as leaving
+	signListed   Sign = "listed"    // no sign of leaving: the platform lists it as live again
 )
 
+func (s Sign) known() bool {
+	switch s {
+	case signAnswer, signStatus, signHostList, signListed:
+		return true
+	}
+	return false
+}
+
 // health is what a relay believes of a target's will to work. It is pure.
 //
 // A sign of leaving stands until the target's incarnation grows, whatever its
@@ -25,17 +34,18 @@
 	incarnation uint64    // greatest seen, 0 before the first status
 	seen        time.Time // when that incarnation was first seen
 	state       string    // of the newest status of that incarnation
-	leaving     sign
+	leaving     Sign
 	leftAt      time.Time
+	told        Sign // what this host told of that incarnation
 	drained     bool // by an operator; stands until undone
-	listed      bool // the host list now says leaving
+	listed      bool // the host list, read by this host, now says leaving
 }
 
 // usable reports whether the target may be given new work.
 func (h *health) usable() bool { return h.leaving == signNone && !h.drained }
 
 // leave notes a sign of leaving and reports whether it is the first one.
-func (h *health) leave(now time.Time, s sign) bool {
+func (h *health) leave(now time.Time, s Sign) bool {
 	if h.leaving != signNone {
 		return false
 	}
@@ -82,23 +92,67 @@
 // the signs may well be of the one just seen, and stand.
 func (h *health) renew(first bool) {
 	if !first {
-		h.leaving = signNone
+		h.leaving, h.told = signNone, signNone
 	}
 }
 
-// list takes the platform's word on the target and reports whether it is the
-// first sign of leaving. Only the turn to leaving is a sign: the list lags, so
+// list takes the platform's word on the target and reports whether it turned,
+// and whether that is the first sign of leaving. Only the turn to leaving is a sign: the list lags, so
 // it goes on naming a target that has already started again.
-func (h *health) list(now time.Time, leaving bool, lag time.Duration) bool {
-	was := h.listed
+func (h *health) list(now time.Time, leaving bool, lag time.Duration) (turned, first bool) {
+	if h.listed == leaving {
+		return false, false
+	}
 	h.listed = leaving
-	if leaving && !was {
-		return h.leave(now, signHostList)
+	if leaving {
+		return true, h.leave(now, signHostList)
 	}
-	if !leaving && was && h.mistaken(lag) {
+	h.unlist(lag)
+	return true, false
+}
+
+// unlist takes that the list says live again.
+func (h *health) unlist(lag time.Duration) {
+	if h.mistaken(lag) {
+		h.leaving = signNone
+	}
+}
+
+// heard tells what became of a sign that another host saw.
+type heard string
+
+const (
+	heardFirst heard = "applied" // the first sign of leaving
+	heardAgain heard = "known"
+	heardLate  heard = "late" // of an older incarnation
+)
+
+// hear takes a sign that another host saw when the incarnation was the
+// greatest that it had seen of the target. A greater one than here is taken
+// over, so that the sign stands until that one is past.
+func (h *health) hear(now time.Time, s Sign, incarnation uint64, lag time.Duration) heard {
+	if incarnation != 0 && incarnation < h.incarnation {
+		return heardLate
+	}
+	if s == signListed {
+		h.unlist(lag)
+		return heardAgain
+	}
+	if incarnation > h.incarnation {
+		h.renew(h.incarnation == 0)
+		h.incarnation, h.seen, h.state = incarnation, now, ""
+	}
+	if h.leave(now, s) {
+		return heardFirst
+	}
+	return heardAgain
+}
+
+// forget takes back a sign of the list, on a host that reads no status.
+func (h *health) forget() {
+	if h.leaving == signHostList {
 		h.leaving = signNone
 	}
-	return false
 }
 
 // mistaken reports whether the list's sign was so near to a start of the
--- a/internal/relay/hostlist.go
+++ b/internal/relay/hostlist.go
@@ -27,8 +27,8 @@
 	p.mu.Lock()
 	for _, t := range p.targets {
 		l, listed := leaving[t.conf.ID]
-		if listed && t.health.list(now, l, p.relay.cfg.HostListLag.Std()) {
-			p.left(t)
+		if listed {
+			p.list(now, t, l)
 		}
 	}
 	refused := p.drain(now)
@@ -36,6 +36,27 @@
 	refused.tell()
 }
 
+// list takes the platform's word on a target. A turn is told to the relays
+// even if this host is none of them, or had a sign before, as a reader of the
+// list may know what no relay does.
+func (p *pool) list(now time.Time, t *target, leaving bool) {
+	turned, first := t.health.list(now, leaving, p.relay.cfg.HostListLag.Std())
+	if first {
+		p.left(t)
+	}
+	switch {
+	case !turned:
+	case leaving && t.health.told == signNone:
+		p.tell(now, t, signHostList)
+	case !leaving && t.health.told == signHostList:
+		p.tell(now, t, signListed)
+		t.health.told = signNone
+	}
+	if turned && !leaving && !p.own {
+		t.health.forget() // nothing else tells this host that the target came back
+	}
+}
+
 // pollHostList reads the list as long as this host is one of its readers.
 func (r *Relay) pollHostList(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -67,7 +88,4 @@
 	r.listUnread = false
 	r.metrics.polls.WithLabelValues("host_list", "answered").Inc()
 	r.ApplyHostList(hosts)
-	if r.Share != nil {
-		r.Share(hosts)
-	}
 }
--- a/internal/relay/learn.go
+++ b/internal/relay/learn.go
@@ -88,9 +88,10 @@
 }
 
 // leave notes a sign of leaving.
-func (p *pool) leave(now time.Time, t *target, s sign) {
+func (p *pool) leave(now time.Time, t *target, s Sign) {
 	if t.health.leave(now, s) {
 		p.left(t)
+		p.tell(now, t, s)
 	}
 }
 
--- a/internal/relay/metrics.go
+++ b/internal/relay/metrics.go
@@ -17,6 +17,7 @@
 	leaving  *prometheus.CounterVec
 	bad      *prometheus.CounterVec
 	polls    *prometheus.CounterVec
+	signs    *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -40,12 +41,14 @@
 		leaving:  vec("leaving_targets_total", "Targets seen leaving, by the first sign.", "service", "sign"),
 		bad:      vec("bad_answers_total", "Answers dropped as truncated, crossed or malformed.", "service"),
 		polls:    vec("polls_total", "Polls of target status and host list, by result.", "what", "result"),
+		signs: vec("signs_total", "Signs of leaving told to other relays (told, untold) or heard from them "+
+			"(applied, known, late, unknown), by result.", "result"),
 	}
 	for o := range m.shards {
 		m.shards[o] = results.WithLabelValues(outcome.Outcome(o).String())
 	}
 	if reg != nil {
-		reg.MustRegister(results, m.attempts, m.retries, m.hedges, m.foreign, m.shed, m.leaving, m.bad, m.polls)
+		reg.MustRegister(results, m.attempts, m.retries, m.hedges, m.foreign, m.shed, m.leaving, m.bad, m.polls, m.signs)
 	}
 	return m
 }
--- a/internal/relay/poll.go
+++ b/internal/relay/poll.go
@@ -112,13 +112,10 @@
 	p.mu.Lock()
 	switch t.health.status(now, s) {
 	case started:
-		t.rep.Restart(now, 0) // forgets what the last incarnation showed
-		t.rep.Ramp = policy.Ramp{}
-		t.warmUp(now, p.relay.cfg.ColdRamp.Std())
-		p.relay.log.Event(evTargetStarted).Str("service", p.name).Str("target", t.conf.ID).
-			Uint64("incarnation", s.Incarnation).Msg("")
+		p.started(now, t)
 	case left:
 		p.left(t)
+		p.tell(now, t, signStatus)
 	case unchanged:
 	}
 	refused := p.drain(now)
@@ -126,6 +123,15 @@
 	refused.tell()
 }
 
+// started forgets what the target's last incarnation showed.
+func (p *pool) started(now time.Time, t *target) {
+	t.rep.Restart(now, 0)
+	t.rep.Ramp = policy.Ramp{}
+	t.warmUp(now, p.relay.cfg.ColdRamp.Std())
+	p.relay.log.Event(evTargetStarted).Str("service", p.name).Str("target", t.conf.ID).
+		Uint64("incarnation", t.health.incarnation).Msg("")
+}
+
 func (t *target) status(ctx context.Context) (targetapi.Status, error) {
 	req := &http.Request{
 		Method: http.MethodGet, Host: t.conf.Address, Header: http.Header{},
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
@@ -35,8 +36,9 @@
 	// stranding tells that a target left since the queue was last granted
 	// from, so that some of those who wait may have no holder any more.
 	stranding bool
-	relays    int  // hosts that share the service's targets
-	own       bool // this host is one of them
+	hosts     []member.Host // that share the service's targets
+	relays    int           // their number, 1 at least
+	own       bool          // this host is one of them
 }
 
 // refusal is the word on a try that gets no place.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -43,10 +43,11 @@
 	metrics *metrics
 	dial    dialFunc
 
-	// Share, if set before Start, is given every host list that this host
-	// reads, for hosts that do not read it themselves.
-	Share func([]platform.LiveHost)
+	// Teller, set before Start, carries signs of leaving to other relays; with
+	// none, nobody is told.
+	Teller Teller
 
+	courier  courier
 	table    atomic.Pointer[table]
 	mu       sync.Mutex // of building tables
 	planning atomic.Bool
@@ -66,6 +67,7 @@
 		cfg: cfg, view: view, members: members, hosts: hosts, log: log,
 		metrics: newMetrics(reg), dial: dialer.DialContext,
 	}
+	r.courier.relay = r
 	r.table.Store(&table{pools: map[string]*pool{}})
 	return r
 }
@@ -74,6 +76,7 @@
 func (r *Relay) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	r.stop = cancel
+	r.courier.start(ctx)
 	r.current()
 	r.work.Go(func() { r.pollTargets(ctx) })
 	if r.hosts != nil {
@@ -88,6 +91,7 @@
 	if r.stop == nil {
 		return nil
 	}
+	r.courier.stop()
 	r.stop()
 	ended := make(chan struct{})
 	go func() {
--- a/internal/relay/table.go
+++ b/internal/relay/table.go
@@ -101,8 +101,8 @@
 	p.mu.Lock()
 	first := p.queue == nil
 	rules := first || !reflect.DeepEqual(p.conf.Rules, s.Rules)
-	was := p.own
-	p.conf, p.own = s, contains(relays, p.relay.members.Self().ID)
+	was, before := p.own, p.hosts
+	p.conf, p.hosts, p.own = s, relays, contains(relays, p.relay.members.Self().ID)
 	if first {
 		p.queue = policy.NewQueue[*try](policy.QueueConfig{
 			Capacity: p.relay.cfg.QueueLength, QueueWait: s.Rules.QueueWait.Std(),
@@ -112,6 +112,10 @@
 		p.retries = policy.NewBudget(s.Rules.RetryBudget)
 	}
 	closing := p.updateTargets(now, s, max(len(relays), 1), rules, was != p.own)
+	if !was && p.own {
+		p.doubt(now)
+	}
+	p.tellNew(now, before)
 	p.maps = map[uint64]*placement{}
 	p.sets = p.keepSets(rules)
 	p.stranding = true
@@ -123,6 +127,16 @@
 	}
 }
 
+// doubt drops old signs of the list about targets whose status this host never
+// read: they may have started since. The relays before it tell it what stands.
+func (p *pool) doubt(now time.Time) {
+	for _, t := range p.targets {
+		if t.health.incarnation == 0 && now.Sub(t.health.leftAt) > p.relay.cfg.HostListLag.Std() {
+			t.health.forget()
+		}
+	}
+}
+
 func contains(hosts []member.Host, id string) bool {
 	for _, h := range hosts {
 		if h.ID == id {
--- /dev/null
+++ b/internal/relay/tell_test.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/targetapi"
+)
+
+// wires carries signs between the relays of a test; the first call to each
+// host is lost.
+type wires struct {
+	relays map[string]*fixture
+	mu     sync.Mutex
+	calls  map[string]int
+	signs  int
+}
+
+func (w *wires) Tell(_ context.Context, to member.Host, signs []TargetSign) error {
+	w.mu.Lock()
+	w.calls[to.ID]++
+	first := w.calls[to.ID] == 1
+	if !first {
+		w.signs += len(signs)
+	}
+	w.mu.Unlock()
+	if first {
+		return Error.New("lost")
+	}
+	w.relays[to.ID].relay.Told(signs)
+	return nil
+}
+
+// count returns the signs that came through, and the hosts called.
+func (w *wires) count() (signs, hosts int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.signs, len(w.calls)
+}
+
+// Of 24 hosts 12 read the list and 8, not all the same, relay the service. The
+// target's status always claims ready, and it serves what it gets. The sign
+// shows to few and must reach all relays, and those that become relays later.
+func TestSignReachesEveryRelay(t *testing.T) {
+	const hosts, relays, readers = 24, 8, 12
+	for name, x := range map[string]struct {
+		show func(f *fixture, lists []*hostList)
+		most int // signs told
+	}{
+		"host list": {func(_ *fixture, lists []*hostList) {
+			for _, l := range lists {
+				l.set("t0", true)
+			}
+		}, readers * relays},
+		"one answer": {func(f *fixture, _ []*hostList) {
+			var refused atomic.Bool
+			f.targets[0].set(func(x *fakeTarget) {
+				x.serve = func(w http.ResponseWriter, _ *http.Request, a targetapi.Answer) {
+					if refused.CompareAndSwap(false, true) {
+						reject(w, http.StatusServiceUnavailable, targetapi.CodeDraining)
+						return
+					}
+					_ = json.NewEncoder(w).Encode(a)
+				}
+			})
+		}, relays - 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				f := newFixture(1, 3, rules(func(r *catalog.Rules) { r.Relays = relays }))
+				all, lists := f.relaysOf(hosts), make([]*hostList, hosts)
+				w := &wires{relays: map[string]*fixture{}, calls: map[string]int{}}
+				var gone string
+				onlyRelays := 0
+				for i, g := range all {
+					g.members.set(window(0, hosts)...)
+					lists[i] = &hostList{}
+					g.relay.hosts, g.relay.Teller = lists[i], w
+					w.relays[g.members.self] = g
+					is.NoErr(g.relay.Start(t.Context()))
+					if g.relay.Assigned("s") && !g.relay.readsHostList() {
+						onlyRelays, gone = onlyRelays+1, g.members.self
+					}
+				}
+				is.True(onlyRelays > 0)
+				run := func(span time.Duration) {
+					var work sync.WaitGroup
+					for _, g := range all {
+						if g.relay.Assigned("s") {
+							work.Go(func() { g.load(t, span, 20*time.Millisecond) })
+						}
+					}
+					work.Wait()
+				}
+				run(3 * time.Second)
+				is.True(f.targets[0].count() > 0)
+
+				shown := time.Now()
+				x.show(f, lists)
+				run(2 * leaveWithin)
+				is.Equal(f.targets[0].since(shown.Add(leaveWithin)), 0)
+				signs, told := w.count()
+				is.True(signs > 0 && signs <= x.most)
+				is.True(told <= relays)
+
+				others := make([]string, 0, hosts)
+				for _, id := range window(0, hosts) {
+					if id != gone {
+						others = append(others, id)
+					}
+				}
+				changed := time.Now()
+				for _, g := range all {
+					g.members.set(others...)
+				}
+				run(2 * leaveWithin)
+				is.Equal(f.targets[0].since(changed.Add(leaveWithin/3)), 0)
+
+				f.targets[0].set(func(x *fakeTarget) { x.status.Incarnation++ })
+				back := time.Now()
+				run(2 * leaveWithin)
+				is.True(f.targets[0].since(back) > 0) // the next incarnation works
+				for _, g := range all[1:] {
+					is.NoErr(g.relay.Stop(t.Context()))
+				}
+				f.close()
+			})
+		})
+	}
+}
+
+func TestUnknownSignIsDropped(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, 1)
+	defer f.close()
+	f.relay.Told([]TargetSign{
+		{Service: "x", Target: "t0", Sign: signStatus}, {Service: "s", Target: "x", Sign: signStatus},
+		{Service: "s", Target: "t0", Sign: "x"},
+	})
+	is.Equal(testutil.ToFloat64(f.relay.metrics.signs.WithLabelValues("unknown")), 3.0)
+	is.Equal(f.relay.Targets()[0].State, TargetCold)
+}
