--- a/internal/host/modules.go
+++ b/internal/host/modules.go
@@ -44,7 +44,7 @@
 	k.Register(modPeerServer, h.newPeerServer)
 	k.Register(modMembers, h.newMembers, modPlatform, modPeerPool, modPeerServer)
 	k.Register(modCatalog, h.newCatalog, modPlatform, modPeerPool, modPeerServer, modMembers)
-	k.Register(modRelay, h.newRelay, modPlatform, modMembers, modCatalog)
+	k.Register(modRelay, h.newRelay, modPlatform, modPeerPool, modPeerServer, modMembers, modCatalog)
 	k.Register(modClaims, h.newClaims, modPlatform, modPeerPool, modPeerServer, modMembers, modCatalog, modRelay)
 	k.Register(modRelayRPC, h.newRelayRPC, modPeerServer, modRelay, modClaims)
 	k.Register(modDelivery, h.newDelivery, modPlatform, modMembers)
@@ -107,10 +107,14 @@
 	store := find[platform.Store](f, &u, modPlatform)
 	members := find[member.View](f, &u, modMembers)
 	services := find[catalog.View](f, &u, modCatalog)
+	pool := find[peer.Dialer](f, &u, modPeerPool)
+	server := find[*peer.Server](f, &u, modPeerServer)
 	if u.err != nil {
 		return nil, u.err
 	}
-	return relay.New(h.settings.Relay, services, lastHostView{members}, store, h.log, h.metrics), nil
+	r := relay.New(h.settings.Relay, services, lastHostView{members}, store, h.log, h.metrics)
+	r.Teller = relayrpc.NewTeller(pool)
+	return r, relayrpc.RegisterSigns(server, r)
 }
 
 func (h *Host) newClaims(f kernel.Finder) (kernel.Module, error) {
