Who has a revision is asked of the hosts; an empty platform is listed seldom

Cause: show config told revisions that travel with membership records, up to 3.5 minutes old at 720 hosts (measured with the membership). Now hosts that seem behind are asked. Seen failing with the asking off: 1 != 12. An empty platform was listed without a pause, as there is no revision to watch from: with the mend off the test in virtual time does not end.

--- a/internal/catalog/fakes_test.go
+++ b/internal/catalog/fakes_test.go
@@ -36,12 +36,13 @@
 // fleet is a few hosts with their catalogs. Calls between them take no time
 // and fail between hosts that are cut from each other.
 type fleet struct {
-	t        testing.TB
-	platform *platformtest.Platform
-	mu       sync.Mutex
-	nodes    []*node
-	apart    func(a, b string) bool // nil: all hosts reach each other
-	pulls    atomic.Int64
+	reportNothing bool // the membership tells no revision
+	t             testing.TB
+	platform      *platformtest.Platform
+	mu            sync.Mutex
+	nodes         []*node
+	apart         func(a, b string) bool // nil: all hosts reach each other
+	pulls         atomic.Int64
 }
 
 type node struct {
@@ -136,7 +137,9 @@
 	var hosts []member.Host
 	for _, other := range n.f.all() {
 		h := other.host
-		h.Revision = other.catalog.Revision()
+		if !n.f.reportNothing {
+			h.Revision = other.catalog.Revision()
+		}
 		hosts = append(hosts, h)
 	}
 	return hosts
--- a/internal/catalog/inforce.go
+++ b/internal/catalog/inforce.go
@@ -1,34 +1,68 @@
 package catalog
 
-// InForce tells on which hosts a revision is in force, as far as this host
-// knows from the membership.
+import (
+	"context"
+	"math"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+)
+
+// askAtOnce is how many hosts are asked for their revision at one time.
+const askAtOnce = 32
+
+// InForce tells on which hosts a revision is in force.
 type InForce struct {
-	Revision uint64   `json:"revision"`
-	Of       int      `json:"of"`      // hosts that take work
-	On       int      `json:"on"`      // those that have reported the revision or a newer one
-	Missing  []string `json:"missing"` // ids of the others, sorted
+	Revision uint64            `json:"revision"`
+	Of       int               `json:"of"`      // hosts that take work
+	On       int               `json:"on"`      // those that have the revision or a newer one
+	Missing  []string          `json:"missing"` // ids of the others, sorted; also of those that did not answer
+	Told     map[string]uint64 `json:"told"`    // revision of each of the hosts, as it said last
 }
 
-// InForce compares a revision with those that the hosts have reported. A
-// report lags, so a host that is missing may have the revision by now; one
-// that is counted has it.
-func (c *Catalog) InForce(revision uint64) InForce {
-	f := InForce{Revision: revision, Missing: []string{}}
-	self := c.members.Self().ID
-	for _, h := range c.members.Hosts() {
-		reported := h.Revision
-		if h.ID == self {
-			reported = c.state.Load().complete
-		}
+// InForce compares a revision with those of the hosts. What a host reported
+// through the membership lags, by minutes in a large fleet, so each host that
+// is behind by that is asked itself, one small call each.
+func (c *Catalog) InForce(ctx context.Context, revision uint64) InForce {
+	hosts := slices.DeleteFunc(slices.Clone(c.members.Hosts()), func(h member.Host) bool { return !h.Usable() })
+	told := make([]uint64, len(hosts))
+	var asks errgroup.Group
+	asks.SetLimit(askAtOnce)
+	for i, h := range hosts {
+		told[i] = h.Revision
 		switch {
-		case !h.Usable():
-			continue
-		case reported >= revision:
-			f.On++
-		default:
+		case h.ID == c.members.Self().ID:
+			told[i] = c.state.Load().complete
+		case h.Revision < revision:
+			asks.Go(func() error {
+				told[i] = max(told[i], c.askRevision(ctx, h))
+				return nil
+			})
+		}
+	}
+	_ = asks.Wait() // no ask returns an error
+	f := InForce{Revision: revision, Of: len(hosts), Missing: []string{}, Told: make(map[string]uint64, len(hosts))}
+	for i, h := range hosts {
+		f.Told[h.ID] = told[i]
+		if told[i] < revision {
 			f.Missing = append(f.Missing, h.ID)
+			continue
 		}
-		f.Of++
+		f.On++
 	}
 	return f
 }
+
+// askRevision returns the revision up to which the host is complete, 0 if it
+// does not answer. No change is later than the one asked from, so the answer
+// holds no object.
+func (c *Catalog) askRevision(ctx context.Context, h member.Host) uint64 {
+	out, err := c.page(ctx, h, &peerpb.PullRequest{AfterRevision: math.MaxUint64})
+	if err != nil {
+		return 0
+	}
+	return out.Complete
+}
--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -99,6 +99,22 @@
 	})
 }
 
+// TestEmptyPlatformIsListedSeldom starts a fleet before its first service.
+func TestEmptyPlatformIsListedSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(t)
+		f.addAll(12, 3)
+		defer f.stop()
+		f.pass(time.Minute)
+		is.Equal(f.stale(), 0)
+		is.True(f.platform.Calls("list") <= 12*60)
+		revision := f.write(testService("a"))
+		f.pass(spreadBound)
+		is.Equal(f.inForce(revision), 12)
+	})
+}
+
 func TestOutageOfThePlatform(t *testing.T) {
 	inFleet(t, 12, 3, func(is *is.I, f *fleet) {
 		cut := f.nodes[3]
@@ -125,6 +141,19 @@
 	})
 }
 
+// TestInForceAsksHostsThatReportLate has a membership that reports no revision
+// at all: the hosts are asked themselves, and one that is cut off is missing.
+func TestInForceAsksHostsThatReportLate(t *testing.T) {
+	inFleet(t, 12, 3, func(is *is.I, f *fleet) {
+		f.reportNothing = true
+		revision := f.write(testService("a"))
+		f.pass(spreadBound)
+		is.Equal(f.nodes[0].catalog.InForce(context.Background(), revision).On, 12)
+		f.isolate(f.nodes[5].host.ID)
+		is.Equal(f.nodes[0].catalog.InForce(context.Background(), revision).Missing, []string{f.nodes[5].host.ID})
+	})
+}
+
 func TestHostCutOffFromAllIsStaleAndRecovers(t *testing.T) {
 	inFleet(t, 12, 3, func(is *is.I, f *fleet) {
 		alone := f.nodes[5]
@@ -135,8 +164,11 @@
 		is.True(alone.catalog.Stale())
 		is.Equal(f.stale(), 1)
 		is.Equal(f.inForce(revision), 11)
-		report := f.nodes[0].catalog.InForce(revision)
-		is.Equal(report, InForce{Revision: revision, Of: 12, On: 11, Missing: []string{alone.host.ID}})
+		report := f.nodes[0].catalog.InForce(context.Background(), revision)
+		is.Equal(report.Of, 12)
+		is.Equal(report.On, 11)
+		is.Equal(report.Missing, []string{alone.host.ID})
+		is.True(report.Told[alone.host.ID] < revision)
 
 		alone.client.Outage(false) // the platform alone is enough
 		f.pass(spreadBound)
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -75,6 +75,9 @@
 		return err
 	}
 	c.heardPlatform(asked)
+	if l.Revision == 0 {
+		return errEmptyPlatform
+	}
 	return nil
 }
 
--- a/internal/operate/change.go
+++ b/internal/operate/change.go
@@ -67,7 +67,7 @@
 	if newest := e.parts.Catalog.Snapshots(s.Workload); len(newest) > 0 && s.ID <= newest[0].ID {
 		return nil, wrong("snapshot %d is not above %d, the newest of workload %s", s.ID, newest[0].ID, s.Workload)
 	}
-	return e.told(e.parts.Editor.PublishSnapshot(ctx, s, by, dryRun))
+	return e.told(ctx, e.parts.Editor.PublishSnapshot(ctx, s, by, dryRun))
 }
 
 func (e *Executor) read(ctx context.Context, name string) (catalog.Stored, error) {
@@ -85,7 +85,7 @@
 	if err := validate(r); err != nil {
 		return nil, err
 	}
-	return e.told(e.parts.Editor.Change(ctx, r))
+	return e.told(ctx, e.parts.Editor.Change(ctx, r))
 }
 
 func validate(r catalog.Request) error {
@@ -100,7 +100,7 @@
 
 // told turns the result of a change into a table, or into a refusal that
 // tells truly whether it was made.
-func (e *Executor) told(r catalog.Result) (*Table, error) {
+func (e *Executor) told(ctx context.Context, r catalog.Result) (*Table, error) {
 	if err := refusalOf(r); err != nil {
 		return nil, err
 	}
@@ -113,7 +113,7 @@
 		t.note("accepted; later changes hide the revision, \"show config\" tells what is in force")
 		return t, nil
 	}
-	t.note("accepted at version %d; %s", r.Version, inForce(e.parts.Catalog.InForce(r.Revision)))
+	t.note("accepted at version %d; %s", r.Version, inForce(e.parts.Catalog.InForce(ctx, r.Revision)))
 	return t, nil
 }
 
@@ -191,7 +191,7 @@
 		}
 		t.add(name, target, yes(drained), string(r.Status), unlessZero(r.Version), unlessZero(r.Revision), r.ChangeID)
 		if r.Revision > 0 {
-			t.note("%s: %s", name, inForce(e.parts.Catalog.InForce(r.Revision)))
+			t.note("%s: %s", name, inForce(e.parts.Catalog.InForce(ctx, r.Revision)))
 		}
 	}
 	if len(failures) > 0 {
--- a/internal/operate/execute.go
+++ b/internal/operate/execute.go
@@ -19,7 +19,7 @@
 // Catalog is what the executor reads of the configuration in force here.
 type Catalog interface {
 	catalog.View
-	InForce(revision uint64) catalog.InForce
+	InForce(ctx context.Context, revision uint64) catalog.InForce
 	Stale() bool
 }
 
@@ -146,7 +146,7 @@
 	case lang.Targets:
 		return e.targets()
 	case lang.Config:
-		return e.config()
+		return e.config(ctx)
 	}
 	return e.hosts()
 }
--- a/internal/operate/state.go
+++ b/internal/operate/state.go
@@ -105,12 +105,12 @@
 
 // config tells the revision in force on each host, and who lacks the newest
 // one that any host has reported.
-func (e *Executor) config() *Table {
+func (e *Executor) config(ctx context.Context) *Table {
 	t := newTable("host", "failure_domain", "state", "revision", "has_newest")
 	newest := e.newest()
-	in := e.parts.Catalog.InForce(newest)
+	in := e.parts.Catalog.InForce(ctx, newest)
 	for _, h := range e.parts.Members.Hosts() {
-		revision := max(h.Revision, e.own(h.ID))
+		revision := max(h.Revision, in.Told[h.ID])
 		t.add(h.ID, h.FailureDomain, string(h.State), number(revision), yes(!slices.Contains(in.Missing, h.ID)))
 	}
 	t.note("%s", inForce(in))
@@ -120,14 +120,6 @@
 	return t
 }
 
-// own returns this host's revision if the id is its own.
-func (e *Executor) own(id string) uint64 {
-	if id == e.parts.Members.Self().ID {
-		return e.parts.Catalog.Revision()
-	}
-	return 0
-}
-
 func (e *Executor) newest() uint64 {
 	newest := e.parts.Catalog.Revision()
 	for _, h := range e.parts.Members.Hosts() {
