Target stand-in: a rejection names its attempt

Cause: the interface lets a rejection echo the attempt, so that a relay can tell a crossed one; the stand-in left the field empty. The client of its tests now takes a rejection of no or another attempt for none; with the field left empty again TestFullQueueIsShed failed ("of attempt" instead of shed).

--- a/internal/standin/target/run.go
+++ b/internal/standin/target/run.go
@@ -27,24 +27,27 @@
 	length int // Content-Length, if longer than the body
 }
 
-func rejection(status int, result Result, rej targetapi.Rejection) reply {
+// rejection is the answer to a request that was not run, or failed. It names
+// the attempt, so that the relay can tell a crossed one.
+func rejection(r shardRequest, status int, result Result, rej targetapi.Rejection) reply {
+	rej.AttemptID = r.attemptID
 	body, _ := json.Marshal(rej) // plain fields cannot fail
 	return reply{status: status, result: result, body: body}
 }
 
-func (t *Target) shed(result Result) reply {
-	return rejection(http.StatusServiceUnavailable, result, targetapi.Rejection{
+func (t *Target) shed(r shardRequest, result Result) reply {
+	return rejection(r, http.StatusServiceUnavailable, result, targetapi.Rejection{
 		Code:         targetapi.CodeShed,
 		RetryAfterMS: t.cfg.RetryAfter.Std().Milliseconds(),
 	})
 }
 
-func refusedAttempt() reply {
-	return rejection(http.StatusConflict, ResultRefusedAttempt, targetapi.Rejection{Code: targetapi.CodeRefusedAttempt})
+func refusedAttempt(r shardRequest) reply {
+	return rejection(r, http.StatusConflict, ResultRefusedAttempt, targetapi.Rejection{Code: targetapi.CodeRefusedAttempt})
 }
 
-func failed() reply {
-	return rejection(http.StatusInternalServerError, ResultFailed, targetapi.Rejection{Code: targetapi.CodeFailed})
+func failed(r shardRequest) reply {
+	return rejection(r, http.StatusInternalServerError, ResultFailed, targetapi.Rejection{Code: targetapi.CodeFailed})
 }
 
 func cut(result Result) reply { return reply{result: result} }
@@ -59,9 +62,9 @@
 	}
 	switch t.slots.acquire(ctx, remaining(r.deadline)) {
 	case queueFull:
-		return t.shed(ResultShed)
+		return t.shed(r, ResultShed)
 	case budgetOut:
-		return t.shed(ResultBudget)
+		return t.shed(r, ResultBudget)
 	case abandoned:
 		return cut(ResultCancelled)
 	}
@@ -96,13 +99,13 @@
 		return cut(ResultCut), true
 	}
 	if _, refuses := t.drained(); refuses {
-		return rejection(http.StatusServiceUnavailable, ResultDraining, targetapi.Rejection{
+		return rejection(r, http.StatusServiceUnavailable, ResultDraining, targetapi.Rejection{
 			Code:         targetapi.CodeDraining,
 			RetryAfterMS: t.cfg.RetryAfter.Std().Milliseconds(),
 		}), true
 	}
 	if t.dice.Chance(f.Shed) {
-		return t.shed(ResultShed), true
+		return t.shed(r, ResultShed), true
 	}
 	return t.refuseHoldings(r)
 }
@@ -117,7 +120,7 @@
 	if held {
 		return reply{}, false
 	}
-	return rejection(http.StatusConflict, ResultSnapshotNotHeld, targetapi.Rejection{
+	return rejection(r, http.StatusConflict, ResultSnapshotNotHeld, targetapi.Rejection{
 		Code:      targetapi.CodeSnapshotNotHeld,
 		Snapshots: snapshots,
 	}), true
@@ -138,7 +141,7 @@
 		return cut(ResultCancelled)
 	}
 	if remaining(r.deadline) == 0 {
-		return t.shed(ResultBudget)
+		return t.shed(r, ResultBudget)
 	}
 	if r.Kind == targetapi.KindReserve {
 		return t.reserve(r)
@@ -149,7 +152,7 @@
 	answer := r.echo()
 	answer.Rows, answer.TotalRows = t.search(r.key, r.Text, r.Limit)
 	answer.RowCount = len(answer.Rows)
-	return t.reply(answer)
+	return t.reply(r, answer)
 }
 
 // work takes the service time. It reports false if the client went.
@@ -173,13 +176,13 @@
 func (t *Target) reserve(r shardRequest) reply {
 	e, ok := t.desk.begin(t.execution(r))
 	if !ok {
-		return refusedAttempt()
+		return refusedAttempt(r)
 	}
 	t.work(context.Background())
 	answer := e.answer()
 	answer.Shard, answer.Snapshot = r.key.shard, r.key.snapshot
 	t.desk.finish(answer)
-	return t.reply(answer)
+	return t.reply(r, answer)
 }
 
 func (t *Target) execution(r shardRequest) Execution {
@@ -208,10 +211,10 @@
 }
 
 // reply writes the answer, spoiled by the faults that concern answers.
-func (t *Target) reply(a targetapi.Answer) reply {
+func (t *Target) reply(r shardRequest, a targetapi.Answer) reply {
 	f := t.Faults()
 	if t.dice.Chance(f.Fail) {
-		return failed()
+		return failed(r)
 	}
 	if t.dice.Chance(f.Cut) {
 		return cut(ResultCut)
--- a/internal/standin/target/target_test.go
+++ b/internal/standin/target/target_test.go
@@ -103,6 +103,9 @@
 		out.err = d.Decode(&out.answer)
 	} else {
 		out.err = d.Decode(&out.rejection)
+		if out.rejection.AttemptID != s.attempt {
+			out.rejection = targetapi.Rejection{Code: "of attempt " + out.rejection.AttemptID}
+		}
 	}
 	return out
 }
