--- a/internal/load/proof_test.go
+++ b/internal/load/proof_test.go
@@ -12,6 +12,7 @@
 
 func TestGoodputHoldsUnderOverload(t *testing.T) {
 	is := is.New(t)
+	t.Parallel()
 	o := Options{Span: 2 * time.Second, Seed: 1, measure: virtually(t)}
 	reports, err := measureAll(t.Context(), o, []trial{
 		{name: "on 1.2x", site: policyOn(), load: 1.2},
@@ -27,6 +28,7 @@
 // chance, and belongs into the experiment with its longer span.
 func TestStragglerHardlyShowsInTheTail(t *testing.T) {
 	is := is.New(t)
+	t.Parallel()
 	on := policyOn()
 	o := Options{Span: 10 * time.Second, Seed: 1, measure: virtually(t)}
 	reports, err := measureAll(t.Context(), o, []trial{
@@ -44,6 +46,7 @@
 // without hedges: until it is known, only they save the queries that it holds.
 func TestHedgesCarryTheOnset(t *testing.T) {
 	is := is.New(t)
+	t.Parallel()
 	noHedge := policyOn()
 	noHedge.rules.HedgeBudget = -1
 	o := Options{Span: 8 * time.Second, Seed: 1, measure: virtually(t)}
@@ -60,6 +63,7 @@
 
 func TestFailuresMakeNoRetryStorm(t *testing.T) {
 	is := is.New(t)
+	t.Parallel()
 	o := Options{Span: 8 * time.Second, Seed: 1, measure: virtually(t)}
 	reports, err := measureAll(t.Context(), o, []trial{
 		{name: "on, one 100 %", site: policyOn(), load: calmLoad, during: fails(1, isThird)},
