Claim: a time slice has a type of its own

A span of reservation time was an int64 called slice, a word that a Go reader takes for something else, with four functions around it and a method slice that takes a parameter slice. The cursor's comment stands at the cursor, and its two encoding errors, which read alike, say which way failed. The stored form is as before.

--- a/internal/claim/id.go
+++ b/internal/claim/id.go
@@ -36,16 +36,22 @@
 func (r reservationID) time() time.Time { return ulid.Time(r.id.Time()) }
 
 // kind returns the platform kind of the record; see sliceLength.
-func (r reservationID) kind() string { return sliceKind(sliceOf(r.time())) }
+func (r reservationID) kind() string { return timeSliceOf(r.time()).kind() }
 
-// sliceOf returns the number of the slice that t falls in.
-func sliceOf(t time.Time) int64 { return t.Unix() / int64(sliceLength/time.Second) }
+// timeSlice is the number of a span of sliceLength, counted from the Unix
+// epoch.
+type timeSlice int64
 
-// sliceKind returns the platform kind of the records of a slice.
-func sliceKind(slice int64) string { return fmt.Sprintf("%s.%d", platform.KindClaim, slice) }
+const sliceSeconds = int64(sliceLength / time.Second)
 
-// sliceEnd returns the first moment after the slice.
-func sliceEnd(slice int64) time.Time { return time.Unix((slice+1)*int64(sliceLength/time.Second), 0) }
+// timeSliceOf returns the slice that t falls in.
+func timeSliceOf(t time.Time) timeSlice { return timeSlice(t.Unix() / sliceSeconds) }
+
+// kind returns the platform kind of the records of the slice.
+func (s timeSlice) kind() string { return fmt.Sprintf("%s.%d", platform.KindClaim, int64(s)) }
+
+// end returns the first moment after the slice.
+func (s timeSlice) end() time.Time { return time.Unix((int64(s)+1)*sliceSeconds, 0) }
 
 // expired reports whether the id is past the horizon at now, by the
 // platform's clock.
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -16,19 +16,19 @@
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
-// The cursor is one platform object that tells the next slice to sweep. It
-// never goes back, and is only a matter of work saved: whether a record may
-// be removed is judged by the slice's time alone.
 const (
 	cursorKind = platform.KindClaim + "-cursor"
 	cursorName = "sweep"
-	// firstSlices is how far before the oldest record that may be removed a
-	// new cursor begins.
-	firstSlices = int64(24 * time.Hour / sliceLength)
+	// cursorLead is how many slices before the oldest record that may be
+	// removed a new cursor begins.
+	cursorLead = timeSlice(24 * time.Hour / sliceLength)
 )
 
+// cursor is the one platform object that names the next slice to sweep. It
+// never goes back, and only saves work: whether a record may be removed is
+// decided by its slice's time alone.
 type cursor struct {
-	Slice int64 `json:"slice"`
+	Slice timeSlice `json:"slice"`
 }
 
 // sweepLoop removes old records, a bounded number of calls a round, while this
@@ -76,15 +76,15 @@
 	}
 	for s.left > 0 {
 		now, known := c.store.Now()
-		if !known || now.Sub(sliceEnd(cur.Slice)) <= removeAfter {
+		if !known || now.Sub(cur.Slice.end()) <= removeAfter {
 			return nil
 		}
-		empty, err := s.slice(ctx, cur.Slice)
+		empty, err := s.sweepSlice(ctx, cur.Slice)
 		if err != nil {
 			return err
 		}
 		if !empty {
-			continue // list it again: all that it held is gone, or was changed meanwhile
+			continue // list it again: what it held was removed, or was changed meanwhile
 		}
 		cur.Slice++
 		cur, version, err = s.writeCursor(ctx, version, cur)
@@ -95,10 +95,11 @@
 	return nil
 }
 
+// sweeper removes old records within the calls of one round.
 type sweeper struct {
 	c     *Claims
 	limit *rate.Limiter
-	left  int // calls of this round
+	left  int // platform calls that the round may still make
 	// backwards is the order of every second sweeper, so that two of them
 	// share a slice and meet in its middle.
 	backwards bool
@@ -110,12 +111,12 @@
 	return s.limit.Wait(ctx)
 }
 
-// slice removes the records of one slice; empty if it had none.
-func (s *sweeper) slice(ctx context.Context, slice int64) (empty bool, err error) {
+// sweepSlice removes the records of one slice; empty if it had none.
+func (s *sweeper) sweepSlice(ctx context.Context, slice timeSlice) (empty bool, err error) {
 	if err := s.call(ctx); err != nil {
 		return false, err
 	}
-	list, err := s.c.store.List(ctx, sliceKind(slice))
+	list, err := s.c.store.List(ctx, slice.kind())
 	if err != nil {
 		return false, Error.New("list old records: %w", err)
 	}
@@ -137,7 +138,7 @@
 		removed++
 	}
 	if removed > 0 {
-		s.c.log.Event(evSwept).Int("removed", removed).Int64("slice", slice).Msg("")
+		s.c.log.Event(evSwept).Int("removed", removed).Int64("slice", int64(slice)).Msg("")
 	}
 	return len(list.Objects) == 0, nil
 }
@@ -167,7 +168,7 @@
 	obj, err := s.c.store.Get(ctx, cursorKind, cursorName)
 	if errors.Is(err, platform.ErrNotFound) {
 		now, _ := s.c.store.Now()
-		return cursor{Slice: sliceOf(now.Add(-removeAfter)) - firstSlices}, 0, nil
+		return cursor{Slice: timeSliceOf(now.Add(-removeAfter)) - cursorLead}, 0, nil
 	}
 	if err != nil {
 		return cursor{}, 0, Error.New("read sweep cursor: %w", err)
@@ -175,12 +176,12 @@
 	return decodeCursor(obj)
 }
 
-// writeCursor moves the cursor, or takes over that of another sweeper which
-// was faster.
+// writeCursor moves the cursor, or adopts the one of another sweeper that
+// moved it first.
 func (s *sweeper) writeCursor(ctx context.Context, version uint64, cur cursor) (cursor, uint64, error) {
 	value, err := json.Marshal(cur)
 	if err != nil {
-		return cur, 0, Error.New("sweep cursor: %w", err)
+		return cur, 0, Error.New("encode sweep cursor: %w", err)
 	}
 	if err := s.call(ctx); err != nil {
 		return cur, 0, err
@@ -199,7 +200,7 @@
 func decodeCursor(obj platform.Object) (cursor, uint64, error) {
 	var cur cursor
 	if err := json.Unmarshal(obj.Value, &cur); err != nil {
-		return cursor{}, 0, Error.New("sweep cursor: %w", err)
+		return cursor{}, 0, Error.New("decode sweep cursor: %w", err)
 	}
 	return cur, obj.Version, nil
 }
