Membership: names that say what they hold

"news" meant a wake-up channel, a flag of changed revisions and a change to be told; it is announced, revisionsChanged and an update now. A field sync stood beside package sync (fullSync), lock did more than lock (lockWithRevision), and notice, count, lost, compare and resync named no object (postponeAfterPause, updateHostGauge, reconnectTargets, compareDigest, syncIfDue). writeRecord took two decisions; raiseAbove is one of them. A field and a result that nothing read are gone; LastHeard, which only a test reads, is not exported any more.

Four settings begin with what they are.

--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -13,16 +13,16 @@
 // docs/design/membership.md.
 type Config struct {
 	Seeds             []string      `json:"seeds"`               // peer addresses tried at start and when no other host answers
-	ProbeInterval     unit.Duration `json:"probe_interval"`      // between two probes that this host begins
-	ProbeTimeout      unit.Duration `json:"probe_timeout"`       // of one direct probe
+	ProbeInterval     unit.Duration `json:"probe_interval"`      // time between two probes that this host begins
+	ProbeTimeout      unit.Duration `json:"probe_timeout"`       // timeout of one direct probe
 	IndirectProbes    int           `json:"indirect_probes"`     // hosts asked to probe a host that did not answer
 	SuspicionFactor   float64       `json:"suspicion_factor"`    // suspicion lasts factor * log2(hosts + 1) probe intervals
 	RetransmitFactor  float64       `json:"retransmit_factor"`   // a change is sent factor * log2(hosts + 1) times
 	UpdatesPerMessage int           `json:"updates_per_message"` // upper bound of the host records in one message
-	PlatformTimeout   unit.Duration `json:"platform_timeout"`    // of one platform call
+	PlatformTimeout   unit.Duration `json:"platform_timeout"`    // timeout of one platform call
 	RefreshMinimum    unit.Duration `json:"refresh_minimum"`     // shortest time between two readings of the platform's records
 	RefreshPerHost    unit.Duration `json:"refresh_per_host"`    // added to that time for each host, so that the fleet's rate is bounded
-	ForgetAfter       unit.Duration `json:"forget_after"`        // for which a dead host is still remembered and tried
+	ForgetAfter       unit.Duration `json:"forget_after"`        // how long a dead host is still remembered and tried
 }
 
 // DefaultConfig returns the settings used where none are given.
--- a/internal/member/exchange.go
+++ b/internal/member/exchange.go
@@ -13,7 +13,7 @@
 		return nil, Error.New("host has stopped")
 	}
 	m.receive(req.From, req.Updates, m.sends())
-	m.compare(req.From, req.Digest)
+	m.compareDigest(req.From, req.Digest)
 	reply := &peerpb.ProbeReply{}
 	if req.Indirect {
 		reply.Reached = m.probeFor(ctx, req.TargetId)
@@ -38,19 +38,19 @@
 	return m.stopped
 }
 
-// message returns what is to be told to a peer: this host and a bounded
+// message returns what to tell the host receiver: this host and a bounded
 // number of others, or all.
-func (m *Members) message(about string, all bool) (*peerpb.HostInfo, []*peerpb.HostInfo) {
-	m.lock()
+func (m *Members) message(receiver string, all bool) (*peerpb.HostInfo, []*peerpb.HostInfo) {
+	m.lockWithRevision()
 	defer m.mu.Unlock()
 	if all {
 		return toInfo(m.self), toInfos(m.table.all(time.Now().Add(-tellDead)))
 	}
-	return toInfo(m.self), toInfos(m.table.updates(m.cfg.UpdatesPerMessage, about))
+	return toInfo(m.self), toInfos(m.table.updates(m.cfg.UpdatesPerMessage, receiver))
 }
 
-// exchange sends req, completed with this host's news, to address and takes
-// in the reply. It fails if another host than the one meant answers.
+// exchange is call, counted as a probe of the kind. It fails if another host
+// than the one meant answers.
 func (m *Members) exchange(ctx context.Context, kind, address string, req *peerpb.ProbeRequest) error {
 	reply, err := m.call(ctx, address, req)
 	if err == nil && req.TargetId != "" && !req.Indirect && reply.Self.GetId() != req.TargetId {
@@ -60,6 +60,7 @@
 	return err
 }
 
+// call sends req with this host's updates and digest, and takes in the reply.
 func (m *Members) call(ctx context.Context, address string, req *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
 	timeout := m.cfg.ProbeTimeout.Std()
 	if req.Indirect {
@@ -67,11 +68,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	about := req.TargetId
+	receiver := req.TargetId
 	if req.Indirect {
-		about = ""
+		receiver = "" // the target is another host than the one that gets this
 	}
-	req.From, req.Updates = m.message(about, false)
+	req.From, req.Updates = m.message(receiver, false)
 	req.Digest = m.view.Load().digest
 	reply, err := m.prober.Probe(ctx, address, req)
 	if err != nil {
@@ -79,15 +80,15 @@
 	}
 	sends := m.sends()
 	if req.All {
-		sends = 0 // news to this host alone
+		sends = 0 // the others of a whole list have long heard of them
 	}
 	m.receive(reply.Self, reply.Updates, sends)
-	m.compare(reply.Self, reply.Digest)
+	m.compareDigest(reply.Self, reply.Digest)
 	return reply, nil
 }
 
-// receive takes in what a peer told of itself and of others, and passes what
-// is news on sends times.
+// receive takes in what a peer told of itself and of others. What is new here
+// is passed on sends times.
 func (m *Members) receive(from *peerpb.HostInfo, infos []*peerpb.HostInfo, sends int) {
 	peer, ok := fromInfo(from)
 	if !ok {
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -49,16 +49,16 @@
 	metrics *metrics
 
 	revisions Revisions     // set before Start
-	news      chan struct{} // wakes announceLoop; capacity 1
+	announced chan struct{} // wakes announceLoop; capacity 1
 	view      atomic.Pointer[snapshot]
 
-	mu      sync.Mutex // guards the fields below
-	self    update
-	table   *table
-	rng     *rand.Rand
-	heard   time.Time
-	sync    syncing
-	stopped bool // this host has told its end and must not refute it
+	mu       sync.Mutex // guards the fields below
+	self     update
+	table    *table
+	rng      *rand.Rand
+	heard    time.Time // last exchange with any peer
+	fullSync fullSync
+	stopped  bool // this host has told its end and must not refute it
 
 	cancel context.CancelFunc
 	work   sync.WaitGroup
@@ -82,9 +82,9 @@
 	self.Incarnation = uint64(time.Now().UnixNano())
 	m := &Members{
 		cfg: cfg, store: store, prober: prober, log: log, metrics: newMetrics(reg),
-		news:      make(chan struct{}, 1),
+		announced: make(chan struct{}, 1),
 		self:      update{Host: self},
-		table:     newTable(self.ID),
+		table:     newTable(),
 		rng:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		revisions: noRevisions{},
 	}
@@ -147,7 +147,7 @@
 // declare sets the state of this host and reports whether it changed. Within
 // an incarnation a host only goes on from alive to leaving to dead.
 func (m *Members) declare(s State) bool {
-	m.lock()
+	m.lockWithRevision()
 	defer m.mu.Unlock()
 	if severity(s) <= severity(m.self.State) {
 		return false
@@ -162,7 +162,7 @@
 
 // Self returns this host.
 func (m *Members) Self() Host {
-	m.lock()
+	m.lockWithRevision()
 	defer m.mu.Unlock()
 	return m.self.Host
 }
@@ -176,7 +176,7 @@
 // Lookup returns what is known of a host, dead ones included while they are
 // remembered.
 func (m *Members) Lookup(id string) (Host, bool) {
-	m.lock()
+	m.lockWithRevision()
 	defer m.mu.Unlock()
 	if id == m.self.ID {
 		return m.self.Host, true
@@ -188,22 +188,23 @@
 	return r.Host, true
 }
 
-// LastHeard returns when this host last exchanged a probe with any peer, by
+// lastHeard returns when this host last exchanged a probe with any peer, by
 // its own monotonic clock; the zero time if it never did.
-func (m *Members) LastHeard() time.Time {
+func (m *Members) lastHeard() time.Time {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.heard
 }
 
-// lock takes m.mu with the revision in force noted in m.self. The revision is
-// read before, so that no lock of the configuration is taken under m.mu.
-func (m *Members) lock() {
+// lockWithRevision takes m.mu and notes the revision in force in m.self. The
+// revision is read before, so that no lock of the configuration is taken under
+// m.mu.
+func (m *Members) lockWithRevision() {
 	revision := m.revisions.Revision()
 	m.mu.Lock()
 	if revision > m.self.Revision {
 		m.self.Revision = revision
-		m.table.news = true
+		m.table.revisionsChanged = true
 	}
 }
 
@@ -217,7 +218,7 @@
 }
 
 func (m *Members) replaceView(generation uint64) {
-	m.table.changed, m.table.news = false, false
+	m.table.changed, m.table.revisionsChanged = false, false
 	m.view.Store(&snapshot{
 		hosts: m.table.hosts(m.self.Host), generation: generation, digest: m.table.digest(m.self),
 	})
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -190,7 +190,7 @@
 		time.Sleep(time.Minute) // until nothing is news
 		late := net.start(downStore{}, 60, func(m *Members) {
 			m.cfg.Seeds = nil
-			m.sync.last = time.Now().Add(time.Hour) // no whole list: records in turn must do
+			m.fullSync.last = time.Now().Add(time.Hour) // no whole list: records in turn must do
 		})
 		is.New(t).Equal(len(late.Hosts()), 1)
 		first := all[0].Self()
@@ -219,7 +219,7 @@
 		is.Equal(len(late.Hosts()), 21)
 		late.mu.Lock()
 		defer late.mu.Unlock()
-		is.Equal(len(late.table.unsent()), 0) // else it would crowd out what is
+		is.Equal(len(late.table.pending()), 0) // else it would crowd out what is
 	})
 }
 
@@ -280,9 +280,9 @@
 		m := net.start(downStore{}, 1)
 		time.Sleep(time.Minute)
 		is.Equal(len(m.Hosts()), 1)
-		is.True(m.LastHeard().IsZero())
+		is.True(m.lastHeard().IsZero())
 		other := net.start(downStore{}, 0) // the seed comes up
 		within(t, 2*time.Second, "met", func() bool { return everywhere([]*Members{m, other}, 2) })
-		is.True(time.Since(m.LastHeard()) < time.Second)
+		is.True(time.Since(m.lastHeard()) < time.Second)
 	})
 }
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	reconnectEvery = 10 // probes of live hosts for each one of a dead host or seed
-	pauseFactor    = 4  // probe intervals without a run that count as a pause
-	announceTo     = 3  // peers told at once of a new revision
-	pushTo         = 16 // peers told at once that this host leaves
-	joinFrom       = 5  // hosts asked for their whole list at start
-	announceGap    = 100 * time.Millisecond
+	reconnectEvery = 10                     // probes of live hosts for each one of a dead host or seed
+	pauseFactor    = 4                      // times its interval or timeout that a probe must be late to tell of a pause
+	announceTo     = 3                      // peers told at once of a new revision
+	pushTo         = 16                     // peers told at once that this host leaves
+	joinFrom       = 5                      // hosts asked for their whole list at start
+	announceGap    = 100 * time.Millisecond // between two announcements
 )
 
 // probeLoop begins one probe each interval, until ctx is done.
@@ -28,16 +28,16 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		m.notice(now.Sub(last))
+		m.postponeAfterPause(now.Sub(last))
 		last = now
 		m.expire(now)
 		m.probeNext(ctx, round)
-		m.resync(ctx, now)
+		m.syncIfDue(ctx, now)
 	}
 }
 
-// notice postpones suspicions if this process did not run for gap.
-func (m *Members) notice(gap time.Duration) {
+// postponeAfterPause postpones suspicions if this process did not run for gap.
+func (m *Members) postponeAfterPause(gap time.Duration) {
 	if gap < pauseFactor*m.cfg.ProbeInterval.Std() {
 		return
 	}
@@ -50,7 +50,7 @@
 // expire ends suspicions and publishes what changed since the last probe.
 func (m *Members) expire(now time.Time) {
 	n := m.size()
-	m.lock()
+	m.lockWithRevision()
 	defer m.mu.Unlock()
 	died := m.table.expire(now, m.cfg.suspicion(n), m.cfg.ForgetAfter.Std(), m.sends())
 	for _, h := range died {
@@ -58,13 +58,13 @@
 		m.log.Event(evHostDead).Str("peer", h.ID).Uint64("incarnation", h.Incarnation).Msg("")
 	}
 	m.publish()
-	if m.table.news {
+	if m.table.revisionsChanged {
 		m.replaceView(m.Generation())
 	}
-	m.count()
+	m.updateHostGauge()
 }
 
-func (m *Members) count() {
+func (m *Members) updateHostGauge() {
 	states := map[State]int{m.self.State: 1}
 	for _, r := range m.table.rows {
 		states[r.State]++
@@ -140,7 +140,7 @@
 // host listens on, so that groups that lost each other meet again.
 func (m *Members) reconnect(ctx context.Context) {
 	m.mu.Lock()
-	targets := m.lost()
+	targets := m.reconnectTargets()
 	if len(targets) == 0 {
 		m.mu.Unlock()
 		return
@@ -150,30 +150,31 @@
 	_ = m.exchange(ctx, kindReconnect, t.Peer, &peerpb.ProbeRequest{TargetId: t.ID}) // a dead host seldom answers
 }
 
-// lost returns the hosts held dead and the seeds not known as hosts; the
+// reconnectTargets returns the hosts held dead and the seeds not known as hosts; the
 // latter have an address alone. m.mu is held.
-func (m *Members) lost() []Host {
-	var lost []Host
+func (m *Members) reconnectTargets() []Host {
+	var targets []Host
 	known := map[string]bool{m.self.Peer: true}
 	for _, r := range m.table.rows {
 		if r.State == Dead {
-			lost = append(lost, r.Host)
+			targets = append(targets, r.Host)
 		}
 		known[r.Peer] = true
 	}
 	for _, s := range m.cfg.Seeds {
 		if !known[s] {
-			lost = append(lost, Host{Peer: s})
+			targets = append(targets, Host{Peer: s})
 		}
 	}
-	return lost
+	return targets
 }
 
-// Announce tells a few random peers at once of this host's news.
+// Announce tells a few random peers at once that this host has a new
+// configuration revision. It does not block.
 func (m *Members) Announce() {
 	select {
-	case m.news <- struct{}{}:
-	default: // one is waiting already and will carry this news too
+	case m.announced <- struct{}{}:
+	default: // one is waiting already and will carry this revision too
 	}
 }
 
@@ -183,7 +184,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-m.news:
+		case <-m.announced:
 		}
 		for _, t := range m.live(announceTo) {
 			m.work.Go(func() {
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -29,7 +29,7 @@
 		addresses = append(addresses, h.Peer)
 	}
 	m.mu.Lock()
-	for _, h := range m.lost() {
+	for _, h := range m.reconnectTargets() {
 		addresses = append(addresses, h.Peer)
 	}
 	m.mu.Unlock()
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.PlatformTimeout.Std())
 	defer cancel()
 	listing, err := m.store.List(ctx, platform.KindMember)
-	m.report("list", err)
+	m.countCall("list", err)
 	if err != nil {
 		return Error.New("list members: %w", err)
 	}
@@ -76,7 +76,7 @@
 			own = o
 			continue
 		}
-		m.takeRecord(ctx, o)
+		m.learnRecord(ctx, o)
 	}
 	m.mu.Lock()
 	m.publish()
@@ -84,25 +84,27 @@
 	return m.writeRecord(ctx, own)
 }
 
-func (m *Members) takeRecord(ctx context.Context, o platform.Object) {
+// learnRecord takes in a host's record, and removes the record if the host has
+// long been dead and it falls to this host.
+func (m *Members) learnRecord(ctx context.Context, o platform.Object) {
 	var h Host
 	if json.Unmarshal(o.Value, &h) != nil || h.ID != o.Name || h.Peer == "" {
 		return // not written by this system
 	}
 	m.mu.Lock()
 	m.table.learn(h, time.Now(), m.rng)
-	remove := m.removes(h)
+	remove := m.mustRemove(h)
 	m.mu.Unlock()
 	if remove {
-		m.report("delete", m.store.Delete(ctx, o.Kind, o.Name, o.Version))
+		m.countCall("delete", m.store.Delete(ctx, o.Kind, o.Name, o.Version))
 	}
 }
 
-// removes reports whether it falls to this host to remove the record of h: it
-// has long been dead, and no live host has a higher hash for it. Hosts that
-// differ on this lose a call; the version keeps a restarted host's record.
-// m.mu is held.
-func (m *Members) removes(h Host) bool {
+// mustRemove reports whether it falls to this host to remove the record of h:
+// h has long been dead, and no live host has a higher hash for it. If hosts
+// differ on that, one of them calls in vain; the version keeps the record of a
+// host that has restarted. m.mu is held.
+func (m *Members) mustRemove(h Host) bool {
 	r, known := m.table.rows[h.ID]
 	if !known || r.State != Dead || r.Incarnation < h.Incarnation {
 		return false
@@ -119,34 +121,42 @@
 	return true
 }
 
-// writeRecord writes this host's record unless own, which stands, is current.
-func (m *Members) writeRecord(ctx context.Context, own platform.Object) error {
-	var stands Host
-	if own.Version > 0 && json.Unmarshal(own.Value, &stands) != nil {
-		stands = Host{}
-	}
-	m.mu.Lock()
-	if stands.Incarnation > m.self.Incarnation || stands.Incarnation == m.self.Incarnation && stands.Peer != m.self.Peer {
-		m.raise(stands)
-		m.publish()
-	}
-	self := m.self.Host
-	m.mu.Unlock()
-	if self.State != Alive || stands.Incarnation == self.Incarnation {
+// writeRecord writes this host's record unless the one in the platform is of
+// this incarnation. current is that object, the zero value if there is none.
+func (m *Members) writeRecord(ctx context.Context, current platform.Object) error {
+	var recorded Host
+	if current.Version > 0 && json.Unmarshal(current.Value, &recorded) != nil {
+		recorded = Host{}
+	}
+	self := m.raiseAbove(recorded)
+	if self.State != Alive || recorded.Incarnation == self.Incarnation {
 		return nil
 	}
 	value, err := json.Marshal(self)
 	if err != nil {
 		return Error.New("encode member record: %w", err)
 	}
-	_, err = m.store.Put(ctx, platform.KindMember, self.ID, own.Version, value)
-	m.report("put", err)
+	_, err = m.store.Put(ctx, platform.KindMember, self.ID, current.Version, value)
+	m.countCall("put", err)
 	if err != nil {
 		return Error.New("write member record: %w", err)
 	}
 	return nil
 }
 
+// raiseAbove gives this host a higher incarnation than its record in the
+// platform has, unless this start wrote the record, and returns this host.
+func (m *Members) raiseAbove(recorded Host) Host {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	sameStart := recorded.Incarnation == m.self.Incarnation && recorded.Peer == m.self.Peer
+	if recorded.Incarnation >= m.self.Incarnation && !sameStart {
+		m.raise(recorded)
+		m.publish()
+	}
+	return m.self.Host
+}
+
 // removeRecord removes this host's record. If it fails, the others find out
 // by probes and remove it later.
 func (m *Members) removeRecord(ctx context.Context) {
@@ -159,12 +169,13 @@
 	if err == nil {
 		err = m.store.Delete(ctx, o.Kind, o.Name, o.Version)
 	}
-	m.report("delete", err)
+	m.countCall("delete", err)
 }
 
-func (m *Members) report(call string, err error) {
+// countCall counts a platform call and logs its failure.
+func (m *Members) countCall(call string, err error) {
 	m.metrics.platform.WithLabelValues(call, result(err)).Inc()
 	if err != nil {
-		m.log.Event(evPlatform).Str("call", call).Err(err).Msg("")
+		m.log.Event(evRecordFailed).Str("call", call).Err(err).Msg("")
 	}
 }
--- a/internal/member/sync.go
+++ b/internal/member/sync.go
@@ -18,31 +18,31 @@
 	tellDead = 10 * time.Minute
 )
 
-// syncing decides when to ask for a whole list. Bounded messages carry the
+// fullSync decides when to ask for a whole list. Bounded messages carry the
 // changes of ordinary days; when many hosts change at once, as after a cut
 // between regions, they would take minutes.
-type syncing struct {
+type fullSync struct {
 	agreed time.Time // when the digest of a peer was last the same
 	last   time.Time // when a whole list was last asked for
 	peer   string    // address of the peer that differed last
 }
 
-// compare notes whether a peer holds the same hosts.
-func (m *Members) compare(from *peerpb.HostInfo, digest uint64) {
+// compareDigest notes whether a peer holds the same hosts.
+func (m *Members) compareDigest(from *peerpb.HostInfo, digest uint64) {
 	if from.GetId() == "" || from.Id == m.self.ID {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.sync.peer = from.Peer
+	m.fullSync.peer = from.Peer
 	if digest == m.view.Load().digest {
-		m.sync.agreed = time.Now()
-		m.sync.peer = ""
+		m.fullSync.agreed = time.Now()
+		m.fullSync.peer = ""
 	}
 }
 
 // due returns the peer to ask for its whole list now, if it is time.
-func (s *syncing) due(now time.Time, hosts int) (peer string, due bool) {
+func (s *fullSync) due(now time.Time, hosts int) (peer string, due bool) {
 	if s.peer == "" || now.Sub(s.agreed) < syncAfter {
 		return "", false
 	}
@@ -53,12 +53,12 @@
 	return s.peer, true
 }
 
-// resync takes the whole list of a peer if this host has agreed with none for
-// a while.
-func (m *Members) resync(ctx context.Context, now time.Time) {
+// syncIfDue takes the whole list of a peer if this host has agreed with none
+// for a while.
+func (m *Members) syncIfDue(ctx context.Context, now time.Time) {
 	n := m.size()
 	m.mu.Lock()
-	peer, due := m.sync.due(now, n)
+	peer, due := m.fullSync.due(now, n)
 	m.mu.Unlock()
 	if !due {
 		return
--- a/internal/member/table.go
+++ b/internal/member/table.go
@@ -1,12 +1,9 @@
 package member
 
 import (
-	"encoding/binary"
 	"math/rand/v2"
 	"sort"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // update is a host as one host tells it to another. Version orders the
@@ -28,18 +25,15 @@
 // table is the state of the membership, this host left out. It is pure: the
 // caller gives time and randomness, and guards it with a lock.
 type table struct {
-	self    string
-	rows    map[string]*row
-	order   []string // ids in a random order, for probes and for filling messages
-	probed  int      // next of order to probe
-	filled  int      // next of order to fill a message with
-	changed bool     // hosts differ from those last published
-	news    bool     // only revisions differ
+	rows             map[string]*row
+	order            []string // ids in a random order, for probes and for filling messages
+	probed           int      // next of order to probe
+	filled           int      // next of order to fill a message with
+	changed          bool     // hosts differ from those last published
+	revisionsChanged bool     // some revision differs from those last published
 }
 
-func newTable(self string) *table {
-	return &table{self: self, rows: map[string]*row{}}
-}
+func newTable() *table { return &table{rows: map[string]*row{}} }
 
 // severity orders the states that different hosts may tell of the same
 // version: the worse one stands until the host itself refutes it.
@@ -56,7 +50,7 @@
 	}
 }
 
-// supersedes reports whether u is news over r.
+// supersedes reports whether u is newer than r, or worse at the same version.
 func (u update) supersedes(r *row) bool {
 	switch {
 	case u.Incarnation != r.Incarnation:
@@ -70,35 +64,34 @@
 	}
 }
 
-// apply takes an update of another host and reports whether it was news. The
-// death of an unknown host is not, so that forgotten hosts stay forgotten.
-func (t *table) apply(u update, now time.Time, sends int, rng *rand.Rand) bool {
+// apply takes in an update of another host. The death of an unknown host is
+// ignored, so that forgotten hosts stay forgotten.
+func (t *table) apply(u update, now time.Time, sends int, rng *rand.Rand) {
 	r, known := t.rows[u.ID]
 	if !known && u.State == Dead {
-		return false
+		return
 	}
 	if !known {
 		t.insert(&row{update: u, since: now, sends: sends}, rng)
-		return true
+		return
 	}
 	if !u.supersedes(r) {
 		t.raiseRevision(r, u)
-		return false
+		return
 	}
 	if u.Incarnation == r.Incarnation {
 		u.Revision = max(u.Revision, r.Revision)
 	}
 	*r = row{update: u, since: now, sends: sends}
 	t.changed = true
-	return true
 }
 
-// raiseRevision takes the revision alone from an update that is no news.
-// Within an incarnation a host never goes back.
+// raiseRevision takes the revision alone from an update that supersedes
+// nothing. Within an incarnation a host's revision never goes back.
 func (t *table) raiseRevision(r *row, u update) {
 	if u.Incarnation == r.Incarnation && u.Revision > r.Revision {
 		r.Revision = u.Revision
-		t.news = true
+		t.revisionsChanged = true
 	}
 }
 
@@ -243,85 +236,6 @@
 	return picked
 }
 
-// updates returns at most n host records for a message to the host about:
-// first what is held against that host, so that it can refute; then the
-// changes sent least; then others in turn, so that tables that differ for any
-// reason come together without ever being sent whole.
-func (t *table) updates(n int, about string) []update {
-	var out []update
-	chosen := map[string]bool{about: true}
-	if r, known := t.rows[about]; known && r.State != Alive && !r.unconfirmed {
-		out = append(out, r.update)
-	}
-	for _, r := range t.unsent() {
-		if len(out) < n && !chosen[r.ID] {
-			chosen[r.ID] = true
-			r.sends--
-			out = append(out, r.update)
-		}
-	}
-	for range t.order {
-		if len(out) >= n {
-			break
-		}
-		t.filled = (t.filled + 1) % len(t.order)
-		r := t.rows[t.order[t.filled]]
-		if !chosen[r.ID] && !r.unconfirmed {
-			chosen[r.ID] = true
-			out = append(out, r.update)
-		}
-	}
-	return out
-}
-
-func (t *table) unsent() []*row {
-	var rows []*row
-	for _, r := range t.rows {
-		if r.sends > 0 {
-			rows = append(rows, r)
-		}
-	}
-	sort.Slice(rows, func(i, j int) bool {
-		if rows[i].sends != rows[j].sends {
-			return rows[i].sends > rows[j].sends
-		}
-		return rows[i].ID < rows[j].ID
-	})
-	return rows
-}
-
-// all returns every confirmed host that is not dead or has died since recent,
-// so that one who holds it alive learns of it.
-func (t *table) all(recent time.Time) []update {
-	var out []update
-	for _, r := range t.rows {
-		if !r.unconfirmed && (r.State != Dead || r.since.After(recent)) {
-			out = append(out, r.update)
-		}
-	}
-	return out
-}
-
-// digest returns a hash of which versions of which hosts are held and not
-// dead, self included. It is the same in any order. Suspicion is left out: it
-// comes and goes without a new version.
-func (t *table) digest(self update) uint64 {
-	sum := self.hash()
-	for _, r := range t.rows {
-		if r.State != Dead && !r.unconfirmed {
-			sum ^= r.hash()
-		}
-	}
-	return sum
-}
-
-func (u update) hash() uint64 {
-	b := append([]byte(u.ID), 0)
-	b = binary.LittleEndian.AppendUint64(b, u.Incarnation)
-	b = binary.LittleEndian.AppendUint64(b, u.Version)
-	return xxhash.Sum64(b)
-}
-
 // hosts returns the hosts that are not dead, with self, sorted by id.
 func (t *table) hosts(self Host) []Host {
 	out := []Host{self}
--- a/internal/member/table_test.go
+++ b/internal/member/table_test.go
@@ -16,7 +16,7 @@
 
 // full returns a table with n live hosts.
 func full(n int) *table {
-	t := newTable("self")
+	t := newTable()
 	rng := fixed()
 	for i := range n {
 		h := Host{ID: name(i), FailureDomain: "park-circus", Peer: address(i), API: address(i),
@@ -45,7 +45,7 @@
 
 // applied returns what a table that knows the host of us makes of them.
 func applied(us []update) update {
-	t := newTable("self")
+	t := newTable()
 	t.apply(update{Host: Host{ID: "a", State: Alive}}, time.Time{}, 0, fixed())
 	for _, u := range us {
 		t.apply(u, time.Time{}, 0, fixed())
