Peer: a caller is a customer, a connection is none; gauge without a counter's suffix

The type caller was a client connection, in a tree where a caller is who asks; it is clientConn. dialing counted all connections of a key, and Pool.hosts held no hosts: usage and used. MaxMessage was used by this package alone.

--- a/internal/peer/caller.go
+++ b/internal/peer/invoke.go
@@ -10,12 +10,13 @@
 	"storj.io/drpc/drpcwire"
 )
 
-// caller is one connection. It takes the place of drpc's own Invoke, which
-// fails a call whose answer was received if the connection closes right after.
-type caller struct{ *drpcconn.Conn }
+// clientConn is one connection to a peer. Its Invoke takes the place of drpc's
+// own, which fails a call whose answer was received if the connection closes
+// right after.
+type clientConn struct{ *drpcconn.Conn }
 
 // Invoke makes a call with one answer; a received answer is a success.
-func (c caller) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+func (c clientConn) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
 	message, err := drpcenc.MarshalAppend(in, enc, nil)
 	if err != nil {
 		return notSent{Error.New("encode %s: %w", rpc, err)}
--- a/internal/peer/metrics.go
+++ b/internal/peer/metrics.go
@@ -49,7 +49,7 @@
 			Name: "rhubarbwood_peer_bytes_total", Help: "Bytes over TCP between hosts, without TCP/IP headers, by class and direction.",
 		}, []string{"class", "direction"}),
 		connections: f.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "rhubarbwood_peer_connections_total", Help: "Open connections between hosts, by side.",
+			Name: "rhubarbwood_peer_connections", Help: "Open connections between hosts, by side.",
 		}, []string{"side"}),
 		dials: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "rhubarbwood_peer_dials_total", Help: "Connections tried, by class and result.",
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -7,9 +7,9 @@
 	"storj.io/drpc/drpcwire"
 )
 
-// MaxMessage is the largest message between hosts, in bytes. The connection
+// maxMessage is the largest message between hosts, in bytes. The connection
 // of a larger one is closed by the receiver.
-const MaxMessage = 16 << 20
+const maxMessage = 16 << 20
 
 // softCancelGrace bounds how long a cancelled call waits to tell its peer
 // before its connection is closed instead. It must not be 0: drpc would then
@@ -45,7 +45,7 @@
 // figures); the server keeps the library's default, so that its stop closes.
 func (o options) manager(side string) drpcmanager.Options {
 	return drpcmanager.Options{
-		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: MaxMessage},
+		Reader:          drpcwire.ReaderOptions{MaximumBufferSize: maxMessage},
 		SoftCancel:      side == sideClient && !o.hardCancel,
 		SoftCancelGrace: o.grace,
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -167,7 +167,7 @@
 	end := make(chan error, 1)
 	go func() {
 		client := peerpb.NewDRPCRelayClient(p.Conn(ctx, address))
-		_, err := client.Reserve(ctx, &peerpb.ReserveRequest{Item: string(make([]byte, MaxMessage/2))})
+		_, err := client.Reserve(ctx, &peerpb.ReserveRequest{Item: string(make([]byte, maxMessage/2))})
 		end <- err
 	}()
 	<-accepted
@@ -258,8 +258,8 @@
 	p := pool(t)
 	kept := hold(t.Context(), p, s.Addr())
 	<-r.begun
-	is.True(reserve(t.Context(), p, s.Addr(), string(make([]byte, MaxMessage+1))) != nil)
-	is.NoErr(reserve(t.Context(), p, s.Addr(), string(make([]byte, MaxMessage-1024))))
+	is.True(reserve(t.Context(), p, s.Addr(), string(make([]byte, maxMessage+1))) != nil)
+	is.NoErr(reserve(t.Context(), p, s.Addr(), string(make([]byte, maxMessage-1024))))
 	close(r.release)
 	is.NoErr(<-kept)
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -35,18 +35,19 @@
 	opts options
 	idle map[class]*drpcpool.Pool[key, drpcpool.Conn]
 
-	mu    sync.Mutex
-	hosts map[key]*dialing
+	mu   sync.Mutex
+	used map[key]*usage
 }
 
-// key names the connections that may stand in for each other.
+// key names connections of which any may carry a call: those of one class to
+// one host.
 type key struct {
 	address string
 	class   class
 }
 
-// dialing counts the connections of one key.
-type dialing struct {
+// usage counts the connections of one key, for their bounds.
+type usage struct {
 	open  int           // guarded by Pool.mu
 	slots chan struct{} // one for each dial at work
 }
@@ -54,9 +55,9 @@
 // NewPool returns an empty pool.
 func NewPool(opts ...Option) *Pool {
 	p := &Pool{
-		opts:  newOptions(opts),
-		idle:  map[class]*drpcpool.Pool[key, drpcpool.Conn]{},
-		hosts: map[key]*dialing{},
+		opts: newOptions(opts),
+		idle: map[class]*drpcpool.Pool[key, drpcpool.Conn]{},
+		used: map[key]*usage{},
 	}
 	for cl, expiry := range idleExpiry {
 		p.idle[cl] = drpcpool.New[key, drpcpool.Conn](drpcpool.Options{Expiration: expiry, KeyCapacity: idlePerHost})
@@ -92,53 +93,54 @@
 
 // dial opens a connection within the bounds of the key.
 func (p *Pool) dial(ctx context.Context, k key) (drpcpool.Conn, error) {
-	d, err := p.reserve(k)
+	u, err := p.reserve(k)
 	if err != nil {
 		return nil, notSent{err}
 	}
-	c, err := d.connect(ctx, k.address)
+	c, err := u.connect(ctx, k.address)
 	p.opts.metrics.dials.WithLabelValues(string(k.class), result(err)).Inc()
 	if err != nil {
-		p.release(k, d)
+		p.release(k, u)
 		return nil, notSent{err}
 	}
-	counted := countConn(c, p.opts.metrics, sideClient, func(*countedConn) { p.release(k, d) })
+	counted := countConn(c, p.opts.metrics, sideClient, func(*countedConn) { p.release(k, u) })
 	counted.setClass(k.class)
-	return caller{drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: p.opts.manager(sideClient)})}, nil
+	return clientConn{drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: p.opts.manager(sideClient)})}, nil
 }
 
-func (p *Pool) reserve(k key) (*dialing, error) {
+// reserve counts a connection that is to be opened; release must follow.
+func (p *Pool) reserve(k key) (*usage, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := p.hosts[k]
-	if d == nil {
-		d = &dialing{slots: make(chan struct{}, maxDials)}
-		p.hosts[k] = d
+	u := p.used[k]
+	if u == nil {
+		u = &usage{slots: make(chan struct{}, maxDials)}
+		p.used[k] = u
 	}
-	if d.open >= maxPerHost {
+	if u.open >= maxPerHost {
 		return nil, Error.New("%d connections to %s are in use", maxPerHost, k.address)
 	}
-	d.open++
-	return d, nil
+	u.open++
+	return u, nil
 }
 
-func (p *Pool) release(k key, d *dialing) {
+func (p *Pool) release(k key, u *usage) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d.open--
-	if d.open == 0 {
-		delete(p.hosts, k)
+	u.open--
+	if u.open == 0 {
+		delete(p.used, k)
 	}
 }
 
 // connect dials when a slot is free.
-func (d *dialing) connect(ctx context.Context, address string) (net.Conn, error) {
+func (u *usage) connect(ctx context.Context, address string) (net.Conn, error) {
 	select {
-	case d.slots <- struct{}{}:
+	case u.slots <- struct{}{}:
 	case <-ctx.Done():
 		return nil, Error.New("wait to dial %s: %w", address, ctx.Err())
 	}
-	defer func() { <-d.slots }()
+	defer func() { <-u.slots }()
 	dialer := net.Dialer{Timeout: dialTimeout}
 	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
