--- a/internal/claim/api.go
+++ b/internal/claim/api.go
@@ -24,8 +24,8 @@
 	Settle(ctx context.Context, service, target, attempt string) (targetapi.Settlement, error)
 }
 
-// Reserver runs a reservation to its final word. The result's Outcome says
-// truly whether it ran: NotSent and Rejected mean that it did not and will not.
+// Reserver runs a reservation to its result. Its Outcome says truly whether the
+// reservation ran: NotSent and Rejected mean that it did not and will not.
 type Reserver interface {
 	Reserve(ctx context.Context, r query.Reserve) query.Reservation
 }
--- a/internal/claim/ask.go
+++ b/internal/claim/ask.go
@@ -11,38 +11,38 @@
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
 
-// State is what a host knows of one of its attempts.
-type State struct {
-	Known     bool // the host holds the attempt; if not, it was started anew or has forgotten
-	Settled   bool // Reply is final
-	NeverSent bool // it did not run and never will
-	Reply     query.Reservation
+// AttemptState is what a host knows of one of its attempts.
+type AttemptState struct {
+	Known  bool // the host holds the attempt; if not, it was started anew or has forgotten
+	Ended  bool // Reply is final
+	NotRun bool // it did not run and never will
+	Reply  query.Reservation
 }
 
 // Asker asks the host that a record names what became of its attempt. The
 // host waits for the attempt's end as long as the budget of ctx lasts.
 type Asker interface {
-	Ask(ctx context.Context, host member.Host, reservationID, attempt string) (State, error)
+	Ask(ctx context.Context, host member.Host, reservationID, attempt string) (AttemptState, error)
 }
 
-// PeerAsker is the Asker over drpc.
+// PeerAsker is the Asker that calls hosts over drpc.
 type PeerAsker struct{ dialer peer.Dialer }
 
 // NewPeerAsker returns an Asker that calls hosts through the dialer.
 func NewPeerAsker(d peer.Dialer) *PeerAsker { return &PeerAsker{d} }
 
-// Ask calls the host.
-func (p *PeerAsker) Ask(ctx context.Context, host member.Host, reservationID, attempt string) (State, error) {
+// Ask implements Asker.
+func (p *PeerAsker) Ask(ctx context.Context, host member.Host, reservationID, attempt string) (AttemptState, error) {
 	q := &peerpb.ClaimQuery{ReservationId: reservationID, AttemptId: attempt}
 	if deadline, ok := ctx.Deadline(); ok {
 		q.BudgetUs = (time.Until(deadline) - answerMargin).Microseconds()
 	}
 	st, err := peerpb.NewDRPCClaimsClient(p.dialer.Conn(ctx, host.Peer)).Ask(ctx, q)
 	if err != nil {
-		return State{}, Error.New("ask host %s: %w", host.ID, err)
+		return AttemptState{}, Error.New("ask host %s: %w", host.ID, err)
 	}
-	return State{
-		Known: st.GetKnown(), Settled: st.GetSettled(), NeverSent: st.GetNeverSent(), Reply: fromReply(st.GetReply()),
+	return AttemptState{
+		Known: st.GetKnown(), Ended: st.GetSettled(), NotRun: st.GetNeverSent(), Reply: fromReply(st.GetReply()),
 	}, nil
 }
 
@@ -56,7 +56,7 @@
 	defer cancel()
 	st := c.state(ctx, id.String(), q.GetAttemptId())
 	return &peerpb.ClaimState{
-		Known: st.Known, Settled: st.Settled, NeverSent: st.NeverSent, Reply: toReply(st.Reply),
+		Known: st.Known, Settled: st.Ended, NeverSent: st.NotRun, Reply: toReply(st.Reply),
 	}, nil
 }
 
--- a/internal/claim/ask_test.go
+++ b/internal/claim/ask_test.go
@@ -32,15 +32,15 @@
 	a := c.mem.begin(id, Record{Attempt: "attempt"})
 	st, err := asker.Ask(t.Context(), to, id, "other")
 	is.NoErr(err)
-	is.Equal(st, State{})
+	is.Equal(st, AttemptState{})
 	st, err = asker.Ask(t.Context(), to, newID(time.Now()), "attempt")
 	is.NoErr(err)
-	is.Equal(st, State{}) // another reservation
+	is.Equal(st, AttemptState{}) // another reservation
 
 	spent, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	st, err = asker.Ask(spent, to, id, "attempt")
-	is.True(err != nil || (st.Known && !st.Settled)) // the budget ended first, on this side or on that
+	is.True(err != nil || (st.Known && !st.Ended)) // the budget ended first, on this side or on that
 
 	reply := unsettled(time.Second)
 	reply.Outcome, reply.Granted, reply.Answer, reply.Target = outcome.Done, true, "yours", "t0"
@@ -49,5 +49,5 @@
 	defer cancel()
 	st, err = asker.Ask(ctx, to, id, "attempt")
 	is.NoErr(err)
-	is.Equal(st, State{Known: true, Settled: true, Reply: reply})
+	is.Equal(st, AttemptState{Known: true, Ended: true, Reply: reply})
 }
--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -17,24 +17,24 @@
 )
 
 // answerMargin is kept of a request's budget for the way back, so that the
-// true word reaches the caller instead of a timeout.
+// result reaches the caller instead of a timeout.
 const answerMargin = 5 * time.Millisecond
 
-// Services tells the rules of a service; catalog.View has it.
+// Services gives the rules of a service; catalog.View implements it.
 type Services interface {
 	Service(name string) (catalog.Service, bool)
 }
 
 // Claims is the Reserver of a host. Its promise holds for one reservation id
 // over all hosts: a target runs it at most once, and a request that was told
-// NotSent or Rejected has not run and never will. That word is about the
-// request: a caller, or an entry, that has sent several requests with one id
-// combines their outcomes with outcome.Combine.
+// NotSent or Rejected has not run and never will. The result is
+// about the request: a caller, or an entry, that has sent several requests with
+// one id combines their outcomes with outcome.Combine.
 type Claims struct {
 	cfg      Config
 	store    platform.Store
-	records  ledger
-	gate     *createGate
+	records  recordStore
+	creates  *createLimiter
 	sender   Sender
 	asker    Asker
 	view     member.View
@@ -43,9 +43,9 @@
 	metrics  *metrics
 	mem      *memory
 
-	ctx    context.Context // ends background work
-	cancel context.CancelFunc
-	slots  chan struct{} // background writes
+	ctx        context.Context // ends background work
+	cancel     context.CancelFunc
+	writeSlots chan struct{} // one taken by each background write
 
 	mu      sync.Mutex
 	stopped bool
@@ -59,9 +59,10 @@
 	log *event.Log, reg prometheus.Registerer) *Claims {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Claims{
-		cfg: cfg, records: ledger{store}, gate: newCreateGate(), store: store, sender: sender, asker: asker, view: view, services: services,
-		log: log, metrics: newMetrics(reg), mem: newMemory(cfg.Remember.Std(), cfg.RememberMax),
-		ctx: ctx, cancel: cancel, slots: make(chan struct{}, cfg.Background),
+		cfg: cfg, store: store, sender: sender, asker: asker, view: view, services: services,
+		log: log, metrics: newMetrics(reg),
+		records: recordStore{store}, creates: newCreateLimiter(), mem: newMemory(cfg.Remember.Std(), cfg.RememberMax),
+		ctx: ctx, cancel: cancel, writeSlots: make(chan struct{}, cfg.Background),
 	}
 }
 
@@ -82,17 +83,17 @@
 	c.stopped = true
 	c.mu.Unlock()
 	defer c.cancel()
-	if err := wait(ctx, &c.running); err != nil {
+	if err := waitGroup(ctx, &c.running); err != nil {
 		return Error.New("stop: reservations are still in flight: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.StopTimeout.Std())
 	defer cancel()
-	_ = wait(ctx, &c.writing) // what is left is abandoned
+	_ = waitGroup(ctx, &c.writing) // what is left is abandoned
 	return nil
 }
 
-// wait waits for the group, or returns the error of ctx when that is done.
-func wait(ctx context.Context, g *sync.WaitGroup) error {
+// waitGroup waits for the group, or returns the error of ctx when that is done.
+func waitGroup(ctx context.Context, g *sync.WaitGroup) error {
 	ended := make(chan struct{})
 	go func() {
 		g.Wait()
@@ -137,17 +138,17 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Budget)
 	defer cancel()
 	for ctx.Err() == nil {
-		res, again := c.fly(ctx, id, r)
+		res, again := c.joinOrRun(ctx, id, r)
 		if !again {
-			return c.knownHere(id, r, res)
+			return c.checkNotRun(id, r, res)
 		}
 	}
-	return c.knownHere(id, r, refuse(query.ReasonBudget, 0))
+	return c.checkNotRun(id, r, refuse(query.ReasonBudget, 0))
 }
 
-// fly runs the reservation or joins the run in flight. It reports again when
+// joinOrRun runs the reservation or joins the run in flight. It reports again when
 // the run that it joined ended for want of its own, shorter budget.
-func (c *Claims) fly(ctx context.Context, id reservationID, r query.Reserve) (res query.Reservation, again bool) {
+func (c *Claims) joinOrRun(ctx context.Context, id reservationID, r query.Reserve) (res query.Reservation, again bool) {
 	if res, ok := c.remembered(id, r); ok {
 		return res, false
 	}
@@ -157,12 +158,12 @@
 	f, isNew := c.mem.join(id.String(), r)
 	if !isNew {
 		c.running.Done()
-		return c.wait(ctx, f, r)
+		return c.awaitFlight(ctx, f, r)
 	}
 	deadline, _ := ctx.Deadline()
 	go func() {
 		defer c.running.Done()
-		c.mem.land(id.String(), f, c.run(id, r, deadline))
+		c.mem.finish(id.String(), f, c.run(id, r, deadline))
 	}()
 	select {
 	case <-f.ended:
@@ -172,8 +173,8 @@
 	}
 }
 
-// wait returns the result of a flight that another request began.
-func (c *Claims) wait(ctx context.Context, f *flight, r query.Reserve) (res query.Reservation, again bool) {
+// awaitFlight returns the result of a flight that another request began.
+func (c *Claims) awaitFlight(ctx context.Context, f *flight, r query.Reserve) (res query.Reservation, again bool) {
 	if f.req.Service != r.Service || f.req.Item != r.Item || f.req.Caller != r.Caller {
 		return refuse(query.ReasonBadRequest, 0), false
 	}
@@ -202,9 +203,9 @@
 	return res, true
 }
 
-// knownHere keeps a repeat from being told "not run" by a host that knows
+// checkNotRun keeps a repeat from being told "not run" by a host that knows
 // that an earlier attempt of the same reservation may have run.
-func (c *Claims) knownHere(id reservationID, r query.Reserve, res query.Reservation) query.Reservation {
+func (c *Claims) checkNotRun(id reservationID, r query.Reserve, res query.Reservation) query.Reservation {
 	if !res.Outcome.NotRun() || res.Reason == query.ReasonBadRequest {
 		return res
 	}
@@ -218,8 +219,8 @@
 func (c *Claims) run(id reservationID, r query.Reserve, deadline time.Time) query.Reservation {
 	ctx, cancel := context.WithDeadline(c.ctx, deadline.Add(-answerMargin))
 	defer cancel()
-	f := &runner{c: c, ctx: ctx, id: id, req: r}
-	return f.run()
+	rn := runner{c: c, ctx: ctx, id: id, req: r}
+	return rn.run()
 }
 
 // backoff waits before try n, from 0, of a platform call; false when ctx
@@ -239,18 +240,18 @@
 	}
 }
 
-// refuse is the word on a request of which nothing was or will be sent.
+// refuse returns the result of a request of which nothing was or will be sent.
 func refuse(reason query.Reason, retryAfter time.Duration) query.Reservation {
 	return query.Reservation{Outcome: outcome.NotSent, Reason: reason, RetryAfter: retryAfter}
 }
 
-// unsettled is the word on a reservation that may have run.
+// unsettled returns the result of a reservation that may have run.
 func unsettled(retryAfter time.Duration) query.Reservation {
 	return query.Reservation{Outcome: outcome.Unknown, Reason: query.ReasonUnsettled, RetryAfter: retryAfter}
 }
 
-// expired is the word on an id past the horizon. It is no "not run": the
-// record that would tell may be gone.
+// expired returns the result for an id past the horizon. Its outcome is not
+// "not run": the record of an attempt that ran may be gone.
 func expired() query.Reservation {
 	return query.Reservation{Outcome: outcome.Unknown, Reason: query.ReasonExpired}
 }
--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -126,7 +126,7 @@
 		w.hosts[0].reserve(reservation(id))
 		s, err = c.Lookup(context.Background(), id)
 		is.NoErr(err)
-		is.True(s.Found && s.OwnerAlive)
+		is.True(s.Found && s.HostAlive)
 		is.Equal(s.Record.Phase, Settled)
 		is.Equal(s.Record.Outcome, outcome.Done.String())
 		_, err = c.Lookup(context.Background(), "x")
--- a/internal/claim/config.go
+++ b/internal/claim/config.go
@@ -20,13 +20,13 @@
 type Config struct {
 	Horizon     unit.Duration `json:"horizon"`       // age at which a reservation id is refused; at most MaxHorizon
 	MaxAhead    unit.Duration `json:"max_ahead"`     // how far an id may lie in the future of the platform's clock
-	RetryAfter  unit.Duration `json:"retry_after"`   // told to callers while the platform is down
+	RetryAfter  unit.Duration `json:"retry_after"`   // retry-after hint to callers while the platform is down
 	RetryMin    unit.Duration `json:"retry_min"`     // first wait before a platform call is repeated
 	RetryMax    unit.Duration `json:"retry_max"`     // longest such wait
-	OutcomeWait unit.Duration `json:"outcome_wait"`  // longest that an answer waits for its outcome to be written
-	GiveUpAfter unit.Duration `json:"give_up_after"` // after which a background write is abandoned
-	StopTimeout unit.Duration `json:"stop_timeout"`  // for the records of a host that stops to be written
-	Background  int           `json:"background"`    // background writes at once
+	OutcomeWait unit.Duration `json:"outcome_wait"`  // longest time that an answer waits for its outcome to be written
+	GiveUpAfter unit.Duration `json:"give_up_after"` // time after which a background write is abandoned
+	StopTimeout unit.Duration `json:"stop_timeout"`  // time that a stopping host takes to write its last records
+	Background  int           `json:"background"`    // background writes at once at most
 	Remember    unit.Duration `json:"remember"`      // how long a host answers for an attempt after its end
 	RememberMax int           `json:"remember_max"`  // ended attempts remembered at most
 	SweepEvery  unit.Duration `json:"sweep_every"`   // mean time between two rounds of a sweeping host
--- a/internal/claim/memory.go
+++ b/internal/claim/memory.go
@@ -58,8 +58,8 @@
 	return f, true
 }
 
-// land ends the flight with its result.
-func (m *memory) land(key string, f *flight, res query.Reservation) {
+// finish ends the flight with its result.
+func (m *memory) finish(key string, f *flight, res query.Reservation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f.res = res
@@ -83,7 +83,7 @@
 	m.ran[a.key] = a
 }
 
-// end notes the attempt's final word.
+// end notes the attempt's final result.
 func (m *memory) end(a *attempt, reply query.Reservation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -94,9 +94,9 @@
 	close(a.ended)
 }
 
-// written notes that the record tells the attempt's end, or never will; from
-// now on the attempt may be forgotten.
-func (m *memory) written(a *attempt) {
+// recorded notes that the attempt's end is in its record, or that writing it
+// was given up; from now on the attempt may be forgotten.
+func (m *memory) recorded(a *attempt) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.old = append(m.old, a)
--- a/internal/claim/metrics.go
+++ b/internal/claim/metrics.go
@@ -25,7 +25,7 @@
 			Name: "rhubarbwood_claim_unanswered_writes_total", Help: "Writes of a record before sending that the platform did not answer.",
 		}),
 		takeovers: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "rhubarbwood_claim_takeovers_total", Help: "Records of another attempt taken, by the proof that it never runs: the host's word or the target's.",
+			Name: "rhubarbwood_claim_takeovers_total", Help: "Records of another attempt taken, by the proof that it never runs: the answer of its host or of its target.",
 		}, []string{"proof"}),
 		settles: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "rhubarbwood_claim_settles_total", Help: "Targets asked what became of an attempt, by verdict.",
--- a/internal/claim/ledger.go
+++ b/internal/claim/recordstore.go
@@ -26,17 +26,17 @@
 	ambiguous                     // it may have been applied, or may be later
 )
 
-// ledger keeps one record per reservation in the platform. Writes are
+// recordStore keeps one record per reservation in the platform. Writes are
 // conditional on the record's version, which only grows.
-type ledger struct{ store platform.Store }
+type recordStore struct{ store platform.Store }
 
 // put writes rec if the record has the version; 0 creates it.
-func (l ledger) put(ctx context.Context, id reservationID, version uint64, rec Record) (entry, writeResult) {
+func (s recordStore) put(ctx context.Context, id reservationID, version uint64, rec Record) (entry, writeResult) {
 	value, err := json.Marshal(rec)
 	if err != nil {
 		return entry{}, notApplied
 	}
-	obj, err := l.store.Put(ctx, id.kind(), id.String(), version, value)
+	obj, err := s.store.Put(ctx, id.kind(), id.String(), version, value)
 	if err == nil {
 		return entry{rec: rec, version: obj.Version, changed: obj.Changed}, applied
 	}
@@ -53,8 +53,8 @@
 }
 
 // get returns the record; version 0 if there is none.
-func (l ledger) get(ctx context.Context, id reservationID) (entry, error) {
-	obj, err := l.store.Get(ctx, id.kind(), id.String())
+func (s recordStore) get(ctx context.Context, id reservationID) (entry, error) {
+	obj, err := s.store.Get(ctx, id.kind(), id.String())
 	if errors.Is(err, platform.ErrNotFound) {
 		return entry{}, nil
 	}
@@ -75,9 +75,9 @@
 	return e, nil
 }
 
-// written returns when the record was written, by the platform's clock, or a
+// writtenAt returns when the record was written, by the platform's clock, or a
 // little later.
-func (c *Claims) written(e entry) time.Time {
+func (c *Claims) writtenAt(e entry) time.Time {
 	if now, known := c.store.Now(); known && now.After(e.changed) {
 		return now
 	}
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -179,11 +179,11 @@
 	return h.w.target.settle(attempt), nil
 }
 
-func (h *host) Ask(ctx context.Context, to member.Host, reservation, attempt string) (State, error) {
+func (h *host) Ask(ctx context.Context, to member.Host, reservation, attempt string) (AttemptState, error) {
 	h.gate.pass()
 	other := h.w.host(to.ID)
 	if other.isDead() || h.isDead() {
-		return State{}, errFake
+		return AttemptState{}, errFake
 	}
 	other.gate.pass()
 	return other.claims.state(ctx, reservation, attempt), nil
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -12,12 +12,12 @@
 // answer leaves the outcome behind; the write goes on in the background.
 func (c *Claims) conclude(ctx context.Context, id reservationID, e entry, a *attempt, res query.Reservation) {
 	c.mem.end(a, res)
-	c.record(ctx, id, e.version, e.rec.settled(res), a)
+	c.writeSettled(ctx, id, e.version, e.rec.settled(res), a)
 }
 
-// record writes a settled record; see conclude. The attempt, if any, is
+// writeSettled writes a settled record; see conclude. The attempt, if any, is
 // remembered at least until the write has ended.
-func (c *Claims) record(ctx context.Context, id reservationID, version uint64, rec Record, a *attempt) {
+func (c *Claims) writeSettled(ctx context.Context, id reservationID, version uint64, rec Record, a *attempt) {
 	written := c.inBackground(id, func(ctx context.Context) bool {
 		e, result := c.records.put(ctx, id, version, rec)
 		if result == conflict && (e.rec.Attempt != rec.Attempt || e.rec.Phase != Settled) {
@@ -71,7 +71,7 @@
 func (c *Claims) inBackground(id reservationID, try func(ctx context.Context) bool, attempts ...*attempt) <-chan struct{} {
 	ended := make(chan struct{})
 	select {
-	case c.slots <- struct{}{}:
+	case c.writeSlots <- struct{}{}:
 	default:
 		c.abandon(id, "too many background writes", attempts)
 		close(ended)
@@ -82,14 +82,14 @@
 	go func() {
 		defer c.writing.Done()
 		defer close(ended)
-		c.repeat(id, try, attempts)
+		c.retry(id, try, attempts)
 		c.metrics.background.Dec()
-		<-c.slots
+		<-c.writeSlots
 	}()
 	return ended
 }
 
-func (c *Claims) repeat(id reservationID, try func(ctx context.Context) bool, attempts []*attempt) {
+func (c *Claims) retry(id reservationID, try func(ctx context.Context) bool, attempts []*attempt) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.cfg.GiveUpAfter.Std())
 	defer cancel()
 	for n := 0; ; n++ {
@@ -115,7 +115,7 @@
 func (c *Claims) forget(attempts []*attempt) {
 	for _, a := range attempts {
 		if a != nil {
-			c.mem.written(a)
+			c.mem.recorded(a)
 		}
 	}
 }
--- a/internal/operate/claim_test.go
+++ b/internal/operate/claim_test.go
@@ -16,11 +16,11 @@
 
 const reserved = "01JE3W2S6P8N0Q4T7V9X1Z3B5D"
 
-func (f *fakeClaims) Lookup(_ context.Context, id string) (claim.Settlement, error) {
+func (f *fakeClaims) Lookup(_ context.Context, id string) (claim.LookupResult, error) {
 	if f.down {
-		return claim.Settlement{}, errors.New("platform unavailable")
+		return claim.LookupResult{}, errors.New("platform unavailable")
 	}
-	s := claim.Settlement{ReservationID: id, Found: id == reserved}
+	s := claim.LookupResult{ReservationID: id, Found: id == reserved}
 	if s.Found {
 		s.Record = claim.Record{Phase: claim.Sending, Host: "h1", Incarnation: 3, Service: "desk", Target: "desk-t1"}
 	}
--- a/internal/operate/execute.go
+++ b/internal/operate/execute.go
@@ -39,7 +39,7 @@
 
 // Claims tells what became of reservations.
 type Claims interface {
-	Lookup(ctx context.Context, reservation string) (claim.Settlement, error)
+	Lookup(ctx context.Context, reservation string) (claim.LookupResult, error)
 }
 
 // Target is what this host, as a relay, knows of a target.
--- a/internal/operate/state.go
+++ b/internal/operate/state.go
@@ -157,7 +157,7 @@
 	r := c.Record
 	for _, row := range [][]string{
 		{"phase", string(r.Phase)}, {"service", r.Service}, {"caller", r.Caller}, {"target", r.Target},
-		{"host", r.Host}, {"incarnation", number(r.Incarnation)}, {"host_alive", yes(c.OwnerAlive)}, {"attempt", r.Attempt},
+		{"host", r.Host}, {"incarnation", number(r.Incarnation)}, {"host_alive", yes(c.HostAlive)}, {"attempt", r.Attempt},
 		{"outcome", r.Outcome}, {"granted", yes(r.Granted)}, {"answer", r.Answer}, {"reason", string(r.Reason)},
 	} {
 		t.add(row...)
