Settings page speaks of fields by their names in the file; host: one lookup a factory

The page showed Go names ("StopTimeout bounds ..."), which an operator never writes. The code keeps its doc comments; the page puts the file's names in their place. Fields of the host's own settings begin with what they are.

A factory found each module with find(f, &u, name), u of type finds. It is a lookup now, which holds the finder and the first error. The regular expression "name" is validName; "faults" are injected failures elsewhere, so the errors of listen are problems, as in settings.

Events 8003 and 8103 say which setting to raise.

--- a/internal/host/docs_test.go
+++ b/internal/host/docs_test.go
@@ -201,7 +201,23 @@
 			text = own
 		}
 		for _, name := range f.Names {
-			p.comments[prefix+name.Name] = strings.ReplaceAll(strings.Join(strings.Fields(text), " "), "|", "or")
+			p.comments[prefix+name.Name] = strings.ReplaceAll(byFileNames(s, strings.Join(strings.Fields(text), " ")), "|", "or")
 		}
 	}
 }
+
+var jsonTag = regexp.MustCompile(`json:"(\w+)`)
+
+// byFileNames puts the fields' names in the file in the place of their Go
+// names, which say nothing to the reader of the page.
+func byFileNames(s *ast.StructType, text string) string {
+	for _, f := range s.Fields.List {
+		if f.Tag == nil || len(f.Names) == 0 {
+			continue
+		}
+		if m := jsonTag.FindStringSubmatch(f.Tag.Value); m != nil {
+			text = regexp.MustCompile(`\b`+f.Names[0].Name+`\b`).ReplaceAllString(text, "`"+m[1]+"`")
+		}
+	}
+	return text
+}
--- a/internal/host/events.go
+++ b/internal/host/events.go
@@ -15,8 +15,8 @@
 	evHostStopped = event.Define(8102, "host_stopped", plog.InfoLevel,
 		"The host has stopped and cut nothing off.", "none", "took")
 	evHostCut = event.Define(8103, "host_cut", plog.ErrorLevel,
-		"The stop reached its hard limit or a module failed to stop; the error names what was cut off.",
-		"Compare the hard limit with the longest budget of requests; look up what the error names.", "error", "took")
+		"The stop reached its hard limit, or a module failed to stop or overran its timeout; the error names the modules and what they cut off.",
+		"If calls were cut off, raise stop.hard_limit, and stop.module_timeout with it; if a module failed, its own error says what to mend.", "error", "took")
 	evStopRepeated = event.Define(8104, "stop_repeated", plog.InfoLevel,
 		"A stop was asked for again; the first one goes on and isn't shortened.", "none")
 	evReloaded = event.Define(8105, "settings_reloaded", plog.InfoLevel,
--- a/internal/host/listeners.go
+++ b/internal/host/listeners.go
@@ -12,11 +12,11 @@
 
 func listen(a Addresses) (listeners, error) {
 	var l listeners
-	var faults []error
+	var problems []error
 	open := func(field, address string) net.Listener {
 		ln, err := net.Listen("tcp", address)
 		if err != nil {
-			faults = append(faults, Error.New("listen for %s: %w", field, err))
+			problems = append(problems, Error.New("listen for %s: %w", field, err))
 			return nil
 		}
 		return ln
@@ -24,9 +24,9 @@
 	l.callers = open("callers", a.Callers)
 	l.operators = open("operators", a.Operators)
 	l.peers = open("peers", a.Peers)
-	if len(faults) > 0 {
+	if len(problems) > 0 {
 		l.close()
-		return listeners{}, errors.Join(faults...)
+		return listeners{}, errors.Join(problems...)
 	}
 	return l, nil
 }
--- a/internal/host/modules.go
+++ b/internal/host/modules.go
@@ -69,12 +69,12 @@
 }
 
 func (h *Host) newMembers(f kernel.Finder) (kernel.Module, error) {
-	var u finds
-	store := find[platform.Store](f, &u, modPlatform)
-	pool := find[peer.Dialer](f, &u, modPeerPool)
-	server := find[*peer.Server](f, &u, modPeerServer)
-	if u.err != nil {
-		return nil, u.err
+	l := lookup{finder: f}
+	store := find[platform.Store](&l, modPlatform)
+	pool := find[peer.Dialer](&l, modPeerPool)
+	server := find[*peer.Server](&l, modPeerServer)
+	if l.err != nil {
+		return nil, l.err
 	}
 	self := member.Host{
 		ID:            h.settings.ID,
@@ -88,13 +88,13 @@
 }
 
 func (h *Host) newCatalog(f kernel.Finder) (kernel.Module, error) {
-	var u finds
-	store := find[platform.Store](f, &u, modPlatform)
-	pool := find[peer.Dialer](f, &u, modPeerPool)
-	server := find[*peer.Server](f, &u, modPeerServer)
-	members := find[*member.Members](f, &u, modMembers)
-	if u.err != nil {
-		return nil, u.err
+	l := lookup{finder: f}
+	store := find[platform.Store](&l, modPlatform)
+	pool := find[peer.Dialer](&l, modPeerPool)
+	server := find[*peer.Server](&l, modPeerServer)
+	members := find[*member.Members](&l, modMembers)
+	if l.err != nil {
+		return nil, l.err
 	}
 	c := catalog.New(h.settings.Catalog, store, members, catalog.NewPeerPuller(pool), members, h.log, h.metrics)
 	members.Follow(c)
@@ -103,14 +103,14 @@
 }
 
 func (h *Host) newRelay(f kernel.Finder) (kernel.Module, error) {
-	var u finds
-	store := find[platform.Store](f, &u, modPlatform)
-	members := find[member.View](f, &u, modMembers)
-	services := find[catalog.View](f, &u, modCatalog)
-	pool := find[peer.Dialer](f, &u, modPeerPool)
-	server := find[*peer.Server](f, &u, modPeerServer)
-	if u.err != nil {
-		return nil, u.err
+	l := lookup{finder: f}
+	store := find[platform.Store](&l, modPlatform)
+	members := find[member.View](&l, modMembers)
+	services := find[catalog.View](&l, modCatalog)
+	pool := find[peer.Dialer](&l, modPeerPool)
+	server := find[*peer.Server](&l, modPeerServer)
+	if l.err != nil {
+		return nil, l.err
 	}
 	r := relay.New(h.settings.Relay, services, lastHostView{members}, store, h.log, h.metrics)
 	r.Teller = relayrpc.NewTeller(pool)
@@ -118,27 +118,27 @@
 }
 
 func (h *Host) newClaims(f kernel.Finder) (kernel.Module, error) {
-	var u finds
-	store := find[platform.Store](f, &u, modPlatform)
-	pool := find[peer.Dialer](f, &u, modPeerPool)
-	server := find[*peer.Server](f, &u, modPeerServer)
-	members := find[member.View](f, &u, modMembers)
-	services := find[catalog.View](f, &u, modCatalog)
-	sender := find[claim.Sender](f, &u, modRelay)
-	if u.err != nil {
-		return nil, u.err
+	l := lookup{finder: f}
+	store := find[platform.Store](&l, modPlatform)
+	pool := find[peer.Dialer](&l, modPeerPool)
+	server := find[*peer.Server](&l, modPeerServer)
+	members := find[member.View](&l, modMembers)
+	services := find[catalog.View](&l, modCatalog)
+	sender := find[claim.Sender](&l, modRelay)
+	if l.err != nil {
+		return nil, l.err
 	}
 	c := claim.New(h.settings.Claim, store, sender, claim.NewPeerAsker(pool), members, services, h.log, h.metrics)
 	return c, peerpb.DRPCRegisterClaims(server, c)
 }
 
 func (h *Host) newRelayRPC(f kernel.Finder) (kernel.Module, error) {
-	var u finds
-	server := find[*peer.Server](f, &u, modPeerServer)
-	searcher := find[relay.Searcher](f, &u, modRelay)
-	reserver := find[claim.Reserver](f, &u, modClaims)
-	if u.err != nil {
-		return nil, u.err
+	l := lookup{finder: f}
+	server := find[*peer.Server](&l, modPeerServer)
+	searcher := find[relay.Searcher](&l, modRelay)
+	reserver := find[claim.Reserver](&l, modClaims)
+	if l.err != nil {
+		return nil, l.err
 	}
 	s := relayrpc.NewServer(searcher, reserver)
 	h.parts.relayRPC = s
@@ -158,40 +158,40 @@
 }
 
 func (h *Host) newDelivery(f kernel.Finder) (kernel.Module, error) {
-	var u finds
-	store := find[platform.Store](f, &u, modPlatform)
-	members := find[member.View](f, &u, modMembers)
-	if u.err != nil {
-		return nil, u.err
+	l := lookup{finder: f}
+	store := find[platform.Store](&l, modPlatform)
+	members := find[member.View](&l, modMembers)
+	if l.err != nil {
+		return nil, l.err
 	}
 	return delivery.New(h.settings.Delivery, store, members, h.log, h.metrics), nil
 }
 
 func (h *Host) newCompactor(f kernel.Finder) (kernel.Module, error) {
-	var u finds
-	store := find[platform.Store](f, &u, modPlatform)
-	members := find[member.View](f, &u, modMembers)
-	services := find[catalog.View](f, &u, modCatalog)
-	if u.err != nil {
-		return nil, u.err
+	l := lookup{finder: f}
+	store := find[platform.Store](&l, modPlatform)
+	members := find[member.View](&l, modMembers)
+	services := find[catalog.View](&l, modCatalog)
+	if l.err != nil {
+		return nil, l.err
 	}
 	return delivery.NewCompactor(h.settings.Delivery, store, members, services.Services, h.log, h.metrics), nil
 }
 
 func (h *Host) newEntry(f kernel.Finder) (kernel.Module, error) {
-	var u finds
-	pool := find[peer.Dialer](f, &u, modPeerPool)
-	members := find[member.View](f, &u, modMembers)
-	cat := find[*catalog.Catalog](f, &u, modCatalog)
+	l := lookup{finder: f}
+	pool := find[peer.Dialer](&l, modPeerPool)
+	members := find[member.View](&l, modMembers)
+	cat := find[*catalog.Catalog](&l, modCatalog)
 	local := relays{
 		self:     h.settings.ID,
 		dialer:   pool,
-		searcher: find[relay.Searcher](f, &u, modRelay),
-		reserver: find[claim.Reserver](f, &u, modClaims),
+		searcher: find[relay.Searcher](&l, modRelay),
+		reserver: find[claim.Reserver](&l, modClaims),
 	}
-	recorder := find[delivery.Recorder](f, &u, modDelivery)
-	if u.err != nil {
-		return nil, u.err
+	recorder := find[delivery.Recorder](&l, modDelivery)
+	if l.err != nil {
+		return nil, l.err
 	}
 	return entry.New(h.settings.Entry, cat, lastHostView{members}, local, cat, recorder, h.log, h.metrics), nil
 }
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -26,7 +26,7 @@
 // Config of the package that uses it.
 type Settings struct {
 	ID            string     `json:"host"`           // name of the host, the same at each start
-	FailureDomain string     `json:"failure_domain"` // that the host stands in, as the services' targets name it
+	FailureDomain string     `json:"failure_domain"` // failure domain that the host stands in, named as in the services' targets
 	Addresses     Addresses  `json:"addresses"`
 	Operators     []Operator `json:"operators"`
 	Log           Log        `json:"log"`
@@ -46,27 +46,27 @@
 // 0 takes a free one. They are told to others as they stand, so none may be
 // the unspecified address.
 type Addresses struct {
-	Callers   string `json:"callers"`   // callers' API and health
-	Operators string `json:"operators"` // operators' API, health and metrics
-	Peers     string `json:"peers"`     // other hosts
+	Callers   string `json:"callers"`   // address of the callers' API and health
+	Operators string `json:"operators"` // address of the operators' API, health and metrics
+	Peers     string `json:"peers"`     // address that other hosts call
 }
 
 // Operator is a person or program that may run statements.
 type Operator struct {
-	Name  string          `json:"name"`  // as changes tell who made them
+	Name  string          `json:"name"`  // name that changes made by this operator are recorded under
 	Token settings.Secret `json:"token"` // bearer token, at least 16 characters
 }
 
 // Log is what is logged.
 type Log struct {
-	Level string `json:"level"` // debug, info, warn or error
+	Level string `json:"level"` // least level that is logged: debug, info, warn or error
 }
 
 // Stop is how the host leaves.
 type Stop struct {
-	BalancerLag   unit.Duration `json:"balancer_lag"`   // that the balancer goes on sending after readiness fails
-	ModuleTimeout unit.Duration `json:"module_timeout"` // for each module to stop
-	HardLimit     unit.Duration `json:"hard_limit"`     // after which the process ends and says what it cut
+	BalancerLag   unit.Duration `json:"balancer_lag"`   // how long the balancer goes on sending callers after readiness fails
+	ModuleTimeout unit.Duration `json:"module_timeout"` // longest that one module may take to stop
+	HardLimit     unit.Duration `json:"hard_limit"`     // time after which the process ends and says what it cut off
 }
 
 // Bounds of the settings.
@@ -98,7 +98,7 @@
 	}
 }
 
-var name = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
+var validName = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
 
 // Validate checks the host's own fields and what several parts must agree on;
 // the parts check themselves.
@@ -130,7 +130,7 @@
 	if value == "" {
 		return fmt.Errorf("%s is missing; want a name such as \"salt-lake-1\"", field)
 	}
-	if !name.MatchString(value) {
+	if !validName.MatchString(value) {
 		return fmt.Errorf("%s %q: want 1 to 63 lower-case letters, digits, dots or dashes", field, value)
 	}
 	return nil
--- a/internal/host/statements.go
+++ b/internal/host/statements.go
@@ -16,14 +16,14 @@
 )
 
 func (h *Host) newOperators(f kernel.Finder) (kernel.Module, error) {
-	var u finds
-	store := find[platform.Store](f, &u, modPlatform)
-	members := find[member.View](f, &u, modMembers)
-	cat := find[*catalog.Catalog](f, &u, modCatalog)
-	claims := find[*claim.Claims](f, &u, modClaims)
-	targets := find[*relay.Relay](f, &u, modRelay)
-	if u.err != nil {
-		return nil, u.err
+	l := lookup{finder: f}
+	store := find[platform.Store](&l, modPlatform)
+	members := find[member.View](&l, modMembers)
+	cat := find[*catalog.Catalog](&l, modCatalog)
+	claims := find[*claim.Claims](&l, modClaims)
+	targets := find[*relay.Relay](&l, modRelay)
+	if l.err != nil {
+		return nil, l.err
 	}
 	exec := operate.New(operate.Parts{
 		Members: members,
--- a/internal/kernel/events.go
+++ b/internal/kernel/events.go
@@ -16,7 +16,7 @@
 		"Read the error; it is most often an address in use or a wrong setting.", "module", "error")
 	evModuleStopFailed = event.Define(8003, "module_stop_failed", plog.ErrorLevel,
 		"A module stopped with an error or not within its deadline; the stop goes on.",
-		"Read the error: what the module had still to do may be lost.", "module", "error", "took")
+		"Read the error: what the module had still to write may be lost. If it ran out of time, raise stop.module_timeout.", "module", "error", "took")
 	evStateChanged = event.Define(8004, "state_changed", plog.InfoLevel,
 		"The host changed its state: starting, ready, leaving, stopped.", "none", "state")
 )
