Operate: errors and tables named for what they are, two rules stated once

Unclear before: wrong, wrongWith, noPlatform and refused built errors; told, possible, partly, wanted, stands and yes did not say that they build tables, errors or cells; in was a value. Now badRequest, platformUnavailable, refusal, changeTable, dryRunTable, partialFailure, newService, storedServices, yesNo. The status "unchanged" is a constant. Encoding errors name what they encode.

--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -21,7 +21,7 @@
 }
 
 func (e *Editor) publish(ctx context.Context, s Snapshot, by Author, dryRun bool, r Result) Result {
-	if err := e.checkSnapshot(s); err != nil {
+	if err := ValidateNewSnapshot(s, e.view); err != nil {
 		return r.refused(err)
 	}
 	s.Change = Change{ID: r.ChangeID, Operator: by.Operator, Reason: by.Reason}
@@ -39,15 +39,6 @@
 	return e.put(ctx, write{kind: r.Kind, name: r.Name, value: value, id: r.ChangeID}, r)
 }
 
-func (e *Editor) checkSnapshot(s Snapshot) error {
-	err := ValidateSnapshot(s, e.view.Services())
-	newest := e.view.Snapshots(s.Workload)
-	if len(newest) > 0 && s.ID <= newest[0].ID {
-		err = errors.Join(err, Error.New("id: %d is not above %d, the newest of the workload", s.ID, newest[0].ID))
-	}
-	return err
-}
-
 // RetireSnapshot deletes a snapshot. The newest of a workload is refused,
 // since requests are answered from it. A snapshot that is gone already counts
 // as accepted.
--- a/internal/catalog/validate.go
+++ b/internal/catalog/validate.go
@@ -113,6 +113,18 @@
 	return errors.Join(p...)
 }
 
+// ValidateNewSnapshot reports every problem of a snapshot that is to be
+// published, joined, or nil: those of ValidateSnapshot, and an id that is not
+// above those of the workload's other snapshots.
+func ValidateNewSnapshot(s Snapshot, inForce View) error {
+	err := ValidateSnapshot(s, inForce.Services())
+	newest := inForce.Snapshots(s.Workload)
+	if len(newest) > 0 && s.ID <= newest[0].ID {
+		err = errors.Join(err, Error.New("id: %d is not above %d, the newest of the workload", s.ID, newest[0].ID))
+	}
+	return err
+}
+
 // snapshot checks what can be seen in the snapshot alone.
 func (p *problems) snapshot(s Snapshot) {
 	p.name("workload", s.Workload)
--- a/internal/delivery/burn.go
+++ b/internal/delivery/burn.go
@@ -5,6 +5,8 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
@@ -34,6 +36,15 @@
 // BurnWindows are the spans over which burn is told, shortest first.
 var BurnWindows = []time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour, 3 * 24 * time.Hour}
 
+// WindowLabel writes a burn window without its zero parts: 5m, 1h, 6h, 3d.
+func WindowLabel(d time.Duration) string {
+	const day = 24 * time.Hour
+	if d >= day && d%day == 0 {
+		return strconv.Itoa(int(d/day)) + "d"
+	}
+	return strings.TrimSuffix(strings.TrimSuffix(d.String(), "0s"), "0m")
+}
+
 // Burn is how fast an objective's budget of bad requests was used over a time.
 // At 1 the budget lasts exactly as long as the objective's period.
 type Burn struct {
--- a/internal/delivery/gauge.go
+++ b/internal/delivery/gauge.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -56,7 +55,7 @@
 	for _, o := range report.Objectives {
 		for _, b := range o.Burns {
 			ch <- prometheus.MustNewConstMetric(g.rate, prometheus.GaugeValue, b.Rate,
-				o.Objective.Service, string(o.Objective.Aim), windowLabel(b.Window))
+				o.Objective.Service, string(o.Objective.Aim), WindowLabel(b.Window))
 		}
 	}
 	missing := len(report.Completeness.Open) + len(report.Completeness.Missing)
@@ -83,13 +82,3 @@
 	g.tell(&report)
 	return nil
 }
-
-// windowLabel names a burn window as it is usually written: 5m, 1h, 6h, 3d.
-func windowLabel(d time.Duration) string {
-	for label, known := range map[string]time.Duration{"5m": BurnWindows[0], "1h": BurnWindows[1], "6h": BurnWindows[2], "3d": BurnWindows[3]} {
-		if d == known {
-			return label
-		}
-	}
-	return d.String()
-}
--- a/internal/operate/change.go
+++ b/internal/operate/change.go
@@ -16,15 +16,15 @@
 )
 
 func (e *Executor) create(ctx context.Context, by catalog.Author, c lang.CreateService, dryRun bool) (*Table, error) {
-	s, err := wanted(c)
+	s, err := newService(c)
 	if err != nil {
 		return nil, err
 	}
 	return e.change(ctx, catalog.Request{Verb: catalog.Create, Service: s, DryRun: dryRun, Author: by})
 }
 
-// wanted returns the service that a create statement describes.
-func wanted(c lang.CreateService) (catalog.Service, error) {
+// newService returns the service that a create statement describes.
+func newService(c lang.CreateService) (catalog.Service, error) {
 	s := catalog.Service{Name: c.Name}
 	if len(c.Set) > 0 {
 		return assign(s, c.Set)
@@ -33,17 +33,17 @@
 		return s, err
 	}
 	if s.Name != c.Name {
-		return s, wrong("the JSON names service %q, the statement %q", s.Name, c.Name)
+		return s, badRequest("the JSON names service %q, the statement %q", s.Name, c.Name)
 	}
 	return s, nil
 }
 
 func (e *Executor) alter(ctx context.Context, by catalog.Author, a lang.AlterService, dryRun bool) (*Table, error) {
-	stands, err := e.read(ctx, a.Name)
+	stored, err := e.read(ctx, a.Name)
 	if err != nil {
 		return nil, err
 	}
-	s, err := assign(stands.Service, a.Set)
+	s, err := assign(stored.Service, a.Set)
 	if err != nil {
 		return nil, err
 	}
@@ -61,22 +61,19 @@
 	if err := decodeStrict(p.JSON, &s); err != nil {
 		return nil, err
 	}
-	if err := catalog.ValidateSnapshot(s, e.parts.Catalog.Services()); err != nil {
-		return nil, wrongWith(err)
+	if err := catalog.ValidateNewSnapshot(s, e.parts.Catalog); err != nil {
+		return nil, badRequestFrom(err)
 	}
-	if newest := e.parts.Catalog.Snapshots(s.Workload); len(newest) > 0 && s.ID <= newest[0].ID {
-		return nil, wrong("snapshot %d is not above %d, the newest of workload %s", s.ID, newest[0].ID, s.Workload)
-	}
-	return e.told(ctx, e.parts.Editor.PublishSnapshot(ctx, s, by, dryRun))
+	return e.changeTable(ctx, e.parts.Editor.PublishSnapshot(ctx, s, by, dryRun))
 }
 
 func (e *Executor) read(ctx context.Context, name string) (catalog.Stored, error) {
 	s, err := e.parts.Editor.Read(ctx, name)
 	switch {
 	case errors.Is(err, platform.ErrNotFound), err == nil && s.Service.Dropped:
-		return s, refused(query.ReasonUnknownService, outcome.NotSent, Error.New("there is no service %q", name))
+		return s, refusal(query.ReasonUnknownService, outcome.NotSent, Error.New("there is no service %q", name))
 	case err != nil:
-		return s, noPlatform(err)
+		return s, platformUnavailable(err)
 	}
 	return s, nil
 }
@@ -85,7 +82,7 @@
 	if err := validate(r); err != nil {
 		return nil, err
 	}
-	return e.told(ctx, e.parts.Editor.Change(ctx, r))
+	return e.changeTable(ctx, e.parts.Editor.Change(ctx, r))
 }
 
 func validate(r catalog.Request) error {
@@ -93,19 +90,19 @@
 		return nil
 	}
 	if err := catalog.ValidateService(r.Service); err != nil {
-		return wrongWith(err)
+		return badRequestFrom(err)
 	}
 	return nil
 }
 
-// told turns the result of a change into a table, or into a refusal that
+// changeTable turns the result of a change into a table, or into a refusal that
 // tells truly whether it was made.
-func (e *Executor) told(ctx context.Context, r catalog.Result) (*Table, error) {
+func (e *Executor) changeTable(ctx context.Context, r catalog.Result) (*Table, error) {
 	if err := refusalOf(r); err != nil {
 		return nil, err
 	}
 	if r.Status == catalog.Possible {
-		return possible(r), nil
+		return dryRunTable(r), nil
 	}
 	t := newTable("object", "status", "version", "revision", "change")
 	t.add(r.Kind+" "+r.Name, string(r.Status), unlessZero(r.Version), unlessZero(r.Revision), r.ChangeID)
@@ -113,11 +110,11 @@
 		t.note("accepted; later changes hide the revision, \"show config\" tells what is in force")
 		return t, nil
 	}
-	t.note("accepted at version %d; %s", r.Version, inForce(e.parts.Catalog.InForce(ctx, r.Revision)))
+	t.note("accepted at version %d; %s", r.Version, describeInForce(e.parts.Catalog.InForce(ctx, r.Revision)))
 	return t, nil
 }
 
-func possible(r catalog.Result) *Table {
+func dryRunTable(r catalog.Result) *Table {
 	t := newTable("field", "now", "then")
 	for _, d := range r.Changes {
 		t.add(d.Path, d.Stands, d.Wanted)
@@ -133,16 +130,16 @@
 	case r.Status == catalog.Accepted, r.Status == catalog.Possible:
 		return nil
 	case r.Status == catalog.Unknown:
-		return refused(query.ReasonUnsettled, outcome.Unknown,
+		return refusal(query.ReasonUnsettled, outcome.Unknown,
 			Error.New("%s %s, change %s: %s; look at the object before trying again", r.Kind, r.Name, r.ChangeID, problems))
 	case r.Lost != nil:
-		return refused(query.ReasonConflict, outcome.Rejected, Error.New("%s; %s", problems, lost(r.Lost)))
+		return refusal(query.ReasonConflict, outcome.Rejected, Error.New("%s; %s", problems, lostRace(r.Lost)))
 	}
-	return refused(query.ReasonPlatform, outcome.NotSent, Error.New("%s", problems))
+	return refusal(query.ReasonPlatform, outcome.NotSent, Error.New("%s", problems))
 }
 
-// lost tells who won, when, and what differs.
-func lost(l *catalog.LostRace) string {
+// lostRace describes who won, when, and what differs.
+func lostRace(l *catalog.LostRace) string {
 	if l.Version == 0 {
 		return "nothing stands under that name"
 	}
@@ -174,12 +171,16 @@
 // to drain a target does not depend on the other fields.
 const drainTries = 4
 
+// statusUnchanged is the status of a drain or undrain that the target has
+// already; nothing is written for it.
+const statusUnchanged catalog.Status = "unchanged"
+
 // drain takes a target out of use or into use again, in one service or in
 // every one that has it.
 func (e *Executor) drain(ctx context.Context, by catalog.Author, target, service string, drained, dryRun bool) (*Table, error) {
 	services := e.servicesOf(target, service)
 	if len(services) == 0 {
-		return nil, refused(query.ReasonUnknownService, outcome.NotSent, Error.New("no service in force here has target %q", target))
+		return nil, refusal(query.ReasonUnknownService, outcome.NotSent, Error.New("no service in force here has target %q", target))
 	}
 	t := newTable("service", "target", "drained", "status", "version", "revision", "change")
 	var failures []error
@@ -189,13 +190,13 @@
 			failures = append(failures, err)
 			continue
 		}
-		t.add(name, target, yes(drained), string(r.Status), unlessZero(r.Version), unlessZero(r.Revision), r.ChangeID)
+		t.add(name, target, yesNo(drained), string(r.Status), unlessZero(r.Version), unlessZero(r.Revision), r.ChangeID)
 		if r.Revision > 0 {
-			t.note("%s: %s", name, inForce(e.parts.Catalog.InForce(ctx, r.Revision)))
+			t.note("%s: %s", name, describeInForce(e.parts.Catalog.InForce(ctx, r.Revision)))
 		}
 	}
 	if len(failures) > 0 {
-		return nil, partly(t, failures)
+		return nil, partialFailure(t, failures)
 	}
 	if dryRun {
 		t.note("dry run: nothing was written")
@@ -217,19 +218,19 @@
 func (e *Executor) drainIn(ctx context.Context, by catalog.Author, target, service string, drained, dryRun bool) (catalog.Result, error) {
 	var r catalog.Result
 	for range drainTries {
-		stands, err := e.read(ctx, service)
+		stored, err := e.read(ctx, service)
 		if err != nil {
 			return r, err
 		}
-		s, changed, err := withDrained(stands.Service, target, drained)
+		s, changed, err := withDrained(stored.Service, target, drained)
 		if err != nil {
 			return r, err
 		}
 		if !changed {
-			return catalog.Result{Status: "unchanged", Version: stands.Version, Revision: stands.Revision}, nil
+			return catalog.Result{Status: statusUnchanged, Version: stored.Version, Revision: stored.Revision}, nil
 		}
 		r = e.parts.Editor.Change(ctx, catalog.Request{
-			Verb: catalog.Alter, Service: s, Version: stands.Version, DryRun: dryRun, Author: by,
+			Verb: catalog.Alter, Service: s, Version: stored.Version, DryRun: dryRun, Author: by,
 		})
 		if r.Lost == nil {
 			break
@@ -241,7 +242,7 @@
 func withDrained(s catalog.Service, target string, drained bool) (catalog.Service, bool, error) {
 	i := slices.IndexFunc(s.Targets, func(t catalog.Target) bool { return t.ID == target })
 	if i < 0 {
-		return s, false, refused(query.ReasonConflict, outcome.NotSent, Error.New("service %s has no target %q any more", s.Name, target))
+		return s, false, refusal(query.ReasonConflict, outcome.NotSent, Error.New("service %s has no target %q any more", s.Name, target))
 	}
 	changed := s.Targets[i].Drained != drained
 	s.Targets = slices.Clone(s.Targets)
@@ -249,9 +250,9 @@
 	return s, changed, nil
 }
 
-// partly tells which services were changed and which were not. The outcome is
-// that of a request whose attempts had these outcomes.
-func partly(done *Table, failures []error) error {
+// partialFailure refuses a drain and tells in which services it was made and in
+// which not. Its outcome is that of a request whose attempts had these outcomes.
+func partialFailure(done *Table, failures []error) error {
 	o := outcome.NotSent
 	details := make([]string, 0, len(failures))
 	reason := query.ReasonConflict
@@ -266,5 +267,5 @@
 		o = outcome.Combine(o, outcome.Failed)
 		details = append(details, "done in service "+row[0])
 	}
-	return refused(reason, o, Error.New("%s", strings.Join(details, "; ")))
+	return refusal(reason, o, Error.New("%s", strings.Join(details, "; ")))
 }
--- a/internal/operate/execute.go
+++ b/internal/operate/execute.go
@@ -83,7 +83,7 @@
 	stmt, prefixed := lang.Unwrap(stmt)
 	_, changes := stmt.(lang.Change)
 	if dryRun && !changes {
-		return Table{}, wrong("a dry run is of a change, and %q changes nothing", stmt)
+		return Table{}, badRequest("a dry run is of a change, and %q changes nothing", stmt)
 	}
 	t, err := e.execute(ctx, catalog.Author{Operator: operator}, stmt, dryRun || prefixed)
 	if err != nil {
@@ -96,7 +96,7 @@
 func (e *Executor) ExecuteText(ctx context.Context, operator, text string, dryRun bool) (Table, error) {
 	stmt, err := lang.Parse(text)
 	if err != nil {
-		return Table{}, wrongWith(err)
+		return Table{}, badRequestFrom(err)
 	}
 	return e.Execute(ctx, operator, stmt, dryRun)
 }
@@ -120,7 +120,7 @@
 	case lang.PublishSnapshot:
 		return e.publish(ctx, by, s, dryRun)
 	}
-	return nil, wrong("%q is a caller's statement; send it to a host's caller address", stmt)
+	return nil, badRequest("%q is a caller's statement; send it to a host's caller address", stmt)
 }
 
 func (e *Executor) show(ctx context.Context, s lang.Show) (*Table, error) {
--- a/internal/operate/fields.go
+++ b/internal/operate/fields.go
@@ -19,6 +19,7 @@
 	ruleFields    = settable(catalog.Rules{})
 )
 
+// settable returns the JSON names of the fields of the struct v.
 func settable(v any, except ...string) []string {
 	var names []string
 	t := reflect.TypeOf(v)
@@ -34,11 +35,11 @@
 // assign returns the service with the fields set. Rules may be named with or
 // without their prefix; null gives a field its default.
 func assign(s catalog.Service, set []lang.Assignment) (catalog.Service, error) {
-	whole, err := object(s)
+	whole, err := fieldsOf(s)
 	if err != nil {
 		return s, err
 	}
-	rules, err := object(s.Rules)
+	rules, err := fieldsOf(s.Rules)
 	if err != nil {
 		return s, err
 	}
@@ -46,18 +47,18 @@
 		rule := strings.TrimPrefix(a.Key, rulesPrefix)
 		switch {
 		case slices.Contains(serviceFields, a.Key):
-			put(whole, a.Key, a.Value.Raw())
+			setField(whole, a.Key, a.Value.Raw())
 		case slices.Contains(ruleFields, rule):
-			put(rules, rule, a.Value.Raw())
+			setField(rules, rule, a.Value.Raw())
 		default:
-			return s, wrong("no field %q, want one of %s", a.Key, strings.Join(slices.Concat(serviceFields, ruleFields), ", "))
+			return s, badRequest("no field %q, want one of %s", a.Key, strings.Join(slices.Concat(serviceFields, ruleFields), ", "))
 		}
 	}
-	return compose(whole, rules)
+	return assemble(whole, rules)
 }
 
-// put sets a field, or takes it out for null.
-func put(m map[string]json.RawMessage, key string, value json.RawMessage) {
+// setField sets a field, or takes it out for null.
+func setField(m map[string]json.RawMessage, key string, value json.RawMessage) {
 	if string(value) == "null" {
 		delete(m, key)
 		return
@@ -65,23 +66,25 @@
 	m[key] = value
 }
 
-func object(v any) (map[string]json.RawMessage, error) {
+// fieldsOf takes the JSON form of v apart by field.
+func fieldsOf(v any) (map[string]json.RawMessage, error) {
 	b, err := json.Marshal(v)
 	if err != nil {
-		return nil, Error.Wrap(err)
+		return nil, Error.New("encode %T: %w", v, err)
 	}
 	var m map[string]json.RawMessage
 	return m, Error.Wrap(json.Unmarshal(b, &m))
 }
 
-func compose(whole, rules map[string]json.RawMessage) (catalog.Service, error) {
+// assemble returns the service that has these fields and rules.
+func assemble(whole, rules map[string]json.RawMessage) (catalog.Service, error) {
 	b, err := json.Marshal(rules)
 	if err != nil {
-		return catalog.Service{}, Error.Wrap(err)
+		return catalog.Service{}, Error.New("encode rules: %w", err)
 	}
 	whole["rules"] = b
 	if b, err = json.Marshal(whole); err != nil {
-		return catalog.Service{}, Error.Wrap(err)
+		return catalog.Service{}, Error.New("encode service: %w", err)
 	}
 	var s catalog.Service
 	return s, decodeStrict(b, &s)
@@ -92,7 +95,7 @@
 	d := json.NewDecoder(bytes.NewReader(b))
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
-		return wrong("%w", err)
+		return badRequest("%w", err)
 	}
 	return nil
 }
--- a/internal/operate/reports.go
+++ b/internal/operate/reports.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"strconv"
-	"strings"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/delivery"
@@ -66,7 +65,7 @@
 	var order [][]string
 	for _, l := range report.Lines {
 		group := cells(l.Key, by)
-		key := strings.Join(group, "\x00")
+		key := groupKey(group)
 		if counts[key] == nil {
 			counts[key] = map[delivery.Band]uint64{}
 			order = append(order, group)
@@ -74,7 +73,7 @@
 		counts[key][l.Key.Band] += l.Sums.Count
 	}
 	for _, group := range order {
-		t.add(append(group, bandCells(counts[strings.Join(group, "\x00")])...)...)
+		t.add(append(group, bandCells(counts[groupKey(group)])...)...)
 	}
 	return t
 }
@@ -102,11 +101,11 @@
 		q.Where = append(q.Where, delivery.Filter{Field: delivery.Field(c.Field), Not: c.Not, Value: c.Value})
 	}
 	if err := q.Validate(); err != nil {
-		return delivery.Report{}, wrongWith(err)
+		return delivery.Report{}, badRequestFrom(err)
 	}
 	report, err := e.parts.Reports.Report(ctx, q)
 	if err != nil {
-		return report, noPlatform(err)
+		return report, platformUnavailable(err)
 	}
 	return report, nil
 }
@@ -129,7 +128,7 @@
 func (e *Executor) showRecords(ctx context.Context, s lang.Show) (*Table, error) {
 	records, completeness, err := e.parts.Reports.Records(ctx, s.Since, func(delivery.Record) bool { return true })
 	if err != nil {
-		return nil, noPlatform(err)
+		return nil, platformUnavailable(err)
 	}
 	t := newTable(fieldRequest, "reservation", "caller", "service", "outcome", "reason", "coverage", "snapshot", "latency", "host", "until")
 	for _, r := range records {
@@ -147,17 +146,17 @@
 
 func (e *Executor) showBurn(ctx context.Context, s lang.Show) (*Table, error) {
 	if s.Since != 0 || len(s.By) > 0 {
-		return nil, wrong("show burn has spans of its own, so it takes neither since nor by")
+		return nil, badRequest("show burn has spans of its own, so it takes neither since nor by")
 	}
 	report, err := e.parts.Reports.Burn(ctx, e.parts.Catalog.Services())
 	if err != nil {
-		return nil, noPlatform(err)
+		return nil, platformUnavailable(err)
 	}
 	t := newTable("service", "objective", "target")
 	for _, w := range delivery.BurnWindows {
-		t.Columns = append(t.Columns, "burn_"+span(w))
+		t.Columns = append(t.Columns, "burn_"+delivery.WindowLabel(w))
 	}
-	t.Columns = append(t.Columns, "bad_"+span(delivery.BurnWindows[1]), "requests_"+span(delivery.BurnWindows[1]))
+	t.Columns = append(t.Columns, "bad_"+delivery.WindowLabel(delivery.BurnWindows[1]), "requests_"+delivery.WindowLabel(delivery.BurnWindows[1]))
 	for _, o := range report.Objectives {
 		row := []string{o.Objective.Service, string(o.Objective.Aim), target(o.Objective)}
 		for _, b := range o.Burns {
@@ -181,7 +180,7 @@
 	return percent(o.Ratio) + " from every shard"
 }
 
-// noteCompleteness says what the report lacks, and up to when it is whole.
+// noteCompleteness notes the time that the report covers, and what it lacks.
 func (t *Table) noteCompleteness(c delivery.Completeness) {
 	t.note("from %s to %s, %d windows", moment(c.From), moment(c.To), c.Windows)
 	if c.Folded > 0 {
@@ -231,12 +230,3 @@
 	}
 	return strconv.FormatFloat(float64(a)/float64(b), 'f', 3, 64)
 }
-
-// span writes a duration without its zero parts: 5m, 6h, 3d.
-func span(d time.Duration) string {
-	const day = 24 * time.Hour
-	if d >= day && d%day == 0 {
-		return strconv.Itoa(int(d/day)) + "d"
-	}
-	return strings.TrimSuffix(strings.TrimSuffix(d.String(), "0s"), "0m")
-}
--- a/internal/operate/state.go
+++ b/internal/operate/state.go
@@ -24,25 +24,26 @@
 	return t
 }
 
-// services tells the services in force here, and the versions that stand in
-// the platform, which a change must name.
+// services lists the services in force here with their versions in the
+// platform, which a change must name.
 func (e *Executor) services(ctx context.Context) *Table {
 	t := newTable("service", "workload", "urgency", "targets", "drained", "latency_objective", "latency_ratio",
 		"coverage_ratio", "version", "revision")
-	stands, err := e.stands(ctx)
+	stored, err := e.storedServices(ctx)
 	if err != nil {
 		t.note("versions are not known, as the platform can't be read: %s", oneLine(err))
 	}
 	for _, s := range e.parts.Catalog.Services() {
-		o := stands[s.Name]
-		t.add(s.Name, s.Workload, string(s.Urgency), strconv.Itoa(len(s.Targets)), strconv.Itoa(drained(s)),
+		o := stored[s.Name]
+		t.add(s.Name, s.Workload, string(s.Urgency), strconv.Itoa(len(s.Targets)), strconv.Itoa(drainedTargets(s)),
 			s.Rules.LatencyObjective.String(), fraction(s.Rules.LatencyRatio), fraction(s.Rules.CoverageRatio),
 			unlessZero(o.Version), unlessZero(o.Revision))
 	}
 	return t
 }
 
-func (e *Executor) stands(ctx context.Context) (map[string]platform.Object, error) {
+// storedServices returns the service objects as the platform holds them now.
+func (e *Executor) storedServices(ctx context.Context) (map[string]platform.Object, error) {
 	l, err := e.parts.Store.List(ctx, platform.KindService)
 	if err != nil {
 		return nil, err
@@ -54,7 +55,7 @@
 	return byName, nil
 }
 
-func drained(s catalog.Service) int {
+func drainedTargets(s catalog.Service) int {
 	n := 0
 	for _, t := range s.Targets {
 		if t.Drained {
@@ -64,7 +65,7 @@
 	return n
 }
 
-// targets tells the targets of the services in force here. Their state is
+// targets lists the targets of the services in force here. Their state is
 // known only to the hosts that relay them.
 func (e *Executor) targets() *Table {
 	t := newTable("service", "target", "failure_domain", "address", "slots", "drained", "state", "in_flight", "limit",
@@ -72,7 +73,7 @@
 	relayed := e.relayed()
 	for _, s := range e.parts.Catalog.Services() {
 		for _, c := range s.Targets {
-			row := []string{s.Name, c.ID, c.FailureDomain, c.Address, strconv.Itoa(c.Slots), yes(c.Drained)}
+			row := []string{s.Name, c.ID, c.FailureDomain, c.Address, strconv.Itoa(c.Slots), yesNo(c.Drained)}
 			t.add(append(row, stateOf(relayed[[2]string{s.Name, c.ID}])...)...)
 		}
 	}
@@ -103,23 +104,24 @@
 	}
 }
 
-// config tells the revision in force on each host, and who lacks the newest
-// one that any host has reported.
+// config lists the revision in force on each host, and which hosts lack the
+// newest one that any host has reported.
 func (e *Executor) config(ctx context.Context) *Table {
 	t := newTable("host", "failure_domain", "state", "revision", "has_newest")
 	newest := e.newest()
-	in := e.parts.Catalog.InForce(ctx, newest)
+	f := e.parts.Catalog.InForce(ctx, newest)
 	for _, h := range e.parts.Members.Hosts() {
-		revision := max(h.Revision, in.Told[h.ID])
-		t.add(h.ID, h.FailureDomain, string(h.State), number(revision), yes(!slices.Contains(in.Missing, h.ID)))
+		revision := max(h.Revision, f.Told[h.ID])
+		t.add(h.ID, h.FailureDomain, string(h.State), number(revision), yesNo(!slices.Contains(f.Missing, h.ID)))
 	}
-	t.note("%s", inForce(in))
+	t.note("%s", describeInForce(f))
 	if e.parts.Catalog.Stale() {
 		t.note("host %s is cut off from platform and peers, so a newer revision may be in force elsewhere", e.parts.Members.Self().ID)
 	}
 	return t
 }
 
+// newest returns the newest revision that any host has reported.
 func (e *Executor) newest() uint64 {
 	newest := e.parts.Catalog.Revision()
 	for _, h := range e.parts.Members.Hosts() {
@@ -128,24 +130,24 @@
 	return newest
 }
 
-func inForce(in catalog.InForce) string {
-	text := fmt.Sprintf("revision %d is in force on %d of %d hosts", in.Revision, in.On, in.Of)
-	if len(in.Missing) > 0 {
-		text += ", not yet on " + strings.Join(in.Missing, ", ")
+func describeInForce(f catalog.InForce) string {
+	text := fmt.Sprintf("revision %d is in force on %d of %d hosts", f.Revision, f.On, f.Of)
+	if len(f.Missing) > 0 {
+		text += ", not yet on " + strings.Join(f.Missing, ", ")
 	}
 	return text
 }
 
 func (e *Executor) showClaim(ctx context.Context, s lang.ShowClaim) (*Table, error) {
 	if e.parts.Claims == nil {
-		return nil, wrong("this host keeps no reservations")
+		return nil, badRequest("this host keeps no reservations")
 	}
 	if _, err := ulid.ParseStrict(s.ID); err != nil {
-		return nil, wrong("reservation id %q: %w", s.ID, err)
+		return nil, badRequest("reservation id %q: %w", s.ID, err)
 	}
 	c, err := e.parts.Claims.Lookup(ctx, s.ID)
 	if err != nil {
-		return nil, noPlatform(err)
+		return nil, platformUnavailable(err)
 	}
 	t := newTable("field", "value")
 	t.add("reservation", c.ReservationID)
@@ -157,8 +159,8 @@
 	r := c.Record
 	for _, row := range [][]string{
 		{"phase", string(r.Phase)}, {"service", r.Service}, {"caller", r.Caller}, {"target", r.Target},
-		{"host", r.Host}, {"incarnation", number(r.Incarnation)}, {"host_alive", yes(c.HostAlive)}, {"attempt", r.Attempt},
-		{"outcome", r.Outcome}, {"granted", yes(r.Granted)}, {"answer", r.Answer}, {"reason", string(r.Reason)},
+		{"host", r.Host}, {"incarnation", number(r.Incarnation)}, {"host_alive", yesNo(c.HostAlive)}, {"attempt", r.Attempt},
+		{"outcome", r.Outcome}, {"granted", yesNo(r.Granted)}, {"answer", r.Answer}, {"reason", string(r.Reason)},
 	} {
 		t.add(row...)
 	}
@@ -167,6 +169,7 @@
 
 func number(n uint64) string { return strconv.FormatUint(n, 10) }
 
+// unlessZero returns n as text, empty for 0, which stands for not known.
 func unlessZero(n uint64) string {
 	if n == 0 {
 		return ""
@@ -176,7 +179,7 @@
 
 func fraction(f float64) string { return strconv.FormatFloat(f, 'f', -1, 64) }
 
-func yes(b bool) string {
+func yesNo(b bool) string {
 	if b {
 		return "yes"
 	}
--- a/internal/operate/table.go
+++ b/internal/operate/table.go
@@ -1,7 +1,6 @@
 package operate
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -14,17 +13,18 @@
 type Table struct {
 	Columns []string
 	Rows    [][]string
-	Message string
+	Message string // notes on the rows, such as what they lack
 }
 
 func newTable(columns ...string) *Table { return &Table{Columns: columns} }
 
 func (t *Table) add(cells ...string) { t.Rows = append(t.Rows, cells) }
 
-// refine applies the clauses of a Show statement to a table of present state.
+// refine applies the clauses of a Show statement to a table of the present
+// state, which has no history.
 func (t *Table) refine(s lang.Show) error {
 	if s.Since != 0 {
-		return wrong("show %s tells the present, so it takes no since", s.Subject)
+		return badRequest("show %s tells the present, so it takes no since", s.Subject)
 	}
 	if err := t.where(s.Where); err != nil {
 		return err
@@ -52,7 +52,7 @@
 func (t *Table) column(name string) (int, error) {
 	i := slices.Index(t.Columns, name)
 	if i < 0 {
-		return 0, wrong("no field %q, want one of %s", name, strings.Join(t.Columns, ", "))
+		return 0, badRequest("no field %q, want one of %s", name, strings.Join(t.Columns, ", "))
 	}
 	return i, nil
 }
@@ -77,20 +77,23 @@
 		for _, i := range columns {
 			cells = append(cells, row[i])
 		}
-		key := strings.Join(cells, "\x00")
+		key := groupKey(cells)
 		if counts[key] == 0 {
 			grouped.add(cells...)
 		}
 		counts[key]++
 	}
 	for i, cells := range grouped.Rows {
-		grouped.Rows[i] = append(cells, strconv.Itoa(counts[strings.Join(cells, "\x00")]))
+		grouped.Rows[i] = append(cells, strconv.Itoa(counts[groupKey(cells)]))
 	}
 	slices.SortFunc(grouped.Rows, slices.Compare)
 	t.Columns, t.Rows = grouped.Columns, grouped.Rows
 	return nil
 }
 
+// groupKey joins the cells that rows are grouped by into a map key.
+func groupKey(cells []string) string { return strings.Join(cells, "\x00") }
+
 // limit keeps the first rows and says how many there were.
 func (t *Table) limit(n int) {
 	if n == 0 || len(t.Rows) <= n {
@@ -102,6 +105,8 @@
 
 // note adds a sentence to the message.
 func (t *Table) note(format string, args ...any) {
-	t.Message = cmp.Or(t.Message+"; ", "; ")
-	t.Message = strings.TrimPrefix(t.Message+fmt.Sprintf(format, args...), "; ")
+	if t.Message != "" {
+		t.Message += "; "
+	}
+	t.Message += fmt.Sprintf(format, args...)
 }
