Kernel: names that a Go reader expects

make had the name of a builtin (construct), named and overrun said nothing of a module (namedModule, awaitReturn), and faults are injected failures in the rest of the tree (problems). Order was called by nothing and is gone.

Behaviour as before; tests of kernel and host pass.

--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -24,12 +24,12 @@
 	injector    *do.RootScope
 	names       []string            // as registered
 	deps        map[string][]string // by module
-	faults      []error             // of Register, reported by Build
-	built       []named             // dependencies first
+	problems    []error             // of Register, reported by Build
+	built       []namedModule       // dependencies first
 	started     int                 // how many of built have started
 }
 
-type named struct {
+type namedModule struct {
 	name   string
 	module Module
 }
@@ -48,22 +48,22 @@
 
 // Register adds a module under a name that no other module has. deps name the
 // modules that it finds and that start before it; they may be registered
-// later. A fault is reported by Build.
+// later. A problem is reported by Build.
 func (k *Kernel) Register(name string, factory Factory, deps ...string) {
 	if _, taken := k.deps[name]; taken {
-		k.faults = append(k.faults, Error.New("module %q is registered twice", name))
+		k.problems = append(k.problems, Error.New("module %q is registered twice", name))
 		return
 	}
 	k.names = append(k.names, name)
 	k.deps[name] = deps
 	do.ProvideNamed(k.injector, name, func(i do.Injector) (Module, error) {
-		return k.make(name, factory, i)
+		return k.construct(name, factory, i)
 	})
 }
 
-// make builds the dependencies of a module, then the module. The order in
+// construct makes the dependencies of a module, then the module. The order in
 // which modules are finished is the order in which they start.
-func (k *Kernel) make(name string, factory Factory, i do.Injector) (Module, error) {
+func (k *Kernel) construct(name string, factory Factory, i do.Injector) (Module, error) {
 	for _, dep := range k.deps[name] {
 		if _, err := do.InvokeNamed[Module](i, dep); err != nil {
 			return nil, err
@@ -73,16 +73,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("module %q: %w", name, err)
 	}
-	k.built = append(k.built, named{name, m})
+	k.built = append(k.built, namedModule{name, m})
 	return m, nil
 }
 
 // Build makes every module and starts none. The error names each module
 // registered twice, each unknown dependency, and the modules of a cycle.
 func (k *Kernel) Build() error {
-	faults := append(k.faults, k.unknownDependencies()...)
-	if len(faults) > 0 {
-		return Error.Wrap(errors.Join(faults...))
+	problems := append(k.problems, k.unknownDependencies()...)
+	if len(problems) > 0 {
+		return Error.Wrap(errors.Join(problems...))
 	}
 	for _, name := range k.names {
 		if _, err := do.InvokeNamed[Module](k.injector, name); err != nil {
@@ -93,15 +93,15 @@
 }
 
 func (k *Kernel) unknownDependencies() []error {
-	var faults []error
+	var problems []error
 	for _, name := range k.names {
 		for _, dep := range k.deps[name] {
 			if _, known := k.deps[dep]; !known {
-				faults = append(faults, Error.New("module %q depends on %q, which is not registered", name, dep))
+				problems = append(problems, Error.New("module %q depends on %q, which is not registered", name, dep))
 			}
 		}
 	}
-	return faults
+	return problems
 }
 
 // Start starts the modules, each after those it depends on, and makes the
@@ -127,18 +127,18 @@
 // stopping; every error is returned.
 func (k *Kernel) Stop(ctx context.Context) error {
 	k.Advance(Leaving)
-	var faults []error
+	var problems []error
 	for k.started > 0 {
 		k.started--
 		if err := k.stop(ctx, k.built[k.started]); err != nil {
-			faults = append(faults, err)
+			problems = append(problems, err)
 		}
 	}
 	k.Advance(Stopped)
-	return Error.Wrap(errors.Join(faults...))
+	return Error.Wrap(errors.Join(problems...))
 }
 
-func (k *Kernel) stop(ctx context.Context, m named) error {
+func (k *Kernel) stop(ctx context.Context, m namedModule) error {
 	ctx, cancel := context.WithTimeout(ctx, k.stopTimeout)
 	defer cancel()
 	began := time.Now()
@@ -149,7 +149,7 @@
 	select {
 	case err = <-done:
 	case <-ctx.Done():
-		err = overrun(ctx, done)
+		err = awaitReturn(ctx, done)
 	}
 	if err != nil {
 		k.log.Event(evModuleStopFailed).Str("module", m.name).Err(err).Dur("took", time.Since(began)).Msg("")
@@ -159,15 +159,17 @@
 	return nil
 }
 
-// returnTime is how long a module may take to return once its stop deadline
+// returnGrace is how long a module may take to return once its stop deadline
 // has passed, so that its own error is reported rather than ours.
-const returnTime = 100 * time.Millisecond
+const returnGrace = 100 * time.Millisecond
 
-func overrun(ctx context.Context, done <-chan error) error {
+// awaitReturn gives a module that has overrun its deadline a last moment to
+// return.
+func awaitReturn(ctx context.Context, done <-chan error) error {
 	select {
 	case err := <-done:
 		return err
-	case <-time.After(returnTime):
+	case <-time.After(returnGrace):
 		return fmt.Errorf("still stopping, left behind: %w", ctx.Err())
 	}
 }
@@ -179,15 +181,6 @@
 	}
 }
 
-// Order returns the names of the modules in the order in which they start.
-func (k *Kernel) Order() []string {
-	names := make([]string, len(k.built))
-	for i, m := range k.built {
-		names[i] = m.name
-	}
-	return names
-}
-
 // Finder finds modules by name for a factory.
 type Finder struct {
 	injector do.Injector
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -110,7 +110,7 @@
 		err := k.Stop(t.Context())
 		is.True(errors.Is(err, context.DeadlineExceeded))
 		is.True(strings.Contains(err.Error(), `"slow"`))
-		is.Equal(time.Since(began), k.stopTimeout+returnTime)
+		is.Equal(time.Since(began), k.stopTimeout+returnGrace)
 		is.Equal(journal[len(journal)-1], "stop a")
 		time.Sleep(2 * time.Hour) // let the module end, as the bubble wants
 	})
--- a/internal/kernel/lifecycle.go
+++ b/internal/kernel/lifecycle.go
@@ -1,8 +1,6 @@
 package kernel
 
-import (
-	"sync"
-)
+import "sync"
 
 // State is how far a host is in its life. It only grows.
 type State uint8
