--- a/internal/lang/convert.go
+++ b/internal/lang/convert.go
@@ -9,8 +9,8 @@
 	"github.com/alecthomas/participle/v2/lexer"
 )
 
-// converter turns the grammar's nodes into statements and keeps the first
-// error, so that the conversions read as one step a line.
+// converter turns the grammar's nodes into statements. It keeps the first error,
+// which its caller reads at the end, so no conversion returns one.
 type converter struct {
 	err *Error
 }
@@ -21,8 +21,9 @@
 	}
 }
 
+// statement converts one statement, and refuses a dry run of what changes nothing.
 func (c *converter) statement(n *statement) Statement {
-	s := c.inner(n)
+	s := c.withoutPrefix(n)
 	if !n.DryRun {
 		return s
 	}
@@ -34,7 +35,8 @@
 	return DryRun{Change: change}
 }
 
-func (c *converter) inner(n *statement) Statement {
+// withoutPrefix converts the statement after its "dry run", if it has one.
+func (c *converter) withoutPrefix(n *statement) Statement {
 	switch {
 	case n.Search != nil:
 		return c.search(n.Search)
@@ -172,7 +174,7 @@
 	if n == nil {
 		return ""
 	}
-	text := dequote(n.Text)
+	text := unquoteOptional(n.Text)
 	if text == "" {
 		c.fail(n.Pos, n.Text, "a name that is not empty")
 	}
@@ -180,7 +182,7 @@
 }
 
 func (c *converter) id(n *idNode) string {
-	text := dequote(n.Text)
+	text := unquoteOptional(n.Text)
 	if text == "" {
 		c.fail(n.Pos, n.Text, "a reservation id, a ULID")
 	}
@@ -227,7 +229,7 @@
 	return v
 }
 
-// clauses refuses a clause or key that is given twice.
+// clauses remembers the clauses or keys of one statement, to refuse a second one.
 type clauses struct {
 	c    *converter
 	seen map[string]bool
@@ -244,7 +246,8 @@
 	s.seen[clause] = true
 }
 
-func dequote(s string) string {
+// unquoteOptional reads a name, with or without double quotes.
+func unquoteOptional(s string) string {
 	if strings.HasPrefix(s, `"`) {
 		return unquote(s)
 	}
--- a/internal/lang/format.go
+++ b/internal/lang/format.go
@@ -7,6 +7,7 @@
 	"time"
 )
 
+// bare matches the names that need no quotes.
 var bare = regexp.MustCompile(`^[A-Za-z_][A-Za-z0-9_.\-]*$`)
 
 // String returns the statement in its canonical form.
@@ -42,8 +43,8 @@
 	var b strings.Builder
 	b.WriteString("show " + string(s.Subject))
 	for i, c := range s.Where {
-		b.WriteString(pick(i == 0, " where ", " and "))
-		b.WriteString(c.Field + pick(c.Not, " != ", " = ") + quote(c.Value))
+		b.WriteString(ifElse(i == 0, " where ", " and "))
+		b.WriteString(c.Field + ifElse(c.Not, " != ", " = ") + quote(c.Value))
 	}
 	writeDuration(&b, " since ", s.Since)
 	if len(s.By) > 0 {
@@ -101,7 +102,7 @@
 	return " of " + name(service)
 }
 
-// name writes a name bare where that can't be mistaken for a keyword.
+// name writes a name without quotes where that can't be taken for a keyword.
 func name(s string) string {
 	if bare.MatchString(s) && !isKeyword(s) {
 		return s
@@ -115,8 +116,10 @@
 
 var escapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`)
 
+// quote writes text in double quotes, as the String token has it.
 func quote(s string) string { return `"` + escapes.Replace(s) + `"` }
 
+// unquote reads a String token.
 func unquote(s string) string {
 	var b strings.Builder
 	body := s[1 : len(s)-1]
@@ -129,15 +132,18 @@
 	return b.String()
 }
 
+// quoteJSON writes JSON in single quotes, which it doubles inside.
 func quoteJSON(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
 
+// unquoteJSON reads a JSON token.
 func unquoteJSON(s string) string { return strings.ReplaceAll(s[1:len(s)-1], "''", "'") }
 
-func pick(first bool, a, b string) string {
-	if first {
-		return a
+// ifElse returns yes if the condition holds, else no.
+func ifElse(cond bool, yes, no string) string {
+	if cond {
+		return yes
 	}
-	return b
+	return no
 }
 
 func writeInt(b *strings.Builder, label string, n int) {
--- a/internal/lang/parse.go
+++ b/internal/lang/parse.go
@@ -26,6 +26,7 @@
 	"dry":     `dry run CHANGE, a change being create, alter, drop, drain, undrain or publish`,
 }
 
+// anyVerb is what a statement may begin with.
 const anyVerb = "search, reserve, show, create, alter, drop, drain, undrain, publish or dry run"
 
 // Parse reads one statement; a semicolon may follow it. A statement that
@@ -36,7 +37,7 @@
 		return nil, err
 	}
 	if len(all) != 1 {
-		return nil, &Error{Line: 1, Column: 1, Unexpected: pick(len(all) == 0, "", "several statements"), Expected: "one statement"}
+		return nil, &Error{Line: 1, Column: 1, Unexpected: ifElse(len(all) == 0, "", "several statements"), Expected: "one statement"}
 	}
 	return all[0], nil
 }
@@ -57,6 +58,8 @@
 	return convert(text, tree)
 }
 
+// convert turns the parsed text into statements; the text gives the usage of
+// the one that is wrong.
 func convert(text string, tree *script) ([]Statement, error) {
 	c := &converter{}
 	statements := make([]Statement, 0, len(tree.Statements))
@@ -90,6 +93,7 @@
 	return e
 }
 
+// describe returns the token as an error shows it; empty at the end of the text.
 func describe(t lexer.Token) string {
 	if t.EOF() {
 		return ""
@@ -100,7 +104,7 @@
 	return `"` + t.Value + `"`
 }
 
-// strayText explains a place at which no token begins.
+// strayText describes what stands at a place at which no token begins.
 func strayText(text string, offset int) (found, expected string) {
 	r, _ := utf8.DecodeRuneInString(text[min(offset, len(text)):])
 	switch r {
--- a/internal/lang/parse_test.go
+++ b/internal/lang/parse_test.go
@@ -11,6 +11,8 @@
 
 const ulidText = "01ARZ3NDEKTSV4RRFFQ69G5FAV"
 
+const day = 24 * time.Hour
+
 func TestParse(t *testing.T) {
 	cases := map[string]Statement{
 		`search guest-portal "pressure cooker" limit 5`: Search{Workload: "guest-portal", Text: "pressure cooker", Limit: 5, MinCoverage: -1},
--- a/internal/lang/statement.go
+++ b/internal/lang/statement.go
@@ -123,15 +123,6 @@
 func (UndrainTarget) change()   {}
 func (PublishSnapshot) change() {}
 
-// ForCallers reports whether callers, and not operators, send the statement.
-func ForCallers(s Statement) bool {
-	switch s.(type) {
-	case Search, Reserve:
-		return true
-	}
-	return false
-}
-
 // Unwrap returns the statement without its "dry run" prefix, and whether it
 // had one.
 func Unwrap(s Statement) (Statement, bool) {
--- a/internal/lang/value.go
+++ b/internal/lang/value.go
@@ -56,7 +56,12 @@
 	return false
 }
 
-const day = 24 * time.Hour
+// Days are read as hours and then multiplied; maxDays, before that, keeps the
+// product from overflowing.
+const (
+	maxDays     = 100_000 * time.Hour
+	hoursPerDay = 24
+)
 
 // parseDuration reads time.ParseDuration's form, and whole or decimal days
 // such as "3d".
@@ -66,7 +71,7 @@
 		if err != nil || d > maxDays {
 			return 0, class.New("duration %q: want a number with a unit such as 250ms, 1h or 3d", s)
 		}
-		return d * 24, nil
+		return d * hoursPerDay, nil
 	}
 	d, err := time.ParseDuration(s)
 	if err != nil {
@@ -74,6 +79,3 @@
 	}
 	return d, nil
 }
-
-// maxDays keeps the conversion of days to a duration from overflowing.
-const maxDays = 100_000 * time.Hour
