Settings: one file for nodes, names in pairs

child and descend, item and element were pairs of which one makes a node and the other looks it up; they are withMember and member, withElement and element, side by side in node.go. take, known, refuse and mentioned are reportAll, reported, reportUndecoded and fieldIn, whose inner loop is follow. A local variable no longer hides the type fields.

Behaviour as before; tests of settings, host and cli pass.

--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -11,23 +11,6 @@
 	"github.com/tailscale/hujson"
 )
 
-// node is a value of the file and its path.
-type node struct {
-	value *hujson.Value
-	path  string
-}
-
-func (n node) child(name string, v *hujson.Value) node {
-	if n.path == "" {
-		return node{v, name}
-	}
-	return node{v, n.path + "." + name}
-}
-
-func (n node) item(i int, v *hujson.Value) node {
-	return node{v, fmt.Sprintf("%s[%d]", n.path, i)}
-}
-
 // decoder fills a Go value from a file and collects the problems.
 type decoder struct {
 	file      string
@@ -36,8 +19,8 @@
 	undecoded map[string]bool // paths of the problems found while decoding
 }
 
-// refuse reports a value that can't be decoded.
-func (d *decoder) refuse(n node, format string, args ...any) {
+// reportUndecoded reports a value that can't be decoded.
+func (d *decoder) reportUndecoded(n node, format string, args ...any) {
 	d.undecoded[n.path] = true
 	d.report(n, format, args...)
 }
@@ -79,30 +62,30 @@
 	c.Standardize()
 	c.Minimize()
 	if err := u.UnmarshalJSON(c.Pack()); err != nil {
-		d.refuse(n, "%s", strings.TrimPrefix(err.Error(), "json: "))
+		d.reportUndecoded(n, "%s", strings.TrimPrefix(err.Error(), "json: "))
 	}
 }
 
 func (d *decoder) decodeStruct(n node, v reflect.Value) {
 	obj, ok := n.value.Value.(*hujson.Object)
 	if !ok {
-		d.refuse(n, "want an object, got %s", describe(n.value))
+		d.reportUndecoded(n, "want an object, got %s", describe(n.value))
 		return
 	}
-	fields := fieldsOf(v.Type())
+	all := fieldsOf(v.Type())
 	seen := map[string]bool{}
 	for i := range obj.Members {
 		name := obj.Members[i].Name.Value.(hujson.Literal).String()
-		at := n.child(name, &obj.Members[i].Name)
-		field, known := fields.byName[name]
+		at := n.withMember(name, &obj.Members[i].Name)
+		field, known := all.byName[name]
 		switch {
 		case !known:
-			d.refuse(at, "unknown field; want one of %s", strings.Join(fields.names, ", "))
+			d.reportUndecoded(at, "unknown field; want one of %s", strings.Join(all.names, ", "))
 		case seen[name]:
-			d.refuse(at, "field stands twice")
+			d.reportUndecoded(at, "field stands twice")
 		default:
 			seen[name] = true
-			d.decode(n.child(name, &obj.Members[i].Value), v.FieldByIndex(field))
+			d.decode(n.withMember(name, &obj.Members[i].Value), v.FieldByIndex(field))
 		}
 	}
 }
@@ -110,19 +93,19 @@
 func (d *decoder) decodeSlice(n node, v reflect.Value) {
 	array, ok := n.value.Value.(*hujson.Array)
 	if !ok {
-		d.refuse(n, "want an array, got %s", describe(n.value))
+		d.reportUndecoded(n, "want an array, got %s", describe(n.value))
 		return
 	}
 	v.Set(reflect.MakeSlice(v.Type(), len(array.Elements), len(array.Elements)))
 	for i := range array.Elements {
-		d.decode(n.item(i, &array.Elements[i]), v.Index(i))
+		d.decode(n.withElement(i, &array.Elements[i]), v.Index(i))
 	}
 }
 
 func (d *decoder) decodeMap(n node, v reflect.Value) {
 	obj, ok := n.value.Value.(*hujson.Object)
 	if !ok {
-		d.refuse(n, "want an object, got %s", describe(n.value))
+		d.reportUndecoded(n, "want an object, got %s", describe(n.value))
 		return
 	}
 	v.Set(reflect.MakeMap(v.Type()))
@@ -130,11 +113,11 @@
 		name := obj.Members[i].Name.Value.(hujson.Literal).String()
 		key := reflect.ValueOf(name).Convert(v.Type().Key())
 		if v.MapIndex(key).IsValid() {
-			d.refuse(n.child(name, &obj.Members[i].Name), "key stands twice")
+			d.reportUndecoded(n.withMember(name, &obj.Members[i].Name), "key stands twice")
 			continue
 		}
 		element := reflect.New(v.Type().Elem()).Elem()
-		d.decode(n.child(name, &obj.Members[i].Value), element)
+		d.decode(n.withMember(name, &obj.Members[i].Value), element)
 		v.SetMapIndex(key, element)
 	}
 }
@@ -148,39 +131,39 @@
 	switch v.Kind() {
 	case reflect.String:
 		if kind != '"' {
-			d.refuse(n, "want a string, got %s", describe(n.value))
+			d.reportUndecoded(n, "want a string, got %s", describe(n.value))
 			return
 		}
 		v.SetString(n.value.Value.(hujson.Literal).String())
 	case reflect.Bool:
 		if kind != 't' && kind != 'f' {
-			d.refuse(n, "want true or false, got %s", describe(n.value))
+			d.reportUndecoded(n, "want true or false, got %s", describe(n.value))
 			return
 		}
 		v.SetBool(kind == 't')
 	case reflect.Int, reflect.Int8, reflect.Int16, reflect.Int32, reflect.Int64:
 		number, err := strconv.ParseInt(text, 10, v.Type().Bits())
 		if err != nil {
-			d.refuse(n, "want a whole number of %d bits, got %s", v.Type().Bits(), describe(n.value))
+			d.reportUndecoded(n, "want a whole number of %d bits, got %s", v.Type().Bits(), describe(n.value))
 			return
 		}
 		v.SetInt(number)
 	case reflect.Uint, reflect.Uint8, reflect.Uint16, reflect.Uint32, reflect.Uint64:
 		number, err := strconv.ParseUint(text, 10, v.Type().Bits())
 		if err != nil {
-			d.refuse(n, "want a whole number of %d bits, 0 or more, got %s", v.Type().Bits(), describe(n.value))
+			d.reportUndecoded(n, "want a whole number of %d bits, 0 or more, got %s", v.Type().Bits(), describe(n.value))
 			return
 		}
 		v.SetUint(number)
 	case reflect.Float32, reflect.Float64:
 		number, err := strconv.ParseFloat(text, v.Type().Bits())
 		if err != nil || kind != '0' {
-			d.refuse(n, "want a number, got %s", describe(n.value))
+			d.reportUndecoded(n, "want a number, got %s", describe(n.value))
 			return
 		}
 		v.SetFloat(number)
 	default:
-		d.refuse(n, "field of type %s can't be set from a file", v.Type())
+		d.reportUndecoded(n, "field of type %s can't be set from a file", v.Type())
 	}
 }
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -5,8 +5,6 @@
 	"regexp"
 	"slices"
 	"strings"
-
-	"github.com/tailscale/hujson"
 )
 
 // Validator is a settings type that checks its own values. The error joins
@@ -22,7 +20,7 @@
 	case reflect.Struct:
 		f := fieldsOf(v.Type())
 		for _, name := range f.names {
-			d.validate(n.descend(name), v.FieldByIndex(f.byName[name]))
+			d.validate(n.member(name), v.FieldByIndex(f.byName[name]))
 		}
 	case reflect.Slice:
 		for i := range v.Len() {
@@ -32,7 +30,7 @@
 		for _, key := range sortedKeys(v) {
 			element := reflect.New(v.Type().Elem()).Elem()
 			element.Set(v.MapIndex(key))
-			d.validate(n.descend(key.String()), element)
+			d.validate(n.member(key.String()), element)
 		}
 	case reflect.Pointer:
 		if !v.IsNil() {
@@ -41,7 +39,7 @@
 		return
 	}
 	if checked, ok := v.Addr().Interface().(Validator); ok {
-		d.take(n, v.Type(), checked.Validate())
+		d.reportAll(n, v.Type(), checked.Validate())
 	}
 }
 
@@ -51,25 +49,26 @@
 	return keys
 }
 
-func (d *decoder) take(n node, t reflect.Type, err error) {
-	for _, fault := range split(err) {
-		at := n.mentioned(t, fault.Error())
-		if !d.known(n, at, fault.Error()) {
-			d.report(at, "%s", fieldPrefix.ReplaceAllString(fault.Error(), ""))
+// reportAll reports what the Validator of n, a value of type t, has found.
+func (d *decoder) reportAll(n node, t reflect.Type, err error) {
+	for _, problem := range split(err) {
+		at := n.fieldIn(t, problem.Error())
+		if !d.reported(n, at, problem.Error()) {
+			d.report(at, "%s", fieldPrefix.ReplaceAllString(problem.Error(), ""))
 		}
 	}
 }
 
-// known reports whether the field could not be decoded, or an inner Validator
-// of n has reported the fault before.
-func (d *decoder) known(n, field node, text string) bool {
-	for _, p := range d.problems {
-		inside := strings.HasPrefix(p.Path, n.path) && p.Path != n.path
-		if d.undecoded[field.path] || inside && strings.Contains(text, p.Text) {
-			return true
-		}
+// reported reports whether the field could not be decoded, or an inner
+// Validator of n has told the same problem.
+func (d *decoder) reported(n, field node, text string) bool {
+	if d.undecoded[field.path] {
+		return true
 	}
-	return false
+	return slices.ContainsFunc(d.problems, func(p *Problem) bool {
+		inside := strings.HasPrefix(p.Path, n.path) && p.Path != n.path
+		return inside && strings.Contains(text, p.Text)
+	})
 }
 
 // split returns the single errors of a joined one, through wrappers.
@@ -100,48 +99,30 @@
 
 var fieldName = regexp.MustCompile(`[a-z][a-z0-9_]*(\.[a-z][a-z0-9_]*)*`)
 
-// mentioned returns the first field of the struct t, or of a struct in it
-// with a dotted path, that the text names, and n itself if there is none.
-func (n node) mentioned(t reflect.Type, text string) node {
-	if t.Kind() != reflect.Struct {
-		return n
-	}
+// fieldIn returns the first field of the struct t, or of a struct in it with a
+// dotted path, that the text names, and n itself if there is none.
+func (n node) fieldIn(t reflect.Type, text string) node {
 	for _, word := range fieldName.FindAllString(text, -1) {
-		at, steps := n, t
-		for _, name := range strings.Split(word, ".") {
-			if steps.Kind() != reflect.Struct {
-				break
-			}
-			f := fieldsOf(steps)
-			index, ok := f.byName[name]
-			if !ok {
-				break
-			}
-			at, steps = at.descend(name), steps.FieldByIndex(index).Type
-		}
-		if at.path != n.path {
+		if at := n.follow(t, strings.Split(word, ".")); at.path != n.path {
 			return at
 		}
 	}
 	return n
 }
 
-// descend returns the member with this name; if the file leaves it out, the
-// place is that of the object which lacks it.
-func (n node) descend(name string) node {
-	if obj, ok := n.value.Value.(*hujson.Object); ok {
-		for i := range obj.Members {
-			if obj.Members[i].Name.Value.(hujson.Literal).String() == name {
-				return n.child(name, &obj.Members[i].Value)
-			}
+// follow goes from n, a value of type t, along the names as far as they are
+// fields.
+func (n node) follow(t reflect.Type, names []string) node {
+	for _, name := range names {
+		if t.Kind() != reflect.Struct {
+			break
 		}
+		f := fieldsOf(t)
+		index, known := f.byName[name]
+		if !known {
+			break
+		}
+		n, t = n.member(name), t.FieldByIndex(index).Type
 	}
-	return n.child(name, n.value)
-}
-
-func (n node) element(i int) node {
-	if array, ok := n.value.Value.(*hujson.Array); ok && i < len(array.Elements) {
-		return n.item(i, &array.Elements[i])
-	}
-	return n.item(i, n.value)
+	return n
 }
