Catalog: one word for a thing, and no two things for one word

Unclear before: words, hear and needed were the dates of the platform's answers by level of watcher; rank returned a place and the event called it rank; follow was a loop's step and also the successor of a change; done was a wait group and also the accounting of a change; stands was a value; take, report and page left out what of. Now lastHeard with record and mustWatch, watchRank and levelOf, nextChange, Editor.record, current, applyBatch, reportApplied, pullPage, hostCount. Comments speak of answers, not words; settings name the time or timeout that they are.

LastConfirmed had no caller and is gone. Wire, stored and metric names are as before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -42,14 +42,14 @@
 	applied chan struct{} // closed when the first configuration is in force
 	hints   chan struct{} // wakes hintLoop; capacity 1
 
-	mu       sync.Mutex // guards what follows, and changes of state
-	rng      *rand.Rand
-	fresh    *freshness
-	words    words // of the platform, also through peers
-	started  time.Time
-	hint     member.Host // with the newest revision hinted at
-	wasStale bool
-	watching bool
+	mu        sync.Mutex // guards what follows, and changes of state
+	rng       *rand.Rand
+	fresh     *freshness
+	lastHeard lastHeard // of the platform, also through peers
+	started   time.Time
+	hint      member.Host // with the newest revision hinted at
+	wasStale  bool
+	watching  bool
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -80,8 +80,8 @@
 	return c
 }
 
-// Start begins to follow the configuration and waits a while for a first one.
-// It succeeds also without: then the host is stale.
+// Start begins to follow the configuration and waits up to StartWait for a first
+// one. Without one it succeeds as well, and the host is stale.
 func (c *Catalog) Start(ctx context.Context) error {
 	run, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
@@ -148,17 +148,9 @@
 	return c.fresh.stale(time.Now())
 }
 
-// LastConfirmed returns when this host asked for the newest word that it got
-// from the platform or a fresh peer, and false if it never got one.
-func (c *Catalog) LastConfirmed() (time.Time, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.fresh.confirmed, !c.fresh.confirmed.IsZero()
-}
-
-// take applies a batch, tells the peers if it held something new, and reports
-// the batch as the source's.
-func (c *Catalog) take(b batch, source string) error {
+// applyBatch applies a batch, announces it to the peers if it held something
+// new, and counts and logs it under its source.
+func (c *Catalog) applyBatch(b batch, source string) error {
 	c.mu.Lock()
 	next, changed, err := c.state.Load().apply(b)
 	if err != nil {
@@ -175,11 +167,12 @@
 	if newer {
 		c.notifier.Announce()
 	}
-	c.report(next, changed, source)
+	c.reportApplied(next, changed, source)
 	return nil
 }
 
-func (c *Catalog) report(s *state, changed []*entry, source string) {
+// reportApplied sets the metrics of a new state and logs what changed in it.
+func (c *Catalog) reportApplied(s *state, changed []*entry, source string) {
 	c.metrics.revision.Set(float64(s.revision))
 	if len(changed) == 0 {
 		return
@@ -203,7 +196,7 @@
 	c.log.Event(evApplied).Str("source", source).Int("objects", len(changed)).Uint64("revision", s.revision).Msg("")
 }
 
-// noteFreshness logs when the host becomes stale, and when it is no more.
+// noteFreshness logs when the host becomes stale or fresh.
 func (c *Catalog) noteFreshness() {
 	c.mu.Lock()
 	stale, last := c.fresh.stale(time.Now()), c.fresh.confirmed
@@ -220,15 +213,16 @@
 	}
 }
 
-// heardPlatform takes a word of the platform asked for at the given time.
+// heardPlatform notes an answer of the platform that was asked for at the given
+// time.
 func (c *Catalog) heardPlatform(asked time.Time) {
-	place := rank(c.members.Self(), c.members.Hosts())
+	rank := watchRank(c.members.Self(), c.members.Hosts())
 	c.mu.Lock()
-	c.fresh.confirm(asked, c.known())
-	c.words.hear(level(place, c.cfg.WatchersPerDomain), asked)
+	c.fresh.confirm(asked, c.hostCount())
+	c.lastHeard.record(levelOf(rank, c.cfg.WatchersPerDomain), asked)
 	c.mu.Unlock()
 	c.noteFreshness()
 }
 
-// known returns the number of hosts that may be running.
-func (c *Catalog) known() int { return len(c.members.Hosts()) }
+// hostCount returns the number of hosts that may be running.
+func (c *Catalog) hostCount() int { return len(c.members.Hosts()) }
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -63,7 +63,7 @@
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ChangeTimeout.Std())
 	defer cancel()
 	r := Result{Kind: platform.KindService, Name: req.Service.Name, ChangeID: ulid.Make().String()}
-	return e.done(req.Author, e.change(ctx, req, r))
+	return e.record(req.Author, e.change(ctx, req, r))
 }
 
 func (e *Editor) change(ctx context.Context, req Request, r Result) Result {
@@ -72,55 +72,55 @@
 			return r.refused(err)
 		}
 	}
-	stands, err := e.current(ctx, platform.KindService, req.Service.Name)
+	current, err := e.current(ctx, platform.KindService, req.Service.Name)
 	if err != nil {
 		return r.refused(Error.New("nothing was written, as the platform can't be read: %w", err))
 	}
-	value, r, ok := e.prepare(req, stands, r)
+	value, r, ok := e.prepare(req, current, r)
 	if !ok {
 		return r
 	}
 	if req.DryRun {
-		r.Status, r.Changes = Possible, diffJSON(stands.Value, value)
+		r.Status, r.Changes = Possible, diffJSON(current.Value, value)
 		return r
 	}
-	w := write{kind: r.Kind, name: r.Name, version: stands.Version, value: value, id: r.ChangeID}
+	w := write{kind: r.Kind, name: r.Name, version: current.Version, value: value, id: r.ChangeID}
 	return e.put(ctx, w, r)
 }
 
-// prepare checks the request against what stands and returns the value to
+// prepare checks the request against the current object and returns the value to
 // write, or false and a refusal.
-func (e *Editor) prepare(req Request, stands platform.Object, r Result) ([]byte, Result, bool) {
-	live := stands.Version > 0 && !dropped(stands)
+func (e *Editor) prepare(req Request, current platform.Object, r Result) ([]byte, Result, bool) {
+	live := current.Version > 0 && !dropped(current)
 	wanted := req.Service
 	if req.Verb == Drop {
-		wanted = dropOf(req.Service.Name, stands)
+		wanted = dropOf(req.Service.Name, current)
 	}
 	wanted.Dropped = req.Verb == Drop
-	wanted.Change = follow(r.ChangeID, req.Author, stands)
+	wanted.Change = nextChange(r.ChangeID, req.Author, current)
 	value, err := json.Marshal(wanted)
 	switch {
 	case err != nil:
 		return nil, r.refused(Error.New("encode: %w", err)), false
 	case req.Verb == Create && live:
-		return nil, r.lost(stands, value).refused(Error.New("service %q exists", r.Name)), false
+		return nil, r.lost(current, value).refused(Error.New("service %q exists", r.Name)), false
 	case req.Verb == Create:
 		return value, r, true
 	case req.Verb != Alter && req.Verb != Drop:
 		return nil, r.refused(Error.New("%q is not a change", req.Verb)), false
 	case !live:
-		return nil, r.lost(stands, value).refused(Error.New("there is no service %q", r.Name)), false
-	case req.Version != stands.Version:
-		problem := Error.New("service %q stands at version %d, not %d", r.Name, stands.Version, req.Version)
-		return nil, r.lost(stands, value).refused(problem), false
+		return nil, r.lost(current, value).refused(Error.New("there is no service %q", r.Name)), false
+	case req.Version != current.Version:
+		problem := Error.New("service %q stands at version %d, not %d", r.Name, current.Version, req.Version)
+		return nil, r.lost(current, value).refused(problem), false
 	}
 	return value, r, true
 }
 
-// dropOf returns the service to leave behind by a drop: what stands, if it can
-// be read.
-func dropOf(name string, stands platform.Object) Service {
-	if s, err := readService(stands); err == nil {
+// dropOf returns the service to leave behind by a drop: the current one, if it
+// can be read.
+func dropOf(name string, current platform.Object) Service {
+	if s, err := readService(current); err == nil {
 		return *s
 	}
 	return Service{Name: name}
@@ -131,7 +131,7 @@
 	return json.Unmarshal(o.Value, &s) == nil && s.Dropped
 }
 
-// current returns the object that stands, with version 0 if there is none.
+// current returns the object as the platform has it now, with version 0 if there is none.
 func (e *Editor) current(ctx context.Context, kind, name string) (platform.Object, error) {
 	o, err := e.store.Get(ctx, kind, name)
 	if errors.Is(err, platform.ErrNotFound) {
@@ -140,11 +140,11 @@
 	return o, err
 }
 
-// follow returns the change that comes after the one of the object.
-func follow(id string, by Author, stands platform.Object) Change {
-	before := changeOf(stands)
+// nextChange returns the change that succeeds the one which wrote the object.
+func nextChange(id string, by Author, current platform.Object) Change {
+	before := changeOf(current)
 	c := Change{ID: id, Operator: by.Operator, Reason: by.Reason}
-	if stands.Version > 0 {
+	if current.Version > 0 {
 		c.Previous = append([]string{before.ID}, before.Previous...)
 		c.Previous = c.Previous[:min(maxPrevious, len(c.Previous))]
 	}
@@ -162,8 +162,8 @@
 	return v.Change
 }
 
-// done records what became of a change.
-func (e *Editor) done(by Author, r Result) Result {
+// record counts and logs what became of a change.
+func (e *Editor) record(by Author, r Result) Result {
 	e.changes.WithLabelValues(string(r.Status)).Inc()
 	ev := evChangeRefused
 	switch r.Status {
--- a/internal/catalog/config.go
+++ b/internal/catalog/config.go
@@ -10,13 +10,13 @@
 // Config tells how the configuration reaches this host.
 type Config struct {
 	WatchersPerDomain int           `json:"watchers_per_domain"` // hosts of a failure domain that watch the platform
-	WatchWait         unit.Duration `json:"watch_wait"`          // that one watch waits for a change
-	TakeoverAfter     unit.Duration `json:"takeover_after"`      // without word of the platform, twice as many hosts watch
-	PullInterval      unit.Duration `json:"pull_interval"`       // between pulls from a random peer
-	PullTimeout       unit.Duration `json:"pull_timeout"`        // of one page
-	StaleAfter        unit.Duration `json:"stale_after"`         // without word of platform or peers, callers are refused
-	StartWait         unit.Duration `json:"start_wait"`          // that the start waits for a first configuration
-	ChangeTimeout     unit.Duration `json:"change_timeout"`      // to settle an operator's change
+	WatchWait         unit.Duration `json:"watch_wait"`          // time that one watch waits for a change
+	TakeoverAfter     unit.Duration `json:"takeover_after"`      // time without an answer of the platform after which as many more hosts watch
+	PullInterval      unit.Duration `json:"pull_interval"`       // time between pulls from a random peer
+	PullTimeout       unit.Duration `json:"pull_timeout"`        // timeout of one page of a pull
+	StaleAfter        unit.Duration `json:"stale_after"`         // time without an answer of platform or peers after which callers are refused
+	StartWait         unit.Duration `json:"start_wait"`          // time that the start waits for a first configuration
+	ChangeTimeout     unit.Duration `json:"change_timeout"`      // time to settle an operator's change
 }
 
 // DefaultConfig returns the settings used where none are given.
--- a/internal/catalog/fresh.go
+++ b/internal/catalog/fresh.go
@@ -4,9 +4,9 @@
 
 // freshness tells whether this host can still know of every change in force.
 //
-// It is fresh while its last word from the platform, or from a peer that is
-// itself fresh, is younger than the limit. Words are dated by the moment at
-// which they were asked for: what waited in a socket while the process was
+// It is fresh while the newest answer of the platform, or of a peer that is
+// itself fresh, is younger than the limit. An answer is dated by the moment at
+// which it was asked for: one that waited in a socket while the process was
 // stopped is as old as the question. All times are readings of this process's
 // monotonic clock.
 //
@@ -16,7 +16,7 @@
 // than half of the hosts that it knew when it was last fresh, itself counted.
 type freshness struct {
 	limit     time.Duration
-	confirmed time.Time       // date of the newest word that counts; zero: never
+	confirmed time.Time       // date of the newest answer that counts; zero: never
 	hosts     int             // known when it was last fresh
 	heard     map[string]bool // stale peers heard since this host became stale
 }
@@ -25,13 +25,13 @@
 	return &freshness{limit: limit, heard: map[string]bool{}}
 }
 
-// stale reports whether the last word is too old, or there never was one.
+// stale reports whether the newest answer is too old, or there never was one.
 func (f *freshness) stale(now time.Time) bool {
 	return f.confirmed.IsZero() || now.Sub(f.confirmed) > f.limit
 }
 
-// confirm takes a word asked for at the given time from the platform or from
-// a fresh peer. hosts is the number of hosts known, this one included.
+// confirm notes an answer of the platform or of a fresh peer that was asked for
+// at the given time. hosts is the number of hosts known, this one included.
 func (f *freshness) confirm(asked time.Time, hosts int) {
 	if !asked.After(f.confirmed) {
 		return
@@ -40,7 +40,8 @@
 	clear(f.heard)
 }
 
-// confirmStale takes a word asked for at the given time from a stale peer.
+// confirmStale notes an answer of a stale peer that was asked for at the given
+// time.
 func (f *freshness) confirmStale(peer string, asked time.Time) {
 	if f.hosts == 0 || !f.stale(asked) {
 		return
--- a/internal/catalog/inforce.go
+++ b/internal/catalog/inforce.go
@@ -60,7 +60,7 @@
 // does not answer. No change is later than the one asked from, so the answer
 // holds no object.
 func (c *Catalog) askRevision(ctx context.Context, h member.Host) uint64 {
-	out, err := c.page(ctx, h, &peerpb.PullRequest{AfterRevision: math.MaxUint64})
+	out, err := c.pullPage(ctx, h, &peerpb.PullRequest{AfterRevision: math.MaxUint64})
 	if err != nil {
 		return 0
 	}
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -17,7 +17,7 @@
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ChangeTimeout.Std())
 	defer cancel()
 	r := Result{Kind: platform.KindSnapshot, Name: s.ObjectName(), ChangeID: ulid.Make().String()}
-	return e.done(by, e.publish(ctx, s, by, dryRun, r))
+	return e.record(by, e.publish(ctx, s, by, dryRun, r))
 }
 
 func (e *Editor) publish(ctx context.Context, s Snapshot, by Author, dryRun bool, r Result) Result {
@@ -47,7 +47,7 @@
 	defer cancel()
 	name := Snapshot{Workload: workload, ID: id}.ObjectName()
 	r := Result{Kind: platform.KindSnapshot, Name: name, ChangeID: ulid.Make().String()}
-	return e.done(by, e.retire(ctx, workload, id, dryRun, r))
+	return e.record(by, e.retire(ctx, workload, id, dryRun, r))
 }
 
 func (e *Editor) retire(ctx context.Context, workload string, id uint64, dryRun bool, r Result) Result {
@@ -91,11 +91,11 @@
 		if !sent {
 			return r.refused(Error.New("nothing was deleted: %w", err))
 		}
-		stands, settled, cause := e.readBack(ctx, w, delay)
+		current, settled, cause := e.readBack(ctx, w, delay)
 		switch {
 		case cause != nil:
 			return r.unknown(err)
-		case settled && stands.Version == 0:
+		case settled && current.Version == 0:
 			return e.gone(ctx, o, r)
 		}
 	}
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -101,7 +101,7 @@
 	asked := time.Now()
 	b, last, err := c.fetch(ctx, from)
 	if err == nil {
-		err = c.take(b, sourcePeer)
+		err = c.applyBatch(b, sourcePeer)
 	}
 	if err != nil {
 		c.metrics.pulls.WithLabelValues("failed").Inc()
@@ -117,7 +117,7 @@
 	b := batch{after: c.state.Load().complete}
 	in := &peerpb.PullRequest{AfterRevision: b.after}
 	for range maxPages {
-		out, err := c.page(ctx, from, in)
+		out, err := c.pullPage(ctx, from, in)
 		if err != nil {
 			return b, nil, err
 		}
@@ -133,7 +133,8 @@
 	return b, nil, Error.New("pull from %s: more than %d pages", from.ID, maxPages)
 }
 
-func (c *Catalog) page(ctx context.Context, from member.Host, in *peerpb.PullRequest) (*peerpb.PullReply, error) {
+// pullPage asks a host for one page of changes.
+func (c *Catalog) pullPage(ctx context.Context, from member.Host, in *peerpb.PullRequest) (*peerpb.PullReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.PullTimeout.Std())
 	defer cancel()
 	out, err := c.puller.Pull(ctx, from.Peer, in)
@@ -144,7 +145,7 @@
 	return out, nil
 }
 
-// add appends a page. What the last page tells of revisions holds for all,
+// add appends a page. The revisions of the last page hold for all of them,
 // since an object that changed between two pages is in the later one.
 func (b *batch) add(out *peerpb.PullReply) {
 	b.revision, b.complete, b.floor = out.Revision, out.Complete, out.Floor
@@ -160,18 +161,18 @@
 	}
 }
 
-// heardPeer takes a peer's word asked for at the given time.
+// heardPeer notes a peer's answer that was asked for at the given time.
 func (c *Catalog) heardPeer(from member.Host, asked time.Time, out *peerpb.PullReply) {
 	c.mu.Lock()
 	switch {
 	case !out.Stale:
-		c.fresh.confirm(asked, c.known())
+		c.fresh.confirm(asked, c.hostCount())
 	case out.Complete > 0:
 		c.fresh.confirmStale(from.ID, asked)
 	}
 	for l, age := range out.PlatformAgeUs {
 		if age >= 0 {
-			c.words.hear(l, asked.Add(-time.Duration(age)*time.Microsecond))
+			c.lastHeard.record(l, asked.Add(-time.Duration(age)*time.Microsecond))
 		}
 	}
 	c.mu.Unlock()
--- a/internal/catalog/result.go
+++ b/internal/catalog/result.go
@@ -57,8 +57,8 @@
 
 // LostRace tells who won against a change, and what differs.
 type LostRace struct {
-	Version uint64      `json:"version"` // that stands; 0: there is no such object
-	Winner  Change      `json:"winner"`  // the change that stands
+	Version uint64      `json:"version"` // of the current object; 0: there is no such object
+	Winner  Change      `json:"winner"`  // the change that wrote the current object
 	Changed time.Time   `json:"changed"` // when, by the platform's clock
 	Differs []FieldDiff `json:"differs"` // fields in which the winner and the refused change differ
 }
@@ -82,12 +82,12 @@
 	return r
 }
 
-// lost refuses the change because of what stands.
-func (r Result) lost(stands platform.Object, wanted []byte) Result {
+// lost refuses the change because of the current object.
+func (r Result) lost(current platform.Object, wanted []byte) Result {
 	r.Status = Refused
 	r.Lost = &LostRace{
-		Version: stands.Version, Winner: changeOf(stands), Changed: stands.Changed,
-		Differs: diffJSON(stands.Value, wanted),
+		Version: current.Version, Winner: changeOf(current), Changed: current.Changed,
+		Differs: diffJSON(current.Value, wanted),
 	}
 	return r
 }
--- a/internal/catalog/serve.go
+++ b/internal/catalog/serve.go
@@ -22,7 +22,7 @@
 	now := time.Now()
 	c.mu.Lock()
 	out.Stale = c.fresh.stale(now)
-	out.PlatformAgeUs = c.words.ages(now)
+	out.PlatformAgeUs = c.lastHeard.ages(now)
 	c.mu.Unlock()
 	c.metrics.served.Add(float64(proto.Size(out)))
 	return out, nil
--- a/internal/catalog/settle.go
+++ b/internal/catalog/settle.go
@@ -39,55 +39,57 @@
 		if !sent {
 			return r.refused(Error.New("nothing was written: %w", err))
 		}
-		stands, settled, cause := e.readBack(ctx, w, delay)
+		current, settled, cause := e.readBack(ctx, w, delay)
 		if cause != nil {
 			return r.unknown(err)
 		}
 		if settled {
-			return w.judge(stands, sent, r)
+			return w.judge(current, sent, r)
 		}
 	}
 }
 
-// readBack waits and reads the object until the platform answers. It reports
+// readBack waits and reads the object until the platform answers. settled is
 // false if the object still stands at the version that the write asks for, so
 // that the write has not taken effect yet.
-func (e *Editor) readBack(ctx context.Context, w write, delay *backoff.ExponentialBackOff) (platform.Object, bool, error) {
+func (e *Editor) readBack(ctx context.Context, w write, delay *backoff.ExponentialBackOff) (current platform.Object, settled bool, err error) {
 	for {
 		sleep(ctx, delay.NextBackOff())
 		if ctx.Err() != nil {
 			return platform.Object{}, false, ctx.Err()
 		}
-		stands, err := e.current(ctx, w.kind, w.name)
+		current, err = e.current(ctx, w.kind, w.name)
 		if err == nil {
-			return stands, stands.Version != w.version, nil
+			return current, current.Version != w.version, nil
 		}
 	}
 }
 
-// judge tells what became of the write from an object that no longer stands
-// at the version that the write asked for. sent: an answer was lost before.
-func (w write) judge(stands platform.Object, sent bool, r Result) Result {
-	ids := append([]string{changeOf(stands).ID}, changeOf(stands).Previous...)
-	place := slices.Index(ids, w.id)
+// judge tells what became of the write from the current object, which is no
+// longer at the version that the write asked for. sent means that an answer was
+// lost before, so the write itself may have moved the object on.
+func (w write) judge(current platform.Object, sent bool, r Result) Result {
+	ids := append([]string{changeOf(current).ID}, changeOf(current).Previous...)
+	newer := slices.Index(ids, w.id) // changes made since
 	switch {
-	case place == 0:
-		return r.accepted(stands)
-	case place > 0:
-		r.Status, r.Version = Accepted, stands.Version-uint64(place)
+	case newer == 0:
+		return r.accepted(current)
+	case newer > 0:
+		r.Status, r.Version = Accepted, current.Version-uint64(newer)
 		return r
-	case sent && !w.remembered(stands, len(ids)):
-		return r.unknown(Error.New("%s %q has changed too often since, it stands at version %d", w.kind, w.name, stands.Version))
+	case sent && !w.remembered(current, len(ids)):
+		return r.unknown(Error.New("%s %q has changed too often since, it stands at version %d", w.kind, w.name, current.Version))
 	}
-	return r.lost(stands, w.value).refused(Error.New("%s %q stands at version %d, not %d", w.kind, w.name, stands.Version, w.version))
+	return r.lost(current, w.value).refused(Error.New("%s %q stands at version %d, not %d", w.kind, w.name, current.Version, w.version))
 }
 
 // remembered reports whether an object that remembers n changes would show
 // the write's, had it been made.
-func (w write) remembered(stands platform.Object, n int) bool {
-	return stands.Version > w.version && stands.Version-w.version <= uint64(n)
+func (w write) remembered(current platform.Object, n int) bool {
+	return current.Version > w.version && current.Version-w.version <= uint64(n)
 }
 
+// newSettleDelay returns the delays between the calls that settle a lost answer.
 func newSettleDelay() *backoff.ExponentialBackOff {
 	delay := backoff.NewExponentialBackOff()
 	delay.InitialInterval, delay.MaxInterval = 20*time.Millisecond, 500*time.Millisecond
--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -86,7 +86,7 @@
 		is.True(f.platform.Calls("list") <= 10) // of a fleet that started at once
 
 		for _, n := range f.all() {
-			if rank(n.host, n.Hosts()) < DefaultConfig().WatchersPerDomain {
+			if watchRank(n.host, n.Hosts()) < DefaultConfig().WatchersPerDomain {
 				n.client.Outage(true) // the watchers lose the platform, but not their peers
 			}
 		}
@@ -267,7 +267,7 @@
 	n := &node{f: newFleet(t), host: member.Host{ID: "asking"}}
 	from := New(DefaultConfig(), n.f.platform.Client(), n, n, n, event.Discard(), nil)
 	n.catalog = from
-	is.NoErr(from.take(batch{complete: 7, revision: 5}, sourcePlatform))
+	is.NoErr(from.applyBatch(batch{complete: 7, revision: 5}, sourcePlatform))
 	server, pool := peer.NewServer("127.0.0.1:0"), peer.NewPool()
 	is.NoErr(peerpb.DRPCRegisterConfiguration(server, from))
 	is.NoErr(server.Start(t.Context()))
@@ -301,38 +301,38 @@
 	hosts = append(hosts, member.Host{ID: "other", FailureDomain: "b", State: member.Alive})
 	places := map[int]member.Host{}
 	for _, h := range hosts[:6] {
-		places[rank(h, hosts)] = h
+		places[watchRank(h, hosts)] = h
 	}
 	is.Equal(len(places), 6) // each has its own
-	is.Equal(rank(hosts[6], hosts), 0)
+	is.Equal(watchRank(hosts[6], hosts), 0)
 	for i := range hosts {
 		if hosts[i].ID == places[0].ID {
 			hosts[i].State = member.Leaving
 		}
 	}
-	is.Equal(rank(places[1], hosts), 0) // the next one moves up
-	is.Equal(rank(places[5], hosts), 4)
+	is.Equal(watchRank(places[1], hosts), 0) // the next one moves up
+	is.Equal(watchRank(places[5], hosts), 4)
 }
 
 func TestLevelsStandInOneAfterAnother(t *testing.T) {
 	is := is.New(t)
-	is.Equal([]int{level(1, 2), level(2, 2), level(3, 2), level(4, 2), level(8, 2), level(16, 2)}, []int{0, 1, 1, 2, 3, levels})
+	is.Equal([]int{levelOf(1, 2), levelOf(2, 2), levelOf(3, 2), levelOf(4, 2), levelOf(8, 2), levelOf(16, 2)}, []int{0, 1, 1, 2, 3, levels})
 
 	const span = 15 * time.Second
 	start := time.Now()
-	var w words
+	var h lastHeard
 	needs := func(after time.Duration) []bool {
 		var all []bool
 		for l := range levels + 1 {
-			all = append(all, w.needed(l, start.Add(after), start, span))
+			all = append(all, h.mustWatch(l, start.Add(after), start, span))
 		}
 		return all
 	}
 	is.Equal(needs(span), []bool{true, false, false, false, false})
 	is.Equal(needs(2*span), []bool{true, true, false, false, false})
 	is.Equal(needs(time.Hour), []bool{true, true, true, true, false})
-	w.hear(1, start.Add(time.Hour)) // goes on, and the levels above it need not
+	h.record(1, start.Add(time.Hour)) // goes on, and the levels above it need not
 	is.Equal(needs(time.Hour), []bool{true, true, false, false, false})
-	w.hear(0, start.Add(time.Hour))
+	h.record(0, start.Add(time.Hour))
 	is.Equal(needs(time.Hour), []bool{true, false, false, false, false})
 }
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return Error.New("watch: %w", err)
 	}
-	if err := c.take(batch{after: after, complete: l.Revision, objects: l.Objects}, sourcePlatform); err != nil {
+	if err := c.applyBatch(batch{after: after, complete: l.Revision, objects: l.Objects}, sourcePlatform); err != nil {
 		return err
 	}
 	c.heardPlatform(asked)
@@ -71,7 +71,7 @@
 		c.log.Event(evPlatformBehind).Uint64("revision", held).Uint64("platform_revision", l.Revision).Msg("")
 		return Error.New("list: the platform is at revision %d, this host at %d", l.Revision, held)
 	}
-	if err := c.take(batch{complete: l.Revision, floor: l.Revision, full: true, objects: l.Objects}, sourcePlatform); err != nil {
+	if err := c.applyBatch(batch{complete: l.Revision, floor: l.Revision, full: true, objects: l.Objects}, sourcePlatform); err != nil {
 		return err
 	}
 	c.heardPlatform(asked)
@@ -81,30 +81,30 @@
 	return nil
 }
 
-// shouldWatch decides whether this host is a watcher now. It is if its place
+// shouldWatch decides whether this host is a watcher now. It is if its rank
 // among the hosts of its failure domain says so; or if no peer has
 // confirmed its configuration for half of the time after which it is stale,
 // since then the platform is all that is left.
 func (c *Catalog) shouldWatch() bool {
 	self, hosts := c.members.Self(), c.members.Hosts()
-	place := rank(self, hosts)
+	rank := watchRank(self, hosts)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	should := c.watcherAt(place, now)
+	should := c.watcherAt(rank, now)
 	if c.state.Load().complete == 0 {
-		should = len(hosts) < 2 || now.Sub(c.started) >= c.leftToPeers(place)
+		should = len(hosts) < 2 || now.Sub(c.started) >= c.leftToPeers(rank)
 	}
 	if should != c.watching {
-		c.noteWatching(should, place)
+		c.noteWatching(should, rank)
 	}
 	return should
 }
 
 // watcherAt decides for a host that has a configuration; c.mu is held.
-func (c *Catalog) watcherAt(place int, now time.Time) bool {
-	l := level(place, c.cfg.WatchersPerDomain)
-	if c.words.needed(l, now, c.started, c.cfg.TakeoverAfter.Std()) {
+func (c *Catalog) watcherAt(rank int, now time.Time) bool {
+	l := levelOf(rank, c.cfg.WatchersPerDomain)
+	if c.lastHeard.mustWatch(l, now, c.started, c.cfg.TakeoverAfter.Std()) {
 		return true
 	}
 	return now.Sub(c.fresh.confirmed) > c.cfg.StaleAfter.Std()/2
@@ -112,18 +112,18 @@
 
 // leftToPeers is the time in which a host without configuration waits for
 // that of its peers, so that a fleet that starts doesn't list all at once.
-func (c *Catalog) leftToPeers(place int) time.Duration {
-	if place < c.cfg.WatchersPerDomain {
+func (c *Catalog) leftToPeers(rank int) time.Duration {
+	if rank < c.cfg.WatchersPerDomain {
 		return peersFirst
 	}
 	return othersPeersFirst
 }
 
-func (c *Catalog) noteWatching(watching bool, place int) {
+func (c *Catalog) noteWatching(watching bool, rank int) {
 	c.watching = watching
 	if watching {
 		c.metrics.watching.Set(1)
-		c.log.Event(evWatching).Int("rank", place).Msg("")
+		c.log.Event(evWatching).Int("rank", rank).Msg("")
 		return
 	}
 	c.metrics.watching.Set(0)
