Command line: types and parameters say what they are

exit was an error type, stop a variable of it, recorder an HTTP client (in delivery a recorder takes answers), lasting whether a statement changes something, isDial that no connection was made: exitError, exit, recordingDoer, mutates, neverConnected. usage(err) made an error: usageError. The interface of a stand-in that serves stood in cli and in demo; it is standin.Server.

--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -28,20 +28,20 @@
 // Execute checks every file, reports every problem of all of them, and prints
 // the effective settings of those that are right.
 func (c *checkCommand) Execute([]string) error {
-	var faults []error
+	var problems []error
 	for _, file := range c.Args.Files {
 		text, err := effective(c.Kind, file)
 		if err != nil {
-			faults = append(faults, err)
+			problems = append(problems, err)
 			continue
 		}
 		fmt.Fprintf(c.env.Out, "// %s\n%s\n", file, text)
 	}
-	return usage(errors.Join(faults...))
+	return usageError(errors.Join(problems...))
 }
 
-// usage turns an error about settings into its exit code.
-func usage(err error) error {
+// usageError turns an error about settings into its exit code.
+func usageError(err error) error {
 	if err == nil {
 		return nil
 	}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -33,31 +33,31 @@
 	Signals <-chan os.Signal // SIGTERM, SIGINT and SIGHUP
 }
 
-// exit is an error that fixes the exit code. The text goes to Env.Err.
-type exit struct {
+// exitError is an error that fixes the exit code. The text goes to Env.Err.
+type exitError struct {
 	code int
 	text string
 }
 
 // Error returns the text.
-func (e *exit) Error() string { return e.text }
+func (e *exitError) Error() string { return e.text }
 
 func fail(code int, format string, args ...any) error {
-	return &exit{code: code, text: fmt.Sprintf(format, args...)}
+	return &exitError{code: code, text: fmt.Sprintf(format, args...)}
 }
 
 // Run runs the command that the arguments name and returns its exit code.
 func Run(env Env, args []string) int {
 	parser := newParser(env)
 	_, err := parser.ParseArgs(args)
-	var stop *exit
+	var exit *exitError
 	var usage *flags.Error
 	switch {
 	case err == nil:
 		return ExitOK
-	case errors.As(err, &stop):
-		printError(env, stop.text)
-		return stop.code
+	case errors.As(err, &exit):
+		printError(env, exit.text)
+		return exit.code
 	case flags.WroteHelp(err):
 		fmt.Fprintln(env.Out, err)
 		return ExitOK
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -22,14 +22,14 @@
 
 // client talks to one host.
 type client struct {
-	wire    *recorder
+	wire    *recordingDoer
 	entry   string
 	query   *queryhttp.Client
 	operate *operatehttp.Client
 }
 
 func newClient(entry, operators string, timeout time.Duration) *client {
-	wire := &recorder{http: &http.Client{Timeout: timeout}}
+	wire := &recordingDoer{http: &http.Client{Timeout: timeout}}
 	enc, dec := goahttp.RequestEncoder, goahttp.ResponseDecoder
 	return &client{
 		wire:    wire,
@@ -74,7 +74,7 @@
 	result, err := endpoint(ctx, payload)
 	if err != nil {
 		if c.wire.err != nil {
-			return none, &lostError{sent: !isDial(c.wire.err), cause: c.wire.err}
+			return none, &lostError{sent: !neverConnected(c.wire.err), cause: c.wire.err}
 		}
 		return none, err
 	}
@@ -93,22 +93,22 @@
 // Unwrap returns the cause.
 func (e *lostError) Unwrap() error { return e.cause }
 
-// isDial reports whether the connection was never made.
-func isDial(err error) bool {
+// neverConnected reports whether the connection was never made.
+func neverConnected(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// recorder keeps the last answer's body, which is printed as it came when
-// JSON is wanted, and the last error.
-type recorder struct {
+// recordingDoer is an HTTP client that keeps the last answer's body, which is
+// printed as it came when JSON is wanted, and the last error.
+type recordingDoer struct {
 	http *http.Client
 	body []byte
 	err  error
 }
 
 // Do sends the request.
-func (r *recorder) Do(req *http.Request) (*http.Response, error) {
+func (r *recordingDoer) Do(req *http.Request) (*http.Response, error) {
 	r.body, r.err = nil, nil
 	resp, err := r.http.Do(req)
 	if err != nil {
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -39,7 +39,7 @@
 	}
 	asked := c.ask(site)
 	if asked == nil && !c.Once {
-		c.invite(site)
+		c.printHint(site)
 		<-stopSignal(c.env.Signals)
 	}
 	if err := site.Stop(context.Background()); err != nil {
@@ -66,7 +66,7 @@
 	return nil
 }
 
-func (c *demoCommand) invite(site *demo.Site) {
+func (c *demoCommand) printHint(site *demo.Site) {
 	first := site.Hosts()[0]
 	fmt.Fprintf(c.env.Out, `
 Try it from another shell; interrupt to stop.
--- a/internal/cli/exec.go
+++ b/internal/cli/exec.go
@@ -60,11 +60,11 @@
 
 // withRest adds how many statements were not reached.
 func withRest(err error, rest int) error {
-	var stop *exit
-	if rest == 0 || !errors.As(err, &stop) {
+	var exit *exitError
+	if rest == 0 || !errors.As(err, &exit) {
 		return err
 	}
-	return fail(stop.code, "%s\nstatements not run after this one: %d", stop.text, rest)
+	return fail(exit.code, "%s\nstatements not run after this one: %d", exit.text, rest)
 }
 
 func (c *execCommand) text() (string, error) {
@@ -110,7 +110,7 @@
 
 func (c *execCommand) operate(ctx context.Context, client *client, s lang.Statement) error {
 	plain, dry := lang.Unwrap(s)
-	_, changes := plain.(lang.Change)
+	_, mutates := plain.(lang.Change)
 	result, err := client.statement(ctx, &operate.StatementPayload{
 		Authorization: optional(bearer(c.Token)),
 		RequestID:     optional(c.RequestID),
@@ -118,7 +118,7 @@
 		DryRun:        dry,
 	})
 	if err != nil {
-		return c.refused(client, err, changes && !dry, "")
+		return c.refused(client, err, mutates && !dry, "")
 	}
 	return c.print(client, func(w io.Writer) { writeResult(w, result) })
 }
@@ -201,32 +201,32 @@
 	}
 }
 
-// refused tells why there is no answer. lasting says whether the statement
-// may change something, and hint what a repeat needs.
-func (c *execCommand) refused(client *client, err error, lasting bool, hint string) error {
+// refused turns the error of a statement into its exit code and text. mutates
+// says whether the statement may change something, and hint what a repeat needs.
+func (c *execCommand) refused(client *client, err error, mutates bool, hint string) error {
 	var lost *lostError
 	if errors.As(err, &lost) {
-		return unreachable(lost, lasting, hint)
+		return unreachable(lost, mutates, hint)
 	}
 	r, ok := refusalOf(err)
 	if !ok {
-		return fail(unsettledIf(lasting), "the host's answer can't be read: %s", err)
+		return fail(unsettledIf(mutates), "the host's answer can't be read: %s", err)
 	}
 	if c.Output == outputJSON {
 		if err := c.print(client, nil); err != nil {
 			return err
 		}
-		return fail(r.code(lasting), "")
+		return fail(r.code(mutates), "")
 	}
-	return fail(r.code(lasting), "%s", r.text(hint))
+	return fail(r.code(mutates), "%s", r.text(hint))
 }
 
-func unreachable(lost *lostError, lasting bool, hint string) error {
+func unreachable(lost *lostError, mutates bool, hint string) error {
 	if !lost.sent {
 		return fail(ExitUnreachable, "not sent: %s", lost)
 	}
 	text := fmt.Sprintf("no answer: %s", lost)
-	if !lasting {
+	if !mutates {
 		return fail(ExitUnreachable, "%s", text)
 	}
 	text += "; it may have run"
@@ -236,8 +236,8 @@
 	return fail(ExitUnsettled, "%s", text)
 }
 
-func unsettledIf(lasting bool) int {
-	if lasting {
+func unsettledIf(mutates bool) int {
+	if mutates {
 		return ExitUnsettled
 	}
 	return ExitFailed
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -82,7 +82,7 @@
 	cfg.Budget, cfg.Duration = unit.Duration(c.Budget), unit.Duration(c.Duration)
 	cfg.Rate, cfg.Seed = c.Rate, c.Seed
 	if err := cfg.Validate(); err != nil {
-		return usage(err)
+		return usageError(err)
 	}
 	report, err := load.Run(ctx, cfg)
 	if err != nil {
--- a/internal/cli/plot.go
+++ b/internal/cli/plot.go
@@ -34,7 +34,7 @@
 func (c *plotCommand) Execute([]string) error {
 	s, err := settings.Load(c.Settings, host.DefaultSettings())
 	if err != nil {
-		return usage(err)
+		return usageError(err)
 	}
 	store := platform.New(s.Platform, event.Discard(), prometheus.NewRegistry())
 	ctx, cancel := context.WithTimeout(context.Background(), plotTimeout)
--- a/internal/cli/print.go
+++ b/internal/cli/print.go
@@ -91,8 +91,8 @@
 }
 
 // code is the exit code. A search that may have run changed nothing.
-func (r refusal) code(lasting bool) int {
-	if lasting && r.outcome == outcome.Unknown.String() {
+func (r refusal) code(mutates bool) int {
+	if mutates && r.outcome == outcome.Unknown.String() {
 		return ExitUnsettled
 	}
 	return ExitFailed
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -21,7 +21,7 @@
 func (c *serveCommand) Execute([]string) error {
 	s, err := settings.Load(c.Settings, host.DefaultSettings())
 	if err != nil {
-		return usage(err)
+		return usageError(err)
 	}
 	log := event.New(c.env.Err, s.Log.Plog(), s.ID)
 	h, err := host.New(s, log)
--- a/internal/cli/standin.go
+++ b/internal/cli/standin.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"rhubarbwood.example/rhubarbwood/internal/settings"
+	"rhubarbwood.example/rhubarbwood/internal/standin"
 	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
 	"rhubarbwood.example/rhubarbwood/internal/standin/target"
 )
@@ -37,11 +38,11 @@
 func (c *standinPlatform) Execute([]string) error {
 	cfg, err := settings.Load(c.Settings, objectstore.DefaultConfig())
 	if err != nil {
-		return usage(err)
+		return usageError(err)
 	}
 	cfg, err = cfg.Load()
 	if err != nil {
-		return usage(err)
+		return usageError(err)
 	}
 	return serveUntilSignal(c.env, cfg.Listen, objectstore.NewServer(objectstore.New(cfg)))
 }
@@ -55,25 +56,19 @@
 func (c *standinTarget) Execute([]string) error {
 	cfg, err := settings.Load(c.Settings, target.DefaultConfig())
 	if err != nil {
-		return usage(err)
+		return usageError(err)
 	}
 	t := target.New(cfg)
 	if err := t.OpenLog(); err != nil {
-		return usage(err)
+		return usageError(err)
 	}
 	err = serveUntilSignal(c.env, cfg.Listen, target.NewServer(t))
 	return errors.Join(err, t.CloseLog())
 }
 
-// server is what both stand-ins offer.
-type server interface {
-	Serve(ln net.Listener) error
-	Shutdown(ctx context.Context) error
-}
-
 // serveUntilSignal listens, says where on standard output, and serves until
 // SIGTERM or SIGINT.
-func serveUntilSignal(env Env, address string, s server) error {
+func serveUntilSignal(env Env, address string, s standin.Server) error {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return fail(ExitFailed, "listen: %s", err)
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -15,6 +15,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/host"
 	"rhubarbwood.example/rhubarbwood/internal/settings"
+	"rhubarbwood.example/rhubarbwood/internal/standin"
 	"rhubarbwood.example/rhubarbwood/internal/standin/fixture"
 	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
 	"rhubarbwood.example/rhubarbwood/internal/standin/target"
@@ -44,16 +45,10 @@
 type Site struct {
 	layout   fixture.Layout
 	hosts    []*host.Host
-	standins []standin
+	standins []standin.Server
 	serving  sync.WaitGroup
 }
 
-// standin is a stand-in that serves.
-type standin interface {
-	Serve(ln net.Listener) error
-	Shutdown(ctx context.Context) error
-}
-
 // Start starts the whole site. If a part fails, none is left running.
 func Start(ctx context.Context, o Options) (*Site, error) {
 	s := &Site{}
@@ -106,7 +101,7 @@
 }
 
 // serve starts a stand-in on a free port and returns its address.
-func (s *Site) serve(in standin) (string, error) {
+func (s *Site) serve(in standin.Server) (string, error) {
 	ln, err := net.Listen("tcp", freePort)
 	if err != nil {
 		return "", err
@@ -159,13 +154,13 @@
 
 // Stop stops the hosts gracefully, one after another, and then the stand-ins.
 func (s *Site) Stop(ctx context.Context) error {
-	var faults []error
+	var problems []error
 	for _, h := range s.hosts {
-		faults = append(faults, h.Stop(ctx))
+		problems = append(problems, h.Stop(ctx))
 	}
 	for _, in := range s.standins {
-		faults = append(faults, in.Shutdown(ctx))
+		problems = append(problems, in.Shutdown(ctx))
 	}
 	s.serving.Wait()
-	return Error.Wrap(errors.Join(faults...))
+	return Error.Wrap(errors.Join(problems...))
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -4,10 +4,12 @@
 package standin
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -19,6 +21,14 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("standin")
 
+// Server serves a stand-in. Serve returns nil once Shutdown was called;
+// Shutdown lets requests in flight end, and cuts off what is left when ctx is
+// done.
+type Server interface {
+	Serve(ln net.Listener) error
+	Shutdown(ctx context.Context) error
+}
+
 // Latency is a distribution of durations: lognormal around Mean, and
 // StraggleFactor times longer with probability Straggle. The zero value is
 // always 0.
