Stand-ins: terms of the field for desk, thaw and fold

desk, which held the reservations of a target, is reservations; thaw is waitWhileFrozen, passOutage waitOutage, foldLocked compactHostsLocked.

--- a/internal/standin/objectstore/calls.go
+++ b/internal/standin/objectstore/calls.go
@@ -92,7 +92,7 @@
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	for {
-		a, faultsChanged, down := s.passOutage(ctx)
+		a, faultsChanged, down := s.waitOutage(ctx)
 		if down {
 			return a
 		}
@@ -123,8 +123,8 @@
 	return s.release
 }
 
-// EndWatches answers all watches that wait, as if their time were over.
-func (s *Store) EndWatches() {
+// endWatches answers all watches that wait, as if their time were over.
+func (s *Store) endWatches() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	close(s.release)
--- a/internal/standin/objectstore/handler.go
+++ b/internal/standin/objectstore/handler.go
@@ -87,7 +87,7 @@
 	if !s.delay(r.Context()) {
 		return cut
 	}
-	if a, _, down := s.passOutage(r.Context()); down {
+	if a, _, down := s.waitOutage(r.Context()); down {
 		return a
 	}
 	if limit != nil && !limit.Allow() {
@@ -110,9 +110,9 @@
 	}
 }
 
-// passOutage returns the answer of a call that the outage ends, or false once
+// waitOutage returns the answer of a call that the outage ends, or false once
 // there is no outage, and then a channel that closes when the faults change.
-func (s *Store) passOutage(ctx context.Context) (answer, <-chan struct{}, bool) {
+func (s *Store) waitOutage(ctx context.Context) (answer, <-chan struct{}, bool) {
 	for {
 		outage, changed := s.outage()
 		switch outage {
--- a/internal/standin/objectstore/hosts.go
+++ b/internal/standin/objectstore/hosts.go
@@ -34,12 +34,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.at = time.Now()
-	s.hosts = append(s.foldLocked(), c)
+	s.hosts = append(s.compactHostsLocked(), c)
 }
 
-// foldLocked returns the changes without those that a later one, visible by
+// compactHostsLocked returns the changes without those that a later one, visible by
 // now, has overtaken, so that their number does not grow with time.
-func (s *Store) foldLocked() []hostChange {
+func (s *Store) compactHostsLocked() []hostChange {
 	asOf := time.Now().Add(-s.cfg.HostLag.Std())
 	visible := map[string]int{}
 	for i, c := range s.hosts {
--- a/internal/standin/objectstore/server.go
+++ b/internal/standin/objectstore/server.go
@@ -19,7 +19,7 @@
 // NewServer returns a server for the store.
 func NewServer(s *Store) *Server {
 	srv := &Server{http: http.Server{Handler: s.Handler(), ReadHeaderTimeout: headerTimeout}}
-	srv.http.RegisterOnShutdown(s.EndWatches)
+	srv.http.RegisterOnShutdown(s.endWatches)
 	return srv
 }
 
--- a/internal/standin/target/attempts.go
+++ b/internal/standin/target/attempts.go
@@ -40,9 +40,9 @@
 	answer  targetapi.Answer // once it has run
 }
 
-// desk keeps the reservations that ran: the execution log, the stock, and what
+// reservations holds those that ran: the execution log, the stock, and what
 // became of each attempt. It keeps all of them for as long as it lives.
-type desk struct {
+type reservations struct {
 	mu         sync.Mutex
 	stock      map[string]int
 	executions []Execution
@@ -50,59 +50,59 @@
 	journal    *journal // nil: in memory only
 }
 
-func newDesk(stock map[string]int) *desk {
-	d := &desk{stock: map[string]int{}, attempts: map[string]*attempt{}}
+func newReservations(stock map[string]int) *reservations {
+	r := &reservations{stock: map[string]int{}, attempts: map[string]*attempt{}}
 	for item, n := range stock {
-		d.stock[item] = n
+		r.stock[item] = n
 	}
-	return d
+	return r
 }
 
 // begin runs the reservation: it logs the execution and takes from the stock.
 // It reports false, and does nothing, if the attempt was settled as never run.
-func (d *desk) begin(e Execution) (ran Execution, ok bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	a := d.attempts[e.AttemptID]
+func (r *reservations) begin(e Execution) (ran Execution, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.attempts[e.AttemptID]
 	if a != nil && a.refused {
 		return e, false
 	}
-	e.Granted = d.takeLocked(e.Item)
-	d.executions = append(d.executions, e)
-	d.attempts[e.AttemptID] = &attempt{running: true}
-	d.journal.ran(e)
+	e.Granted = r.takeLocked(e.Item)
+	r.executions = append(r.executions, e)
+	r.attempts[e.AttemptID] = &attempt{running: true}
+	r.journal.ran(e)
 	return e, true
 }
 
-func (d *desk) takeLocked(item string) bool {
-	n, limited := d.stock[item]
+func (r *reservations) takeLocked(item string) bool {
+	n, limited := r.stock[item]
 	if !limited {
 		return true
 	}
 	if n == 0 {
 		return false
 	}
-	d.stock[item] = n - 1
+	r.stock[item] = n - 1
 	return true
 }
 
 // finish records the answer of an attempt that ran.
-func (d *desk) finish(a targetapi.Answer) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.attempts[a.AttemptID] = &attempt{answer: a}
+func (r *reservations) finish(a targetapi.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts[a.AttemptID] = &attempt{answer: a}
 }
 
 // settle tells what became of the attempt. One that has not begun is refused
 // from now on.
-func (d *desk) settle(attemptID string) targetapi.Settlement {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	a := d.attempts[attemptID]
+func (r *reservations) settle(attemptID string) targetapi.Settlement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.attempts[attemptID]
 	if a == nil {
 		a = &attempt{refused: true}
-		d.attempts[attemptID] = a
-		d.journal.refused(attemptID)
+		r.attempts[attemptID] = a
+		r.journal.refused(attemptID)
 	}
 	return targetapi.Settlement{
 		AttemptID: attemptID,
@@ -112,8 +112,8 @@
 	}
 }
 
-func (d *desk) log() []Execution {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return append([]Execution{}, d.executions...)
+func (r *reservations) log() []Execution {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Execution{}, r.executions...)
 }
--- a/internal/standin/target/control.go
+++ b/internal/standin/target/control.go
@@ -31,10 +31,10 @@
 	Drop     bool     `json:"drop,omitempty"`
 }
 
-// ControlHandler returns the stand-in's own paths alone. Served on a listener
+// controlHandler returns the stand-in's own paths alone. Served on a listener
 // of their own, they stay reachable when all connections of the target are
 // taken.
-func (t *Target) ControlHandler() http.Handler {
+func (t *Target) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	t.handleControl(mux)
 	return mux
--- a/internal/standin/target/faults_test.go
+++ b/internal/standin/target/faults_test.go
@@ -93,11 +93,11 @@
 		cancel()
 		is.True((<-got).err != nil)
 		is.Equal(len(tgt.Executions()), 1)
-		is.True(tgt.desk.settle("a1").Running)
+		is.True(tgt.reservations.settle("a1").Running)
 		time.Sleep(time.Second)
 		synctest.Wait()
-		is.True(!tgt.desk.settle("a1").Running)
-		is.True(tgt.desk.settle("a1").Answer.Granted)
+		is.True(!tgt.reservations.settle("a1").Running)
+		is.True(tgt.reservations.settle("a1").Answer.Granted)
 	})
 }
 
--- a/internal/standin/target/handler.go
+++ b/internal/standin/target/handler.go
@@ -127,7 +127,7 @@
 
 func (t *Target) serveSettle(w http.ResponseWriter, r *http.Request) {
 	t.counts.update(func(c *Counters) { c.Settles++ })
-	writeJSON(w, t.desk.settle(r.PathValue("id")))
+	writeJSON(w, t.reservations.settle(r.PathValue("id")))
 }
 
 func writeJSON(w http.ResponseWriter, body any) {
--- a/internal/standin/target/journal.go
+++ b/internal/standin/target/journal.go
@@ -28,45 +28,45 @@
 
 // open reads what an earlier process wrote, and writes to the same files from
 // now on. An empty path keeps everything in memory.
-func (d *desk) open(path string) error {
+func (r *reservations) open(path string) error {
 	if path == "" {
 		return nil
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	executions, err := openLines(path, d.restoreExecutionLocked)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	executions, err := openLines(path, r.restoreExecutionLocked)
 	if err != nil {
 		return err
 	}
-	refusals, err := openLines(path+refusalSuffix, d.restoreRefusalLocked)
+	refusals, err := openLines(path+refusalSuffix, r.restoreRefusalLocked)
 	if err != nil {
 		return errors.Join(err, executions.Close())
 	}
-	d.journal = &journal{executions, refusals}
+	r.journal = &journal{executions, refusals}
 	return nil
 }
 
-func (d *desk) close() error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	j := d.journal
-	d.journal = nil
+func (r *reservations) close() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j := r.journal
+	r.journal = nil
 	if j == nil {
 		return nil
 	}
 	return Error.Wrap(errors.Join(j.executions.Close(), j.refusals.Close()))
 }
 
-func (d *desk) restoreExecutionLocked(e Execution) {
+func (r *reservations) restoreExecutionLocked(e Execution) {
 	if e.Granted {
-		d.takeLocked(e.Item)
+		r.takeLocked(e.Item)
 	}
-	d.executions = append(d.executions, e)
-	d.attempts[e.AttemptID] = &attempt{answer: e.answer()}
+	r.executions = append(r.executions, e)
+	r.attempts[e.AttemptID] = &attempt{answer: e.answer()}
 }
 
-func (d *desk) restoreRefusalLocked(r refusal) {
-	d.attempts[r.AttemptID] = &attempt{refused: true}
+func (r *reservations) restoreRefusalLocked(old refusal) {
+	r.attempts[old.AttemptID] = &attempt{refused: true}
 }
 
 func (j *journal) ran(e Execution) {
--- a/internal/standin/target/run.go
+++ b/internal/standin/target/run.go
@@ -54,7 +54,7 @@
 
 // run takes one request through admission, execution and the faults.
 func (t *Target) run(ctx context.Context, r shardRequest) reply {
-	if !t.thaw(ctx, FreezeBefore) {
+	if !t.waitWhileFrozen(ctx, FreezeBefore) {
 		return cut(ResultCancelled)
 	}
 	if rej, ok := t.refuse(r); ok {
@@ -70,15 +70,15 @@
 	}
 	out := t.execute(ctx, r)
 	t.slots.release()
-	if !t.thaw(ctx, FreezeAfter) {
+	if !t.waitWhileFrozen(ctx, FreezeAfter) {
 		return cut(ResultCancelled)
 	}
 	return out
 }
 
-// thaw waits while requests are frozen at this point. It reports false if the
+// waitWhileFrozen waits while requests are frozen at this point. It reports false if the
 // client went.
-func (t *Target) thaw(ctx context.Context, at Freeze) bool {
+func (t *Target) waitWhileFrozen(ctx context.Context, at Freeze) bool {
 	for {
 		f, changed := t.faultsInForce()
 		if f.Freeze != at || !t.dice.Chance(share(f.FreezeShare)) {
@@ -174,14 +174,14 @@
 // reserve runs a reservation to its end, even if the client goes: the
 // execution is logged at its beginning.
 func (t *Target) reserve(r shardRequest) reply {
-	e, ok := t.desk.begin(t.execution(r))
+	e, ok := t.reservations.begin(t.execution(r))
 	if !ok {
 		return refusedAttempt(r)
 	}
 	t.work(context.Background())
 	answer := e.answer()
 	answer.Shard, answer.Snapshot = r.key.shard, r.key.snapshot
-	t.desk.finish(answer)
+	t.reservations.finish(answer)
 	return t.reply(r, answer)
 }
 
--- a/internal/standin/target/server.go
+++ b/internal/standin/target/server.go
@@ -27,7 +27,7 @@
 	return &Server{
 		target:  t,
 		http:    http.Server{Handler: t.Handler(), Protocols: &protocols, ReadHeaderTimeout: headerTimeout},
-		control: http.Server{Handler: t.ControlHandler(), ReadHeaderTimeout: headerTimeout},
+		control: http.Server{Handler: t.controlHandler(), ReadHeaderTimeout: headerTimeout},
 	}
 }
 
--- a/internal/standin/target/server_test.go
+++ b/internal/standin/target/server_test.go
@@ -233,7 +233,7 @@
 	first := New(cfg)
 	is.NoErr(first.OpenLog())
 	granted := newClient(first).send(t.Context(), reserve("ran")).answer
-	is.True(!first.desk.settle("refused").Ran)
+	is.True(!first.reservations.settle("refused").Ran)
 	is.NoErr(first.CloseLog())
 
 	second := New(cfg)
@@ -241,7 +241,7 @@
 	defer func() { is.NoErr(second.CloseLog()) }()
 	c := newClient(second)
 	is.Equal(second.Executions(), first.Executions())
-	is.Equal(second.desk.settle("ran"), targetapi.Settlement{AttemptID: "ran", Ran: true, Answer: granted})
+	is.Equal(second.reservations.settle("ran"), targetapi.Settlement{AttemptID: "ran", Ran: true, Answer: granted})
 	is.Equal(c.send(t.Context(), reserve("refused")).rejection.Code, targetapi.CodeRefusedAttempt)
 	is.True(!c.send(t.Context(), reserve("other")).answer.Granted) // the stock is gone
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -13,12 +13,12 @@
 // Target is the stand-in of one target. Every method is safe for concurrent
 // use.
 type Target struct {
-	cfg    Config
-	dice   *standin.Dice
-	slots  slots
-	desk   *desk
-	counts counters
-	rows   sync.Map // shardKey to []targetapi.Row
+	cfg          Config
+	dice         *standin.Dice
+	slots        slots
+	reservations *reservations
+	counts       counters
+	rows         sync.Map // shardKey to []targetapi.Row
 
 	mu            sync.Mutex
 	faults        Faults
@@ -45,7 +45,7 @@
 		cfg:           cfg,
 		dice:          standin.NewDice(cfg.Seed),
 		slots:         slots{size: cfg.Slots, queueLimit: cfg.QueueLength},
-		desk:          newDesk(cfg.Stock),
+		reservations:  newReservations(cfg.Stock),
 		faults:        cfg.Faults,
 		faultsChanged: make(chan struct{}),
 		services:      maps.Clone(cfg.Services),
@@ -61,16 +61,16 @@
 
 // OpenLog opens the execution log's file, if one is configured, and takes over
 // what an earlier process wrote there: executions, stock and settled attempts.
-func (t *Target) OpenLog() error { return t.desk.open(t.cfg.ExecutionLog) }
+func (t *Target) OpenLog() error { return t.reservations.open(t.cfg.ExecutionLog) }
 
 // CloseLog closes it.
-func (t *Target) CloseLog() error { return t.desk.close() }
+func (t *Target) CloseLog() error { return t.reservations.close() }
 
 // ID returns the target's id.
 func (t *Target) ID() string { return t.cfg.ID }
 
 // Executions returns the reservations that ran, in order.
-func (t *Target) Executions() []Execution { return t.desk.log() }
+func (t *Target) Executions() []Execution { return t.reservations.log() }
 
 // Drain begins a drain: new requests are refused as draining, those taken
 // already end. If serve is set the target says that it is draining, but still
