Entry: a relay that is late is overtaken long before the patience ends

Cause: a frozen or slow relay cost a search 0.4 of its budget, and each entry paid that again whenever it stopped avoiding the relay; a search that was decided by a relay's last word never noted that the relay had answered, so avoidance was hardly ever lifted or reset; suspects were asked as the living. One search probes an avoided relay, late answers lift nothing, suspects are asked last. Ruled out: a shorter fixed patience, as calls of wide and narrow searches differ. Seen to fail: pace never known (took < 2*paceLeast), suspects as the living (host-2 != host-1), no single probe (spared), no budget (taken), no hold after a refusal (take), last words not noted (took < 2*paceLeast).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,6 +42,7 @@
 	recorder delivery.Recorder
 	log      *event.Log
 	router   *router
+	paces    *paces
 	unheld   *unheldSnapshots
 	metrics  *metrics
 }
@@ -58,6 +59,7 @@
 		recorder: recorder,
 		log:      log,
 		router:   newRouter(members, cat),
+		paces:    newPaces(),
 		unheld:   &unheldSnapshots{span: cfg.UnheldFor.Std(), at: make(map[snapshotKey]time.Time)},
 		metrics:  newMetrics(reg),
 	}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -30,10 +30,12 @@
 	gen, rev uint64
 }
 
-// avoidance says until when a host is asked only if there is no other.
+// avoidance says until when a host is asked only if there is no other. After
+// that one request at a time probes it.
 type avoidance struct {
-	until time.Time
-	span  time.Duration
+	until   time.Time
+	span    time.Duration
+	probing bool
 }
 
 func newRouter(members member.View, cat catalog.View) *router {
@@ -119,7 +121,7 @@
 		case slices.Contains(c.tried, h.ID):
 		case h.ID == self.ID:
 			return h, true
-		case r.avoided(h.ID, now):
+		case h.State == member.Suspect || r.spared(h.ID, now):
 			avoided = append(avoided, h)
 		default:
 			fresh = append(fresh, h)
@@ -178,21 +180,37 @@
 	}
 }
 
+// avoided reports whether the host is asked only if there is no other.
 func (r *router) avoided(host string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return now.Before(r.avoid[host].until)
 }
 
+// spared is avoided for searches. When the time of a host is over, one search
+// probes it, and the others spare it until that one has ended or taken long.
+func (r *router) spared(host string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a, ok := r.avoid[host]
+	if !ok || now.Before(a.until) {
+		return ok
+	}
+	a.until, a.probing = now.Add(avoidFirst), true
+	r.avoid[host] = a
+	return false
+}
+
 // lost notes that a call to the host was lost or late: it is avoided for a
 // time that doubles with each such call.
 func (r *router) lost(host string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	a := r.avoid[host]
-	if now.Before(a.until) {
+	if now.Before(a.until) && !a.probing {
 		return
 	}
+	a.probing = false
 	a.span = min(max(2*a.span, avoidFirst), avoidMax)
 	a.until = now.Add(a.span)
 	r.avoid[host] = a
--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -31,7 +31,9 @@
 	host member.Host
 	keys []query.ShardKey // asked for
 	left int              // shards without the relay's last word
+	at   time.Time        // when it began
 	late bool             // its shards were asked of another relay as well
+	told bool             // its last word on every shard was noted
 }
 
 // message is what a relay call sends: a result, or its end.
@@ -63,8 +65,10 @@
 		all[i] = &s.merge.slots[i]
 	}
 	s.ask(ctx, all)
-	patience := time.NewTimer(s.patience(ctx))
+	full := time.Now().Add(s.patience(ctx))
+	patience := time.NewTimer(s.untilLate(full))
 	defer patience.Stop()
+	defer s.noteLate()
 	var batch []message
 	for !s.decided() {
 		select {
@@ -74,7 +78,11 @@
 				return verdictUnheld
 			}
 		case <-patience.C:
-			s.overtake(ctx)
+			now := time.Now()
+			s.overtake(ctx, now, !now.Before(full))
+			if now.Before(full) {
+				patience.Reset(full.Sub(now))
+			}
 		case <-ctx.Done():
 			s.drain()
 			s.overdue = s.merge.open > 0
@@ -114,16 +122,46 @@
 func (s *scatter) count(batch []message) {
 	for _, m := range batch {
 		if !m.end {
-			s.merge.offer(m.call, m.result)
+			s.offer(m)
 		}
 	}
 }
 
+// offer merges a result and notes when it was the last of its call. The end
+// of the call itself often comes when the search is decided.
+func (s *scatter) offer(m message) *slot {
+	sl := s.merge.offer(m.call, m.result)
+	if m.call.left == 0 && !m.call.told {
+		m.call.told = true
+		s.answered(m.call)
+	}
+	return sl
+}
+
 // patience returns after what time open shards are asked of another relay.
 func (s *scatter) patience(ctx context.Context) time.Duration {
 	return time.Duration(s.entry.cfg.RelayPatience * float64(remaining(ctx)))
 }
 
+// untilLate returns when to look for calls that take longer than others do,
+// at the latest when the patience ends.
+func (s *scatter) untilLate(full time.Time) time.Duration {
+	left := time.Until(full)
+	if late, ok := s.entry.paces.late(s.urgency); ok {
+		return min(late, left)
+	}
+	return left
+}
+
+// noteLate tells how long the late calls took so far, as the search is over.
+func (s *scatter) noteLate() {
+	for c := range s.calls {
+		if c.late && !c.told {
+			s.entry.paces.took(s.urgency, time.Since(c.at))
+		}
+	}
+}
+
 // ask chooses a relay for each shard and starts one call a relay. Shards with
 // no relay left are settled.
 func (s *scatter) ask(ctx context.Context, slots []*slot) {
@@ -166,10 +204,14 @@
 // start runs a relay call in its own goroutine.
 func (s *scatter) start(ctx context.Context, c *call) {
 	s.calls[c] = true
+	c.at = time.Now()
 	batch := s.batch(ctx, c)
 	searcher := s.entry.relays.Searcher(c.host)
 	s.entry.router.begin(c.host.ID)
 	s.entry.metrics.calls.Inc()
+	if s.remote(c) {
+		s.entry.paces.began(c.at, s.urgency)
+	}
 	go func() {
 		defer s.entry.router.end(c.host.ID)
 		err := searcher.Search(ctx, batch, func(r query.ShardResult) {
@@ -203,7 +245,7 @@
 		s.finish(ctx, m)
 		return verdictAnswered
 	}
-	sl := s.merge.offer(m.call, m.result)
+	sl := s.offer(m)
 	if sl == nil || sl.answered {
 		return verdictAnswered
 	}
@@ -211,6 +253,9 @@
 	if reason == query.ReasonSnapshotNotHeld && !s.last {
 		return verdictUnheld
 	}
+	if reason == query.ReasonOverload {
+		s.entry.paces.overloaded(time.Now(), s.urgency)
+	}
 	if relaysFault(reason) {
 		s.ask(ctx, []*slot{sl})
 	}
@@ -233,8 +278,7 @@
 // run; searches are idempotent, so they are asked of another relay.
 func (s *scatter) finish(ctx context.Context, m message) {
 	delete(s.calls, m.call)
-	if m.err == nil && m.call.left == 0 {
-		s.entry.router.answered(m.call.host.ID)
+	if m.call.left == 0 {
 		return
 	}
 	if ctx.Err() != nil {
@@ -252,20 +296,38 @@
 	}
 }
 
+// answered takes a call that gave its last word on every shard. One that was
+// late shows no more than that its relay is slow.
+func (s *scatter) answered(c *call) {
+	if s.remote(c) {
+		s.entry.paces.took(s.urgency, time.Since(c.at))
+	}
+	if !c.late {
+		s.entry.router.answered(c.host.ID)
+	}
+}
+
+// remote reports whether the relay is on another host; this host's own hedges
+// by itself.
+func (s *scatter) remote(c *call) bool { return c.host.ID != s.entry.members.Self().ID }
+
 // overtake asks other relays for the shards that slow remote relays left
-// open. The first valid answer counts, whoever gives it.
-func (s *scatter) overtake(ctx context.Context) {
+// open, within a budget until the patience has ended. The first valid answer
+// counts, whoever gives it.
+func (s *scatter) overtake(ctx context.Context, now time.Time, ended bool) {
 	var again []*slot
 	for c := range s.calls {
-		if c.late || c.host.ID == s.entry.members.Self().ID {
-			continue // this host's own relay hedges by itself
+		if c.late || !s.remote(c) {
+			continue
 		}
-		c.late = true
-		if open := s.merge.openOf(c); len(open) > 0 {
-			again = append(again, open...)
-			s.entry.router.lost(c.host.ID, time.Now())
-			s.entry.metrics.overtaken.Inc()
+		open := s.merge.openOf(c)
+		if len(open) == 0 || (!ended && !s.entry.paces.take(now, s.urgency)) {
+			continue
 		}
+		c.late = true
+		again = append(again, open...)
+		s.entry.router.lost(c.host.ID, now)
+		s.entry.metrics.overtaken.Inc()
 	}
 	s.ask(ctx, again)
 }
