Delivery: errors name the object, the burn has an event of its own, names

A burn that could not be computed was logged as event 6006, windows that could not be summed up; it is event 6008 now. Errors of parts and sums that can't be encoded, read, written or deleted name the object, and those of a round or a report the shard. The events read as sentences, as those of the other packages do, and 6006 and 6007 tell what to do. halve leaves out the second half of a sample, not every second record as its comment said; the code is as before.

Unclear before: settle (another thing in claim and catalog), tell for export, log and set, material, piece, texts and place, at and get, known, last. Now slotGrace, updateBurn, setReport, logLost, gathered, timedRows, stringTable, sumsFor and lookup, indexes, stopCtx. Stored and metric names are as before.

--- a/internal/delivery/bench_test.go
+++ b/internal/delivery/bench_test.go
@@ -171,7 +171,7 @@
 
 // round sums up what is due.
 func (s *site) round(b *testing.B) {
-	if err := s.compactor.round(b.Context(), s.now.Add(settle), 0); err != nil {
+	if err := s.compactor.round(b.Context(), s.now.Add(slotGrace), 0); err != nil {
 		b.Fatal(err)
 	}
 }
--- a/internal/delivery/burn.go
+++ b/internal/delivery/burn.go
@@ -33,7 +33,7 @@
 	Ratio     float64       // 0..1
 }
 
-// BurnWindows are the spans over which burn is told, shortest first.
+// BurnWindows are the spans over which burn is reported, shortest first.
 var BurnWindows = []time.Duration{5 * time.Minute, time.Hour, 6 * time.Hour, 3 * 24 * time.Hour}
 
 // WindowLabel writes a burn window without its zero parts: 5m, 1h, 6h, 3d.
@@ -68,15 +68,15 @@
 
 // Burn returns the burn of every objective in the configuration.
 func (r *Reporter) Burn(ctx context.Context, services []catalog.Service) (BurnReport, error) {
-	m, err := r.gather(ctx, BurnWindows[len(BurnWindows)-1], false)
+	g, err := r.gather(ctx, BurnWindows[len(BurnWindows)-1], false)
 	if err != nil {
 		return BurnReport{}, err
 	}
-	report := BurnReport{Completeness: m.completeness}
+	report := BurnReport{Completeness: g.completeness}
 	for _, o := range Objectives(services) {
 		report.Objectives = append(report.Objectives, newObjectiveBurn(o))
 	}
-	m.burn(report.Objectives)
+	g.burn(report.Objectives)
 	return report, nil
 }
 
@@ -117,16 +117,16 @@
 	return b
 }
 
-// burn fills the burns of all objectives in one pass over the material.
-func (m *material) burn(all []ObjectiveBurn) {
+// burn fills the burns of all objectives in one pass over the gathered rows.
+func (g *gathered) burn(all []ObjectiveBurn) {
 	byService := map[string][]*ObjectiveBurn{}
 	for i := range all {
 		byService[all[i].Objective.Service] = append(byService[all[i].Objective.Service], &all[i])
 	}
-	for _, p := range m.pieces {
+	for _, p := range g.rows {
 		eachRow(p.rows, func(k Key, row *deliverypb.Row) {
 			for _, o := range byService[k.Service] {
-				o.add(m.now.Sub(p.end), k, row)
+				o.add(g.now.Sub(p.end), k, row)
 			}
 		})
 	}
--- a/internal/delivery/compact.go
+++ b/internal/delivery/compact.go
@@ -23,16 +23,16 @@
 // retention. Each round is one host's, chosen by hashing shard and time. Two
 // hosts that both think it theirs write the same, so nothing needs to be agreed.
 type Compactor struct {
-	cfg   Config
-	store platform.Store
-	view  member.View
-	log   *event.Log
-	clock platformClock
-	pace  *rate.Limiter        // of removals
-	last  [MaxShards]time.Time // slots of the last rounds that ended well
-	known [MaxShards]map[string]*index
-	burn  *burnGauge
-	told  time.Time // slot of the last burn
+	cfg      Config
+	store    platform.Store
+	view     member.View
+	log      *event.Log
+	clock    platformClock
+	pace     *rate.Limiter        // of removals
+	last     [MaxShards]time.Time // slots of the last rounds that ended well
+	indexes  [MaxShards]map[string]*index
+	burn     *burnGauge
+	burnSlot time.Time // of the newest burn
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -92,7 +92,7 @@
 		for shard := range MaxShards {
 			c.check(ctx, now, shard)
 		}
-		c.tellBurn(ctx, now)
+		c.updateBurn(ctx, now)
 	}
 }
 
@@ -100,7 +100,7 @@
 // host's and not done yet.
 func (c *Compactor) check(ctx context.Context, now time.Time, shard int) {
 	l := levels[0]
-	slot := l.slotOf(now.Add(-settle)).Add(-l.slot)
+	slot := l.slotOf(now.Add(-slotGrace)).Add(-l.slot)
 	if slot.Equal(c.last[shard]) || !c.owns(slot, shard) {
 		return
 	}
@@ -111,23 +111,25 @@
 	c.last[shard] = slot
 }
 
-// noShard is hashed in place of a shard for the host that tells the burn.
+// noShard is hashed in place of a shard to choose the host that exports the burn.
 const noShard = -1
 
-func (c *Compactor) tellBurn(ctx context.Context, now time.Time) {
+// updateBurn sets the gauges of burn if the interval is this host's and not done
+// yet, and clears them if it is another's.
+func (c *Compactor) updateBurn(ctx context.Context, now time.Time) {
 	slot := now.UTC().Truncate(burnInterval)
 	if !c.owns(slot, noShard) {
 		c.burn.clear()
 		return
 	}
-	if slot.Equal(c.told) {
+	if slot.Equal(c.burnSlot) {
 		return
 	}
-	if err := c.burn.set(ctx); err != nil {
-		c.log.Event(evCompactFailed).Err(err).Msg("")
+	if err := c.burn.update(ctx); err != nil {
+		c.log.Event(evBurnFailed).Err(err).Msg("")
 		return
 	}
-	c.told = slot
+	c.burnSlot = slot
 }
 
 // owns reports whether this host has the highest hash together with the slot
@@ -152,15 +154,15 @@
 func (c *Compactor) round(ctx context.Context, now time.Time, shard int) error {
 	listing, err := c.store.List(ctx, inShard(platform.KindWindow, shard), inShard(kindIndex, shard))
 	if err != nil {
-		return Error.New("list windows: %w", err)
+		return Error.New("list windows of shard %d: %w", shard, err)
 	}
-	indexes, windows := readIndexes(listing.Objects, c.known[shard], c.unreadable)
+	indexes, windows := readIndexes(listing.Objects, c.indexes[shard], c.unreadable)
 	c.remember(shard, indexes)
 	summed := coveredBy(allSpans(indexes))
 	l := levels[0]
 	due := map[time.Time][]platform.Object{}
 	for _, o := range windows {
-		if slot := l.slotOf(o.Created); !now.Before(slot.Add(l.slot + settle)) {
+		if slot := l.slotOf(o.Created); !now.Before(slot.Add(l.slot + slotGrace)) {
 			due[slot] = append(due[slot], o)
 		}
 	}
@@ -179,9 +181,9 @@
 
 // remember keeps the indexes of a shard for the host's next round.
 func (c *Compactor) remember(shard int, indexes []*index) {
-	c.known[shard] = map[string]*index{}
+	c.indexes[shard] = map[string]*index{}
 	for _, x := range indexes {
-		c.known[shard][x.name()] = x
+		c.indexes[shard][x.name()] = x
 	}
 }
 
@@ -256,7 +258,7 @@
 	slices.SortFunc(parts, func(a, b *index) int { return strings.Compare(a.name(), b.name()) })
 	for _, x := range parts {
 		s.addIndex(x)
-		if err := reader.rows(ctx, x, func(p piece) { s.addRows(p.end, p.rows) }); err != nil {
+		if err := reader.rows(ctx, x, func(p timedRows) { s.addRows(p.end, p.rows) }); err != nil {
 			return err
 		}
 	}
--- a/internal/delivery/convert.go
+++ b/internal/delivery/convert.go
@@ -102,17 +102,17 @@
 	return all
 }
 
-// texts keeps each text once.
-type texts struct {
-	places map[string]uint32
-	all    []string
+// stringTable keeps each text once; rows refer to texts by index.
+type stringTable struct {
+	indexes map[string]uint32
+	all     []string
 }
 
-func (t *texts) place(s string) uint32 {
-	p, ok := t.places[s]
+func (t *stringTable) index(s string) uint32 {
+	p, ok := t.indexes[s]
 	if !ok {
 		p = uint32(len(t.all))
-		t.places[s] = p
+		t.indexes[s] = p
 		t.all = append(t.all, s)
 	}
 	return p
@@ -120,12 +120,12 @@
 
 // message returns the rows of the keys.
 func (r *rows) message(keys []Key) *deliverypb.Rows {
-	t := texts{places: map[string]uint32{}}
+	t := stringTable{indexes: map[string]uint32{}}
 	messages := make([]*deliverypb.Row, 0, len(keys))
 	for _, k := range keys {
 		s := r.sums[k]
 		messages = append(messages, &deliverypb.Row{
-			Caller: t.place(k.Caller), Service: t.place(k.Service), Reason: t.place(string(k.Reason)), Band: t.place(string(k.Band)),
+			Caller: t.index(k.Caller), Service: t.index(k.Service), Reason: t.index(string(k.Reason)), Band: t.index(string(k.Band)),
 			Outcome: uint32(k.Outcome), Snapshot: k.Snapshot,
 			Count: s.Count, Attempts: s.Attempts, Needed: s.Needed, Latency: s.pairs(),
 		})
@@ -158,7 +158,7 @@
 // addMessage adds the rows of a message, which has been checked.
 func (r *rows) addMessage(m *deliverypb.Rows, maxKeys int) {
 	eachRow(m, func(k Key, row *deliverypb.Row) {
-		s, folded := r.at(k, maxKeys)
+		s, folded := r.sumsFor(k, maxKeys)
 		s.addRow(row)
 		if folded {
 			r.folded += row.GetCount()
--- a/internal/delivery/events.go
+++ b/internal/delivery/events.go
@@ -8,22 +8,26 @@
 
 var (
 	evWriteFailed = event.Define(6001, "delivery_window_write_failed", plog.WarnLevel,
-		"a delivery window could not be written; it is kept and tried again",
-		"check the platform if it goes on; nothing is lost while the host lives", "window", "pending", "error")
+		"A delivery window could not be written. It is kept and tried again.",
+		"Check the platform if it goes on. Nothing is lost while the host lives.", "window", "pending", "error")
 	evRecovered = event.Define(6002, "delivery_windows_written_again", plog.InfoLevel,
-		"delivery windows are written again after failures", "none", "window", "failures")
+		"Delivery windows are written again after failures.", "none", "window", "failures")
 	evFinalLost = event.Define(6003, "delivery_final_window_lost", plog.ErrorLevel,
-		"the host stopped before its last delivery windows were written; reports will name the host",
-		"raise delivery.stop_timeout if the platform was only slow", "pending", "answers", "error")
+		"The host stopped before its last delivery windows were written. Reports will name the host.",
+		"Raise delivery.stop_timeout if the platform was only slow.", "pending", "answers", "error")
 	evNameTaken = event.Define(6004, "delivery_window_name_taken", plog.ErrorLevel,
-		"another process writes delivery windows under this host's id and incarnation; the window gets the next number",
-		"give each host an id of its own", "window")
+		"Another process writes delivery windows under this host's id and incarnation. The window gets the next number.",
+		"Give each host an id of its own.", "window")
 	evCompacted = event.Define(6005, "delivery_slot_compacted", plog.DebugLevel,
-		"delivery windows of a time slot were summed up", "none", "slot", "windows", "objects")
+		"Delivery windows of a time slot were summed up.", "none", "slot", "windows", "objects")
 	evCompactFailed = event.Define(6006, "delivery_compaction_failed", plog.WarnLevel,
-		"delivery windows could not be summed up; the next try goes on from there",
-		"check the platform if it goes on", "error")
+		"Delivery windows could not be summed up. The next round continues from there.",
+		"Check the platform if it goes on. Nothing is lost; reports read more objects meanwhile.", "error")
 	evUnreadable = event.Define(6007, "delivery_object_unreadable", plog.ErrorLevel,
-		"a delivery object can't be read; reports name it",
-		"look at the object; hosts of differing versions may be running", "object", "error")
+		"A delivery object can't be read. Reports name it.",
+		"Check whether hosts of different releases run. The object's windows are missing in reports until it can be read.",
+		"object", "error")
+	evBurnFailed = event.Define(6008, "delivery_burn_failed", plog.WarnLevel,
+		"The burn of the objectives could not be computed. Its metrics keep their last values, if this host has any, until a later try succeeds.",
+		"Check the platform if it goes on. \"show burn\" computes the same.", "error")
 )
--- a/internal/delivery/flush.go
+++ b/internal/delivery/flush.go
@@ -79,12 +79,14 @@
 	return Error.New("write window %s: the name is taken", name)
 }
 
+// failed counts and logs a write that failed.
 func (w *Windows) failed(p *pending, err error) {
 	w.failures++
 	w.metrics.failures.Inc()
 	w.log.Event(evWriteFailed).Str("window", p.window.name()).Int("pending", len(w.queue.items)).Err(err).Msg("")
 }
 
+// written takes the window off the queue and counts it.
 func (w *Windows) written(p *pending) {
 	if w.failures > 0 {
 		w.log.Event(evRecovered).Str("window", p.window.name()).Int("failures", w.failures).Msg("")
--- a/internal/delivery/gauge.go
+++ b/internal/delivery/gauge.go
@@ -9,10 +9,10 @@
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 )
 
-// burnGauge tells the burn of all objectives as metrics. Only the host that
+// burnGauge exports the burn of all objectives as metrics. Only the host that
 // computed it last has values, so that a fleet computes them once; the host
-// before it stops telling within checkInterval. What the report lacks is told
-// beside them. A scrape sees one report, whole.
+// before it drops its values within checkInterval. A metric beside them says how
+// much the report lacks. A scrape sees one report, whole.
 type burnGauge struct {
 	reporter *Reporter
 	services func() []catalog.Service
@@ -20,7 +20,7 @@
 	missing  *prometheus.Desc
 
 	mu     sync.Mutex
-	report *BurnReport // nil: this host does not tell
+	report *BurnReport // nil: this host exports none
 }
 
 func newBurnGauge(r *Reporter, services func() []catalog.Service, reg prometheus.Registerer) *burnGauge {
@@ -62,15 +62,17 @@
 	ch <- prometheus.MustNewConstMetric(g.missing, prometheus.GaugeValue, float64(missing))
 }
 
-func (g *burnGauge) clear() { g.tell(nil) }
+// clear drops the values of this host.
+func (g *burnGauge) clear() { g.setReport(nil) }
 
-func (g *burnGauge) tell(r *BurnReport) {
+func (g *burnGauge) setReport(r *BurnReport) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.report = r
 }
 
-func (g *burnGauge) set(ctx context.Context) error {
+// update computes the burn and exports it from this host.
+func (g *burnGauge) update(ctx context.Context) error {
 	services := g.services()
 	if len(services) == 0 {
 		return nil
@@ -79,6 +81,6 @@
 	if err != nil {
 		return err
 	}
-	g.tell(&report)
+	g.setReport(&report)
 	return nil
 }
--- a/internal/delivery/parts.go
+++ b/internal/delivery/parts.go
@@ -52,6 +52,7 @@
 // was over, after its index was read.
 var errPartGone = Error.New("a part of a sum is gone")
 
+// part returns the value of a part.
 func (r *partReader) part(ctx context.Context, kind, name string) ([]byte, error) {
 	if listed, ok := r.listed[kind]; ok {
 		value, ok := listed[name]
@@ -71,20 +72,21 @@
 }
 
 // rows calls take for each slot's rows in the parts of a sum.
-func (r *partReader) rows(ctx context.Context, x *index, take func(piece)) error {
+func (r *partReader) rows(ctx context.Context, x *index, take func(timedRows)) error {
 	for i := range x.Parts {
 		value, err := r.part(ctx, x.partKind(), partName(x.name(), i))
 		if err != nil {
 			return err
 		}
 		if err := eachSlot(value, take); err != nil {
-			return err
+			return Error.New("read %s/%s: %w", x.partKind(), partName(x.name(), i), err)
 		}
 	}
 	return nil
 }
 
-func eachSlot(value []byte, take func(piece)) error {
+// eachSlot calls take for each slot's rows in a part.
+func eachSlot(value []byte, take func(timedRows)) error {
 	m := &deliverypb.RowPart{}
 	if err := decode(value, m); err != nil {
 		return err
@@ -93,7 +95,7 @@
 		if err := checkRows(slot.GetRows()); err != nil {
 			return err
 		}
-		take(piece{end: fromMillis(slot.GetEndMs()), rows: slot.GetRows()})
+		take(timedRows{end: fromMillis(slot.GetEndMs()), rows: slot.GetRows()})
 	}
 	return nil
 }
@@ -109,7 +111,7 @@
 			}
 			m := &deliverypb.RecordPart{}
 			if err := decode(value, m); err != nil {
-				return nil, err
+				return nil, Error.New("read %s/%s: %w", platform.KindRecord, partName(set.Name, i), err)
 			}
 			all = append(all, recordsOf(m.GetRecords())...)
 		}
--- a/internal/delivery/plot.go
+++ b/internal/delivery/plot.go
@@ -32,7 +32,7 @@
 // point for each step in which anything counts. The step is five minutes, or
 // an hour past six hours.
 func (r *Reporter) BurnSeries(ctx context.Context, services []catalog.Service, since time.Duration) ([]Series, Completeness, error) {
-	m, err := r.gather(ctx, since, false)
+	g, err := r.gather(ctx, since, false)
 	if err != nil {
 		return nil, Completeness{}, err
 	}
@@ -42,16 +42,16 @@
 	}
 	var all []Series
 	for _, o := range Objectives(services) {
-		if s := m.series(o, step); len(s.Points) > 0 {
+		if s := g.series(o, step); len(s.Points) > 0 {
 			all = append(all, s)
 		}
 	}
-	return all, m.completeness, nil
+	return all, g.completeness, nil
 }
 
-func (m *material) series(o Objective, step level) Series {
+func (g *gathered) series(o Objective, step level) Series {
 	burns := map[time.Time]*ObjectiveBurn{}
-	for _, p := range m.pieces {
+	for _, p := range g.rows {
 		end := step.ended(p.end)
 		if burns[end] == nil {
 			burns[end] = &ObjectiveBurn{Objective: o, Burns: []Burn{{Window: step.slot}}}
--- a/internal/delivery/record.go
+++ b/internal/delivery/record.go
@@ -101,5 +101,5 @@
 	s.offered = offered
 }
 
-// halve leaves out every second record.
+// halve leaves out the second half of the records.
 func (s *sample) halve() { s.kept = s.kept[:len(s.kept)/2] }
--- a/internal/delivery/report.go
+++ b/internal/delivery/report.go
@@ -91,15 +91,15 @@
 	if err := q.Validate(); err != nil {
 		return Report{}, err
 	}
-	m, err := r.gather(ctx, cmp.Or(q.Since, defaultSince), false)
+	g, err := r.gather(ctx, cmp.Or(q.Since, defaultSince), false)
 	if err != nil {
 		return Report{}, err
 	}
 	lines := map[Key]*Sums{}
-	for _, p := range m.pieces {
+	for _, p := range g.rows {
 		q.sum(lines, p.rows)
 	}
-	report := Report{Query: q, Completeness: m.completeness}
+	report := Report{Query: q, Completeness: g.completeness}
 	for k, s := range lines {
 		report.Lines = append(report.Lines, Line{Key: k, Sums: s})
 	}
@@ -122,11 +122,11 @@
 
 // Records returns the single records of the query's time, newest first.
 func (r *Reporter) Records(ctx context.Context, since time.Duration, keep func(Record) bool) ([]Record, Completeness, error) {
-	m, err := r.gather(ctx, cmp.Or(since, defaultSince), true)
+	g, err := r.gather(ctx, cmp.Or(since, defaultSince), true)
 	if err != nil {
 		return nil, Completeness{}, err
 	}
-	kept := slices.DeleteFunc(m.records, func(rec Record) bool { return !keep(rec) })
+	kept := slices.DeleteFunc(g.records, func(rec Record) bool { return !keep(rec) })
 	slices.SortStableFunc(kept, func(a, b Record) int { return b.Until.Compare(a.Until) })
-	return kept, m.completeness, nil
+	return kept, g.completeness, nil
 }
--- a/internal/delivery/rollup.go
+++ b/internal/delivery/rollup.go
@@ -39,7 +39,7 @@
 // level is one resolution of sums. Windows belong to the slot in which the
 // platform created them: once that has passed, no window can come to it.
 type level struct {
-	place int
+	order int    // in levels
 	kind  string // of its parts
 	slot  time.Duration
 	keep  time.Duration // after the next level's slot, in which its sums stay as they are
@@ -48,9 +48,9 @@
 // levels are the resolutions, finest first. The burn over five minutes is told
 // to the minute, the burn over an hour and six to five minutes.
 var levels = []level{
-	{place: 0, kind: "window-1m", slot: time.Minute, keep: 10 * time.Minute},
-	{place: 1, kind: "window-5m", slot: 5 * time.Minute, keep: 7 * time.Hour},
-	{place: 2, kind: "window-1h", slot: time.Hour},
+	{order: 0, kind: "window-1m", slot: time.Minute, keep: 10 * time.Minute},
+	{order: 1, kind: "window-5m", slot: 5 * time.Minute, keep: 7 * time.Hour},
+	{order: 2, kind: "window-1h", slot: time.Hour},
 }
 
 func levelOf(kind string) (level, bool) {
@@ -62,15 +62,17 @@
 	return level{}, false
 }
 
-// settle is how long after its slot a window is summed up at the earliest. It
-// makes up for hosts that know the platform's clock to a few seconds only.
-const settle = 15 * time.Second
+// slotGrace is how long after the end of a slot its windows are summed up at the
+// earliest. It allows for hosts that know the platform's clock to a few seconds
+// only.
+const slotGrace = 15 * time.Second
 
 func (l level) slotOf(t time.Time) time.Time { return t.UTC().Truncate(l.slot) }
 
 // ended returns the end of the slot in which t is the end of a window.
 func (l level) ended(t time.Time) time.Time { return l.slotOf(t.Add(-1)).Add(l.slot) }
 
+// partName names one of the objects that hold the rows or records of a sum.
 func partName(name string, part int) string { return fmt.Sprintf("%s.%d", name, part) }
 
 // index is the head of a sum.
@@ -284,7 +286,7 @@
 func superseded(indexes []*index) map[*index]bool {
 	over := map[*index]bool{}
 	for _, l := range levels {
-		coarser := slices.DeleteFunc(slices.Clone(indexes), func(x *index) bool { return x.level.place <= l.place })
+		coarser := slices.DeleteFunc(slices.Clone(indexes), func(x *index) bool { return x.level.order <= l.order })
 		held := coveredBy(allSpans(coarser))
 		for _, x := range indexes {
 			if x.level == l {
--- a/internal/delivery/round_test.go
+++ b/internal/delivery/round_test.go
@@ -60,7 +60,7 @@
 			}
 			now = now.Add(time.Minute)
 			if minute < minutes-3 {
-				is.NoErr(c.round(t.Context(), now.Add(settle), 0))
+				is.NoErr(c.round(t.Context(), now.Add(slotGrace), 0))
 			}
 		}
 		whole := func() {
@@ -70,10 +70,10 @@
 			is.Equal(r.Total(), uint64(2*minutes))
 		}
 		store.left = writes
-		ended = c.round(t.Context(), now.Add(settle), 0) == nil
+		ended = c.round(t.Context(), now.Add(slotGrace), 0) == nil
 		whole()
 		store.left = 1 << 20
-		is.NoErr(c.round(t.Context(), now.Add(settle), 0))
+		is.NoErr(c.round(t.Context(), now.Add(slotGrace), 0))
 		whole()
 		is.Equal(len(p.Objects(platform.KindWindow)), 0)
 		is.Equal(len(p.Objects(levels[0].kind)), minutes-5)
--- a/internal/delivery/rows.go
+++ b/internal/delivery/rows.go
@@ -61,7 +61,7 @@
 func newRows() *rows { return &rows{sums: map[Key]*Sums{}} }
 
 func (r *rows) record(d Delivery, maxKeys int) {
-	s, folded := r.at(keyOf(d), maxKeys)
+	s, folded := r.sumsFor(keyOf(d), maxKeys)
 	s.record(d)
 	if folded {
 		r.folded++
@@ -72,14 +72,14 @@
 	r.folded += from.folded
 	if len(r.sums)+len(from.sums) <= maxKeys { // nothing is folded, so the order does not matter
 		for k, sums := range from.sums {
-			s, _ := r.get(k, maxKeys)
+			s, _ := r.lookup(k, maxKeys)
 			s.merge(sums)
 		}
 		return
 	}
 	for _, k := range from.bySize() {
 		sums := from.sums[k]
-		s, folded := r.at(k, maxKeys)
+		s, folded := r.sumsFor(k, maxKeys)
 		s.merge(sums)
 		if folded {
 			r.folded += sums.Count
@@ -87,23 +87,23 @@
 	}
 }
 
-// at returns the sums for the key, or those of a folded key when there are
+// sumsFor returns the sums for the key, or those of a folded key when there are
 // too many: callers go first, then everything but outcome, reason and band,
 // of which there are few.
-func (r *rows) at(k Key, maxKeys int) (sums *Sums, folded bool) {
-	if s, ok := r.get(k, maxKeys); ok {
+func (r *rows) sumsFor(k Key, maxKeys int) (sums *Sums, folded bool) {
+	if s, ok := r.lookup(k, maxKeys); ok {
 		return s, false
 	}
 	k.Caller = Other
-	if s, ok := r.get(k, maxKeys+maxKeys/4); ok {
+	if s, ok := r.lookup(k, maxKeys+maxKeys/4); ok {
 		return s, true
 	}
 	k.Service, k.Snapshot = Other, 0
-	s, _ := r.get(k, len(r.sums)+1)
+	s, _ := r.lookup(k, len(r.sums)+1)
 	return s, true
 }
 
-func (r *rows) get(k Key, maxKeys int) (*Sums, bool) {
+func (r *rows) lookup(k Key, maxKeys int) (*Sums, bool) {
 	if s, ok := r.sums[k]; ok {
 		return s, true
 	}
--- a/internal/delivery/sumstore.go
+++ b/internal/delivery/sumstore.go
@@ -19,11 +19,11 @@
 		return &deliverypb.RecordPart{Records: recordMessages(r)}
 	})
 	if err != nil {
-		return err
+		return Error.New("encode records of sum %s: %w", name, err)
 	}
 	rows, err := encodeChunks(s.timedKeys(), s.part)
 	if err != nil {
-		return err
+		return Error.New("encode rows of sum %s: %w", name, err)
 	}
 	if len(records) > 0 {
 		s.index.Records = append(s.index.Records, recordSet{Name: name, Parts: len(records)})
@@ -37,7 +37,7 @@
 	}
 	head, err := encode(s.index.message())
 	if err != nil {
-		return err
+		return Error.New("encode index of sum %s: %w", name, err)
 	}
 	return c.put(ctx, s.index.kind(), name, head)
 }
@@ -51,9 +51,9 @@
 	return nil
 }
 
-// put creates an object. One that stands with the same value is as good; an
-// index that stands with another value is another host's sum, and wins. A part
-// with another value is of a round that was cut short, and is replaced.
+// put creates an object. If it exists with the same value, that is no error; an
+// index with another value is another host's sum and stays. A part with another
+// value is left from a round that was cut short, and is replaced.
 func (c *Compactor) put(ctx context.Context, kind, name string, value []byte) error {
 	var version uint64
 	for {
@@ -63,8 +63,10 @@
 		})
 		var conflict *platform.Conflict
 		switch {
+		case err == nil:
+			return nil
 		case !errors.As(err, &conflict):
-			return err
+			return Error.New("write %s/%s: %w", kind, name, err)
 		case sameValue(conflict.Current.Value, value):
 			return nil
 		case strings.HasPrefix(kind, kindIndex):
@@ -77,7 +79,7 @@
 }
 
 // removeSum removes a sum that no report reads any more, its index last, so
-// that a round that is cut short is gone on with. Records go only when their
+// that the next round finishes one that was cut short. Records go only when their
 // time is over, as a coarser sum names them too.
 func (c *Compactor) removeSum(ctx context.Context, x *index, withRecords bool) error {
 	for i := range x.Parts {
@@ -104,12 +106,12 @@
 	return nil
 }
 
-// remove deletes an object at a version, or at the one that stands. One that
-// is gone is as good. Removals keep to the share of the platform's writes that
+// remove deletes an object at the version, or at its current one if that is
+// another. An object that is gone already is no error. Removals keep to the share of the platform's writes that
 // all hosts have for windows, as one host makes them for all.
 func (c *Compactor) remove(ctx context.Context, kind, name string, version uint64) error {
 	if err := c.pace.Wait(ctx); err != nil {
-		return Error.Wrap(err)
+		return Error.New("wait to delete %s/%s: %w", kind, name, err)
 	}
 	for {
 		err := c.call(ctx, func(ctx context.Context) error { return c.store.Delete(ctx, kind, name, version) })
@@ -127,8 +129,9 @@
 	}
 }
 
+// call makes one call to the platform within the write timeout.
 func (c *Compactor) call(ctx context.Context, f func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.WriteTimeout.Std())
 	defer cancel()
-	return Error.Wrap(f(ctx))
+	return f(ctx)
 }
--- a/internal/delivery/windows.go
+++ b/internal/delivery/windows.go
@@ -36,7 +36,7 @@
 
 	started bool
 	stop    chan struct{}
-	last    context.Context // of Stop; set before stop is closed
+	stopCtx context.Context // of Stop; set before stop is closed
 	done    chan struct{}
 }
 
@@ -72,7 +72,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.cfg.StopTimeout.Std())
 	defer cancel()
-	w.last = ctx
+	w.stopCtx = ctx
 	close(w.stop)
 	<-w.done
 	return nil
@@ -162,25 +162,26 @@
 func (w *Windows) finish() {
 	w.close(true)
 	for {
-		w.flush(w.last, len(w.queue.items))
+		w.flush(w.stopCtx, len(w.queue.items))
 		if w.queue.head() == nil {
 			return
 		}
 		select {
-		case <-w.last.Done():
-			w.tellLost()
+		case <-w.stopCtx.Done():
+			w.logLost()
 			return
 		case <-time.After(firstRetryWait):
 		}
 	}
 }
 
-func (w *Windows) tellLost() {
+// logLost logs how many windows and answers are lost with this host.
+func (w *Windows) logLost() {
 	var answers uint64
 	for _, p := range w.queue.items {
 		answers += p.window.Rows.count()
 	}
-	w.log.Event(evFinalLost).Int("pending", len(w.queue.items)).Uint64("answers", answers).Err(w.last.Err()).Msg("")
+	w.log.Event(evFinalLost).Int("pending", len(w.queue.items)).Uint64("answers", answers).Err(w.stopCtx.Err()).Msg("")
 }
 
 // close ends the open window, opens the next one and queues the closed one.
