--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -1,4 +1,4 @@
-// Package examples holds settings files for the two places that the system
+// Package examples holds settings files for the two sites that the system
 // serves today. The files under kolkata and nordeste are made from the same
 // tables of sizes as the stand-ins; "go test ./examples -update" writes them.
 package examples
@@ -22,16 +22,16 @@
 
 var update = flag.Bool("update", false, "write the files instead of comparing them")
 
-// place is one site. Its addresses are loopback ones, so that the files can be
+// site is one installation. Its addresses are loopback ones, so that the files can be
 // tried on one machine: 127.<net>.0.x for hosts, 127.<net>.1.x for targets.
-type place struct {
+type site struct {
 	net    int
 	hosts  int
 	layout fixture.Layout
 }
 
-func places() []place {
-	return []place{
+func sites() []site {
+	return []site{
 		{net: 1, hosts: 9, layout: fixture.Kolkata(options(1))},
 		{net: 2, hosts: 8, layout: fixture.Nordeste(options(2))},
 	}
@@ -45,12 +45,12 @@
 	}}
 }
 
-func (p place) hostID(i int) string {
-	n := len(p.layout.Domains)
-	return fmt.Sprintf("%s-%d", p.layout.Domains[i%n], i/n+1)
+func (s site) hostID(i int) string {
+	n := len(s.layout.Domains)
+	return fmt.Sprintf("%s-%d", s.layout.Domains[i%n], i/n+1)
 }
 
-func (p place) peer(i int) string { return fmt.Sprintf("127.%d.0.%d:7000", p.net, i+1) }
+func (s site) peer(i int) string { return fmt.Sprintf("127.%d.0.%d:7000", s.net, i+1) }
 
 const hostFile = `// Host %[1]s of %[2]s. What is left out has its default; see ../../host.jsonc.
 {
@@ -69,13 +69,13 @@
 }
 `
 
-func (p place) hostFile(i int) string {
-	domains := p.layout.Domains
+func (s site) hostFile(i int) string {
+	domains := s.layout.Domains
 	seeds := make([]string, len(domains))
 	for d := range domains {
-		seeds[d] = fmt.Sprintf("%q", p.peer(d))
+		seeds[d] = fmt.Sprintf("%q", s.peer(d))
 	}
-	return fmt.Sprintf(hostFile, p.hostID(i), p.layout.Name, domains[i%len(domains)], p.net, i+1, p.peer(i), strings.Join(seeds, ", "))
+	return fmt.Sprintf(hostFile, s.hostID(i), s.layout.Name, domains[i%len(domains)], s.net, i+1, s.peer(i), strings.Join(seeds, ", "))
 }
 
 const platformFile = `// Stand-in for the platform of %s. It holds the services and snapshots of
@@ -89,26 +89,26 @@
 }
 `
 
-// files returns the place's files by path.
-func (p place) files(t *testing.T) map[string]string {
+// files returns the site's files by path.
+func (s site) files(t *testing.T) map[string]string {
 	t.Helper()
-	dir := p.layout.Name
+	dir := s.layout.Name
 	files := map[string]string{
-		filepath.Join(dir, "platform.jsonc"): fmt.Sprintf(platformFile, dir, p.net),
-		filepath.Join(dir, "seeds.json"):     indented(t, p.layout.Seeds()),
+		filepath.Join(dir, "platform.jsonc"): fmt.Sprintf(platformFile, dir, s.net),
+		filepath.Join(dir, "seeds.json"):     indented(t, s.layout.Seeds()),
 	}
-	for i := range p.hosts {
-		files[filepath.Join(dir, "hosts", p.hostID(i)+".jsonc")] = p.hostFile(i)
+	for i := range s.hosts {
+		files[filepath.Join(dir, "hosts", s.hostID(i)+".jsonc")] = s.hostFile(i)
 	}
 	seen := map[string]bool{}
-	for _, s := range p.layout.Services {
-		if seen[s.Workload] {
+	for _, service := range s.layout.Services {
+		if seen[service.Workload] {
 			continue
 		}
-		seen[s.Workload] = true
-		for _, c := range p.layout.Targets {
-			if c.ID == s.Targets[0].ID {
-				head := fmt.Sprintf("// Stand-in for a target of %s.\n", s.Workload)
+		seen[service.Workload] = true
+		for _, c := range s.layout.Targets {
+			if c.ID == service.Targets[0].ID {
+				head := fmt.Sprintf("// Stand-in for a target of %s.\n", service.Workload)
 				files[filepath.Join(dir, "targets", c.ID+".jsonc")] = head + indented(t, sparse(t, c))
 			}
 		}
@@ -119,7 +119,7 @@
 // sparse leaves out what has its default.
 func sparse(t *testing.T, c target.Config) map[string]json.RawMessage {
 	t.Helper()
-	all, defaults := members(t, c), members(t, target.DefaultConfig())
+	all, defaults := jsonFields(t, c), jsonFields(t, target.DefaultConfig())
 	for name, value := range defaults {
 		if bytes.Equal(all[name], value) {
 			delete(all, name)
@@ -128,7 +128,7 @@
 	return all
 }
 
-func members(t *testing.T, v any) map[string]json.RawMessage {
+func jsonFields(t *testing.T, v any) map[string]json.RawMessage {
 	t.Helper()
 	text, err := json.Marshal(v)
 	if err != nil {
@@ -151,8 +151,8 @@
 }
 
 func TestFilesAreThoseOfTheTables(t *testing.T) {
-	for _, p := range places() {
-		for path, want := range p.files(t) {
+	for _, s := range sites() {
+		for path, want := range s.files(t) {
 			if *update {
 				write(t, path, want)
 			}
@@ -202,12 +202,12 @@
 	}
 }
 
-// Each failure domain of a place has a host.
+// Each failure domain of a site has at least two hosts.
 func TestEveryFailureDomainHasAHost(t *testing.T) {
 	is := is.New(t)
-	for _, p := range places() {
-		for _, domain := range p.layout.Domains {
-			matches, err := filepath.Glob(filepath.Join(p.layout.Name, "hosts", domain+"-*.jsonc"))
+	for _, s := range sites() {
+		for _, domain := range s.layout.Domains {
+			matches, err := filepath.Glob(filepath.Join(s.layout.Name, "hosts", domain+"-*.jsonc"))
 			is.NoErr(err)
 			is.True(len(matches) >= 2)
 		}
--- a/internal/event/catalogue_test.go
+++ b/internal/event/catalogue_test.go
@@ -12,7 +12,7 @@
 	"testing"
 )
 
-// uses is one place of the code that writes a line of an event.
+// use is one place of the code that writes a line of an event.
 type use struct {
 	event  string // variable
 	fields []string
