Platform: results and fields named, Store lists all its errors

exchange returned a bare bool, call's wait and limit did not say of what, note did not say what it notes, and the test client's lose, drop and hold needed their comments. Store's comment left out ErrCompacted.

--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -47,7 +47,7 @@
 }
 
 // Store is the platform's object API. Errors are *Conflict, ErrNotFound,
-// *Unavailable or *Unanswered.
+// ErrCompacted, *Unavailable or *Unanswered.
 type Store interface {
 	Get(ctx context.Context, kind, name string) (Object, error)
 	// List returns all objects of the kinds and the revision of the list.
@@ -68,7 +68,7 @@
 }
 
 // Conflict means that a conditional write was refused: it was not applied.
-// Current is the object that stands, with Version 0 if there is none.
+// Current is the object as it is, with Version 0 if there is none.
 type Conflict struct{ Current Object }
 
 // Error names the object and its version.
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -20,23 +20,23 @@
 	query   url.Values
 	version *uint64 // expected version of a conditional write
 	body    []byte
-	wait    time.Duration // that the platform may take on purpose
-	limit   int64         // bytes of the answer
+	wait    time.Duration // of a watch, for a change; on top of the timeout
+	limit   int64         // most bytes of the answer
 }
 
-// exchange sends the call to one address and reads the answer. It reports
-// false if no connection was had, so that nothing can have been sent.
-func (c *Client) exchange(ctx context.Context, address string, k call, into any) (bool, error) {
-	connected := false
+// exchange sends the call to one address and reads the answer. connected is
+// false if there was no connection, so that nothing can have been sent.
+func (c *Client) exchange(ctx context.Context, address string, k call, into any) (connected bool, err error) {
+	gotConn := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+		GotConn: func(httptrace.GotConnInfo) { gotConn = true },
 	})
 	req, err := k.request(ctx, address)
 	if err != nil {
 		return false, &Unavailable{Cause: Error.New("%s: make request: %w", k.verb, err)}
 	}
 	resp, err := c.http.Do(req)
-	if err != nil && !connected {
+	if err != nil && !gotConn {
 		return false, &Unavailable{Cause: Error.New("%s: connect: %w", k.verb, err)}
 	}
 	if err != nil {
@@ -65,7 +65,7 @@
 	return req, nil
 }
 
-// result turns the answer into the object wanted or an error of Store. The
+// result decodes the answer into into, or returns an error of Store. The
 // platform promises that it has applied nothing when it answers 4xx or 503;
 // any other failure leaves that open.
 func (k call) result(resp *http.Response, into any) error {
@@ -91,8 +91,8 @@
 	return nil
 }
 
-// conflict reads the object that stands. One that can't be read leaves a
-// refusal of which nothing more is known.
+// conflict returns the error of a refused write. If the current object can't be
+// read, all that is known is that nothing was applied.
 func conflict(body []byte) error {
 	var current Object
 	if err := json.Unmarshal(body, &current); err != nil {
@@ -101,6 +101,7 @@
 	return &Conflict{Current: current}
 }
 
+// readBounded reads to the end; more than limit bytes are an error.
 func readBounded(r io.Reader, limit int64) ([]byte, error) {
 	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err != nil {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -36,9 +36,9 @@
 	idleConnections = 32
 )
 
-// Client is the Store of a host. It never repeats a call by itself, since
-// only the caller knows whether a call that may have been applied can be
-// repeated; what it does repeat, at the next address, is a failed dial.
+// Client is the Store of a host. It never repeats a call that may have been
+// applied, since only the caller knows whether that is safe; it does repeat a
+// failed dial, at the next address.
 type Client struct {
 	cfg       Config
 	http      *http.Client
@@ -148,7 +148,7 @@
 	err := c.takeToken(limited, k)
 	if err == nil {
 		err = c.try(limited, k, into)
-		c.note(ctx, k, err)
+		c.logReachability(ctx, k, err)
 	}
 	c.metrics.observe(k.verb, time.Since(start), err)
 	return err
@@ -179,9 +179,9 @@
 	return err
 }
 
-// note logs when the platform begins or ceases to answer. A call that the
+// logReachability logs when the platform begins or ceases to answer. A call that the
 // caller gave up tells nothing about that.
-func (c *Client) note(ctx context.Context, k call, err error) {
+func (c *Client) logReachability(ctx context.Context, k call, err error) {
 	switch resultOf(err) {
 	case resultUnavailable, resultUnanswered:
 		if ctx.Err() == nil && c.up.CompareAndSwap(true, false) {
--- a/internal/platform/clock.go
+++ b/internal/platform/clock.go
@@ -26,6 +26,7 @@
 	}
 }
 
+// get returns the newest time, and false before the first answer.
 func (c *clock) get() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/platform/metrics.go
+++ b/internal/platform/metrics.go
@@ -43,6 +43,7 @@
 	m.seconds.WithLabelValues(verb).Observe(took.Seconds())
 }
 
+// resultOf names the result of a call by its error.
 func resultOf(err error) string {
 	var conflict *Conflict
 	var unavailable *Unavailable
--- a/internal/platform/platformtest/client.go
+++ b/internal/platform/platformtest/client.go
@@ -14,13 +14,13 @@
 type Client struct {
 	p *Platform
 
-	mu      sync.Mutex
-	down    bool
-	latency time.Duration
-	lose    int // answers to drop
-	drop    int // requests to drop
-	hold    int // writes to hold
-	now     time.Time
+	mu           sync.Mutex
+	down         bool
+	latency      time.Duration
+	loseAnswers  int // of the next writes
+	loseRequests int // of the next writes
+	holdWrites   int
+	now          time.Time
 }
 
 var _ platform.Store = (*Client)(nil)
@@ -35,15 +35,15 @@
 
 // LoseNextAnswers lets the next n writes take effect and fail with
 // *platform.Unanswered.
-func (c *Client) LoseNextAnswers(n int) { c.set(func() { c.lose = n }) }
+func (c *Client) LoseNextAnswers(n int) { c.set(func() { c.loseAnswers = n }) }
 
 // LoseNextRequests lets the next n writes fail with *platform.Unanswered
 // without effect.
-func (c *Client) LoseNextRequests(n int) { c.set(func() { c.drop = n }) }
+func (c *Client) LoseNextRequests(n int) { c.set(func() { c.loseRequests = n }) }
 
 // HoldNextWrites lets the next n writes fail with *platform.Unanswered and
 // take effect when Platform.Release is called.
-func (c *Client) HoldNextWrites(n int) { c.set(func() { c.hold = n }) }
+func (c *Client) HoldNextWrites(n int) { c.set(func() { c.holdWrites = n }) }
 
 // SetLatency makes each call but a watch take d before it takes effect. A
 // call whose context ends first fails with *platform.Unanswered, without effect.
@@ -160,6 +160,7 @@
 	return nil
 }
 
+// cut reports whether this client or the whole platform is down.
 func (c *Client) cut() bool {
 	c.mu.Lock()
 	down := c.down
@@ -169,7 +170,7 @@
 	return down || c.p.down
 }
 
-// tick takes over the platform's clock; p.mu is held.
+// tick reads the platform's clock, as each answer does; p.mu is held.
 func (c *Client) tick() {
 	now := c.p.clock()
 	c.mu.Lock()
@@ -187,15 +188,15 @@
 	defer c.p.mu.Unlock()
 	lost := &platform.Unanswered{Cause: errDown}
 	switch {
-	case c.take(&c.drop):
+	case c.take(&c.loseRequests):
 		return platform.Object{}, lost
-	case c.take(&c.hold):
+	case c.take(&c.holdWrites):
 		kept := slices.Clone(value)
 		c.p.held = append(c.p.held, func() { _, _ = c.p.write(k, version, kept, deleted) })
 		return platform.Object{}, lost
 	}
 	o, err := c.p.write(k, version, value, deleted)
-	if c.take(&c.lose) {
+	if c.take(&c.loseAnswers) {
 		return platform.Object{}, lost
 	}
 	c.tick()
--- a/internal/platform/platformtest/platformtest.go
+++ b/internal/platform/platformtest/platformtest.go
@@ -124,11 +124,13 @@
 	return p.list(kind).Objects
 }
 
+// wake lets the waiting watches look again; p.mu is held.
 func (p *Platform) wake() {
 	close(p.signal)
 	p.signal = make(chan struct{})
 }
 
+// list returns the objects of the kinds, sorted by kind and name; p.mu is held.
 func (p *Platform) list(kinds ...string) platform.Listing {
 	l := platform.Listing{Revision: p.revision}
 	for _, o := range p.objects {
