Stand-ins: Dice is Rand; host tests: good settings on free ports stand once

A random source is a Rand to a Go reader; its fields were called dice and rnd. Two tests of host made the same settings by the same replacements.

Behaviour as before; tests of the stand-ins and host pass.

--- a/internal/host/docs_test.go
+++ b/internal/host/docs_test.go
@@ -57,8 +57,7 @@
 
 func TestMetricsPage(t *testing.T) {
 	is := is.New(t)
-	s, problems := load(t, strings.Replace(strings.ReplaceAll(good, "7000", "0"), "8080", "0", 1))
-	is.Equal(len(problems), 0)
+	s := loadOnFreePorts(t)
 	h, err := New(s, event.Discard())
 	is.NoErr(err)
 	defer h.listeners.close()
--- a/internal/host/settings_test.go
+++ b/internal/host/settings_test.go
@@ -47,6 +47,14 @@
 	return h, lines
 }
 
+// loadOnFreePorts returns the good settings of a host that listens on free ports.
+func loadOnFreePorts(t *testing.T) Settings {
+	t.Helper()
+	s, problems := load(t, strings.NewReplacer("7000", "0", "8080", "0").Replace(good))
+	is.New(t).Equal(len(problems), 0)
+	return s
+}
+
 func TestGoodFileWithDefaults(t *testing.T) {
 	is := is.New(t)
 	h, problems := load(t, good)
--- a/internal/host/stop_test.go
+++ b/internal/host/stop_test.go
@@ -61,8 +61,7 @@
 	go func() { _ = store.Serve(ln) }()
 	t.Cleanup(func() { _ = store.Shutdown(context.Background()) })
 
-	s, problems := load(t, strings.Replace(strings.ReplaceAll(good, "7000", "0"), "8080", "0", 1))
-	is.Equal(len(problems), 0)
+	s := loadOnFreePorts(t)
 	s.Platform.Addresses = []string{ln.Addr().String()}
 	s.Stop.BalancerLag = 0
 	s.Stop.HardLimit = unit.Duration(hardLimit)
--- a/internal/standin/objectstore/faults.go
+++ b/internal/standin/objectstore/faults.go
@@ -78,12 +78,12 @@
 func (s *Store) writeFaults() (late, lost bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	late = s.dice.Chance(s.faults.LateProbability)
+	late = s.rng.Chance(s.faults.LateProbability)
 	if s.faults.LateWrites > 0 {
 		s.faults.LateWrites--
 		late = true
 	}
-	lost = s.dice.Chance(s.faults.LoseProbability)
+	lost = s.rng.Chance(s.faults.LoseProbability)
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
 		lost = true
--- a/internal/standin/objectstore/handler.go
+++ b/internal/standin/objectstore/handler.go
@@ -98,7 +98,7 @@
 
 // delay waits for the latency in force. It reports false if the client went.
 func (s *Store) delay(ctx context.Context) bool {
-	d := s.dice.Draw(s.Faults().Latency)
+	d := s.rng.Draw(s.Faults().Latency)
 	if d <= 0 {
 		return true
 	}
--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -18,7 +18,7 @@
 // Store is the platform's stand-in. Every method is safe for concurrent use.
 type Store struct {
 	cfg    Config
-	dice   *standin.Dice
+	rng    *standin.Rand
 	counts counters
 	writes *rate.Limiter // nil: no limit
 	reads  *rate.Limiter
@@ -40,7 +40,7 @@
 func New(cfg Config) *Store {
 	s := &Store{
 		cfg:           cfg,
-		dice:          standin.NewDice(cfg.Seed),
+		rng:           standin.NewRand(cfg.Seed),
 		writes:        limiter(cfg.WriteRate),
 		reads:         limiter(cfg.ReadRate),
 		objects:       map[key]platform.Object{},
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -63,48 +63,48 @@
 	return Error.New("%s %g is not within 0..1", name, p)
 }
 
-// Dice is a seeded source of latencies and chances, safe for concurrent use.
-type Dice struct {
+// Rand is a seeded source of latencies and chances, safe for concurrent use.
+type Rand struct {
 	mu  sync.Mutex
-	rnd *rand.Rand
+	rng *rand.Rand
 }
 
-// NewDice returns a source that gives the same sequence for the same seed.
-func NewDice(seed uint64) *Dice {
-	return &Dice{rnd: rand.New(rand.NewPCG(seed, seed))}
+// NewRand returns a source that gives the same sequence for the same seed.
+func NewRand(seed uint64) *Rand {
+	return &Rand{rng: rand.New(rand.NewPCG(seed, seed))}
 }
 
 // Chance returns true with probability p. It draws nothing when p is 0 or 1,
 // so that a fault which is off leaves the sequence as it was.
-func (d *Dice) Chance(p float64) bool {
+func (r *Rand) Chance(p float64) bool {
 	if p <= 0 || p >= 1 {
 		return p >= 1
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.rnd.Float64() < p
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rng.Float64() < p
 }
 
 // Draw returns one duration of the distribution.
-func (d *Dice) Draw(l Latency) time.Duration {
+func (r *Rand) Draw(l Latency) time.Duration {
 	if l.Mean <= 0 {
 		return 0
 	}
 	v := float64(l.Mean)
 	if l.Sigma > 0 {
-		v *= d.lognormal(l.Sigma)
+		v *= r.lognormal(l.Sigma)
 	}
-	if d.Chance(l.Straggle) {
+	if r.Chance(l.Straggle) {
 		v *= l.StraggleFactor
 	}
 	return time.Duration(v)
 }
 
 // lognormal returns a lognormal value whose mean is 1.
-func (d *Dice) lognormal(sigma float64) float64 {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return math.Exp(sigma*d.rnd.NormFloat64() - sigma*sigma/2)
+func (r *Rand) lognormal(sigma float64) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return math.Exp(sigma*r.rng.NormFloat64() - sigma*sigma/2)
 }
 
 // Named prefixes the error with the name of the field that it belongs to.
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -18,19 +18,19 @@
 func TestSameSeedSameDraws(t *testing.T) {
 	is := is.New(t)
 	l := Latency{Mean: second, Sigma: 0.5, Straggle: 0.1, StraggleFactor: 10}
-	a, b := NewDice(7), NewDice(7)
+	a, b := NewRand(7), NewRand(7)
 	for range 100 {
 		a.Chance(0) // a fault that is off leaves the sequence as it was
 		is.Equal(a.Draw(l), b.Draw(l))
 	}
-	is.True(NewDice(7).Draw(l) != NewDice(8).Draw(l))
+	is.True(NewRand(7).Draw(l) != NewRand(8).Draw(l))
 }
 
 func TestDrawsHaveTheirMean(t *testing.T) {
 	is := is.New(t)
 	const draws = 20000
 	var sum time.Duration
-	d := NewDice(1)
+	d := NewRand(1)
 	for range draws {
 		sum += d.Draw(Latency{Mean: second, Sigma: 0.5, Straggle: 0.1, StraggleFactor: 11})
 	}
--- a/internal/standin/target/run.go
+++ b/internal/standin/target/run.go
@@ -81,7 +81,7 @@
 func (t *Target) waitWhileFrozen(ctx context.Context, at Freeze) bool {
 	for {
 		f, changed := t.faultsInForce()
-		if f.Freeze != at || !t.dice.Chance(share(f.FreezeShare)) {
+		if f.Freeze != at || !t.rng.Chance(share(f.FreezeShare)) {
 			return true
 		}
 		select {
@@ -95,7 +95,7 @@
 // refuse returns the rejection of a request that must not be queued.
 func (t *Target) refuse(r shardRequest) (reply, bool) {
 	f := t.Faults()
-	if t.dice.Chance(f.CutBefore) {
+	if t.rng.Chance(f.CutBefore) {
 		return cut(ResultCut), true
 	}
 	if _, refuses := t.drained(); refuses {
@@ -104,7 +104,7 @@
 			RetryAfterMS: t.cfg.RetryAfter.Std().Milliseconds(),
 		}), true
 	}
-	if t.dice.Chance(f.Shed) {
+	if t.rng.Chance(f.Shed) {
 		return t.shed(r, ResultShed), true
 	}
 	return t.refuseHoldings(r)
@@ -213,13 +213,13 @@
 // reply writes the answer, spoiled by the faults that concern answers.
 func (t *Target) reply(r shardRequest, a targetapi.Answer) reply {
 	f := t.Faults()
-	if t.dice.Chance(f.Fail) {
+	if t.rng.Chance(f.Fail) {
 		return failed(r)
 	}
-	if t.dice.Chance(f.Cut) {
+	if t.rng.Chance(f.Cut) {
 		return cut(ResultCut)
 	}
-	short := len(a.Rows) > 0 && t.dice.Chance(f.ShortRows)
+	short := len(a.Rows) > 0 && t.rng.Chance(f.ShortRows)
 	if short {
 		a.Rows = a.Rows[:len(a.Rows)-1]
 	}
@@ -233,11 +233,11 @@
 func (t *Target) spoil(f Faults, body []byte) reply {
 	previous := t.remember(body)
 	switch {
-	case previous != nil && t.dice.Chance(f.Crossed):
+	case previous != nil && t.rng.Chance(f.Crossed):
 		return spoiled(previous, len(previous))
-	case t.dice.Chance(f.Truncate):
+	case t.rng.Chance(f.Truncate):
 		return spoiled(body[:len(body)/2], len(body))
-	case t.dice.Chance(f.ShortJSON):
+	case t.rng.Chance(f.ShortJSON):
 		return spoiled(body[:len(body)/2], len(body)/2)
 	}
 	return reply{status: http.StatusOK, result: ResultDone, body: body, length: len(body)}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -14,7 +14,7 @@
 // use.
 type Target struct {
 	cfg          Config
-	dice         *standin.Dice
+	rng          *standin.Rand
 	slots        slots
 	reservations *reservations
 	counts       counters
@@ -43,7 +43,7 @@
 func New(cfg Config) *Target {
 	t := &Target{
 		cfg:           cfg,
-		dice:          standin.NewDice(cfg.Seed),
+		rng:           standin.NewRand(cfg.Seed),
 		slots:         slots{size: cfg.Slots, queueLimit: cfg.QueueLength},
 		reservations:  newReservations(cfg.Stock),
 		faults:        cfg.Faults,
@@ -194,9 +194,9 @@
 
 // serviceTime draws the time of one request in a slot.
 func (t *Target) serviceTime() time.Duration {
-	d := float64(t.dice.Draw(t.cfg.ServiceTime))
+	d := float64(t.rng.Draw(t.cfg.ServiceTime))
 	f := t.Faults()
-	if f.LatencyFactor > 0 && t.dice.Chance(share(f.LatencyShare)) {
+	if f.LatencyFactor > 0 && t.rng.Chance(share(f.LatencyShare)) {
 		d *= f.LatencyFactor
 	}
 	return time.Duration(d * t.coldFactor())
