--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -25,7 +25,7 @@
 
 func TestReserveOnceAndRepeat(t *testing.T) {
 	inWorld(t, 2, func(is *is.I, w *world) {
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		first := w.hosts[0].reserve(r)
 		is.Equal(first.Outcome, outcome.Done)
 		is.True(first.Granted)
@@ -73,14 +73,14 @@
 func TestStopWaitsForReservationsAndRecords(t *testing.T) {
 	inWorld(t, 2, func(is *is.I, w *world) {
 		a := w.hosts[0]
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		a.sendGate.set(true)
 		pending := a.begin(r)
 		stopped := make(chan error, 1)
 		go func() { stopped <- a.claims.Stop(context.Background()) }()
 		synctest.Wait()
 		is.Equal(len(stopped), 0)
-		late := a.reserve(reservation(newID(time.Now())))
+		late := a.reserve(newReservation())
 		is.Equal(late.Outcome, outcome.NotSent)
 		is.Equal(late.Reason, query.ReasonDraining)
 
@@ -99,7 +99,7 @@
 func TestStopDuringOutage(t *testing.T) {
 	inWorld(t, 2, func(is *is.I, w *world) {
 		a := w.hosts[0]
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		a.sendGate.set(true)
 		pending := a.begin(r)
 		synctest.Wait()
--- a/internal/claim/failure_test.go
+++ b/internal/claim/failure_test.go
@@ -31,7 +31,7 @@
 
 func TestCreateAnswerLost(t *testing.T) {
 	inWorld(t, 2, func(is *is.I, w *world) {
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		w.hosts[0].client.LoseNextAnswers(1)
 		first := w.hosts[0].reserve(r)
 		is.Equal(first.Outcome, outcome.Done)
@@ -59,7 +59,7 @@
 
 func createNeverAnswered(is *is.I, w *world, fault func(*host), repeatEarly bool) {
 	a, b := w.hosts[0], w.hosts[1]
-	r := reservation(newID(time.Now()))
+	r := newReservation()
 	fault(a)
 	res := a.reserve(r)
 	is.Equal(res.Outcome, outcome.NotSent)
@@ -84,7 +84,7 @@
 // told as unknown, never run.
 func TestCreateLandsAfterHostLost(t *testing.T) {
 	inWorld(t, 2, func(is *is.I, w *world) {
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		w.hosts[0].client.HoldNextWrites(many)
 		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.NotSent)
 		w.hosts[0].kill()
@@ -100,7 +100,7 @@
 func TestReleaseLandsLate(t *testing.T) {
 	inWorld(t, 3, func(is *is.I, w *world) {
 		a, b, c := w.hosts[0], w.hosts[1], w.hosts[2]
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		a.client.LoseNextAnswers(many)
 		is.Equal(a.reserve(r).Outcome, outcome.NotSent)
 		a.client.LoseNextAnswers(0)
@@ -120,9 +120,9 @@
 func TestPlatformDownBefore(t *testing.T) {
 	inWorld(t, 1, func(is *is.I, w *world) {
 		h := w.hosts[0]
-		_ = h.reserve(reservation(newID(time.Now()))) // the host knows the platform's clock
+		_ = h.reserve(newReservation()) // the host knows the platform's clock
 		w.platform.Outage(true)
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		start := time.Now()
 		res := h.reserve(r)
 		is.Equal(time.Since(start), time.Duration(0))
@@ -140,7 +140,7 @@
 func TestPlatformDownBetween(t *testing.T) {
 	inWorld(t, 2, func(is *is.I, w *world) {
 		a, b := w.hosts[0], w.hosts[1]
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		a.sendGate.set(true)
 		pending := a.begin(r)
 		w.platform.Outage(true)
@@ -162,7 +162,7 @@
 // it did not run, also when the platform is down.
 func TestUnknownIsNotToldAsNotRun(t *testing.T) {
 	inWorld(t, 1, func(is *is.I, w *world) {
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		w.target.drop = 1
 		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.Unknown)
 		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.Unknown)
@@ -174,7 +174,7 @@
 
 func TestRepeatsAtManyHostsAtOnce(t *testing.T) {
 	inWorld(t, 4, func(is *is.I, w *world) {
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		var all []<-chan query.Reservation
 		for _, h := range w.hosts {
 			h.sendGate.set(true)
@@ -197,7 +197,7 @@
 		inWorld(t, 2, func(is *is.I, w *world) {
 			w.settle = settle
 			want := map[bool]outcome.Outcome{false: outcome.Unknown, true: outcome.Done}[settle]
-			r := reservation(newID(time.Now()))
+			r := newReservation()
 			w.target.drop = 1
 			first := w.hosts[0].reserve(r)
 			is.Equal(first.Outcome, want)
@@ -211,7 +211,7 @@
 
 func TestRejected(t *testing.T) {
 	inWorld(t, 2, func(is *is.I, w *world) {
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		w.target.reject = 2
 		res := w.hosts[0].reserve(r)
 		is.Equal(res.Outcome, outcome.Rejected)
@@ -233,7 +233,7 @@
 	for _, settle := range []bool{false, true} {
 		inWorld(t, 3, func(is *is.I, w *world) {
 			w.settle = settle
-			r := reservation(newID(time.Now()))
+			r := newReservation()
 			w.hosts[0].sendGate.set(true)
 			w.hosts[0].begin(r)
 			w.think("a", true)
@@ -260,8 +260,8 @@
 func TestFrozenBeforeCreatePastHorizon(t *testing.T) {
 	inWorld(t, 2, func(is *is.I, w *world) {
 		a, b := w.hosts[0], w.hosts[1]
-		is.Equal(a.reserve(reservation(newID(time.Now()))).Outcome, outcome.Done) // a knows the clock
-		r := reservation(newID(time.Now()))
+		is.Equal(a.reserve(newReservation()).Outcome, outcome.Done) // a knows the clock
+		r := newReservation()
 		r.Budget = 10 * removeAfter
 		a.gate.set(true)
 		frozen := a.begin(r)
@@ -279,7 +279,7 @@
 func TestFrozenInSendPastHorizon(t *testing.T) {
 	inWorld(t, 2, func(is *is.I, w *world) {
 		a, b := w.hosts[0], w.hosts[1]
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		r.Budget = 10 * removeAfter
 		a.sendGate.set(true)
 		frozen := a.begin(r)
@@ -299,9 +299,9 @@
 func TestFrozenAfterCreate(t *testing.T) {
 	inWorld(t, 2, func(is *is.I, w *world) {
 		a, b := w.hosts[0], w.hosts[1]
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		a.client.SetLatency(100 * time.Millisecond)
-		is.Equal(a.reserve(reservation(newID(time.Now()))).Outcome, outcome.Done) // a knows the clock
+		is.Equal(a.reserve(newReservation()).Outcome, outcome.Done) // a knows the clock
 		frozen := a.begin(r)
 		time.Sleep(50 * time.Millisecond)
 		a.careless = true // the check is not left to the sender
@@ -323,7 +323,7 @@
 	inWorld(t, 2, func(is *is.I, w *world) {
 		w.settle = true
 		w.target.reject = 1
-		r := reservation(newID(time.Now()))
+		r := newReservation()
 		a := w.hosts[0]
 		a.gate.set(true)
 		pending := a.begin(r)
--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -14,8 +14,8 @@
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
 
-// word is what one request was told; lost if its host was killed first.
-type word struct {
+// observation is the result of one request; lost if its host was killed first.
+type observation struct {
 	req  query.Reserve
 	res  query.Reservation
 	lost bool
@@ -24,15 +24,15 @@
 // machine drives hosts, faults and callers at random and keeps the history.
 type machine struct {
 	*world
-	ids  []string
-	mu   sync.Mutex
-	told []word
+	ids      []string
+	mu       sync.Mutex
+	observed []observation
 }
 
-func (m *machine) note(w word) {
+func (m *machine) note(o observation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.told = append(m.told, w)
+	m.observed = append(m.observed, o)
 }
 
 func (m *machine) drawHost(t *rapid.T) *host {
@@ -50,7 +50,7 @@
 	r.Budget = rapid.SampledFrom([]time.Duration{50 * time.Millisecond, time.Second, 10 * removeAfter}).Draw(t, "budget")
 	go func() {
 		res := h.reserve(r)
-		m.note(word{req: r, res: res, lost: h.isDead()})
+		m.note(observation{req: r, res: res, lost: h.isDead()})
 	}()
 	synctest.Wait()
 }
@@ -152,7 +152,7 @@
 	synctest.Wait()
 }
 
-// check judges the whole history.
+// check fails if the history breaks a promise.
 func (m *machine) check(t *rapid.T) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -167,20 +167,20 @@
 			t.Fatalf("reservation %s ran %d times", id, n)
 		}
 	}
-	for _, w := range m.told {
-		id := w.req.ReservationID
-		allNotRun[id] = allNotRun[id] && w.res.Outcome.NotRun() && !w.lost
-		if w.lost {
+	for _, o := range m.observed {
+		id := o.req.ReservationID
+		allNotRun[id] = allNotRun[id] && o.res.Outcome.NotRun() && !o.lost
+		if o.lost {
 			continue
 		}
-		notRun[w.req.RequestID] = w.res.Outcome.NotRun()
-		if w.res.Outcome != outcome.Done {
+		notRun[o.req.RequestID] = o.res.Outcome.NotRun()
+		if o.res.Outcome != outcome.Done {
 			continue
 		}
-		if old, ok := answer[id]; ok && old != w.res.Answer {
-			t.Fatalf("reservation %s was answered %q and %q", id, old, w.res.Answer)
+		if old, ok := answer[id]; ok && old != o.res.Answer {
+			t.Fatalf("reservation %s was answered %q and %q", id, old, o.res.Answer)
 		}
-		answer[id] = w.res.Answer
+		answer[id] = o.res.Answer
 		if len(m.target.runs[id]) != 1 {
 			t.Fatalf("reservation %s was answered and ran %d times", id, len(m.target.runs[id]))
 		}
@@ -218,7 +218,7 @@
 	for _, id := range m.ids {
 		r := reservation(id)
 		res := h.reserve(r)
-		m.note(word{req: r, res: res})
+		m.note(observation{req: r, res: res})
 		if m.settle && res.Reason != query.ReasonExpired && res.Outcome != outcome.Done {
 			t.Fatalf("reservation %s ends as %s %s", id, res.Outcome, res.Reason)
 		}
--- a/internal/claim/measure_test.go
+++ b/internal/claim/measure_test.go
@@ -43,7 +43,7 @@
 					return h.Send(context.Background(), r, "t0", r.RequestID)
 				}
 			}
-			r := reservation(newID(time.Now()))
+			r := newReservation()
 			a.gate.set(i%lossSteps == beforeCreate)
 			a.sendGate.set(i%lossSteps == bytesSent)
 			if i%lossSteps == answerLost {
--- a/internal/claim/sweep_test.go
+++ b/internal/claim/sweep_test.go
@@ -47,13 +47,13 @@
 			is.Equal(h.reserve(reservation(newID(start))).Outcome, outcome.Done)
 		}
 		time.Sleep(removeAfter + time.Hour)
-		h.reserve(reservation(newID(time.Now())))
+		h.reserve(newReservation())
 		h.claims.cfg.SweepCalls = 12
 		kind := mustID(newID(start)).kind()
 		for len(w.platform.Objects(kind)) > 0 {
-			before := w.platform.Calls("get") + w.platform.Calls("put") + w.platform.Calls("list") + w.platform.Calls("delete")
+			before := w.platform.Calls("get", "put", "list", "delete")
 			is.NoErr(h.claims.sweep(context.Background(), rate.NewLimiter(rate.Inf, 1), 0))
-			after := w.platform.Calls("get") + w.platform.Calls("put") + w.platform.Calls("list") + w.platform.Calls("delete")
+			after := w.platform.Calls("get", "put", "list", "delete")
 			is.True(after-before <= 13) // and one to move the cursor
 		}
 	})
@@ -68,14 +68,14 @@
 		}
 		time.Sleep(removeAfter)
 		for _, h := range w.hosts {
-			h.reserve(reservation(newID(time.Now())))
+			h.reserve(newReservation())
 			h.sweepAll(is) // the cursor stands at the slice
 		}
 		time.Sleep(sliceLength + time.Minute)
 		var wg sync.WaitGroup
 		begun := time.Now()
 		for rank, h := range w.hosts {
-			h.reserve(reservation(newID(time.Now())))
+			h.reserve(newReservation())
 			limit := rate.NewLimiter(10, 1)
 			wg.Go(func() { _ = h.claims.sweep(context.Background(), limit, rank) })
 		}
@@ -106,12 +106,12 @@
 		is.Equal(sweepers, 2)
 
 		h := w.hosts[0]
-		h.reserve(reservation(newID(time.Now())))
+		h.reserve(newReservation())
 		h.claims.cfg.Sweepers = 1
 		is.NoErr(h.claims.Start(context.Background()))
-		before := w.platform.Calls("list") + w.platform.Calls("put")
+		before := w.platform.Calls("list", "put")
 		time.Sleep(10 * time.Minute)
-		calls := w.platform.Calls("list") + w.platform.Calls("put") - before
+		calls := w.platform.Calls("list", "put") - before
 		is.True(calls > 0)
 		is.True(float64(calls) <= 600*h.claims.cfg.SweepRate)
 	})
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -277,6 +277,9 @@
 // newID makes a reservation id of the given time.
 func newID(at time.Time) string { return ulid.MustNew(ulid.Timestamp(at), rand.Reader).String() }
 
+// newReservation is a request for a reservation of now.
+func newReservation() query.Reserve { return reservation(newID(time.Now())) }
+
 func reservation(id string) query.Reserve {
 	return query.Reserve{RequestID: rand.Text(), Caller: "c", ReservationID: id, Service: "s", Item: "pan", Budget: time.Second}
 }
--- a/internal/platform/platformtest/platformtest.go
+++ b/internal/platform/platformtest/platformtest.go
@@ -102,12 +102,16 @@
 	}
 }
 
-// Calls returns how often a verb (get, list, put, delete, watch, hosts) was
-// called, failed calls included.
-func (p *Platform) Calls(verb string) int {
+// Calls returns how often verbs (get, list, put, delete, watch, hosts) were
+// called in all, failed calls included.
+func (p *Platform) Calls(verbs ...string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.calls[verb]
+	n := 0
+	for _, v := range verbs {
+		n += p.calls[v]
+	}
+	return n
 }
 
 // Revision returns the store's revision.
