--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
-# Targets: demo, test, lint, bench, generate, build. Wants Go, gcc and make;
-# what else a target needs it installs.
+# Targets: build, demo, test, model, lint, bench, generate, docs, clean. Wants
+# Go, gcc and make; what else a target needs it installs, but for protoc, which
+# generate takes as it finds it.
 
 BIN := $(CURDIR)/.cache/bin
 
