--- a/internal/catalog/change_test.go
+++ b/internal/catalog/change_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -31,15 +30,15 @@
 	return &Editor{cfg: DefaultConfig(), store: c, view: heldView{v}, log: event.Discard(), changes: newMetrics(nil).changes}
 }
 
-// desk is an operator with a client that takes faults.
-type desk struct {
+// console is an operator with a client that takes faults.
+type console struct {
 	client *platformtest.Client
 	editor *Editor
 }
 
-func newDesk(p *platformtest.Platform) desk {
+func newConsole(p *platformtest.Platform) console {
 	c := p.Client()
-	return desk{c, newEditor(c, &view{})}
+	return console{c, newEditor(c, &view{})}
 }
 
 // fault is what happens to an operator's next calls.
@@ -48,27 +47,27 @@
 	calls int
 }
 
-func (d desk) apply(f fault) {
+func (c console) apply(f fault) {
 	switch f.kind {
 	case "answers lost":
-		d.client.LoseNextAnswers(f.calls)
+		c.client.LoseNextAnswers(f.calls)
 	case "requests lost":
-		d.client.LoseNextRequests(f.calls)
+		c.client.LoseNextRequests(f.calls)
 	case "late":
-		d.client.HoldNextWrites(f.calls)
+		c.client.HoldNextWrites(f.calls)
 	case "slow":
-		d.client.SetLatency(time.Duration(f.calls) * time.Second)
+		c.client.SetLatency(time.Duration(f.calls) * time.Second)
 	case "down":
-		d.client.Outage(true)
+		c.client.Outage(true)
 	}
 }
 
-func (d desk) heal() {
-	d.client.LoseNextAnswers(0)
-	d.client.LoseNextRequests(0)
-	d.client.HoldNextWrites(0)
-	d.client.SetLatency(0)
-	d.client.Outage(false)
+func (c console) heal() {
+	c.client.LoseNextAnswers(0)
+	c.client.LoseNextRequests(0)
+	c.client.HoldNextWrites(0)
+	c.client.SetLatency(0)
+	c.client.Outage(false)
 }
 
 // round is one request of each operator, all made at once.
@@ -96,23 +95,23 @@
 }
 
 // run makes the requests of a round and returns what the operators were told.
-func (r round) run(ctx context.Context, p *platformtest.Platform, desks []desk) []Result {
+func (r round) run(ctx context.Context, p *platformtest.Platform, consoles []console) []Result {
 	results := make([]Result, operators)
 	var wg sync.WaitGroup
-	for i, d := range desks {
+	for i, c := range consoles {
 		for _, o := range p.Objects(platform.KindService) {
 			r.requests[i].Version = o.Version
 		}
-		d.apply(r.faults[i])
-		wg.Go(func() { results[i] = d.editor.Change(ctx, r.requests[i]) })
+		c.apply(r.faults[i])
+		wg.Go(func() { results[i] = c.editor.Change(ctx, r.requests[i]) })
 	}
 	if r.releaseEarly {
 		time.Sleep(time.Second)
 		p.Release()
 	}
 	wg.Wait()
-	for _, d := range desks {
-		d.heal()
+	for _, c := range consoles {
+		c.heal()
 	}
 	if r.releaseLate {
 		p.Release()
@@ -165,10 +164,10 @@
 		var problems error
 		synctest.Test(t, func(t *testing.T) {
 			p := platformtest.New()
-			desks := []desk{newDesk(p), newDesk(p), newDesk(p)}
+			consoles := []console{newConsole(p), newConsole(p), newConsole(p)}
 			var results []Result
 			for _, r := range rounds {
-				results = append(results, r.run(t.Context(), p, desks)...)
+				results = append(results, r.run(t.Context(), p, consoles)...)
 			}
 			p.Release()
 			by := written(t.Context(), p)
@@ -186,16 +185,16 @@
 	}
 }
 
-// atDesk runs a test with a platform that holds service "a" at version 1.
-func atDesk(t *testing.T, test func(ctx context.Context, is *is.I, p *platformtest.Platform, d desk)) {
+// atConsole runs a test with a platform that holds service "a" at version 1.
+func atConsole(t *testing.T, test func(ctx context.Context, is *is.I, p *platformtest.Platform, c console)) {
 	synctest.Test(t, func(t *testing.T) {
 		p := platformtest.New()
-		d := newDesk(p)
+		c := newConsole(p)
 		is := is.New(t)
-		r := d.editor.Change(t.Context(), Request{Verb: Create, Service: testService("a"), Author: Author{Operator: "first"}})
+		r := c.editor.Change(t.Context(), Request{Verb: Create, Service: testService("a"), Author: Author{Operator: "first"}})
 		is.Equal(r.Status, Accepted)
 		is.Equal(r.Version, uint64(1))
-		test(t.Context(), is, p, d)
+		test(t.Context(), is, p, c)
 	})
 }
 
@@ -206,9 +205,9 @@
 }
 
 func TestLostAnswerOfAnAcceptedChange(t *testing.T) {
-	atDesk(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, d desk) {
-		d.client.LoseNextAnswers(1)
-		r := d.editor.Change(ctx, alter(1, 3, "second"))
+	atConsole(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, c console) {
+		c.client.LoseNextAnswers(1)
+		r := c.editor.Change(ctx, alter(1, 3, "second"))
 		is.Equal(r.Status, Accepted)
 		is.Equal(r.Version, uint64(2))
 		is.Equal(r.Revision, p.Revision())
@@ -219,14 +218,14 @@
 // before the operator can read back.
 func TestLostAnswerOfAChangeThatOthersFollowed(t *testing.T) {
 	for others, want := range map[int]Status{1: Accepted, maxPrevious: Accepted, maxPrevious + 1: Unknown} {
-		atDesk(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, d desk) {
-			d.client.LoseNextAnswers(1)
+		atConsole(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, c console) {
+			c.client.LoseNextAnswers(1)
 			time.AfterFunc(time.Millisecond, func() {
 				for i := range others {
-					_ = newDesk(p).editor.Change(ctx, alter(uint64(i+2), i, "other"))
+					_ = newConsole(p).editor.Change(ctx, alter(uint64(i+2), i, "other"))
 				}
 			})
-			r := d.editor.Change(ctx, alter(1, 3, "second"))
+			r := c.editor.Change(ctx, alter(1, 3, "second"))
 			is.Equal(r.Status, want)
 			is.Equal(p.Revision(), uint64(2+others))
 			if want == Accepted {
@@ -237,10 +236,10 @@
 }
 
 func TestLostRaceTellsWhoWonAndWhatDiffers(t *testing.T) {
-	atDesk(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, d desk) {
-		won := d.editor.Change(ctx, alter(1, 3, "winner"))
+	atConsole(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, c console) {
+		won := c.editor.Change(ctx, alter(1, 3, "winner"))
 		is.Equal(won.Status, Accepted)
-		lost := d.editor.Change(ctx, alter(1, 4, "loser"))
+		lost := c.editor.Change(ctx, alter(1, 4, "loser"))
 		is.Equal(lost.Status, Refused)
 		is.Equal(lost.Lost.Version, uint64(2))
 		is.Equal(lost.Lost.Winner.ID, won.ChangeID)
@@ -250,143 +249,56 @@
 }
 
 func TestPlatformThatFallsSilentLeavesAChangeUnknown(t *testing.T) {
-	atDesk(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, d desk) {
-		d.client.Outage(true)
-		is.Equal(d.editor.Change(ctx, alter(1, 3, "x")).Status, Refused) // it was not sent
-		d.client.Outage(false)
-
-		d.client.HoldNextWrites(1)
-		d.client.SetLatency(time.Second)
-		time.AfterFunc(2500*time.Millisecond, func() { d.client.Outage(true) })
+	atConsole(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, c console) {
+		c.client.Outage(true)
+		is.Equal(c.editor.Change(ctx, alter(1, 3, "x")).Status, Refused) // it was not sent
+		c.client.Outage(false)
+
+		c.client.HoldNextWrites(1)
+		c.client.SetLatency(time.Second)
+		time.AfterFunc(2500*time.Millisecond, func() { c.client.Outage(true) })
 		start := time.Now()
-		r := d.editor.Change(ctx, alter(1, 3, "x"))
+		r := c.editor.Change(ctx, alter(1, 3, "x"))
 		is.Equal(r.Status, Unknown)
 		is.True(time.Since(start) <= DefaultConfig().ChangeTimeout.Std())
 		p.Release()
-		d.heal()
-		s, err := d.editor.Read(ctx, "a")
+		c.heal()
+		s, err := c.editor.Read(ctx, "a")
 		is.NoErr(err)
 		is.Equal(s.Service.Change.ID, r.ChangeID) // it was made, and its id tells
 	})
 }
 
 func TestDropKeepsVersionsGrowing(t *testing.T) {
-	atDesk(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, d desk) {
+	atConsole(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, c console) {
 		drop := Request{Verb: Drop, Service: Service{Name: "a"}, Version: 1}
-		is.Equal(d.editor.Change(ctx, drop).Version, uint64(2))
-		is.Equal(d.editor.Change(ctx, alter(2, 3, "x")).Status, Refused) // there is none
+		is.Equal(c.editor.Change(ctx, drop).Version, uint64(2))
+		is.Equal(c.editor.Change(ctx, alter(2, 3, "x")).Status, Refused) // there is none
 		s, _, err := emptyState().apply(batch{complete: p.Revision(), full: true, objects: p.Objects(platform.KindService)})
 		is.NoErr(err)
 		is.Equal(len(s.view.services), 0)
-		again := d.editor.Change(ctx, Request{Verb: Create, Service: testService("a")})
+		again := c.editor.Change(ctx, Request{Verb: Create, Service: testService("a")})
 		is.Equal(again.Version, uint64(3))
 	})
 }
 
 func TestDryRunChangesNothing(t *testing.T) {
-	atDesk(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, d desk) {
+	atConsole(t, func(ctx context.Context, is *is.I, p *platformtest.Platform, c console) {
 		req := alter(1, 3, "x")
 		req.DryRun = true
-		r := d.editor.Change(ctx, req)
+		r := c.editor.Change(ctx, req)
 		is.Equal(r.Status, Possible)
 		is.Equal(r.Changes, []FieldDiff{{Path: "rules.relays", Wanted: "3"}})
 		is.Equal(p.Revision(), uint64(1))
 		req.Service.Targets = nil
-		is.Equal(d.editor.Change(ctx, req).Status, Refused)
-	})
-}
-
-func TestPublishAndRetireSnapshots(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		p := platformtest.New()
-		a := testService("a")
-		held := func(snapshots ...Snapshot) *view {
-			entries := []*entry{{object: platform.Object{Kind: platform.KindService, Name: "a"}, service: &a}}
-			for _, s := range snapshots {
-				o := platform.Object{Kind: platform.KindSnapshot, Name: s.ObjectName()}
-				entries = append(entries, &entry{object: o, snapshot: &s})
-			}
-			return emptyState().view.with(entries)
-		}
-		c := p.Client()
-		one, two := testSnapshot(1, 6, a), testSnapshot(2, 6, a)
-		c.LoseNextAnswers(1)
-		r := newEditor(c, held()).PublishSnapshot(t.Context(), one, Author{}, false)
-		is.Equal(r.Status, Accepted)
-		is.Equal(r.Revision, uint64(1))
-		is.Equal(newEditor(c, held(one)).PublishSnapshot(t.Context(), one, Author{}, false).Status, Refused) // ids grow
-		is.Equal(newEditor(c, held()).PublishSnapshot(t.Context(), one, Author{}, false).Lost.Winner.ID, r.ChangeID)
-
-		editor := newEditor(c, held(one, two))
-		is.Equal(editor.RetireSnapshot(t.Context(), "portal", 2, Author{}, false).Status, Refused) // the newest
-		c.LoseNextAnswers(1)
-		r = editor.RetireSnapshot(t.Context(), "portal", 1, Author{}, false)
-		is.Equal(r.Status, Accepted)
-		is.Equal(r.Revision, uint64(2))
-		is.Equal(editor.RetireSnapshot(t.Context(), "portal", 1, Author{}, false).Status, Refused) // gone already
+		is.Equal(c.editor.Change(ctx, req).Status, Refused)
 	})
 }
 
-func TestValidationReportsEveryProblem(t *testing.T) {
-	is := is.New(t)
-	is.NoErr(ValidateService(testService("a")))
-	s := testService("a")
-	s.Name, s.Urgency = "No Name", "soon"
-	s.Targets[0].Address, s.Targets[1].Slots, s.Targets[2].ID = "nowhere", 0, s.Targets[1].ID
-	s.Rules.HedgeQuantile, s.Rules.LatencyRatio, s.Rules.QueueWait = 1, 2, -1
-	got := messages(ValidateService(s))
-	is.Equal(len(got), 8)
-
-	a := testService("a")
-	good := testSnapshot(1, 3, a)
-	is.NoErr(ValidateSnapshot(good, []Service{a}))
-	bad := testSnapshot(0, 3, a, testService("b"))
-	bad.Services["a"].Shards[0] = nil
-	bad.Services["a"].Shards[1][0] = "stranger"
-	got = messages(ValidateSnapshot(bad, []Service{a, testService("c")}))
-	want := []string{"id: want more than 0", "no target holds it", "not a target", "there is no such service", "is missing, though"}
-	is.Equal(len(got), len(want))
-	for _, w := range want {
-		is.True(strings.Contains(strings.Join(got, "\n"), w))
-	}
-}
-
-func TestDefaultsFillZeroRules(t *testing.T) {
-	is := is.New(t)
-	is.Equal(Rules{}.filled(), DefaultRules())
-	is.Equal(Rules{HedgeBudget: -1}.filled().HedgeBudget, -1.0)
-	is.NoErr(DefaultConfig().Validate())
-	is.Equal(len(strings.Split(Config{}.Validate().Error(), "\n")), 7)
-}
-
-// TestDiffNamesExactlyWhatChanged alters one field of a service at a time.
-func TestDiffNamesExactlyWhatChanged(t *testing.T) {
-	is := is.New(t)
-	base := testService("a")
-	changes := map[string]func(*Service){
-		"workload":            func(s *Service) { s.Workload = "other" },
-		"rules.relays":        func(s *Service) { s.Rules.Relays = 3 },
-		"targets[a-t1].slots": func(s *Service) { s.Targets[1].Slots = 9 },
-		"targets[a-t2]":       func(s *Service) { s.Targets = s.Targets[:2] },
-		"":                    func(s *Service) { s.Change.ID = "other" }, // who wrote it differs always
-	}
-	for path, change := range changes {
-		s := testService("a")
-		change(&s)
-		var paths []string
-		for _, d := range diffJSON(encode(base), encode(s)) {
-			paths = append(paths, d.Path)
-		}
-		is.Equal(strings.Join(paths, " "), path)
-	}
-	is.Equal(len(diffJSON([]byte("{"), encode(base))), 1)
-}
-
 func TestReadTellsWhatIsMissing(t *testing.T) {
 	is := is.New(t)
 	p := platformtest.New()
-	_, err := newDesk(p).editor.Read(t.Context(), "a")
+	_, err := newConsole(p).editor.Read(t.Context(), "a")
 	is.True(errors.Is(err, platform.ErrNotFound))
 	is.Equal(fmt.Sprint(messages(err)), "["+err.Error()+"]")
 }
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -40,8 +40,8 @@
 }
 
 // RetireSnapshot deletes a snapshot. The newest of a workload is refused,
-// since requests are answered from it. A snapshot that is gone already counts
-// as accepted.
+// since requests are answered from it, and so is one that does not exist. One
+// that another operator deletes meanwhile counts as accepted.
 func (e *Editor) RetireSnapshot(ctx context.Context, workload string, id uint64, by Author, dryRun bool) Result {
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ChangeTimeout.Std())
 	defer cancel()
--- /dev/null
+++ b/internal/catalog/publish_test.go
@@ -0,0 +1,43 @@
+package catalog
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/platform/platformtest"
+)
+
+func TestPublishAndRetireSnapshots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := platformtest.New()
+		a := testService("a")
+		held := func(snapshots ...Snapshot) *view {
+			entries := []*entry{{object: platform.Object{Kind: platform.KindService, Name: "a"}, service: &a}}
+			for _, s := range snapshots {
+				o := platform.Object{Kind: platform.KindSnapshot, Name: s.ObjectName()}
+				entries = append(entries, &entry{object: o, snapshot: &s})
+			}
+			return emptyState().view.with(entries)
+		}
+		c := p.Client()
+		one, two := testSnapshot(1, 6, a), testSnapshot(2, 6, a)
+		c.LoseNextAnswers(1)
+		r := newEditor(c, held()).PublishSnapshot(t.Context(), one, Author{}, false)
+		is.Equal(r.Status, Accepted)
+		is.Equal(r.Revision, uint64(1))
+		is.Equal(newEditor(c, held(one)).PublishSnapshot(t.Context(), one, Author{}, false).Status, Refused) // ids grow
+		is.Equal(newEditor(c, held()).PublishSnapshot(t.Context(), one, Author{}, false).Lost.Winner.ID, r.ChangeID)
+
+		editor := newEditor(c, held(one, two))
+		is.Equal(editor.RetireSnapshot(t.Context(), "portal", 2, Author{}, false).Status, Refused) // the newest
+		c.LoseNextAnswers(1)
+		r = editor.RetireSnapshot(t.Context(), "portal", 1, Author{}, false)
+		is.Equal(r.Status, Accepted)
+		is.Equal(r.Revision, uint64(2))
+		is.Equal(editor.RetireSnapshot(t.Context(), "portal", 1, Author{}, false).Status, Refused) // gone already
+	})
+}
