--- a/internal/catalog/state_test.go
+++ b/internal/catalog/state_test.go
@@ -12,9 +12,9 @@
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
-// world is a platform's history and a few hosts that learn of it by answers
+// machine is a platform's history and a few hosts that learn of it by answers
 // that may come late and in any order.
-type world struct {
+type machine struct {
 	history []platform.Object // change i has revision i+1
 	hosts   []*state
 	late    []answer
@@ -26,22 +26,22 @@
 }
 
 const (
-	worldHosts = 3
-	worldNames = 3
+	machineHosts = 3
+	machineNames = 3
 )
 
-func newWorld() *world {
-	w := &world{}
-	for range worldHosts {
-		w.hosts = append(w.hosts, emptyState())
+func newMachine() *machine {
+	m := &machine{}
+	for range machineHosts {
+		m.hosts = append(m.hosts, emptyState())
 	}
-	return w
+	return m
 }
 
 // at returns the objects that stood at a revision, by name.
-func (w *world) at(revision uint64) map[string]uint64 {
+func (m *machine) at(revision uint64) map[string]uint64 {
 	stood := map[string]uint64{}
-	for _, o := range w.history[:revision] {
+	for _, o := range m.history[:revision] {
 		stood[o.Name] = o.Revision
 		if o.Deleted {
 			delete(stood, o.Name)
@@ -50,70 +50,70 @@
 	return stood
 }
 
-func (w *world) change(t *rapid.T) {
-	revision := uint64(len(w.history) + 1)
-	s := testService(fmt.Sprint(rapid.IntRange(0, worldNames-1).Draw(t, "name")))
+func (m *machine) change(t *rapid.T) {
+	revision := uint64(len(m.history) + 1)
+	s := testService(fmt.Sprint(rapid.IntRange(0, machineNames-1).Draw(t, "name")))
 	s.Rules.Relays = int(revision)
 	o := platform.Object{Kind: platform.KindService, Name: s.Name, Revision: revision, Value: encode(s)}
 	if s.Name == "2" {
 		snap := testSnapshot(1, int(revision), s)
 		o.Kind, o.Name, o.Value = platform.KindSnapshot, snap.ObjectName(), encode(snap)
 	}
-	_, stands := w.at(revision - 1)[o.Name]
+	_, stands := m.at(revision - 1)[o.Name]
 	o.Deleted = stands && rapid.Bool().Draw(t, "delete")
-	w.history = append(w.history, o)
+	m.history = append(m.history, o)
 }
 
-func (w *world) host(t *rapid.T) int { return rapid.IntRange(0, worldHosts-1).Draw(t, "host") }
+func (m *machine) host(t *rapid.T) int { return rapid.IntRange(0, machineHosts-1).Draw(t, "host") }
 
 // watch answers with every change after the host's last one, as of now, in
 // any order.
-func (w *world) watch(t *rapid.T) {
-	h := w.host(t)
-	after, now := w.hosts[h].complete, uint64(len(w.history))
-	objects := rapid.Permutation(w.history[after:now]).Draw(t, "order")
-	w.late = append(w.late, answer{h, batch{after: after, complete: now, objects: objects}})
+func (m *machine) watch(t *rapid.T) {
+	h := m.host(t)
+	after, now := m.hosts[h].complete, uint64(len(m.history))
+	objects := rapid.Permutation(m.history[after:now]).Draw(t, "order")
+	m.late = append(m.late, answer{h, batch{after: after, complete: now, objects: objects}})
 }
 
 // list answers with what stands now.
-func (w *world) list(t *rapid.T) {
-	w.late = append(w.late, answer{w.host(t), w.listAt(uint64(len(w.history)))})
+func (m *machine) list(t *rapid.T) {
+	m.late = append(m.late, answer{m.host(t), m.listAt(uint64(len(m.history)))})
 }
 
-func (w *world) listAt(revision uint64) batch {
+func (m *machine) listAt(revision uint64) batch {
 	b := batch{complete: revision, floor: revision, full: true}
-	for _, r := range w.at(revision) {
-		b.objects = append(b.objects, w.history[r-1])
+	for _, r := range m.at(revision) {
+		b.objects = append(b.objects, m.history[r-1])
 	}
 	return b
 }
 
 // pull answers with one host's changes for another.
-func (w *world) pull(t *rapid.T) {
-	to, from := w.host(t), w.host(t)
-	b := batch{after: w.hosts[to].complete}
-	b.add(w.hosts[from].page(b.after, b.after))
-	w.late = append(w.late, answer{to, b})
+func (m *machine) pull(t *rapid.T) {
+	to, from := m.host(t), m.host(t)
+	b := batch{after: m.hosts[to].complete}
+	b.add(m.hosts[from].page(b.after, b.after))
+	m.late = append(m.late, answer{to, b})
 }
 
 // deliver lets any of the answers under way arrive, or be lost.
-func (w *world) deliver(t *rapid.T) {
-	if len(w.late) == 0 {
+func (m *machine) deliver(t *rapid.T) {
+	if len(m.late) == 0 {
 		return
 	}
-	i := rapid.IntRange(0, len(w.late)-1).Draw(t, "answer")
-	a := w.late[i]
-	w.late = slices.Delete(w.late, i, i+1)
-	before := w.hosts[a.to]
+	i := rapid.IntRange(0, len(m.late)-1).Draw(t, "answer")
+	a := m.late[i]
+	m.late = slices.Delete(m.late, i, i+1)
+	before := m.hosts[a.to]
 	next, _, err := before.apply(a.b)
 	if err != nil { // of a host that restarted since it asked
 		return
 	}
-	w.notBack(t, before, next)
-	w.hosts[a.to] = next
+	m.notBack(t, before, next)
+	m.hosts[a.to] = next
 }
 
-func (w *world) notBack(t *rapid.T, before, next *state) {
+func (m *machine) notBack(t *rapid.T, before, next *state) {
 	if next.revision < before.revision || next.complete < before.complete {
 		t.Fatalf("went back from revision %d (%d) to %d (%d)", before.revision, before.complete, next.revision, next.complete)
 	}
@@ -124,12 +124,12 @@
 	}
 }
 
-func (w *world) restart(t *rapid.T) { w.hosts[w.host(t)] = emptyState() }
+func (m *machine) restart(t *rapid.T) { m.hosts[m.host(t)] = emptyState() }
 
 // forget lets a host drop the deletions that it knows, as it does above a bound.
-func (w *world) forget(t *rapid.T) {
-	h := w.host(t)
-	next := *w.hosts[h]
+func (m *machine) forget(t *rapid.T) {
+	h := m.host(t)
+	next := *m.hosts[h]
 	next.entries = maps.Clone(next.entries)
 	maps.DeleteFunc(next.entries, func(_ key, e *entry) bool {
 		if e.object.Deleted {
@@ -137,23 +137,23 @@
 		}
 		return e.object.Deleted
 	})
-	w.hosts[h] = &next
+	m.hosts[h] = &next
 }
 
 // check holds every host to the platform's history: it has exactly what stood
 // at the revision up to which it says that it is complete.
-func (w *world) check(t *rapid.T) {
-	for i, s := range w.hosts {
+func (m *machine) check(t *rapid.T) {
+	for i, s := range m.hosts {
 		held := map[string]uint64{}
 		for k, e := range s.entries {
 			if !e.object.Deleted {
 				held[k.name] = e.object.Revision
 			}
 		}
-		if want := w.at(s.complete); !maps.Equal(held, want) {
+		if want := m.at(s.complete); !maps.Equal(held, want) {
 			t.Fatalf("host %d holds %v, at revision %d stood %v", i, held, s.complete, want)
 		}
-		built, _, _ := emptyState().apply(w.listAt(s.complete))
+		built, _, _ := emptyState().apply(m.listAt(s.complete))
 		if got, want := fmt.Sprintf("%+v", s.view), fmt.Sprintf("%+v", built.view); got != want {
 			t.Fatalf("host %d shows %s, built anew it is %s", i, got, want)
 		}
@@ -162,13 +162,13 @@
 
 func TestHostHoldsWhatStoodAtItsRevision(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld()
+		m := newMachine()
 		t.Repeat(map[string]func(*rapid.T){
-			"change": w.change, "change more": w.change,
-			"watch": w.watch, "list": w.list, "pull": w.pull, "pull more": w.pull,
-			"deliver": w.deliver, "deliver more": w.deliver, "deliver even more": w.deliver,
-			"restart": w.restart, "forget": w.forget,
-			"": w.check,
+			"change": m.change, "change more": m.change,
+			"watch": m.watch, "list": m.list, "pull": m.pull, "pull more": m.pull,
+			"deliver": m.deliver, "deliver more": m.deliver, "deliver even more": m.deliver,
+			"restart": m.restart, "forget": m.forget,
+			"": m.check,
 		})
 	})
 }
--- a/internal/claim/ask_test.go
+++ b/internal/claim/ask_test.go
@@ -16,9 +16,9 @@
 // One host asks another over a real connection.
 func TestAskOverPeers(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(1)
-	defer w.end()
-	c := w.hosts[0].claims
+	f := newFleet(1)
+	defer f.end()
+	c := f.hosts[0].claims
 	srv := peer.NewServer("127.0.0.1:0")
 	is.NoErr(peerpb.DRPCRegisterClaims(srv, c))
 	is.NoErr(srv.Start(t.Context()))
--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -14,24 +14,24 @@
 	"rhubarbwood.example/rhubarbwood/internal/unit"
 )
 
-// inWorld runs a test in virtual time.
-func inWorld(t *testing.T, hosts int, f func(is *is.I, w *world)) {
+// inFleet runs a test in virtual time.
+func inFleet(t *testing.T, hosts int, test func(is *is.I, f *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(hosts)
-		defer w.end()
-		f(is.New(t), w)
+		f := newFleet(hosts)
+		defer f.end()
+		test(is.New(t), f)
 	})
 }
 
 func TestReserveOnceAndRepeat(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
+	inFleet(t, 2, func(is *is.I, f *fleet) {
 		r := newReservation()
-		first := w.hosts[0].reserve(r)
+		first := f.hosts[0].reserve(r)
 		is.Equal(first.Outcome, outcome.Done)
 		is.True(first.Granted)
 		is.True(!first.Repeated)
 		is.Equal(first.ReservationID, r.ReservationID)
-		for _, h := range w.hosts {
+		for _, h := range f.hosts {
 			again := h.reserve(r)
 			is.Equal(again.Outcome, outcome.Done)
 			is.Equal(again.Answer, first.Answer)
@@ -39,14 +39,14 @@
 		}
 		lower := r
 		lower.ReservationID = strings.ToLower(r.ReservationID)
-		is.Equal(w.add().reserve(lower).Answer, first.Answer) // one id, two spellings
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		is.Equal(f.add().reserve(lower).Answer, first.Answer) // one id, two spellings
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
 func TestRefusedIDs(t *testing.T) {
-	inWorld(t, 1, func(is *is.I, w *world) {
-		c := w.hosts[0]
+	inFleet(t, 1, func(is *is.I, f *fleet) {
+		c := f.hosts[0]
 		ask := func(id string) query.Reservation { return c.reserve(reservation(id)) }
 		res := ask("not a ULID")
 		is.Equal(res.Reason, query.ReasonBadRequest)
@@ -66,13 +66,13 @@
 		other.Item = "another"
 		res = c.reserve(other)
 		is.Equal(res.Reason, query.ReasonBadRequest)
-		is.Equal(len(w.target.runs), 1)
+		is.Equal(len(f.target.runs), 1)
 	})
 }
 
 func TestStopWaitsForReservationsAndRecords(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
-		a := w.hosts[0]
+	inFleet(t, 2, func(is *is.I, f *fleet) {
+		a := f.hosts[0]
 		r := newReservation()
 		a.sendGate.set(true)
 		pending := a.begin(r)
@@ -90,15 +90,15 @@
 		is.Equal(first.Outcome, outcome.Done)
 		is.NoErr(<-stopped)
 		a.kill()
-		is.Equal(w.hosts[1].reserve(r).Answer, first.Answer)
+		is.Equal(f.hosts[1].reserve(r).Answer, first.Answer)
 	})
 }
 
 // TestStopDuringOutage stops a host whose records can't be written: it ends
 // within its stop timeout, and a repeat elsewhere is told unknown.
 func TestStopDuringOutage(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
-		a := w.hosts[0]
+	inFleet(t, 2, func(is *is.I, f *fleet) {
+		a := f.hosts[0]
 		r := newReservation()
 		a.sendGate.set(true)
 		pending := a.begin(r)
@@ -110,20 +110,20 @@
 		is.NoErr(a.claims.Stop(context.Background()))
 		is.Equal(time.Since(start), DefaultConfig().StopTimeout.Std())
 		a.kill()
-		again := w.hosts[1].reserve(r)
+		again := f.hosts[1].reserve(r)
 		is.Equal(again.Outcome, outcome.Unknown)
-		is.Equal(len(w.target.runs), 1)
+		is.Equal(len(f.target.runs), 1)
 	})
 }
 
 func TestLookup(t *testing.T) {
-	inWorld(t, 1, func(is *is.I, w *world) {
-		c := w.hosts[0].claims
+	inFleet(t, 1, func(is *is.I, f *fleet) {
+		c := f.hosts[0].claims
 		id := newID(time.Now())
 		s, err := c.Lookup(context.Background(), id)
 		is.NoErr(err)
 		is.True(!s.Found)
-		w.hosts[0].reserve(reservation(id))
+		f.hosts[0].reserve(reservation(id))
 		s, err = c.Lookup(context.Background(), id)
 		is.NoErr(err)
 		is.True(s.Found && s.HostAlive)
--- a/internal/claim/failure_test.go
+++ b/internal/claim/failure_test.go
@@ -30,14 +30,14 @@
 }
 
 func TestCreateAnswerLost(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
+	inFleet(t, 2, func(is *is.I, f *fleet) {
 		r := newReservation()
-		w.hosts[0].client.LoseNextAnswers(1)
-		first := w.hosts[0].reserve(r)
+		f.hosts[0].client.LoseNextAnswers(1)
+		first := f.hosts[0].reserve(r)
 		is.Equal(first.Outcome, outcome.Done)
-		is.Equal(w.platform.Calls("put"), 3) // the create, the create again, the outcome
-		is.Equal(w.hosts[1].reserve(r).Answer, first.Answer)
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		is.Equal(f.platform.Calls("put"), 3) // the create, the create again, the outcome
+		is.Equal(f.hosts[1].reserve(r).Answer, first.Answer)
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
@@ -51,55 +51,55 @@
 	}
 	for name, fault := range cases {
 		t.Run(name, func(t *testing.T) {
-			inWorld(t, 2, func(is *is.I, w *world) { createNeverAnswered(is, w, fault, true) })
-			inWorld(t, 2, func(is *is.I, w *world) { createNeverAnswered(is, w, fault, false) })
+			inFleet(t, 2, func(is *is.I, f *fleet) { createNeverAnswered(is, f, fault, true) })
+			inFleet(t, 2, func(is *is.I, f *fleet) { createNeverAnswered(is, f, fault, false) })
 		})
 	}
 }
 
-func createNeverAnswered(is *is.I, w *world, fault func(*host), repeatEarly bool) {
-	a, b := w.hosts[0], w.hosts[1]
+func createNeverAnswered(is *is.I, f *fleet, fault func(*host), repeatEarly bool) {
+	a, b := f.hosts[0], f.hosts[1]
 	r := newReservation()
 	fault(a)
 	res := a.reserve(r)
 	is.Equal(res.Outcome, outcome.NotSent)
 	is.True(res.RetryAfter > 0)
-	w.platform.Release()
+	f.platform.Release()
 	a.client.LoseNextAnswers(0)
 	a.client.LoseNextRequests(0)
 	a.client.HoldNextWrites(0)
-	is.Equal(len(w.target.runs), 0)
+	is.Equal(len(f.target.runs), 0)
 
 	if repeatEarly {
 		is.Equal(b.reserve(r).Outcome, outcome.Done) // a tells that it never sends
 	}
 	time.Sleep(time.Minute) // a frees the record
 	a.kill()
-	w.platform.Release()
+	f.platform.Release()
 	is.Equal(b.reserve(r).Outcome, outcome.Done)
-	is.Equal(len(w.target.runs[r.ReservationID]), 1)
+	is.Equal(len(f.target.runs[r.ReservationID]), 1)
 }
 
 // The record of a create that lands after its host gave up and was lost is
 // told as unknown, never run.
 func TestCreateLandsAfterHostLost(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
+	inFleet(t, 2, func(is *is.I, f *fleet) {
 		r := newReservation()
-		w.hosts[0].client.HoldNextWrites(many)
-		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.NotSent)
-		w.hosts[0].kill()
-		w.platform.Release()
-		res := w.hosts[1].reserve(r)
+		f.hosts[0].client.HoldNextWrites(many)
+		is.Equal(f.hosts[0].reserve(r).Outcome, outcome.NotSent)
+		f.hosts[0].kill()
+		f.platform.Release()
+		res := f.hosts[1].reserve(r)
 		is.Equal(res.Outcome, outcome.Unknown)
 		is.Equal(res.Reason, query.ReasonUnsettled)
-		is.Equal(len(w.target.runs), 0)
+		is.Equal(len(f.target.runs), 0)
 	})
 }
 
 // A release that was held back on its way must not undo a later attempt.
 func TestReleaseLandsLate(t *testing.T) {
-	inWorld(t, 3, func(is *is.I, w *world) {
-		a, b, c := w.hosts[0], w.hosts[1], w.hosts[2]
+	inFleet(t, 3, func(is *is.I, f *fleet) {
+		a, b, c := f.hosts[0], f.hosts[1], f.hosts[2]
 		r := newReservation()
 		a.client.LoseNextAnswers(many)
 		is.Equal(a.reserve(r).Outcome, outcome.NotSent)
@@ -108,20 +108,20 @@
 		time.Sleep(time.Minute)
 		b.sendGate.set(true)
 		first := b.begin(r)
-		w.platform.Release()
+		f.platform.Release()
 		second := c.begin(r)
 		b.sendGate.set(false)
 		is.Equal((<-first).Outcome, outcome.Done)
 		is.Equal((<-second).Outcome, outcome.Done)
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
 func TestPlatformDownBefore(t *testing.T) {
-	inWorld(t, 1, func(is *is.I, w *world) {
-		h := w.hosts[0]
+	inFleet(t, 1, func(is *is.I, f *fleet) {
+		h := f.hosts[0]
 		_ = h.reserve(newReservation()) // the host knows the platform's clock
-		w.platform.Outage(true)
+		f.platform.Outage(true)
 		r := newReservation()
 		start := time.Now()
 		res := h.reserve(r)
@@ -129,8 +129,8 @@
 		is.Equal(res.Outcome, outcome.NotSent)
 		is.Equal(res.Reason, query.ReasonPlatform)
 		is.True(res.RetryAfter > 0)
-		is.Equal(len(w.target.runs[r.ReservationID]), 0)
-		w.platform.Outage(false)
+		is.Equal(len(f.target.runs[r.ReservationID]), 0)
+		f.platform.Outage(false)
 		is.Equal(h.reserve(r).Outcome, outcome.Done)
 	})
 }
@@ -138,49 +138,49 @@
 // The platform fails between the create and the outcome: the caller has its
 // answer, and so has each repeat once the platform is back.
 func TestPlatformDownBetween(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
-		a, b := w.hosts[0], w.hosts[1]
+	inFleet(t, 2, func(is *is.I, f *fleet) {
+		a, b := f.hosts[0], f.hosts[1]
 		r := newReservation()
 		a.sendGate.set(true)
 		pending := a.begin(r)
-		w.platform.Outage(true)
+		f.platform.Outage(true)
 		a.sendGate.set(false)
 		first := <-pending
 		is.Equal(first.Outcome, outcome.Done)
 		is.Equal(a.reserve(r).Answer, first.Answer) // by memory
 		is.Equal(b.reserve(r).Outcome, outcome.NotSent)
-		w.platform.Outage(false)
+		f.platform.Outage(false)
 		is.Equal(b.reserve(r).Answer, first.Answer) // a answers for the record
 		time.Sleep(time.Minute)
 		a.kill()
 		is.Equal(b.reserve(r).Answer, first.Answer) // the record has it now
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
 // A host that knows that the reservation was sent never tells a repeat that
 // it did not run, also when the platform is down.
 func TestUnknownIsNotToldAsNotRun(t *testing.T) {
-	inWorld(t, 1, func(is *is.I, w *world) {
+	inFleet(t, 1, func(is *is.I, f *fleet) {
 		r := newReservation()
-		w.target.drop = 1
-		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.Unknown)
-		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.Unknown)
-		w.platform.Outage(true)
-		is.Equal(w.hosts[0].reserve(r).Outcome, outcome.Unknown)
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		f.target.drop = 1
+		is.Equal(f.hosts[0].reserve(r).Outcome, outcome.Unknown)
+		is.Equal(f.hosts[0].reserve(r).Outcome, outcome.Unknown)
+		f.platform.Outage(true)
+		is.Equal(f.hosts[0].reserve(r).Outcome, outcome.Unknown)
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
 func TestRepeatsAtManyHostsAtOnce(t *testing.T) {
-	inWorld(t, 4, func(is *is.I, w *world) {
+	inFleet(t, 4, func(is *is.I, f *fleet) {
 		r := newReservation()
 		var all []<-chan query.Reservation
-		for _, h := range w.hosts {
+		for _, h := range f.hosts {
 			h.sendGate.set(true)
 			all = append(all, h.begin(r), h.begin(r))
 		}
-		for _, h := range w.hosts {
+		for _, h := range f.hosts {
 			h.sendGate.set(false)
 		}
 		answers := map[string]int{}
@@ -188,65 +188,65 @@
 			answers[(<-c).Answer]++
 		}
 		is.Equal(len(answers), 1)
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
 func TestTargetDropsAnswer(t *testing.T) {
 	for _, settle := range []bool{false, true} {
-		inWorld(t, 2, func(is *is.I, w *world) {
-			w.settle = settle
+		inFleet(t, 2, func(is *is.I, f *fleet) {
+			f.settle = settle
 			want := map[bool]outcome.Outcome{false: outcome.Unknown, true: outcome.Done}[settle]
 			r := newReservation()
-			w.target.drop = 1
-			first := w.hosts[0].reserve(r)
+			f.target.drop = 1
+			first := f.hosts[0].reserve(r)
 			is.Equal(first.Outcome, want)
-			again := w.hosts[1].reserve(r)
+			again := f.hosts[1].reserve(r)
 			is.Equal(again.Outcome, want)
 			is.Equal(again.Answer, first.Answer)
-			is.Equal(len(w.target.runs[r.ReservationID]), 1)
+			is.Equal(len(f.target.runs[r.ReservationID]), 1)
 		})
 	}
 }
 
 func TestRejected(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
+	inFleet(t, 2, func(is *is.I, f *fleet) {
 		r := newReservation()
-		w.target.reject = 2
-		res := w.hosts[0].reserve(r)
+		f.target.reject = 2
+		res := f.hosts[0].reserve(r)
 		is.Equal(res.Outcome, outcome.Rejected)
 		is.Equal(res.Reason, query.ReasonOverload)
 		is.True(res.RetryAfter > 0)
-		is.Equal(len(w.target.runs), 0)
+		is.Equal(len(f.target.runs), 0)
 
-		w.target.reject = 1 // the second target takes it
-		res = w.hosts[1].reserve(r)
+		f.target.reject = 1 // the second target takes it
+		res = f.hosts[1].reserve(r)
 		is.Equal(res.Outcome, outcome.Done)
 		is.Equal(res.Target, "t1")
-		is.Equal(w.hosts[0].reserve(r).Answer, res.Answer)
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		is.Equal(f.hosts[0].reserve(r).Answer, res.Answer)
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
 // The sender is lost, or only thought lost, with its bytes already on the way.
 func TestSenderLost(t *testing.T) {
 	for _, settle := range []bool{false, true} {
-		inWorld(t, 3, func(is *is.I, w *world) {
-			w.settle = settle
+		inFleet(t, 3, func(is *is.I, f *fleet) {
+			f.settle = settle
 			r := newReservation()
-			w.hosts[0].sendGate.set(true)
-			w.hosts[0].begin(r)
-			w.think("a", true)
+			f.hosts[0].sendGate.set(true)
+			f.hosts[0].begin(r)
+			f.think("a", true)
 			start := time.Now()
-			res := w.hosts[1].reserve(r)
+			res := f.hosts[1].reserve(r)
 			is.Equal(time.Since(start), time.Duration(0))
-			w.hosts[0].sendGate.set(false)
+			f.hosts[0].sendGate.set(false)
 			synctest.Wait()
-			is.Equal(len(w.target.runs[r.ReservationID]), 1)
+			is.Equal(len(f.target.runs[r.ReservationID]), 1)
 			if settle {
 				is.Equal(res.Outcome, outcome.Done)
-				is.Equal(w.hosts[2].reserve(r).Answer, res.Answer)
-				is.Equal(w.hosts[0].reserve(r).Answer, res.Answer)
+				is.Equal(f.hosts[2].reserve(r).Answer, res.Answer)
+				is.Equal(f.hosts[0].reserve(r).Answer, res.Answer)
 			} else {
 				is.Equal(res.Reason, query.ReasonUnsettled)
 			}
@@ -258,8 +258,8 @@
 // record was removed. Its budget seems to last, as on a machine whose
 // monotonic clock stood still as well.
 func TestFrozenBeforeCreatePastHorizon(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
-		a, b := w.hosts[0], w.hosts[1]
+	inFleet(t, 2, func(is *is.I, f *fleet) {
+		a, b := f.hosts[0], f.hosts[1]
 		is.Equal(a.reserve(newReservation()).Outcome, outcome.Done) // a knows the clock
 		r := newReservation()
 		r.Budget = 10 * removeAfter
@@ -268,17 +268,17 @@
 		is.Equal(b.reserve(r).Outcome, outcome.Done)
 		time.Sleep(removeAfter + time.Hour)
 		b.sweepAll(is)
-		is.Equal(len(w.platform.Objects(mustID(r.ReservationID).kind())), 0)
+		is.Equal(len(f.platform.Objects(mustID(r.ReservationID).kind())), 0)
 		a.gate.set(false)
 		is.Equal((<-frozen).Reason, query.ReasonExpired)
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
 // A host frozen in its send wakes after the record was removed.
 func TestFrozenInSendPastHorizon(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
-		a, b := w.hosts[0], w.hosts[1]
+	inFleet(t, 2, func(is *is.I, f *fleet) {
+		a, b := f.hosts[0], f.hosts[1]
 		r := newReservation()
 		r.Budget = 10 * removeAfter
 		a.sendGate.set(true)
@@ -290,15 +290,15 @@
 		is.Equal(res.Outcome, outcome.Unknown)
 		a.sendGate.set(false)
 		is.Equal((<-frozen).Outcome, outcome.Done)
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
 // A host frozen after its create wakes with its budget spent: it sends
 // nothing and frees the record.
 func TestFrozenAfterCreate(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
-		a, b := w.hosts[0], w.hosts[1]
+	inFleet(t, 2, func(is *is.I, f *fleet) {
+		a, b := f.hosts[0], f.hosts[1]
 		r := newReservation()
 		a.client.SetLatency(100 * time.Millisecond)
 		is.Equal(a.reserve(newReservation()).Outcome, outcome.Done) // a knows the clock
@@ -311,30 +311,30 @@
 		a.gate.set(false)
 		time.Sleep(time.Minute)
 		a.kill()
-		is.Equal(len(w.target.runs[r.ReservationID]), 0)
+		is.Equal(len(f.target.runs[r.ReservationID]), 0)
 		is.Equal(b.reserve(r).Outcome, outcome.Done)
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
 // While a second target is tried, the record names the second attempt, so
 // that a settled first one does not free it.
 func TestRecordNamesSecondAttempt(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
-		w.settle = true
-		w.target.reject = 1
+	inFleet(t, 2, func(is *is.I, f *fleet) {
+		f.settle = true
+		f.target.reject = 1
 		r := newReservation()
-		a := w.hosts[0]
+		a := f.hosts[0]
 		a.gate.set(true)
 		pending := a.begin(r)
 		a.holdSend = 2
 		a.gate.set(false)
 		synctest.Wait()
-		w.think("a", true)
-		is.Equal(w.hosts[1].reserve(r).Outcome, outcome.Done)
+		f.think("a", true)
+		is.Equal(f.hosts[1].reserve(r).Outcome, outcome.Done)
 		a.sendGate.set(false)
 		is.Equal((<-pending).Outcome, outcome.Done)
-		is.Equal(len(w.target.runs[r.ReservationID]), 1)
+		is.Equal(len(f.target.runs[r.ReservationID]), 1)
 	})
 }
 
--- a/internal/claim/world_test.go
+++ b/internal/claim/fleet_test.go
@@ -119,7 +119,7 @@
 // host is one host under test: its Claims, and the Sender, Asker and View that
 // Claims works with.
 type host struct {
-	w        *world
+	f        *fleet
 	client   *platformtest.Client
 	id       string
 	claims   *Claims
@@ -166,7 +166,7 @@
 		h.sendGate.set(true)
 	}
 	h.sendGate.pass()
-	res := h.w.target.send(r, h.id, attempt)
+	res := h.f.target.send(r, h.id, attempt)
 	h.gate.pass()
 	return res
 }
@@ -176,12 +176,12 @@
 	if h.isDead() {
 		return targetapi.Settlement{}, errFake
 	}
-	return h.w.target.settle(attempt), nil
+	return h.f.target.settle(attempt), nil
 }
 
 func (h *host) Ask(ctx context.Context, to member.Host, reservation, attempt string) (AttemptState, error) {
 	h.gate.pass()
-	other := h.w.host(to.ID)
+	other := h.f.host(to.ID)
 	if other.isDead() || h.isDead() {
 		return AttemptState{}, errFake
 	}
@@ -195,8 +195,8 @@
 
 func (h *host) Hosts() []member.Host {
 	var hosts []member.Host
-	for _, o := range h.w.hosts {
-		if !o.isDead() && !h.w.thinksDead(o.id) {
+	for _, o := range h.f.hosts {
+		if !o.isDead() && !h.f.thinksDead(o.id) {
 			hosts = append(hosts, o.Self())
 		}
 	}
@@ -205,8 +205,8 @@
 
 func (h *host) Generation() uint64 { return 0 }
 
-// world is some hosts, one platform and one target.
-type world struct {
+// fleet is some hosts, one platform and one target.
+type fleet struct {
 	platform    *platformtest.Platform
 	target      *target
 	settle      bool
@@ -215,24 +215,24 @@
 	thoughtDead map[string]bool // by the views of all hosts
 }
 
-func (w *world) think(id string, dead bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.thoughtDead[id] = dead
+func (f *fleet) think(id string, dead bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.thoughtDead[id] = dead
 }
 
-func (w *world) thinksDead(id string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.thoughtDead[id]
+func (f *fleet) thinksDead(id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.thoughtDead[id]
 }
 
-func (w *world) Service(name string) (catalog.Service, bool) {
-	return catalog.Service{Name: name, Rules: catalog.Rules{Settle: w.settle}}, true
+func (f *fleet) Service(name string) (catalog.Service, bool) {
+	return catalog.Service{Name: name, Rules: catalog.Rules{Settle: f.settle}}, true
 }
 
-func (w *world) host(id string) *host {
-	for _, h := range w.hosts {
+func (f *fleet) host(id string) *host {
+	for _, h := range f.hosts {
 		if h.id == id {
 			return h
 		}
@@ -242,33 +242,33 @@
 
 // add starts a host. Each has an id of its own, as a host started anew has
 // another incarnation.
-func (w *world) add() *host {
-	h := &host{w: w, id: string(rune('a' + len(w.hosts))), client: w.platform.Client()}
+func (f *fleet) add() *host {
+	h := &host{f: f, id: string(rune('a' + len(f.hosts))), client: f.platform.Client()}
 	cfg := DefaultConfig()
 	cfg.Sweepers = 0
-	h.claims = New(cfg, &store{h.client, &h.gate}, h, h, h, w, event.Discard(), prometheus.NewRegistry())
-	w.hosts = append(w.hosts, h)
+	h.claims = New(cfg, &store{h.client, &h.gate}, h, h, h, f, event.Discard(), prometheus.NewRegistry())
+	f.hosts = append(f.hosts, h)
 	return h
 }
 
-func newWorld(hosts int) *world {
-	w := &world{
+func newFleet(hosts int) *fleet {
+	f := &fleet{
 		platform: platformtest.New(), thoughtDead: map[string]bool{},
 		target: &target{runs: map[string][]query.Reserve{}, ran: map[string]query.Reservation{}, refused: map[string]bool{}},
 	}
 	for range hosts {
-		w.add()
+		f.add()
 	}
-	return w
+	return f
 }
 
 // end stops every host, so that no goroutine is left.
-func (w *world) end() {
-	for _, h := range w.hosts {
+func (f *fleet) end() {
+	for _, h := range f.hosts {
 		h.kill()
 		h.sendGate.set(false)
 	}
-	for _, h := range w.hosts {
+	for _, h := range f.hosts {
 		h.claims.running.Wait()
 		h.claims.writing.Wait()
 	}
--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -23,7 +23,7 @@
 
 // machine drives hosts, faults and callers at random and keeps the history.
 type machine struct {
-	*world
+	*fleet
 	ids      []string
 	mu       sync.Mutex
 	observed []observation
@@ -230,7 +230,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		var failure any
 		synctest.Test(t, func(*testing.T) {
-			m := &machine{world: newWorld(3)}
+			m := &machine{fleet: newFleet(3)}
 			defer m.end()
 			defer func() { failure = recover() }() // rapid fails by a panic, which must reach its own goroutine
 			m.run(rt)
--- a/internal/claim/measure_test.go
+++ b/internal/claim/measure_test.go
@@ -34,9 +34,9 @@
 func underKills(t *testing.T, settle, plain bool) tally {
 	var sum tally
 	for i := range 40 * lossSteps {
-		inWorld(t, 2, func(_ *is.I, w *world) {
-			w.settle = settle
-			a, b := w.hosts[0], w.hosts[1]
+		inFleet(t, 2, func(_ *is.I, f *fleet) {
+			f.settle = settle
+			a, b := f.hosts[0], f.hosts[1]
 			ask := (*host).reserve
 			if plain {
 				ask = func(h *host, r query.Reserve) query.Reservation {
@@ -47,7 +47,7 @@
 			a.gate.set(i%lossSteps == beforeCreate)
 			a.sendGate.set(i%lossSteps == bytesSent)
 			if i%lossSteps == answerLost {
-				w.target.drop = 1
+				f.target.drop = 1
 			}
 			go ask(a, r)
 			synctest.Wait()
@@ -58,7 +58,7 @@
 			if last.Outcome != outcome.Done {
 				last = ask(b, r)
 			}
-			sum.add(len(w.target.runs[r.ReservationID]), last.Outcome)
+			sum.add(len(f.target.runs[r.ReservationID]), last.Outcome)
 		})
 	}
 	return sum
@@ -115,10 +115,10 @@
 // offer sends reservations to eight hosts for ten seconds, in virtual time,
 // whatever becomes of those before. Platform calls take 2 ms and a wait for
 // one of the 300 writes a second; sends take none.
-func offer(w *world, perSecond int) load {
+func offer(f *fleet, perSecond int) load {
 	const limit, seconds = 300, 10
 	writes := rate.NewLimiter(limit, 1)
-	for _, h := range w.hosts {
+	for _, h := range f.hosts {
 		h.client.SetLatency(2 * time.Millisecond)
 		h.claims.records.store = limitedStore{h.client, writes}
 	}
@@ -129,7 +129,7 @@
 		time.Sleep(time.Second / time.Duration(perSecond))
 		wg.Go(func() {
 			start := time.Now()
-			res := w.hosts[i%len(w.hosts)].reserve(reservation(newID(start)))
+			res := f.hosts[i%len(f.hosts)].reserve(reservation(newID(start)))
 			mu.Lock()
 			defer mu.Unlock()
 			if res.Outcome == outcome.Done {
@@ -142,7 +142,7 @@
 	}
 	wg.Wait()
 	time.Sleep(time.Minute) // the last outcomes
-	sum.puts = w.platform.Calls("put")
+	sum.puts = f.platform.Calls("put")
 	slices.Sort(sum.answers)
 	return sum
 }
@@ -152,8 +152,8 @@
 func TestPlatformOverload(t *testing.T) {
 	done := map[int]int{}
 	for _, perSecond := range []int{75, 135, 180, 300, 750} {
-		inWorld(t, 8, func(_ *is.I, w *world) {
-			l := offer(w, perSecond)
+		inFleet(t, 8, func(_ *is.I, f *fleet) {
+			l := offer(f, perSecond)
 			done[perSecond] = l.done
 			t.Logf("offered %d/s: done %.0f/s, writes each %.2f, p50 %v, p99 %v", perSecond, float64(l.done)/10,
 				float64(l.puts)/float64(l.done), l.answers[len(l.answers)/2], l.answers[len(l.answers)*99/100])
--- a/internal/claim/sweep_test.go
+++ b/internal/claim/sweep_test.go
@@ -16,15 +16,15 @@
 )
 
 func TestSweepRemovesOnlyOldRecords(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
-		a, b := w.hosts[0], w.hosts[1]
+	inFleet(t, 2, func(is *is.I, f *fleet) {
+		a, b := f.hosts[0], f.hosts[1]
 		old, young := newID(time.Now()), newID(time.Now().Add(time.Hour))
 		is.Equal(a.reserve(reservation(old)).Outcome, outcome.Done)
 		time.Sleep(time.Hour)
 		is.Equal(a.reserve(reservation(young)).Outcome, outcome.Done)
 
 		left := func() int {
-			return len(w.platform.Objects(mustID(old).kind())) + len(w.platform.Objects(mustID(young).kind()))
+			return len(f.platform.Objects(mustID(old).kind())) + len(f.platform.Objects(mustID(young).kind()))
 		}
 		time.Sleep(removeAfter - time.Hour)
 		a.sweepAll(is)
@@ -40,8 +40,8 @@
 
 // A round spends no more calls than it may, and the next one goes on.
 func TestSweepRoundIsBounded(t *testing.T) {
-	inWorld(t, 1, func(is *is.I, w *world) {
-		h := w.hosts[0]
+	inFleet(t, 1, func(is *is.I, f *fleet) {
+		h := f.hosts[0]
 		start := time.Now()
 		for range 30 {
 			is.Equal(h.reserve(reservation(newID(start))).Outcome, outcome.Done)
@@ -50,10 +50,10 @@
 		h.reserve(newReservation())
 		h.claims.cfg.SweepCalls = 12
 		kind := mustID(newID(start)).kind()
-		for len(w.platform.Objects(kind)) > 0 {
-			before := w.platform.Calls("get", "put", "list", "delete")
+		for len(f.platform.Objects(kind)) > 0 {
+			before := f.platform.Calls("get", "put", "list", "delete")
 			is.NoErr(h.claims.sweep(context.Background(), rate.NewLimiter(rate.Inf, 1), 0))
-			after := w.platform.Calls("get", "put", "list", "delete")
+			after := f.platform.Calls("get", "put", "list", "delete")
 			is.True(after-before <= 13) // and one to move the cursor
 		}
 	})
@@ -61,26 +61,26 @@
 
 // Two hosts that sweep at once share the work.
 func TestSweepersShareASlice(t *testing.T) {
-	inWorld(t, 2, func(is *is.I, w *world) {
+	inFleet(t, 2, func(is *is.I, f *fleet) {
 		start := time.Now()
 		for range 100 {
-			is.Equal(w.hosts[0].reserve(reservation(newID(start))).Outcome, outcome.Done)
+			is.Equal(f.hosts[0].reserve(reservation(newID(start))).Outcome, outcome.Done)
 		}
 		time.Sleep(removeAfter)
-		for _, h := range w.hosts {
+		for _, h := range f.hosts {
 			h.reserve(newReservation())
 			h.sweepAll(is) // the cursor stands at the slice
 		}
 		time.Sleep(sliceLength + time.Minute)
 		var wg sync.WaitGroup
 		begun := time.Now()
-		for rank, h := range w.hosts {
+		for rank, h := range f.hosts {
 			h.reserve(newReservation())
 			limit := rate.NewLimiter(10, 1)
 			wg.Go(func() { _ = h.claims.sweep(context.Background(), limit, rank) })
 		}
 		wg.Wait()
-		is.Equal(len(w.platform.Objects(mustID(newID(start)).kind())), 0)
+		is.Equal(len(f.platform.Objects(mustID(newID(start)).kind())), 0)
 		took := time.Since(begun)
 		is.True(took < 6*time.Second) // 100 deletes at 10 a second and host, and a few calls
 	})
@@ -90,8 +90,8 @@
 func TestFewHostsSweep(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := newWorld(1)
-		defer w.end()
+		f := newFleet(1)
+		defer f.end()
 		v := manyHosts{}
 		for i := range 720 {
 			v.hosts = append(v.hosts, member.Host{ID: fmt.Sprintf("host-%d", i)})
@@ -105,13 +105,13 @@
 		}
 		is.Equal(sweepers, 2)
 
-		h := w.hosts[0]
+		h := f.hosts[0]
 		h.reserve(newReservation())
 		h.claims.cfg.Sweepers = 1
 		is.NoErr(h.claims.Start(context.Background()))
-		before := w.platform.Calls("list", "put")
+		before := f.platform.Calls("list", "put")
 		time.Sleep(10 * time.Minute)
-		calls := w.platform.Calls("list", "put") - before
+		calls := f.platform.Calls("list", "put") - before
 		is.True(calls > 0)
 		is.True(float64(calls) <= 600*h.claims.cfg.SweepRate)
 	})
--- a/internal/delivery/burn_test.go
+++ b/internal/delivery/burn_test.go
@@ -15,7 +15,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/unit"
 )
 
-// services are those whose burn is told.
+// services are those whose burn is reported.
 var services = []catalog.Service{{Name: "guest-01", Workload: "guest-portal", Rules: catalog.Rules{
 	LatencyObjective: unit.Duration(110 * time.Millisecond), LatencyRatio: 0.99, CoverageRatio: 0.9,
 }}}
@@ -75,22 +75,22 @@
 		is := is.New(t)
 		f := newFleet(t, DefaultConfig(), 3, services...)
 		defer f.stopAll()
-		time.Sleep(checkInterval + 5*time.Second) // between the checks, when the host that told before has noticed
+		time.Sleep(checkInterval + 5*time.Second) // between the checks, when the host that exported before has noticed
 		for range 60 {
 			f.serve(10, 200*time.Millisecond, 1, "")
 			time.Sleep(time.Minute)
-			told := 0
+			exporting := 0
 			for _, h := range f.hosts {
 				families, err := h.metrics.Gather()
 				is.NoErr(err)
 				for _, family := range families {
 					if family.GetName() == "rhubarbwood_delivery_burn_ratio" {
-						told++
+						exporting++
 						is.Equal(len(family.GetMetric()), 4*len(BurnWindows))
 					}
 				}
 			}
-			is.True(told <= 1)
+			is.True(exporting <= 1)
 		}
 	})
 }
--- a/internal/delivery/fleet_test.go
+++ b/internal/delivery/fleet_test.go
@@ -18,16 +18,16 @@
 	"rhubarbwood.example/rhubarbwood/internal/platform/platformtest"
 )
 
-// fleet is hosts that record deliveries, and the count that their driver kept.
+// fleet is hosts that record deliveries, and the count of what each recorded.
 type fleet struct {
 	t        fataler
 	cfg      Config
 	platform *platformtest.Platform
 	live     atomic.Pointer[[]member.Host]
 	hosts    map[string]*host
-	driven   map[string]uint64 // by host and incarnation
+	recorded map[string]uint64 // by host and incarnation
 	runs     int
-	services []catalog.Service // whose burn is told
+	services []catalog.Service // whose burn is reported
 }
 
 // fataler is a test or a property.
@@ -55,7 +55,7 @@
 func (v view) Generation() uint64   { return 0 }
 
 func newFleet(t fataler, cfg Config, hosts int, services ...catalog.Service) *fleet {
-	f := &fleet{t: t, cfg: cfg, platform: platformtest.New(), hosts: map[string]*host{}, driven: map[string]uint64{}, services: services}
+	f := &fleet{t: t, cfg: cfg, platform: platformtest.New(), hosts: map[string]*host{}, recorded: map[string]uint64{}, services: services}
 	for i := range hosts {
 		f.start(fmt.Sprintf("h%d", i))
 	}
@@ -114,7 +114,7 @@
 		h := f.hosts[id]
 		for i := range n {
 			h.Record(delivery(h.key(), i))
-			f.driven[h.key()]++
+			f.recorded[h.key()]++
 		}
 	}
 }
@@ -122,7 +122,7 @@
 func (h *host) key() string { return fmt.Sprintf("%s/%d", h.info.ID, h.info.Incarnation) }
 
 // delivery returns one of a few kinds of delivery. Its service is the run of
-// the host that records it, so that a report can be held against the driver's
+// the host that records it, so that a report can be held against the fleet's
 // count run by run.
 func delivery(run string, i int) Delivery {
 	return Delivery{
@@ -145,21 +145,21 @@
 	return r
 }
 
-// differences holds a report against what the driver counted. A run that the
+// differences holds a report against what the hosts recorded. A run that the
 // report vouches for must be there to the last delivery; of any other there
-// must not be more than was driven.
+// must not be more than was recorded.
 func (f *fleet) differences(r Report) []string {
-	told := fmt.Sprint(r.Completeness.Missing, r.Completeness.Open)
+	missing := fmt.Sprint(r.Completeness.Missing, r.Completeness.Open)
 	reported := map[string]uint64{}
 	for _, l := range r.Lines {
 		reported[l.Key.Service] = l.Sums.Count
 	}
 	var differences []string
-	for _, run := range slices.Sorted(maps.Keys(f.driven)) {
+	for _, run := range slices.Sorted(maps.Keys(f.recorded)) {
 		id, number, _ := strings.Cut(run, "/")
-		vouched := !strings.Contains(told, fmt.Sprintf("host %s, incarnation %s ", id, number))
-		if n := f.driven[run]; reported[run] > n || vouched && reported[run] != n {
-			differences = append(differences, fmt.Sprintf("%s: %d reported, %d driven, vouched for: %t", run, reported[run], n, vouched))
+		vouched := !strings.Contains(missing, fmt.Sprintf("host %s, incarnation %s ", id, number))
+		if n := f.recorded[run]; reported[run] > n || vouched && reported[run] != n {
+			differences = append(differences, fmt.Sprintf("%s: %d reported, %d recorded, vouched for: %t", run, reported[run], n, vouched))
 		}
 	}
 	return differences
--- a/internal/delivery/sums_test.go
+++ b/internal/delivery/sums_test.go
@@ -27,7 +27,7 @@
 		for range 9 * 12 {
 			f.record(2)
 			f.hosts["h0"].Record(Delivery{RequestID: "refused", Service: f.hosts["h0"].key(), Reason: "overload"})
-			f.driven[f.hosts["h0"].key()]++
+			f.recorded[f.hosts["h0"].key()]++
 			time.Sleep(5 * time.Minute)
 		}
 		f.leave("h1", false)
@@ -110,7 +110,7 @@
 			d.Caller, d.Reason = time.Duration(i).String(), "overload"
 			for range 3 {
 				h.Record(d)
-				f.driven[h.key()]++
+				f.recorded[h.key()]++
 			}
 			time.Sleep(10 * time.Second)
 		}
--- a/internal/delivery/windows_test.go
+++ b/internal/delivery/windows_test.go
@@ -35,7 +35,7 @@
 		is.Equal(r.Completeness.Open[0].Host, "h2")
 		is.Equal(r.Completeness.Open[0].Ending, EndedUnwritten)
 		is.Equal(f.differences(r), nil)
-		is.True(f.driven["h2/3"]-r.Lines[2].Sums.Count <= 6) // its last windows
+		is.True(f.recorded["h2/3"]-r.Lines[2].Sums.Count <= 6) // its last windows
 	})
 }
 
--- a/internal/operate/claim_test.go
+++ b/internal/operate/claim_test.go
@@ -28,15 +28,15 @@
 }
 
 func TestShowClaim(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
 		f := &fakeClaims{}
-		w.parts.Claims = f
-		found := w.do("show claim " + reserved)
+		h.parts.Claims = f
+		found := h.do("show claim " + reserved)
 		is.Equal(found.Rows[1], []string{"phase", "sending"})
-		is.Equal(w.do("show claim 01JE3W2S6P8N0Q4T7V9X1Z3B5E").Rows[1], []string{"phase", "none"})
-		is.Equal(w.fail("asha", "show claim nonsense").Reason, query.ReasonBadRequest)
+		is.Equal(h.do("show claim 01JE3W2S6P8N0Q4T7V9X1Z3B5E").Rows[1], []string{"phase", "none"})
+		is.Equal(h.fail("asha", "show claim nonsense").Reason, query.ReasonBadRequest)
 		f.down = true
-		is.Equal(w.fail("asha", "show claim "+reserved).Reason, query.ReasonPlatform)
+		is.Equal(h.fail("asha", "show claim "+reserved).Reason, query.ReasonPlatform)
 	})
 }
 
@@ -48,10 +48,10 @@
 }
 
 func TestShowTargetsTellsWhatThisHostRelays(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
-		w.create("guest-01")
-		w.parts.Relay = fakeRelay{}
-		s := w.do("show targets")
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		h.create("guest-01")
+		h.parts.Relay = fakeRelay{}
+		s := h.do("show targets")
 		is.Equal(s.cell(0, "state"), "")
 		is.Equal(s.cell(1, "state"), "ready")
 		is.Equal(s.cell(1, "sheds"), "7")
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -29,9 +29,9 @@
 	{"id":"t1","address":"127.0.0.1:1","failure_domain":"salt-lake","slots":2,"connections":25},
 	{"id":"t2","address":"127.0.0.1:2","failure_domain":"new-town","slots":2,"connections":25}]}`
 
-// world is one host with a catalog of its own, over a platform that fails as
+// testHost is one host with a catalog of its own, over a platform that fails as
 // the test wants.
-type world struct {
+type testHost struct {
 	t        *testing.T
 	platform *platformtest.Platform
 	client   *platformtest.Client
@@ -40,60 +40,60 @@
 	*Executor
 }
 
-func (w *world) Self() member.Host    { return w.Hosts()[0] }
-func (w *world) Hosts() []member.Host { return *w.hosts.Load() }
-func (w *world) Generation() uint64   { return 0 }
-func (w *world) Announce()            {}
-func (w *world) Pull(context.Context, string, *peerpb.PullRequest) (*peerpb.PullReply, error) {
+func (h *testHost) Self() member.Host    { return h.Hosts()[0] }
+func (h *testHost) Hosts() []member.Host { return *h.hosts.Load() }
+func (h *testHost) Generation() uint64   { return 0 }
+func (h *testHost) Announce()            {}
+func (h *testHost) Pull(context.Context, string, *peerpb.PullRequest) (*peerpb.PullReply, error) {
 	return nil, errors.New("no peer")
 }
 
-// run gives the test a world inside a synctest bubble.
-func run(t *testing.T, test func(t *testing.T, is *is.I, w *world)) {
+// run gives the test a testHost inside a synctest bubble.
+func run(t *testing.T, test func(t *testing.T, is *is.I, h *testHost)) {
 	synctest.Test(t, func(t *testing.T) {
 		p := platformtest.New()
-		w := &world{t: t, platform: p, client: p.Client()}
-		w.hosts.Store(&[]member.Host{
+		h := &testHost{t: t, platform: p, client: p.Client()}
+		h.hosts.Store(&[]member.Host{
 			{ID: "h0", FailureDomain: "salt-lake", State: member.Alive, Incarnation: 1, Peer: "127.0.0.1:7000"},
 			{ID: "h1", FailureDomain: "new-town", State: member.Alive, Incarnation: 1, Peer: "127.0.0.1:7001"},
 		})
-		_, _ = w.client.Put(t.Context(), platform.KindMember, "h0", 0, []byte("{}")) // the host's own record
-		w.catalog = catalog.New(catalog.DefaultConfig(), w.client, w, w, w, event.Discard(), prometheus.NewRegistry())
-		_ = w.catalog.Start(t.Context())
+		_, _ = h.client.Put(t.Context(), platform.KindMember, "h0", 0, []byte("{}")) // the host's own record
+		h.catalog = catalog.New(catalog.DefaultConfig(), h.client, h, h, h, event.Discard(), prometheus.NewRegistry())
+		_ = h.catalog.Start(t.Context())
 		cfg := delivery.DefaultConfig()
-		w.Executor = New(Parts{
-			Members: w, Store: w.client, Catalog: w.catalog, Editor: catalog.NewEditor(w.catalog),
-			Reports: delivery.NewReporter(cfg, w.client, w, event.Discard()),
+		h.Executor = New(Parts{
+			Members: h, Store: h.client, Catalog: h.catalog, Editor: catalog.NewEditor(h.catalog),
+			Reports: delivery.NewReporter(cfg, h.client, h, event.Discard()),
 		})
-		defer func() { _ = w.catalog.Stop(context.Background()) }() // also when the test fails, or virtual time never ends
-		test(t, is.New(t), w)
+		defer func() { _ = h.catalog.Stop(context.Background()) }() // also when the test fails, or virtual time never ends
+		test(t, is.New(t), h)
 	})
 }
 
 // do runs a statement that must succeed, and lets the catalog follow.
-func (w *world) do(statement string) Table {
-	w.t.Helper()
-	t, err := w.ExecuteText(w.t.Context(), "asha", statement, false)
+func (h *testHost) do(statement string) Table {
+	h.t.Helper()
+	t, err := h.ExecuteText(h.t.Context(), "asha", statement, false)
 	if err != nil {
-		w.t.Fatalf("%s: %v", statement, err)
+		h.t.Fatalf("%s: %v", statement, err)
 	}
 	time.Sleep(time.Second)
 	return t
 }
 
 // fail runs a statement that must be refused.
-func (w *world) fail(operator, statement string) *query.Refusal {
-	w.t.Helper()
-	t, err := w.ExecuteText(w.t.Context(), operator, statement, false)
+func (h *testHost) fail(operator, statement string) *query.Refusal {
+	h.t.Helper()
+	t, err := h.ExecuteText(h.t.Context(), operator, statement, false)
 	var r *query.Refusal
 	if !errors.As(err, &r) {
-		w.t.Fatalf("%s: %v, %v", statement, t, err)
+		h.t.Fatalf("%s: %v, %v", statement, t, err)
 	}
 	return r
 }
 
-func (w *world) create(name string) {
-	w.do("create service " + name + " from '" + strings.ReplaceAll(service, "%s", name) + "'")
+func (h *testHost) create(name string) {
+	h.do("create service " + name + " from '" + strings.ReplaceAll(service, "%s", name) + "'")
 }
 
 func (t Table) cell(row int, column string) string {
@@ -105,65 +105,65 @@
 }
 
 func TestShowState(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
-		w.create("guest-01")
-		w.create("guest-02")
-		is.Equal(len(w.do("show hosts").Rows), 2)
-		is.Equal(w.do("show hosts where failure_domain = new-town").cell(0, "host"), "h1")
-		s := w.do("show services")
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		h.create("guest-01")
+		h.create("guest-02")
+		is.Equal(len(h.do("show hosts").Rows), 2)
+		is.Equal(h.do("show hosts where failure_domain = new-town").cell(0, "host"), "h1")
+		s := h.do("show services")
 		is.Equal(s.cell(1, "service"), "guest-02")
 		is.Equal(s.cell(1, "version"), "1")
-		is.Equal(len(w.do("show targets where service = guest-01 and target != t1").Rows), 1)
-		is.Equal(w.do("show targets by failure_domain").Rows, [][]string{{"new-town", "2"}, {"salt-lake", "2"}})
-		is.Equal(w.fail("asha", "show hosts where zone = x").Reason, query.ReasonBadRequest)
-		is.Equal(w.fail("asha", "show hosts since 1h").Reason, query.ReasonBadRequest)
+		is.Equal(len(h.do("show targets where service = guest-01 and target != t1").Rows), 1)
+		is.Equal(h.do("show targets by failure_domain").Rows, [][]string{{"new-town", "2"}, {"salt-lake", "2"}})
+		is.Equal(h.fail("asha", "show hosts where zone = x").Reason, query.ReasonBadRequest)
+		is.Equal(h.fail("asha", "show hosts since 1h").Reason, query.ReasonBadRequest)
 
-		w.platform.Outage(true)
-		s = w.do("show services")
+		h.platform.Outage(true)
+		s = h.do("show services")
 		is.Equal(s.cell(0, "version"), "") // not known, and said so
 		is.True(strings.Contains(s.Message, "versions are not known"))
 	})
 }
 
 func TestShowConfigTellsWhoLacksIt(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
-		w.create("guest-01")
-		c := w.do("show config")
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		h.create("guest-01")
+		c := h.do("show config")
 		is.Equal(c.cell(0, "has_newest"), "yes")
 		is.Equal(c.cell(1, "has_newest"), "no")
 		is.True(strings.Contains(c.Message, "in force on 1 of 2 hosts, not yet on h1"))
-		hosts := slices.Clone(w.Hosts())
-		hosts[1].Revision = w.catalog.Revision()
-		w.hosts.Store(&hosts)
-		is.True(strings.Contains(w.do("show config").Message, "in force on 2 of 2 hosts"))
+		hosts := slices.Clone(h.Hosts())
+		hosts[1].Revision = h.catalog.Revision()
+		h.hosts.Store(&hosts)
+		is.True(strings.Contains(h.do("show config").Message, "in force on 2 of 2 hosts"))
 	})
 }
 
 func TestAlterSetsFieldsAndDryRunDoesNot(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
-		w.create("guest-01")
-		dry := w.do("dry run alter service guest-01 set latency_objective = 90ms, rules.relays = 2 at version 1")
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		h.create("guest-01")
+		dry := h.do("dry run alter service guest-01 set latency_objective = 90ms, rules.relays = 2 at version 1")
 		is.Equal(dry.Rows, [][]string{{"rules.latency_objective", "", `"90ms"`}, {"rules.relays", "", "2"}})
-		is.Equal(w.do("show services").cell(0, "version"), "1")
-		w.do("alter service guest-01 set latency_objective = 90ms, urgency = deferrable at version 1")
-		s := w.do("show services")
+		is.Equal(h.do("show services").cell(0, "version"), "1")
+		h.do("alter service guest-01 set latency_objective = 90ms, urgency = deferrable at version 1")
+		s := h.do("show services")
 		is.Equal(s.cell(0, "latency_objective"), "90ms")
 		is.Equal(s.cell(0, "urgency"), "deferrable")
-		w.do("alter service guest-01 set latency_objective = null at version 2")
-		is.Equal(w.do("show services").cell(0, "latency_objective"), "110ms")
-		is.Equal(w.fail("asha", "alter service guest-01 set colour = red at version 3").Reason, query.ReasonBadRequest)
-		is.Equal(w.fail("asha", "alter service guest-01 set relays = many at version 3").Reason, query.ReasonBadRequest)
-		is.Equal(w.fail("asha", "alter service guest-09 set relays = 1 at version 3").Reason, query.ReasonUnknownService)
-		w.do("drop service guest-01 at version 3")
-		is.Equal(len(w.do("show services").Rows), 0)
+		h.do("alter service guest-01 set latency_objective = null at version 2")
+		is.Equal(h.do("show services").cell(0, "latency_objective"), "110ms")
+		is.Equal(h.fail("asha", "alter service guest-01 set colour = red at version 3").Reason, query.ReasonBadRequest)
+		is.Equal(h.fail("asha", "alter service guest-01 set relays = many at version 3").Reason, query.ReasonBadRequest)
+		is.Equal(h.fail("asha", "alter service guest-09 set relays = 1 at version 3").Reason, query.ReasonUnknownService)
+		h.do("drop service guest-01 at version 3")
+		is.Equal(len(h.do("show services").Rows), 0)
 	})
 }
 
 func TestLostRaceTellsWinnerAndDifference(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
-		w.create("guest-01")
-		w.do("alter service guest-01 set relays = 2 at version 1")
-		r := w.fail("bimal", "alter service guest-01 set relays = 3 at version 1")
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		h.create("guest-01")
+		h.do("alter service guest-01 set relays = 2 at version 1")
+		r := h.fail("bimal", "alter service guest-01 set relays = 3 at version 1")
 		is.Equal(r.Reason, query.ReasonConflict)
 		is.True(r.Outcome.NotRun())
 		for _, want := range []string{"version 2 was written by asha", "rules.relays stands at 2, this change wanted 3"} {
@@ -173,56 +173,56 @@
 }
 
 func TestUnansweredWriteIsToldTruly(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
-		w.create("guest-01")
-		w.client.LoseNextAnswers(1) // applied, and settled by reading back
-		w.do("alter service guest-01 set relays = 2 at version 1")
-
-		w.client.LoseNextAnswers(1)
-		w.client.SetLatency(time.Millisecond)
-		time.AfterFunc(2500*time.Microsecond, func() { w.client.Outage(true) }) // after two reads, during the write
-		r := w.fail("asha", "alter service guest-01 set relays = 3 at version 2")
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		h.create("guest-01")
+		h.client.LoseNextAnswers(1) // applied, and settled by reading back
+		h.do("alter service guest-01 set relays = 2 at version 1")
+
+		h.client.LoseNextAnswers(1)
+		h.client.SetLatency(time.Millisecond)
+		time.AfterFunc(2500*time.Microsecond, func() { h.client.Outage(true) }) // after two reads, during the write
+		r := h.fail("asha", "alter service guest-01 set relays = 3 at version 2")
 		is.Equal(r.Outcome, outcome.Unknown)
 		is.True(strings.Contains(r.Detail, "did not tell"))
 
-		r = w.fail("asha", "alter service guest-01 set relays = 4 at version 2")
+		r = h.fail("asha", "alter service guest-01 set relays = 4 at version 2")
 		is.Equal(r.Reason, query.ReasonPlatform) // down: nothing was sent
 		is.True(r.Outcome.NotRun())
 	})
 }
 
 func TestDrainInEveryService(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
-		w.create("guest-01")
-		w.create("guest-02")
-		is.Equal(len(w.do("dry run drain target t1").Rows), 2)
-		is.Equal(len(w.do("show targets where drained = yes").Rows), 0)
-		w.do("drain target t1")
-		is.Equal(len(w.do("show targets where drained = yes and target = t1").Rows), 2)
-		w.do("undrain target t1 of service guest-02")
-		is.Equal(w.do("show targets where drained = yes").cell(0, "service"), "guest-01")
-		is.Equal(w.do("undrain target t2").cell(0, "status"), "unchanged")
-		is.Equal(w.fail("asha", "drain target t9").Reason, query.ReasonUnknownService)
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		h.create("guest-01")
+		h.create("guest-02")
+		is.Equal(len(h.do("dry run drain target t1").Rows), 2)
+		is.Equal(len(h.do("show targets where drained = yes").Rows), 0)
+		h.do("drain target t1")
+		is.Equal(len(h.do("show targets where drained = yes and target = t1").Rows), 2)
+		h.do("undrain target t1 of service guest-02")
+		is.Equal(h.do("show targets where drained = yes").cell(0, "service"), "guest-01")
+		is.Equal(h.do("undrain target t2").cell(0, "status"), "unchanged")
+		is.Equal(h.fail("asha", "drain target t9").Reason, query.ReasonUnknownService)
 	})
 }
 
 func TestPublishSnapshot(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
-		w.create("guest-01")
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		h.create("guest-01")
 		b, _ := json.Marshal(catalog.Snapshot{Workload: "guest-portal", ID: 7, Services: map[string]catalog.ShardMap{
 			"guest-01": {IndexVersion: "v1", Shards: [][]string{{"t1", "t2"}, {"t2"}}},
 		}})
-		w.do("publish snapshot '" + string(b) + "'")
-		is.Equal(w.catalog.Snapshots("guest-portal")[0].ID, uint64(7))
-		is.Equal(w.fail("asha", "publish snapshot '"+string(b)+"'").Reason, query.ReasonBadRequest) // not above the newest
+		h.do("publish snapshot '" + string(b) + "'")
+		is.Equal(h.catalog.Snapshots("guest-portal")[0].ID, uint64(7))
+		is.Equal(h.fail("asha", "publish snapshot '"+string(b)+"'").Reason, query.ReasonBadRequest) // not above the newest
 	})
 }
 
 func TestCallersStatementsAndDryRunsOfNothing(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
-		is.Equal(w.fail("asha", `search a "b"`).Reason, query.ReasonBadRequest)
-		_, err := w.ExecuteText(t.Context(), "asha", "show hosts", true)
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		is.Equal(h.fail("asha", `search a "b"`).Reason, query.ReasonBadRequest)
+		_, err := h.ExecuteText(t.Context(), "asha", "show hosts", true)
 		is.True(err != nil)
-		is.True(strings.Contains(w.fail("asha", "shw hosts").Detail, "line 1, column 1"))
+		is.True(strings.Contains(h.fail("asha", "shw hosts").Detail, "line 1, column 1"))
 	})
 }
--- a/internal/operate/reports_test.go
+++ b/internal/operate/reports_test.go
@@ -16,9 +16,9 @@
 
 // serve records deliveries on both hosts and ends the first: the second one
 // never writes a window.
-func (w *world) serve() {
-	windows := delivery.New(delivery.DefaultConfig(), w.client, w, event.Discard(), prometheus.NewRegistry())
-	_ = windows.Start(w.t.Context())
+func (h *testHost) serve() {
+	windows := delivery.New(delivery.DefaultConfig(), h.client, h, event.Discard(), prometheus.NewRegistry())
+	_ = windows.Start(h.t.Context())
 	for i := range 10 {
 		windows.Record(delivery.Delivery{
 			RequestID: "r", Caller: "shop-a", Service: "guest-01", Outcome: outcome.Done, Coverage: 1 - float64(i/8)/10,
@@ -32,40 +32,40 @@
 		RequestID: "reserve-1", ReservationID: "01JE3W2S6P8N0Q4T7V9X1Z3B5D", Caller: "shop-b", Service: "desk", Outcome: outcome.Done,
 	})
 	time.Sleep(time.Minute)
-	_ = windows.Stop(w.t.Context())
+	_ = windows.Stop(h.t.Context())
 }
 
 func TestShowReports(t *testing.T) {
-	run(t, func(t *testing.T, is *is.I, w *world) {
-		w.create("guest-01")
-		w.serve()
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		h.create("guest-01")
+		h.serve()
 
-		a := w.do("show answers since 1h by caller, outcome")
+		a := h.do("show answers since 1h by caller, outcome")
 		is.Equal(a.Columns, []string{"caller", "outcome", "answers", "p50", "p99", "attempts_per_needed"})
 		is.Equal(a.Rows[0][:3], []string{"shop-a", "done", "10"})
 		is.Equal(a.cell(0, "attempts_per_needed"), "1.100")
 		is.True(strings.Contains(a.Message, "missing: host h1, incarnation 1 (unseen): nothing is known"))
-		is.Equal(len(w.do("show answers where caller = shop-b and outcome != done").Rows), 1)
+		is.Equal(len(h.do("show answers where caller = shop-b and outcome != done").Rows), 1)
 
-		c := w.do("show coverage")
+		c := h.do("show coverage")
 		is.Equal(len(c.Rows), 1) // reservations have no coverage
 		is.Equal(c.Rows[0], []string{"guest-01", "11", "8", "0", "2", "0", "0", "1"})
 
-		r := w.do("show answers by request")
+		r := h.do("show answers by request")
 		is.Equal(len(r.Rows), 4) // the refusal, the reservation and two partial answers
-		is.Equal(w.do("show answers where request = refused-1").cell(0, "reason"), "overload")
-		is.Equal(w.do("show answers where reservation = 01JE3W2S6P8N0Q4T7V9X1Z3B5D").cell(0, "request"), "reserve-1")
-		is.True(strings.Contains(w.do("show answers by request limit 1").Message, "1 of 4 rows"))
+		is.Equal(h.do("show answers where request = refused-1").cell(0, "reason"), "overload")
+		is.Equal(h.do("show answers where reservation = 01JE3W2S6P8N0Q4T7V9X1Z3B5D").cell(0, "request"), "reserve-1")
+		is.True(strings.Contains(h.do("show answers by request limit 1").Message, "1 of 4 rows"))
 
-		b := w.do("show burn where service = guest-01 and objective = latency")
+		b := h.do("show burn where service = guest-01 and objective = latency")
 		is.Equal(b.cell(0, "target"), "99% within 110ms")
 		is.Equal(b.cell(0, "bad_1h"), "1")
 		is.Equal(b.cell(0, "burn_1h"), "9.09") // 1 of 11, and 1 of 100 may be
-		is.Equal(len(w.do("show burn").Rows), 4)
+		is.Equal(len(h.do("show burn").Rows), 4)
 
-		is.Equal(w.fail("asha", "show answers by colour").Reason, query.ReasonBadRequest)
-		is.Equal(w.fail("asha", "show burn since 1h").Reason, query.ReasonBadRequest)
-		w.platform.Outage(true)
-		is.Equal(w.fail("asha", "show answers").Reason, query.ReasonPlatform)
+		is.Equal(h.fail("asha", "show answers by colour").Reason, query.ReasonBadRequest)
+		is.Equal(h.fail("asha", "show burn since 1h").Reason, query.ReasonBadRequest)
+		h.platform.Outage(true)
+		is.Equal(h.fail("asha", "show answers").Reason, query.ReasonPlatform)
 	})
 }
