Claim: one wait for a time or the end, memory's fields say what they hold

The shift's bound was a bare 20. memory.ran and old, attempt.at and lastRun are maybeRan, forgettable, endedAt and lastSent.

--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -20,6 +20,10 @@
 // result reaches the caller instead of a timeout.
 const answerMargin = 5 * time.Millisecond
 
+// maxDoublings bounds the growth of the wait between tries of a platform call;
+// RetryMax bounds the wait itself.
+const maxDoublings = 20
+
 // Services gives the rules of a service; catalog.View implements it.
 type Services interface {
 	Service(name string) (catalog.Service, bool)
@@ -66,10 +70,10 @@
 	}
 }
 
-// Start begins the sweep.
+// Start begins the sweep, which ends with Stop.
 func (c *Claims) Start(context.Context) error {
 	if c.cfg.Sweepers > 0 {
-		c.spawn(c.sweepLoop)
+		go c.sweepLoop(c.ctx)
 	}
 	return nil
 }
@@ -107,7 +111,7 @@
 	}
 }
 
-// enter counts work that Stop waits for; false after Stop.
+// enter counts a reservation in flight, for which Stop waits; false after Stop.
 func (c *Claims) enter() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -118,9 +122,6 @@
 	return true
 }
 
-// spawn runs f until the module ends; Stop does not wait for it.
-func (c *Claims) spawn(f func(ctx context.Context)) { go f(c.ctx) }
-
 // Reserve runs the reservation, or answers a repeat of it. It returns within
 // the budget.
 func (c *Claims) Reserve(ctx context.Context, r query.Reserve) query.Reservation {
@@ -191,7 +192,7 @@
 // remembered answers a repeat from this host's memory, also while the
 // platform is down.
 func (c *Claims) remembered(id reservationID, r query.Reserve) (query.Reservation, bool) {
-	a := c.mem.lastRun(id.String())
+	a := c.mem.lastSent(id.String())
 	if a == nil || !a.hasEnded() || a.reply.Outcome == outcome.Unknown {
 		return query.Reservation{}, false
 	}
@@ -209,7 +210,7 @@
 	if !res.Outcome.NotRun() || res.Reason == query.ReasonBadRequest {
 		return res
 	}
-	if a := c.mem.lastRun(id.String()); a != nil && a.rec.sameRequest(r) {
+	if a := c.mem.lastSent(id.String()); a != nil && a.rec.sameRequest(r) {
 		return unsettled(c.cfg.RetryAfter.Std())
 	}
 	return res
@@ -226,11 +227,16 @@
 // backoff waits before try n, from 0, of a platform call; false when ctx
 // ended first. Waits are spread so that hosts do not call in step.
 func (c *Claims) backoff(ctx context.Context, n int) bool {
-	wait := c.cfg.RetryMin.Std() << min(n, 20)
-	if wait <= 0 || wait > c.cfg.RetryMax.Std() {
+	wait := c.cfg.RetryMin.Std() << min(n, maxDoublings)
+	if wait <= 0 || wait > c.cfg.RetryMax.Std() { // the shift overflows for a large RetryMin
 		wait = c.cfg.RetryMax.Std()
 	}
-	t := time.NewTimer(wait/2 + rand.N(wait/2+1))
+	return sleep(ctx, wait/2+rand.N(wait/2+1))
+}
+
+// sleep waits for d; false when ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/internal/claim/memory.go
+++ b/internal/claim/memory.go
@@ -11,13 +11,13 @@
 // before the record that names it is written, so that a host asked about a
 // record always knows the attempt, unless it was started anew or has forgotten.
 type attempt struct {
-	id     string // of the attempt
-	key    string // of the reservation
-	rec    Record
-	ended  chan struct{} // closed once reply is final
-	notRun bool          // valid once ended: it did not run and never will
-	reply  query.Reservation
-	at     time.Time // of its end
+	id      string
+	key     string // id of the reservation
+	rec     Record
+	ended   chan struct{} // closed once reply is final
+	notRun  bool          // valid once ended: it did not run and never will
+	reply   query.Reservation
+	endedAt time.Time
 }
 
 // flight is one run of a reservation on this host; repeats join it.
@@ -27,21 +27,22 @@
 	res   query.Reservation // valid once ended
 }
 
-// memory holds the flights and attempts of this host, bounded in number.
+// memory holds the flights and attempts of this host. Attempts that may be
+// forgotten are bounded in number and age.
 type memory struct {
-	keep     time.Duration
-	max      int
-	mu       sync.Mutex
-	flights  map[string]*flight  // by reservation
-	attempts map[string]*attempt // by attempt
-	ran      map[string]*attempt // by reservation: sent, and not known as not run
-	old      []*attempt          // ended and written, oldest first
+	keep        time.Duration
+	max         int
+	mu          sync.Mutex
+	flights     map[string]*flight  // by reservation
+	attempts    map[string]*attempt // by attempt
+	maybeRan    map[string]*attempt // by reservation: the newest one sent and not known as not run
+	forgettable []*attempt          // ended and recorded, oldest first
 }
 
 func newMemory(keep time.Duration, max int) *memory {
 	return &memory{
 		keep: keep, max: max,
-		flights: map[string]*flight{}, attempts: map[string]*attempt{}, ran: map[string]*attempt{},
+		flights: map[string]*flight{}, attempts: map[string]*attempt{}, maybeRan: map[string]*attempt{},
 	}
 }
 
@@ -80,16 +81,16 @@
 func (m *memory) sent(a *attempt) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.ran[a.key] = a
+	m.maybeRan[a.key] = a
 }
 
 // end notes the attempt's final result.
 func (m *memory) end(a *attempt, reply query.Reservation) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	a.reply, a.notRun, a.at = reply, reply.Outcome.NotRun(), time.Now()
-	if a.notRun && m.ran[a.key] == a {
-		delete(m.ran, a.key)
+	a.reply, a.notRun, a.endedAt = reply, reply.Outcome.NotRun(), time.Now()
+	if a.notRun && m.maybeRan[a.key] == a {
+		delete(m.maybeRan, a.key)
 	}
 	close(a.ended)
 }
@@ -99,17 +100,18 @@
 func (m *memory) recorded(a *attempt) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.old = append(m.old, a)
-	for len(m.old) > 0 && (len(m.old) > m.max || time.Since(m.old[0].at) > m.keep) {
-		m.forget(m.old[0])
-		m.old = m.old[1:]
+	m.forgettable = append(m.forgettable, a)
+	for len(m.forgettable) > 0 && (len(m.forgettable) > m.max || time.Since(m.forgettable[0].endedAt) > m.keep) {
+		m.forget(m.forgettable[0])
+		m.forgettable = m.forgettable[1:]
 	}
 }
 
+// forget drops the attempt; mu is held.
 func (m *memory) forget(a *attempt) {
 	delete(m.attempts, a.id)
-	if m.ran[a.key] == a {
-		delete(m.ran, a.key)
+	if m.maybeRan[a.key] == a {
+		delete(m.maybeRan, a.key)
 	}
 }
 
@@ -120,12 +122,12 @@
 	return m.attempts[id]
 }
 
-// lastRun returns the newest attempt of the reservation that was sent from
+// lastSent returns the newest attempt of the reservation that was sent from
 // here and may have run, nil if there is none.
-func (m *memory) lastRun(key string) *attempt {
+func (m *memory) lastSent(key string) *attempt {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.ran[key]
+	return m.maybeRan[key]
 }
 
 // hasEnded reports whether the attempt's reply is final.
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -36,12 +36,8 @@
 func (c *Claims) sweepLoop(ctx context.Context) {
 	limit := rate.NewLimiter(rate.Limit(c.cfg.SweepRate), 1)
 	for {
-		wait := c.cfg.SweepEvery.Std()
-		t := time.NewTimer(wait/2 + rand.N(wait))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		every := c.cfg.SweepEvery.Std()
+		if !sleep(ctx, every/2+rand.N(every)) {
 			return
 		}
 		rank := sweepRank(c.view, c.cfg.Sweepers)
