Process tests: request ids of their own, callers that come back when told

TestReservationsUnderFaults failed in a fresh clone with requests "told as not run but ran". The test was wrong: the callers of its second part counted their request ids from 1 again, so that ids met executions of the first part once callers had been refused some thousand times. Ids now bear a name of their own; what is checked is the same.

--- a/internal/e2e/callers_test.go
+++ b/internal/e2e/callers_test.go
@@ -19,6 +19,7 @@
 
 const (
 	callerTimeout  = 2 * time.Second
+	callerWaits    = 200 * time.Millisecond // at most, when it is told to come back later
 	callerBudgetMS = "800"
 )
 
@@ -162,6 +163,7 @@
 	NotRun        bool   `json:"not_run"`
 	Granted       bool   `json:"granted"`
 	Reason        string `json:"reason"`
+	RetryAfterMS  int    `json:"retry_after_ms"`
 	Answer        string `json:"answer"`
 	Coverage      struct {
 		Shards   int  `json:"shards"`
@@ -177,6 +179,7 @@
 // callers sends requests from several workers until it is stopped, and keeps
 // what they were told.
 type callers struct {
+	name   string // in every request id, so that no two are alike
 	pick   func() string
 	client *http.Client
 	done   atomic.Bool
@@ -189,7 +192,7 @@
 }
 
 func newCallers(pick func() string) *callers {
-	return &callers{pick: pick, client: &http.Client{Timeout: callerTimeout}}
+	return &callers{name: ulid.Make().String(), pick: pick, client: &http.Client{Timeout: callerTimeout}}
 }
 
 // run starts workers that each do one thing after another.
@@ -226,9 +229,11 @@
 func (c *callers) reserve() {
 	id := ulid.Make().String()
 	for range 6 {
-		if c.reserveOnce(id).status == http.StatusOK || c.done.Load() {
+		r := c.reserveOnce(id)
+		if r.status == http.StatusOK || c.done.Load() {
 			return
 		}
+		time.Sleep(min(time.Duration(r.RetryAfterMS)*time.Millisecond, callerWaits))
 	}
 }
 
@@ -237,7 +242,7 @@
 }
 
 func (c *callers) post(path, reservationID, body string) told {
-	result := told{requestID: fmt.Sprint("r-", c.id.Add(1)), reservationID: reservationID, host: c.pick()}
+	result := told{requestID: fmt.Sprint(c.name, "-", c.id.Add(1)), reservationID: reservationID, host: c.pick()}
 	result.send(c.client, path, body)
 	if result.status == http.StatusOK {
 		c.good.Add(1)
