--- a/internal/api/events.go
+++ b/internal/api/events.go
@@ -9,8 +9,8 @@
 var (
 	evWriteFailed = event.Define(9001, "api_write_failed", plog.WarnLevel,
 		"An answer could not be written to the client, which has mostly gone away.",
-		"none, unless it is frequent: then look at the balancer's timeouts", "request", "error")
+		"None, unless it is frequent: then compare the timeouts of balancer and callers with api.read_timeout.", "request", "error")
 	evServeFailed = event.Define(9002, "api_serve_failed", plog.ErrorLevel,
 		"A listener stopped taking connections.",
-		"look at the error; the host should be restarted", "address", "error")
+		"Look at the error and restart the host.", "address", "error")
 )
