--- a/internal/catalog/result.go
+++ b/internal/catalog/result.go
@@ -38,7 +38,7 @@
 const (
 	Accepted Status = "accepted" // it is in the platform
 	Refused  Status = "refused"  // it is not, and will not be
-	Unknown  Status = "unknown"  // the platform has not told
+	Unknown  Status = "unknown"  // the platform has not answered
 	Possible Status = "possible" // a dry run that found nothing against it
 )
 
--- a/internal/catalog/serve.go
+++ b/internal/catalog/serve.go
@@ -28,10 +28,11 @@
 	return out, nil
 }
 
-// page returns the changes after the cursor, oldest first; changes of one
-// revision are on one page, so that the cursor can tell pages apart. A peer whose last
-// change lies before the floor may hold an object whose deletion is no longer
-// known here, so it is told the names of all that stands.
+// page returns the changes after the cursor, oldest first. Changes of one
+// revision are on one page, so that the cursor can tell pages apart. A peer
+// whose last change lies before the floor may hold an object whose deletion is
+// no longer known here; besides the changes it gets the names of all objects
+// that did not change, so that it can delete what is not named.
 func (s *state) page(after, cursor uint64) *peerpb.PullReply {
 	out := &peerpb.PullReply{Revision: s.revision, Complete: s.complete, Floor: s.floor}
 	size := 0
--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -168,7 +168,7 @@
 		is.Equal(report.Of, 12)
 		is.Equal(report.On, 11)
 		is.Equal(report.Missing, []string{alone.host.ID})
-		is.True(report.Told[alone.host.ID] < revision)
+		is.True(report.Revisions[alone.host.ID] < revision)
 
 		alone.client.Outage(false) // the platform alone is enough
 		f.pass(spreadBound)
--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -204,7 +204,7 @@
 	return res, true
 }
 
-// checkNotRun keeps a repeat from being told "not run" by a host that knows
+// checkNotRun keeps a host from answering a repeat with "not run" if it knows
 // that an earlier attempt of the same reservation may have run.
 func (c *Claims) checkNotRun(id reservationID, r query.Reserve, res query.Reservation) query.Reservation {
 	if !res.Outcome.NotRun() || res.Reason == query.ReasonBadRequest {
--- a/internal/claim/recordstore.go
+++ b/internal/claim/recordstore.go
@@ -21,7 +21,7 @@
 
 const (
 	applied    writeResult = iota // the entry is the one written
-	conflict                      // not applied; the entry is the one that stands
+	conflict                      // not applied; the entry is the current one
 	notApplied                    // not applied, and nothing is known of the record
 	ambiguous                     // it may have been applied, or may be later
 )
@@ -42,7 +42,7 @@
 	}
 	var con *platform.Conflict
 	if errors.As(err, &con) {
-		e, _ := decode(con.Current) // a record that cannot be read has no phase, and is told as unknown
+		e, _ := decode(con.Current) // a record that cannot be read has no phase, which examine answers with unknown
 		return e, conflict
 	}
 	var un *platform.Unavailable
--- a/internal/delivery/rollup.go
+++ b/internal/delivery/rollup.go
@@ -45,7 +45,7 @@
 	keep  time.Duration // after the next level's slot, in which its sums stay as they are
 }
 
-// levels are the resolutions, finest first. The burn over five minutes is told
+// levels are the resolutions, finest first. The burn over five minutes is known
 // to the minute, the burn over an hour and six to five minutes.
 var levels = []level{
 	{order: 0, kind: "window-1m", slot: time.Minute, keep: 10 * time.Minute},
--- a/internal/operate/execute.go
+++ b/internal/operate/execute.go
@@ -78,7 +78,7 @@
 
 // Execute runs a statement for the named operator; a dry run tells what a
 // change would do. The error is a *query.Refusal: its outcome says whether a
-// change was made, and Unknown that the platform has not told.
+// change was made, and Unknown that the platform has not answered.
 func (e *Executor) Execute(ctx context.Context, operator string, stmt lang.Statement, dryRun bool) (Table, error) {
 	stmt, prefixed := lang.Unwrap(stmt)
 	_, changes := stmt.(lang.Change)
--- a/internal/operate/state.go
+++ b/internal/operate/state.go
@@ -111,7 +111,7 @@
 	newest := e.newest()
 	f := e.parts.Catalog.InForce(ctx, newest)
 	for _, h := range e.parts.Members.Hosts() {
-		revision := max(h.Revision, f.Told[h.ID])
+		revision := max(h.Revision, f.Revisions[h.ID])
 		t.add(h.ID, h.FailureDomain, string(h.State), number(revision), yesNo(!slices.Contains(f.Missing, h.ID)))
 	}
 	t.note("%s", describeInForce(f))
