--- a/internal/claim/claims_test.go
+++ b/internal/claim/claims_test.go
@@ -40,7 +40,7 @@
 		lower := r
 		lower.ReservationID = strings.ToLower(r.ReservationID)
 		is.Equal(f.add().reserve(lower).Answer, first.Answer) // one id, two spellings
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
@@ -74,8 +74,7 @@
 	inFleet(t, 2, func(is *is.I, f *fleet) {
 		a := f.hosts[0]
 		r := newReservation()
-		a.sendGate.set(true)
-		pending := a.begin(r)
+		pending := a.beginHeld(r)
 		stopped := make(chan error, 1)
 		go func() { stopped <- a.claims.Stop(context.Background()) }()
 		synctest.Wait()
@@ -100,8 +99,7 @@
 	inFleet(t, 2, func(is *is.I, f *fleet) {
 		a := f.hosts[0]
 		r := newReservation()
-		a.sendGate.set(true)
-		pending := a.begin(r)
+		pending := a.beginHeld(r)
 		synctest.Wait()
 		a.client.Outage(true)
 		a.sendGate.set(false)
--- a/internal/claim/failure_test.go
+++ b/internal/claim/failure_test.go
@@ -23,6 +23,13 @@
 	return c
 }
 
+// beginHeld runs a reservation beside the test, up to the point at which the
+// target would get it; opening sendGate lets it go on.
+func (h *host) beginHeld(r query.Reserve) <-chan query.Reservation {
+	h.sendGate.set(true)
+	return h.begin(r)
+}
+
 // sweepAll removes every record that is old enough.
 func (h *host) sweepAll(is *is.I) {
 	h.claims.cfg.SweepCalls = many
@@ -37,7 +44,7 @@
 		is.Equal(first.Outcome, outcome.Done)
 		is.Equal(f.platform.Calls("put"), 3) // the create, the create again, the outcome
 		is.Equal(f.hosts[1].reserve(r).Answer, first.Answer)
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
@@ -77,7 +84,7 @@
 	a.kill()
 	f.platform.Release()
 	is.Equal(b.reserve(r).Outcome, outcome.Done)
-	is.Equal(len(f.target.runs[r.ReservationID]), 1)
+	is.Equal(f.runs(r), 1)
 }
 
 // The record of a create that lands after its host gave up and was lost is
@@ -106,14 +113,13 @@
 		a.client.LoseNextAnswers(0)
 		a.client.HoldNextWrites(2) // releases; the third one lands
 		time.Sleep(time.Minute)
-		b.sendGate.set(true)
-		first := b.begin(r)
+		first := b.beginHeld(r)
 		f.platform.Release()
 		second := c.begin(r)
 		b.sendGate.set(false)
 		is.Equal((<-first).Outcome, outcome.Done)
 		is.Equal((<-second).Outcome, outcome.Done)
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
@@ -129,7 +135,7 @@
 		is.Equal(res.Outcome, outcome.NotSent)
 		is.Equal(res.Reason, query.ReasonPlatform)
 		is.True(res.RetryAfter > 0)
-		is.Equal(len(f.target.runs[r.ReservationID]), 0)
+		is.Equal(f.runs(r), 0)
 		f.platform.Outage(false)
 		is.Equal(h.reserve(r).Outcome, outcome.Done)
 	})
@@ -141,8 +147,7 @@
 	inFleet(t, 2, func(is *is.I, f *fleet) {
 		a, b := f.hosts[0], f.hosts[1]
 		r := newReservation()
-		a.sendGate.set(true)
-		pending := a.begin(r)
+		pending := a.beginHeld(r)
 		f.platform.Outage(true)
 		a.sendGate.set(false)
 		first := <-pending
@@ -154,7 +159,7 @@
 		time.Sleep(time.Minute)
 		a.kill()
 		is.Equal(b.reserve(r).Answer, first.Answer) // the record has it now
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
@@ -168,7 +173,7 @@
 		is.Equal(f.hosts[0].reserve(r).Outcome, outcome.Unknown)
 		f.platform.Outage(true)
 		is.Equal(f.hosts[0].reserve(r).Outcome, outcome.Unknown)
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
@@ -188,7 +193,7 @@
 			answers[(<-c).Answer]++
 		}
 		is.Equal(len(answers), 1)
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
@@ -204,7 +209,7 @@
 			again := f.hosts[1].reserve(r)
 			is.Equal(again.Outcome, want)
 			is.Equal(again.Answer, first.Answer)
-			is.Equal(len(f.target.runs[r.ReservationID]), 1)
+			is.Equal(f.runs(r), 1)
 		})
 	}
 }
@@ -224,7 +229,7 @@
 		is.Equal(res.Outcome, outcome.Done)
 		is.Equal(res.Target, "t1")
 		is.Equal(f.hosts[0].reserve(r).Answer, res.Answer)
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
@@ -234,15 +239,14 @@
 		inFleet(t, 3, func(is *is.I, f *fleet) {
 			f.settle = settle
 			r := newReservation()
-			f.hosts[0].sendGate.set(true)
-			f.hosts[0].begin(r)
+			f.hosts[0].beginHeld(r)
 			f.think("a", true)
 			start := time.Now()
 			res := f.hosts[1].reserve(r)
 			is.Equal(time.Since(start), time.Duration(0))
 			f.hosts[0].sendGate.set(false)
 			synctest.Wait()
-			is.Equal(len(f.target.runs[r.ReservationID]), 1)
+			is.Equal(f.runs(r), 1)
 			if settle {
 				is.Equal(res.Outcome, outcome.Done)
 				is.Equal(f.hosts[2].reserve(r).Answer, res.Answer)
@@ -271,7 +275,7 @@
 		is.Equal(len(f.platform.Objects(mustID(r.ReservationID).kind())), 0)
 		a.gate.set(false)
 		is.Equal((<-frozen).Reason, query.ReasonExpired)
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
@@ -281,8 +285,7 @@
 		a, b := f.hosts[0], f.hosts[1]
 		r := newReservation()
 		r.Budget = 10 * removeAfter
-		a.sendGate.set(true)
-		frozen := a.begin(r)
+		frozen := a.beginHeld(r)
 		time.Sleep(removeAfter + time.Hour)
 		b.sweepAll(is)
 		res := b.reserve(r)
@@ -290,7 +293,7 @@
 		is.Equal(res.Outcome, outcome.Unknown)
 		a.sendGate.set(false)
 		is.Equal((<-frozen).Outcome, outcome.Done)
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
@@ -311,9 +314,9 @@
 		a.gate.set(false)
 		time.Sleep(time.Minute)
 		a.kill()
-		is.Equal(len(f.target.runs[r.ReservationID]), 0)
+		is.Equal(f.runs(r), 0)
 		is.Equal(b.reserve(r).Outcome, outcome.Done)
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
@@ -334,7 +337,7 @@
 		is.Equal(f.hosts[1].reserve(r).Outcome, outcome.Done)
 		a.sendGate.set(false)
 		is.Equal((<-pending).Outcome, outcome.Done)
-		is.Equal(len(f.target.runs[r.ReservationID]), 1)
+		is.Equal(f.runs(r), 1)
 	})
 }
 
--- a/internal/claim/fleet_test.go
+++ b/internal/claim/fleet_test.go
@@ -262,6 +262,13 @@
 	return f
 }
 
+// runs returns how often the target ran the reservation.
+func (f *fleet) runs(r query.Reserve) int {
+	f.target.mu.Lock()
+	defer f.target.mu.Unlock()
+	return len(f.target.runs[r.ReservationID])
+}
+
 // end stops every host, so that no goroutine is left.
 func (f *fleet) end() {
 	for _, h := range f.hosts {
--- a/internal/claim/measure_test.go
+++ b/internal/claim/measure_test.go
@@ -58,7 +58,7 @@
 			if last.Outcome != outcome.Done {
 				last = ask(b, r)
 			}
-			sum.add(len(f.target.runs[r.ReservationID]), last.Outcome)
+			sum.add(f.runs(r), last.Outcome)
 		})
 	}
 	return sum
