--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
@@ -108,17 +109,10 @@
 		return nil
 	}
 	c.cancel()
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		c.done.Wait()
-	}()
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return Error.New("stop: %w", ctx.Err())
+	if err := await.Group(ctx, &c.done); err != nil {
+		return Error.New("stop: %w", err)
 	}
+	return nil
 }
 
 // Service implements View.
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
@@ -66,7 +67,7 @@
 		} else {
 			c.done.Go(func() { c.pullFromAny(ctx) })
 		}
-		sleep(ctx, interval)
+		await.Sleep(ctx, interval)
 		c.noteFreshness()
 	}
 }
--- a/internal/catalog/settle.go
+++ b/internal/catalog/settle.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
@@ -54,7 +55,7 @@
 // that the write has not taken effect yet.
 func (e *Editor) readBack(ctx context.Context, w write, delay *backoff.ExponentialBackOff) (current platform.Object, settled bool, err error) {
 	for {
-		sleep(ctx, delay.NextBackOff())
+		await.Sleep(ctx, delay.NextBackOff())
 		if ctx.Err() != nil {
 			return platform.Object{}, false, ctx.Err()
 		}
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -7,6 +7,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
@@ -28,11 +29,11 @@
 	for ctx.Err() == nil {
 		c.noteFreshness()
 		if !c.shouldWatch() {
-			sleep(ctx, roleInterval)
+			await.Sleep(ctx, roleInterval)
 			continue
 		}
 		if err := c.follow(ctx); err != nil {
-			sleep(ctx, delay.NextBackOff())
+			await.Sleep(ctx, delay.NextBackOff())
 			continue
 		}
 		delay.Reset()
@@ -129,13 +130,3 @@
 	c.metrics.watching.Set(0)
 	c.log.Event(evNotWatching).Msg("")
 }
-
-// sleep waits for d or until ctx is done.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -8,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
@@ -87,30 +88,15 @@
 	c.stopped = true
 	c.mu.Unlock()
 	defer c.cancel()
-	if err := waitGroup(ctx, &c.running); err != nil {
+	if err := await.Group(ctx, &c.running); err != nil {
 		return Error.New("stop: reservations are still in flight: %w", err)
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.StopTimeout.Std())
 	defer cancel()
-	_ = waitGroup(ctx, &c.writing) // what is left is abandoned
+	_ = await.Group(ctx, &c.writing) // what is left is abandoned
 	return nil
 }
 
-// waitGroup waits for the group, or returns the error of ctx when that is done.
-func waitGroup(ctx context.Context, g *sync.WaitGroup) error {
-	ended := make(chan struct{})
-	go func() {
-		g.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // enter counts a reservation in flight, for which Stop waits; false after Stop.
 func (c *Claims) enter() bool {
 	c.mu.Lock()
@@ -231,19 +217,7 @@
 	if wait <= 0 || wait > c.cfg.RetryMax.Std() { // the shift overflows for a large RetryMin
 		wait = c.cfg.RetryMax.Std()
 	}
-	return sleep(ctx, wait/2+rand.N(wait/2+1))
-}
-
-// sleep waits for d; false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return await.Sleep(ctx, wait/2+rand.N(wait/2+1))
 }
 
 // refuse returns the result of a request of which nothing was or will be sent.
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/time/rate"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
@@ -37,7 +38,7 @@
 	limit := rate.NewLimiter(rate.Limit(c.cfg.SweepRate), 1)
 	for {
 		every := c.cfg.SweepEvery.Std()
-		if !sleep(ctx, every/2+rand.N(every)) {
+		if !await.Sleep(ctx, every/2+rand.N(every)) {
 			return
 		}
 		rank := sweepRank(c.view, c.cfg.Sweepers)
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
@@ -96,7 +97,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		wait(ctx, readyPoll)
+		await.Sleep(ctx, readyPoll)
 	}
 }
 
@@ -112,7 +113,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.settings.Stop.HardLimit.Std())
 	defer cancel()
 	h.leave(ctx)
-	wait(ctx, h.settings.Stop.BalancerLag.Std())
+	await.Sleep(ctx, h.settings.Stop.BalancerLag.Std())
 	if err := h.kernel.Stop(ctx); err != nil {
 		h.log.Event(evHostCut).Err(err).Dur("took", time.Since(began)).Msg("")
 		return Error.Wrap(err)
@@ -133,12 +134,3 @@
 
 // StopRepeated notes that a stop was asked for while one goes on.
 func (h *Host) StopRepeated() { h.log.Event(evStopRepeated).Msg("") }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/member/network_test.go
+++ b/internal/member/network_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
@@ -73,7 +74,7 @@
 	if held {
 		<-ctx.Done()
 	} else {
-		sleep(ctx, oneWay)
+		await.Sleep(ctx, oneWay)
 	}
 	return ctx.Err()
 }
--- a/internal/member/probe.go
+++ b/internal/member/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 )
 
@@ -191,7 +192,7 @@
 				_ = m.exchange(ctx, kindAnnounce, t.Peer, &peerpb.ProbeRequest{TargetId: t.ID}) // probeLoop finds what is down
 			})
 		}
-		if !sleep(ctx, announceGap) {
+		if !await.Sleep(ctx, announceGap) {
 			return
 		}
 	}
@@ -221,15 +222,3 @@
 	defer m.mu.Unlock()
 	return m.table.pick(n, m.rng, func(r *row) bool { return r.State != Dead })
 }
-
-// sleep waits for d and reports whether it passed before ctx was done.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
@@ -48,7 +49,7 @@
 // refreshLoop reads the platform's records now and then. The time between
 // grows with the fleet, so that the platform's load does not.
 func (m *Members) refreshLoop(ctx context.Context) {
-	for sleep(ctx, m.jittered(m.cfg.refresh(m.size()))) {
+	for await.Sleep(ctx, m.jittered(m.cfg.refresh(m.size()))) {
 		_ = m.refresh(ctx) // logged; tried again
 	}
 }
--- a/internal/relay/hostlist.go
+++ b/internal/relay/hostlist.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/plan"
 	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
@@ -63,7 +64,7 @@
 		if r.readsHostList() {
 			r.readHostList(ctx)
 		}
-		sleep(ctx, jitter(r.cfg.HostListInterval.Std()))
+		await.Sleep(ctx, jitter(r.cfg.HostListInterval.Std()))
 	}
 }
 
--- a/internal/relay/poll.go
+++ b/internal/relay/poll.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/targetapi"
 )
@@ -41,7 +42,7 @@
 			}
 		}
 		next = alive
-		sleep(ctx, max(wait, leastPollPause))
+		await.Sleep(ctx, max(wait, leastPollPause))
 	}
 }
 
@@ -49,15 +50,6 @@
 	return time.Duration(float64(d) * (1 - pollJitter + 2*pollJitter*rand.Float64()))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // polled returns the targets that this host polls: none of a service that it
 // does not relay.
 func (p *pool) polled() []*target {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 	"github.com/oklog/ulid/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/claim"
 	"rhubarbwood.example/rhubarbwood/internal/event"
@@ -93,15 +94,8 @@
 	}
 	r.courier.stop()
 	r.stop()
-	ended := make(chan struct{})
-	go func() {
-		r.work.Wait()
-		close(ended)
-	}()
-	select {
-	case <-ended:
-	case <-ctx.Done():
-		return Error.New("stop polling: %w", ctx.Err())
+	if err := await.Group(ctx, &r.work); err != nil {
+		return Error.New("stop polling: %w", err)
 	}
 	for _, p := range r.table.Load().pools {
 		p.close()
--- a/internal/relay/tell.go
+++ b/internal/relay/tell.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 )
 
@@ -98,7 +99,7 @@
 			c.done(key, len(due))
 			continue
 		}
-		sleep(ctx, tellPause)
+		await.Sleep(ctx, tellPause)
 	}
 }
 
