Lost domains: coverage is held from the first moment on

Cause: with retries off and lost relays replaced by none, the test of a lost domain still passed, as it looked at coverage from 6 s on.

--- a/internal/load/domainloss.go
+++ b/internal/load/domainloss.go
@@ -11,6 +11,8 @@
 
 const (
 	domainAfter    = 10 * time.Second
+	firstAfter     = 2 * time.Second
+	firstCoverage  = 0.985           // over what the targets left hold, while nobody knows of the loss
 	settledAfter   = 6 * time.Second // membership knows by then
 	mixedLoad      = 0.4             // interactive, of the slots' capacity
 	mixedOthers    = 0.45            // deferrable besides, likewise
@@ -105,6 +107,7 @@
 
 func (cs courses) domainVerdicts(t lossTrial) []Verdict {
 	all := summary(cs.samples(query.Interactive, part{0, t.after}))
+	first := summary(cs.samples(query.Interactive, part{0, firstAfter}))
 	settled := part{settledAfter, t.after}
 	after := summary(cs.samples(query.Interactive, settled))
 	untrue := all.untrue
@@ -114,6 +117,7 @@
 	verdicts := []Verdict{
 		atMost("answers whose coverage was untrue, "+t.name, float64(untrue), 0),
 		atLeast("answered over offered after the event, "+t.name, all.answered, domainAnswered),
+		atLeast("coverage over what the targets left hold, first 2 s, "+t.name, first.coverage, firstCoverage),
 		atLeast("coverage over what the targets left hold, from 6 s, "+t.name, after.coverage, domainCoverage),
 		atMost("load of the slots left, from 6 s, "+t.name, cs.survivorsLoad(settled), 1),
 	}
