--- a/internal/lang/convert.go
+++ b/internal/lang/convert.go
@@ -29,7 +29,7 @@
 	}
 	change, ok := s.(Change)
 	if !ok {
-		c.fail(n.Pos, `"dry run"`, "a change after it: create, alter, drop, drain, undrain or publish")
+		c.fail(n.Pos, `"dry run"`, "a change after it: create, alter, drop, drain, undrain, publish or retire")
 		return nil
 	}
 	return DryRun{Change: change}
@@ -54,8 +54,10 @@
 		return DrainTarget{Target: c.name(n.Drain.Target), Service: c.name(n.Drain.Service)}
 	case n.Undrain != nil:
 		return UndrainTarget{Target: c.name(n.Undrain.Target), Service: c.name(n.Undrain.Service)}
+	case n.Publish != nil:
+		return PublishSnapshot{JSON: c.json(n.Publish.JSON)}
 	}
-	return PublishSnapshot{JSON: c.json(n.Publish.JSON)}
+	return RetireSnapshot{Workload: c.name(n.Retire.Workload), ID: c.version(n.Retire.ID)}
 }
 
 func (c *converter) search(n *searchNode) Statement {
--- a/internal/lang/expect.go
+++ b/internal/lang/expect.go
@@ -18,7 +18,7 @@
 	"ConditionNode", "FIELD = VALUE",
 	"DrainNode", "a target's id",
 	"ReserveNode", "the item in double quotes",
-	"ShowNode", "services, targets, hosts, config, answers, coverage, burn or claim",
+	"ShowNode", "services, targets, snapshots, hosts, config, answers, coverage, burn or claim",
 	" | ", " or ",
 	"(", "", ")", "",
 )
--- a/internal/lang/format.go
+++ b/internal/lang/format.go
@@ -82,6 +82,11 @@
 // String returns the statement in its canonical form.
 func (s PublishSnapshot) String() string { return "publish snapshot " + quoteJSON(string(s.JSON)) }
 
+// String returns the statement in its canonical form.
+func (s RetireSnapshot) String() string {
+	return "retire snapshot " + strconv.FormatUint(s.ID, 10) + " of " + name(s.Workload)
+}
+
 // String returns the statement in its canonical form.
 func (s DryRun) String() string { return "dry run " + s.Change.String() }
 
--- a/internal/lang/grammar.go
+++ b/internal/lang/grammar.go
@@ -42,7 +42,8 @@
 	Drop    *dropNode    `parser:"| 'drop' 'service' @@"`
 	Drain   *drainNode   `parser:"| 'drain' 'target' @@"`
 	Undrain *drainNode   `parser:"| 'undrain' 'target' @@"`
-	Publish *publishNode `parser:"| 'publish' 'snapshot' @@ )"`
+	Publish *publishNode `parser:"| 'publish' 'snapshot' @@"`
+	Retire  *retireNode  `parser:"| 'retire' 'snapshot' @@ )"`
 }
 
 type token struct {
@@ -102,7 +103,7 @@
 
 type showNode struct {
 	Claim   *idNode       `parser:"( 'claim' @@"`
-	Subject string        `parser:"| @('services' | 'targets' | 'hosts' | 'config' | 'answers' | 'coverage' | 'burn')"`
+	Subject string        `parser:"| @('services' | 'targets' | 'snapshots' | 'hosts' | 'config' | 'answers' | 'coverage' | 'burn')"`
 	Clauses []*showClause `parser:"  @@* )"`
 }
 
@@ -151,6 +152,11 @@
 	JSON *jsonNode `parser:"@@"`
 }
 
+type retireNode struct {
+	ID       *numberNode `parser:"@@"`
+	Workload *nameNode   `parser:"'of' @@"`
+}
+
 type jsonNode struct {
 	Pos  lexer.Position
 	Text string `parser:"@JSON"`
--- a/internal/lang/parse.go
+++ b/internal/lang/parse.go
@@ -16,18 +16,19 @@
 var verbs = map[string]string{
 	"search":  `search [workload] NAME "text" | search service NAME "text", then [limit N] [min coverage 0.9] [budget 250ms]`,
 	"reserve": `reserve "item" in SERVICE [id ULID] [budget 500ms]`,
-	"show":    `show services|targets|hosts|config|answers|coverage|burn [where FIELD = VALUE and ...] [since 1h] [by FIELD, ...] [limit N] | show claim ID`,
+	"show":    `show services|targets|snapshots|hosts|config|answers|coverage|burn [where FIELD = VALUE and ...] [since 1h] [by FIELD, ...] [limit N] | show claim ID`,
 	"create":  `create service NAME from '{JSON}' | create service NAME set KEY = VALUE, ...`,
 	"alter":   `alter service NAME set KEY = VALUE, ... at version N`,
 	"drop":    `drop service NAME at version N`,
 	"drain":   `drain target ID [of SERVICE]`,
 	"undrain": `undrain target ID [of SERVICE]`,
 	"publish": `publish snapshot '{JSON}'`,
-	"dry":     `dry run CHANGE, a change being create, alter, drop, drain, undrain or publish`,
+	"retire":  `retire snapshot N of WORKLOAD`,
+	"dry":     `dry run CHANGE, a change being create, alter, drop, drain, undrain, publish or retire`,
 }
 
 // anyVerb is what a statement may begin with.
-const anyVerb = "search, reserve, show, create, alter, drop, drain, undrain, publish or dry run"
+const anyVerb = "search, reserve, show, create, alter, drop, drain, undrain, publish, retire or dry run"
 
 // Parse reads one statement; a semicolon may follow it. A statement that
 // cannot be read gives an *Error.
--- a/internal/lang/property_test.go
+++ b/internal/lang/property_test.go
@@ -64,7 +64,7 @@
 
 func anyChange(t *rapid.T) Change {
 	name := anyName.Draw(t, "name")
-	switch rapid.IntRange(0, 6).Draw(t, "change") {
+	switch rapid.IntRange(0, 7).Draw(t, "change") {
 	case 0:
 		return CreateService{Name: name, JSON: anyJSON.Draw(t, "json")}
 	case 1:
@@ -77,6 +77,8 @@
 		return DrainTarget{Target: name}
 	case 5:
 		return UndrainTarget{Target: name, Service: anyName.Draw(t, "of")}
+	case 6:
+		return RetireSnapshot{Workload: name, ID: anyVersion.Draw(t, "id")}
 	}
 	return PublishSnapshot{JSON: anyJSON.Draw(t, "json")}
 }
--- a/internal/lang/statement.go
+++ b/internal/lang/statement.go
@@ -44,13 +44,14 @@
 
 // Subjects of Show.
 const (
-	Services Subject = "services"
-	Targets  Subject = "targets"
-	Hosts    Subject = "hosts"
-	Config   Subject = "config"
-	Answers  Subject = "answers"
-	Coverage Subject = "coverage"
-	Burn     Subject = "burn"
+	Services  Subject = "services"
+	Targets   Subject = "targets"
+	Snapshots Subject = "snapshots"
+	Hosts     Subject = "hosts"
+	Config    Subject = "config"
+	Answers   Subject = "answers"
+	Coverage  Subject = "coverage"
+	Burn      Subject = "burn"
 )
 
 // Condition keeps the rows whose field has, or with Not has not, the value.
@@ -113,6 +114,12 @@
 // PublishSnapshot publishes a snapshot in its JSON form.
 type PublishSnapshot struct{ JSON json.RawMessage }
 
+// RetireSnapshot deletes an old snapshot of a workload.
+type RetireSnapshot struct {
+	Workload string
+	ID       uint64
+}
+
 // DryRun tells what a change would do, and does not do it.
 type DryRun struct{ Change Change }
 
@@ -122,6 +129,7 @@
 func (DrainTarget) change()     {}
 func (UndrainTarget) change()   {}
 func (PublishSnapshot) change() {}
+func (RetireSnapshot) change()  {}
 
 // Unwrap returns the statement without its "dry run" prefix, and whether it
 // had one.
--- a/internal/operate/execute.go
+++ b/internal/operate/execute.go
@@ -28,6 +28,7 @@
 	Read(ctx context.Context, name string) (catalog.Stored, error)
 	Change(ctx context.Context, r catalog.Request) catalog.Result
 	PublishSnapshot(ctx context.Context, s catalog.Snapshot, by catalog.Author, dryRun bool) catalog.Result
+	RetireSnapshot(ctx context.Context, workload string, id uint64, by catalog.Author, dryRun bool) catalog.Result
 }
 
 // Reports merges the delivery records of all hosts.
@@ -119,6 +120,8 @@
 		return e.drain(ctx, by, s.Target, s.Service, false, dryRun)
 	case lang.PublishSnapshot:
 		return e.publish(ctx, by, s, dryRun)
+	case lang.RetireSnapshot:
+		return e.changeTable(ctx, e.parts.Editor.RetireSnapshot(ctx, s.Workload, s.ID, by, dryRun))
 	}
 	return nil, badRequest("%q is a caller's statement; send it to a host's caller address", stmt)
 }
@@ -145,6 +148,8 @@
 		return e.services(ctx)
 	case lang.Targets:
 		return e.targets()
+	case lang.Snapshots:
+		return e.snapshots()
 	case lang.Config:
 		return e.config(ctx)
 	}
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -215,6 +215,14 @@
 		h.do("publish snapshot '" + string(b) + "'")
 		is.Equal(h.catalog.Snapshots("guest-portal")[0].ID, uint64(7))
 		is.Equal(h.fail("asha", "publish snapshot '"+string(b)+"'").Reason, query.ReasonBadRequest) // not above the newest
+
+		h.do("publish snapshot '" + strings.Replace(string(b), `"id":7`, `"id":8`, 1) + "'")
+		is.Equal(h.do("show snapshots").Rows, [][]string{{"guest-portal", "8", "1", "2"}, {"guest-portal", "7", "1", "2"}})
+		h.do("dry run retire snapshot 7 of guest-portal")
+		is.Equal(len(h.catalog.Snapshots("guest-portal")), 2)
+		is.True(h.fail("asha", "retire snapshot 8 of guest-portal").Outcome.NotRun()) // the newest
+		h.do("retire snapshot 7 of guest-portal")
+		is.Equal(len(h.do("show snapshots where snapshot = 7").Rows), 0)
 	})
 }
 
--- a/internal/operate/state.go
+++ b/internal/operate/state.go
@@ -42,6 +42,27 @@
 	return t
 }
 
+// snapshots lists the snapshots in force here, newest first. Searches are
+// answered from the newest one that the targets hold.
+func (e *Executor) snapshots() *Table {
+	t := newTable("workload", "snapshot", "services", "shards")
+	seen := make(map[string]bool)
+	for _, s := range e.parts.Catalog.Services() {
+		if seen[s.Workload] {
+			continue
+		}
+		seen[s.Workload] = true
+		for _, snap := range e.parts.Catalog.Snapshots(s.Workload) {
+			shards := 0
+			for _, m := range snap.Services {
+				shards += len(m.Shards)
+			}
+			t.add(snap.Workload, number(snap.ID), strconv.Itoa(len(snap.Services)), strconv.Itoa(shards))
+		}
+	}
+	return t
+}
+
 // storedServices returns the service objects as the platform holds them now.
 func (e *Executor) storedServices(ctx context.Context) (map[string]platform.Object, error) {
 	l, err := e.parts.Store.List(ctx, platform.KindService)
