--- a/internal/load/domainloss.go
+++ b/internal/load/domainloss.go
@@ -110,9 +110,9 @@
 	first := summary(cs.samples(query.Interactive, part{0, firstAfter}))
 	settled := part{settledAfter, t.after}
 	after := summary(cs.samples(query.Interactive, settled))
-	untrue := all.untrue
+	untrue := 0
 	for _, u := range t.urgencies() {
-		untrue += summary(cs.samples(u, part{-beforeLoss, 0})).untrue
+		untrue += summary(cs.samples(u, part{-beforeLoss, t.after})).untrue
 	}
 	verdicts := []Verdict{
 		atMost("answers whose coverage was untrue, "+t.name, float64(untrue), 0),
