--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -16,9 +16,9 @@
 	MaxSnapshots int `json:"max_snapshots"`
 	// MaxRelays is how many relays may be asked for one shard.
 	MaxRelays int `json:"max_relays"`
-	// RelayPatience is the part of the budget after which shards that a relay
+	// HedgeRelayAfter is the part of the budget after which shards that a relay
 	// left open are asked of another relay, 0..1.
-	RelayPatience float64 `json:"relay_patience"`
+	HedgeRelayAfter float64 `json:"hedge_relay_after"`
 	// HopAllowance is taken off the budget that a relay gets, so that its last
 	// word arrives in time.
 	HopAllowance unit.Duration `json:"hop_allowance"`
@@ -32,13 +32,13 @@
 // DefaultConfig returns the values used where the settings name none.
 func DefaultConfig() Config {
 	return Config{
-		MaxBudget:     unit.Duration(30 * time.Second),
-		MaxSnapshots:  3,
-		MaxRelays:     3,
-		RelayPatience: 0.4,
-		HopAllowance:  unit.Duration(2 * time.Millisecond),
-		RetryAfter:    unit.Duration(200 * time.Millisecond),
-		UnheldFor:     unit.Duration(time.Second),
+		MaxBudget:       unit.Duration(30 * time.Second),
+		MaxSnapshots:    3,
+		MaxRelays:       3,
+		HedgeRelayAfter: 0.4,
+		HopAllowance:    unit.Duration(2 * time.Millisecond),
+		RetryAfter:      unit.Duration(200 * time.Millisecond),
+		UnheldFor:       unit.Duration(time.Second),
 	}
 }
 
@@ -53,7 +53,7 @@
 	check(c.MaxBudget > 0, "max_budget must be above 0")
 	check(c.MaxSnapshots >= 1, "max_snapshots must be at least 1")
 	check(c.MaxRelays >= 1, "max_relays must be at least 1")
-	check(c.RelayPatience > 0 && c.RelayPatience <= 1, "relay_patience must be above 0 and at most 1")
+	check(c.HedgeRelayAfter > 0 && c.HedgeRelayAfter <= 1, "hedge_relay_after must be above 0 and at most 1")
 	check(c.HopAllowance >= 0, "hop_allowance must not be negative")
 	check(c.RetryAfter > 0, "retry_after must be above 0")
 	check(c.UnheldFor >= 0, "unheld_for must not be negative")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -34,34 +34,34 @@
 
 // Entry answers callers. It is safe for concurrent use.
 type Entry struct {
-	cfg      Config
-	catalog  catalog.View
-	members  member.View
-	relays   Relays
-	fresh    Freshness
-	recorder delivery.Recorder
-	log      *event.Log
-	router   *router
-	paces    *paces
-	unheld   *unheldSnapshots
-	metrics  *metrics
+	cfg       Config
+	catalog   catalog.View
+	members   member.View
+	relays    Relays
+	fresh     Freshness
+	recorder  delivery.Recorder
+	log       *event.Log
+	router    *router
+	latencies *callLatencies
+	unheld    *unheldSnapshots
+	metrics   *metrics
 }
 
 // New returns an entry over the configuration, the membership and the relays.
 func New(cfg Config, cat catalog.View, members member.View, relays Relays, fresh Freshness,
 	recorder delivery.Recorder, log *event.Log, reg prometheus.Registerer) *Entry {
 	return &Entry{
-		cfg:      cfg,
-		catalog:  cat,
-		members:  members,
-		relays:   relays,
-		fresh:    fresh,
-		recorder: recorder,
-		log:      log,
-		router:   newRouter(members, cat),
-		paces:    newPaces(),
-		unheld:   &unheldSnapshots{span: cfg.UnheldFor.Std(), at: make(map[snapshotKey]time.Time)},
-		metrics:  newMetrics(reg),
+		cfg:       cfg,
+		catalog:   cat,
+		members:   members,
+		relays:    relays,
+		fresh:     fresh,
+		recorder:  recorder,
+		log:       log,
+		router:    newRouter(members, cat),
+		latencies: newCallLatencies(),
+		unheld:    &unheldSnapshots{span: cfg.UnheldFor.Std(), at: make(map[snapshotKey]time.Time)},
+		metrics:   newMetrics(reg),
 	}
 }
 
--- a/internal/entry/pace_test.go
+++ b/internal/entry/latency_test.go
@@ -13,7 +13,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
 
-const paceTestDelay = time.Millisecond // of a shard
+const testDelay = time.Millisecond // of a shard
 
 // remoteWorld returns a world whose one service of 6 shards has two relays,
 // both on other hosts than the entry's.
@@ -22,22 +22,22 @@
 	w.services[0].Name = serviceWithRemoteRelays(w)
 	w.snapshots[0].Services = map[string]catalog.ShardMap{w.services[0].Name: {Shards: make([][]string, 6)}}
 	for _, r := range w.relays {
-		r.delay = paceTestDelay
+		r.delay = testDelay
 	}
 	return w, w.entry().router.candidates(w.services[0].Name)
 }
 
-// TestFrozenRelayIsOvertakenAsSoonAsItIsLate freezes a relay when the usual
-// time of calls is known: a search waits for that, not for its patience, and
+// TestFrozenRelayIsHedgedAsSoonAsItIsLate freezes a relay when the usual
+// time of calls is known: a search waits for that, not for its part of the budget, and
 // one search at a time probes the relay later.
-func TestFrozenRelayIsOvertakenAsSoonAsItIsLate(t *testing.T) {
+func TestFrozenRelayIsHedgedAsSoonAsItIsLate(t *testing.T) {
 	is := is.New(t)
 	w, remote := remoteWorld()
 	synctest.Test(t, func(t *testing.T) {
 		e := w.entry()
 		q := wholeWorkload
 		q.Budget = time.Second
-		for range 3 * paceCalls {
+		for range 3 * latencyCalls {
 			_, refusal := e.Search(context.Background(), q)
 			is.True(refusal == nil)
 		}
@@ -49,8 +49,8 @@
 			answer, _ := e.Search(context.Background(), q)
 			is.True(answer.Coverage.Complete())
 			took := time.Since(began)
-			is.True(took < 2*paceLeast) // the patience would be 400 ms
-			if took > 6*paceTestDelay {
+			is.True(took < 2*lateLeast) // that part would be 400 ms
+			if took > 6*testDelay {
 				waited++
 			}
 		}
@@ -101,7 +101,7 @@
 // none after a refusal for load.
 func TestNoEarlyOvertakingUnderLoad(t *testing.T) {
 	is := is.New(t)
-	p := newPaces()
+	p := newCallLatencies()
 	now := time.Now()
 	taken := 0
 	for range 1000 {
@@ -111,15 +111,15 @@
 			taken++
 		}
 	}
-	is.True(taken >= 30 && taken <= int(paceBudget*1000))
+	is.True(taken >= 30 && taken <= int(hedgeBudget*1000))
 	late, ok := p.late(query.Interactive)
 	is.True(ok)
-	is.Equal(late, paceLeast)
+	is.Equal(late, lateLeast)
 	for range 100 {
 		p.began(now, query.Interactive)
 	}
 	p.overloaded(now, query.Interactive)
-	now = now.Add(paceOverload)
+	now = now.Add(hedgePause)
 	is.True(!p.take(now, query.Interactive))
 	is.True(p.take(now.Add(1), query.Interactive))
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -9,14 +9,14 @@
 )
 
 type metrics struct {
-	requests  *prometheus.CounterVec
-	latency   *prometheus.HistogramVec
-	attempts  prometheus.Counter
-	needed    prometheus.Counter
-	calls     prometheus.Counter
-	lost      prometheus.Counter
-	overtaken prometheus.Counter
-	restarts  prometheus.Counter
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	attempts prometheus.Counter
+	needed   prometheus.Counter
+	calls    prometheus.Counter
+	lost     prometheus.Counter
+	hedges   prometheus.Counter
+	restarts prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -34,12 +34,12 @@
 			Help:    "Time from a request's arrival to its answer or refusal.",
 			Buckets: prometheus.ExponentialBuckets(0.001, 1.6, 20),
 		}, []string{"service"}),
-		attempts:  counter("attempts_total", "Shard attempts sent to targets, hedges and retries included."),
-		needed:    counter("needed_total", "Shard answers that answered searches needed."),
-		calls:     counter("relay_calls_total", "Batches sent to relays."),
-		lost:      counter("relays_lost_total", "Relay calls that ended without a last word on every shard."),
-		overtaken: counter("relays_overtaken_total", "Relay calls whose open shards were asked of another relay as well."),
-		restarts:  counter("snapshot_restarts_total", "Searches that left a snapshot which a shard's targets no longer held."),
+		attempts: counter("attempts_total", "Shard attempts sent to targets, hedges and retries included."),
+		needed:   counter("needed_total", "Shard answers that answered searches needed."),
+		calls:    counter("relay_calls_total", "Batches sent to relays."),
+		lost:     counter("relays_lost_total", "Relay calls that ended without a last word on every shard."),
+		hedges:   counter("relay_hedges_total", "Relay calls whose open shards were asked of another relay as well."),
+		restarts: counter("snapshot_restarts_total", "Searches that left a snapshot which a shard's targets no longer held."),
 	}
 }
 
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -84,9 +84,9 @@
 		r.Budget -= allowance
 	}
 	if !final && h.ID != e.members.Self().ID {
-		patience := time.Duration(e.cfg.RelayPatience * float64(remaining(ctx)))
+		timeout := time.Duration(e.cfg.HedgeRelayAfter * float64(remaining(ctx)))
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, patience)
+		ctx, cancel = context.WithTimeout(ctx, timeout)
 		defer cancel()
 	}
 	e.router.begin(h.ID)
--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -65,9 +65,9 @@
 		all[i] = &s.merge.slots[i]
 	}
 	s.ask(ctx, all)
-	full := time.Now().Add(s.patience(ctx))
-	patience := time.NewTimer(s.untilLate(full))
-	defer patience.Stop()
+	latest := time.Now().Add(s.hedgeAfter(ctx))
+	timer := time.NewTimer(s.untilLate(latest))
+	defer timer.Stop()
 	defer s.noteLate()
 	var batch []message
 	for !s.decided() {
@@ -77,11 +77,11 @@
 			if s.receiveAll(ctx, batch) == verdictUnheld {
 				return verdictUnheld
 			}
-		case <-patience.C:
+		case <-timer.C:
 			now := time.Now()
-			s.overtake(ctx, now, !now.Before(full))
-			if now.Before(full) {
-				patience.Reset(full.Sub(now))
+			s.hedge(ctx, now, !now.Before(latest))
+			if now.Before(latest) {
+				timer.Reset(latest.Sub(now))
 			}
 		case <-ctx.Done():
 			s.drain()
@@ -138,16 +138,17 @@
 	return sl
 }
 
-// patience returns after what time open shards are asked of another relay.
-func (s *scatter) patience(ctx context.Context) time.Duration {
-	return time.Duration(s.entry.cfg.RelayPatience * float64(remaining(ctx)))
+// hedgeAfter returns after what time open shards are asked of another relay at
+// the latest.
+func (s *scatter) hedgeAfter(ctx context.Context) time.Duration {
+	return time.Duration(s.entry.cfg.HedgeRelayAfter * float64(remaining(ctx)))
 }
 
 // untilLate returns when to look for calls that take longer than others do,
-// at the latest when the patience ends.
-func (s *scatter) untilLate(full time.Time) time.Duration {
-	left := time.Until(full)
-	if late, ok := s.entry.paces.late(s.urgency); ok {
+// at the latest at the given time.
+func (s *scatter) untilLate(latest time.Time) time.Duration {
+	left := time.Until(latest)
+	if late, ok := s.entry.latencies.late(s.urgency); ok {
 		return min(late, left)
 	}
 	return left
@@ -157,7 +158,7 @@
 func (s *scatter) noteLate() {
 	for c := range s.calls {
 		if c.late && !c.told {
-			s.entry.paces.took(s.urgency, time.Since(c.at))
+			s.entry.latencies.took(s.urgency, time.Since(c.at))
 		}
 	}
 }
@@ -210,7 +211,7 @@
 	s.entry.router.begin(c.host.ID)
 	s.entry.metrics.calls.Inc()
 	if s.remote(c) {
-		s.entry.paces.began(c.at, s.urgency)
+		s.entry.latencies.began(c.at, s.urgency)
 	}
 	go func() {
 		defer s.entry.router.end(c.host.ID)
@@ -254,7 +255,7 @@
 		return verdictUnheld
 	}
 	if reason == query.ReasonOverload {
-		s.entry.paces.overloaded(time.Now(), s.urgency)
+		s.entry.latencies.overloaded(time.Now(), s.urgency)
 	}
 	if relaysFault(reason) {
 		s.ask(ctx, []*slot{sl})
@@ -300,7 +301,7 @@
 // late shows no more than that its relay is slow.
 func (s *scatter) answered(c *call) {
 	if s.remote(c) {
-		s.entry.paces.took(s.urgency, time.Since(c.at))
+		s.entry.latencies.took(s.urgency, time.Since(c.at))
 	}
 	if !c.late {
 		s.entry.router.answered(c.host.ID)
@@ -311,23 +312,23 @@
 // by itself.
 func (s *scatter) remote(c *call) bool { return c.host.ID != s.entry.members.Self().ID }
 
-// overtake asks other relays for the shards that slow remote relays left
-// open, within a budget until the patience has ended. The first valid answer
-// counts, whoever gives it.
-func (s *scatter) overtake(ctx context.Context, now time.Time, ended bool) {
+// hedge asks other relays for the shards that slow remote relays left
+// open. Before the latest time for it that takes from a budget. The first valid
+// answer counts, whoever gives it.
+func (s *scatter) hedge(ctx context.Context, now time.Time, ended bool) {
 	var again []*slot
 	for c := range s.calls {
 		if c.late || !s.remote(c) {
 			continue
 		}
 		open := s.merge.openOf(c)
-		if len(open) == 0 || (!ended && !s.entry.paces.take(now, s.urgency)) {
+		if len(open) == 0 || (!ended && !s.entry.latencies.take(now, s.urgency)) {
 			continue
 		}
 		c.late = true
 		again = append(again, open...)
 		s.entry.router.lost(c.host.ID, now)
-		s.entry.metrics.overtaken.Inc()
+		s.entry.metrics.hedges.Inc()
 	}
 	s.ask(ctx, again)
 }
--- a/internal/entry/search_test.go
+++ b/internal/entry/search_test.go
@@ -223,9 +223,9 @@
 	}
 }
 
-// TestFrozenRelayIsOvertaken freezes a remote relay: after its patience the
+// TestFrozenRelayIsHedged freezes a remote relay: after a part of the budget the
 // entry asks the other one and answers within the budget.
-func TestFrozenRelayIsOvertaken(t *testing.T) {
+func TestFrozenRelayIsHedged(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(3, 2, 6)
 	w.services[0].Name = serviceWithRemoteRelays(w)
@@ -242,7 +242,7 @@
 			is.True(answer.Coverage.Complete())
 			is.True(time.Since(start) <= time.Duration(0.4*float64(testBudget)))
 		}
-		is.True(testutilCount(e.metrics.overtaken) <= 2) // then the frozen relay is avoided
+		is.True(testutilCount(e.metrics.hedges) <= 2) // then the frozen relay is avoided
 	})
 }
 
