--- a/internal/load/proof_test.go
+++ b/internal/load/proof_test.go
@@ -44,6 +44,8 @@
 
 // TestHedgesCarryTheOnset holds a target that freezes against the same run
 // without hedges: until it is known, only they save the queries that it holds.
+// Queries that wait until their budget ends count with that wait: a percentile
+// of answers alone looks the better the more are lost.
 func TestHedgesCarryTheOnset(t *testing.T) {
 	is := is.New(t)
 	t.Parallel()
@@ -56,7 +58,7 @@
 	})
 	is.NoErr(err)
 	check(t, reports, []Verdict{
-		atMost("p99 over that without hedges", ratio(reports[0].P99, reports[1].P99), 0.5),
+		atMost("p99 over that without hedges", ratio(reports[0].WaitP99, reports[1].WaitP99), 0.5),
 		atMost("extra load", reports[0].Extra, stragglerExtra),
 	})
 }
--- a/internal/load/recording.go
+++ b/internal/load/recording.go
@@ -21,6 +21,7 @@
 	mu       sync.Mutex
 	answers  *hdrhistogram.Histogram
 	refusals *hdrhistogram.Histogram
+	waits    *hdrhistogram.Histogram // answers, and refusals at the end of the budget
 	answered int
 	complete int
 	failed   int
@@ -35,6 +36,7 @@
 	return &recording{
 		answers:  hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits),
 		refusals: hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits),
+		waits:    hdrhistogram.New(histogramLowest, histogramHighest, histogramDigits),
 		refused:  make(map[query.Reason]int),
 	}
 }
@@ -55,6 +57,9 @@
 	case !x.answered:
 		r.refused[x.reason]++
 		_ = r.refusals.RecordValue(us) // in range
+		if x.reason == query.ReasonBudget {
+			_ = r.waits.RecordValue(us)
+		}
 	default:
 		r.addAnswer(us, x)
 	}
@@ -69,6 +74,7 @@
 	r.attempts += x.attempts
 	r.needed += x.needed
 	_ = r.answers.RecordValue(us) // in range
+	_ = r.waits.RecordValue(us)
 }
 
 func (r *recording) report(name string, rate float64, offered int, span time.Duration) Report {
@@ -89,6 +95,7 @@
 		P99:        milliseconds(r.answers, 99),
 		P999:       milliseconds(r.answers, 99.9),
 		RefusalP99: milliseconds(r.refusals, 99),
+		WaitP99:    milliseconds(r.waits, 99),
 		Extra:      ratio(float64(r.attempts), float64(r.needed)) - 1,
 	}
 	if r.needed == 0 {
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -26,6 +26,7 @@
 	P99         float64        `json:"p99_ms"`
 	P999        float64        `json:"p999_ms"`
 	RefusalP99  float64        `json:"refusal_p99_ms"`
+	WaitP99     float64        `json:"wait_p99_ms"`           // of answers, and of refusals because the budget had ended
 	Extra       float64        `json:"extra_load"`            // attempts over needed ones, less 1
 	Sheds       int            `json:"sheds"`                 // by targets; experiments only
 	Connections int            `json:"connections,omitempty"` // most at one target; experiments only
