--- a/internal/policy/queue.go
+++ b/internal/policy/queue.go
@@ -11,7 +11,7 @@
 	DefaultCapacity = 1024
 	// DefaultDeferrableShare grants at least one deferrable request in this
 	// many grants while one waits.
-	DefaultDeferrableShare = 4
+	DefaultDeferrableShare = 16
 	// DefaultQueueWait bounds the wait of a deferrable request.
 	DefaultQueueWait = time.Second
 	// DefaultQueueDelay is the work, in time, that an interactive queue may
