--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,7 +13,6 @@
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/claim"
 	"rhubarbwood.example/rhubarbwood/internal/delivery"
-	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/query"
@@ -40,7 +39,6 @@
 	relays    Relays
 	fresh     Freshness
 	recorder  delivery.Recorder
-	log       *event.Log
 	router    *router
 	latencies *callLatencies
 	unheld    *unheldSnapshots
@@ -49,7 +47,7 @@
 
 // New returns an entry over the configuration, the membership and the relays.
 func New(cfg Config, cat catalog.View, members member.View, relays Relays, fresh Freshness,
-	recorder delivery.Recorder, log *event.Log, reg prometheus.Registerer) *Entry {
+	recorder delivery.Recorder, reg prometheus.Registerer) *Entry {
 	return &Entry{
 		cfg:       cfg,
 		catalog:   cat,
@@ -57,7 +55,6 @@
 		relays:    relays,
 		fresh:     fresh,
 		recorder:  recorder,
-		log:       log,
 		router:    newRouter(members, cat),
 		latencies: newCallLatencies(),
 		unheld:    &unheldSnapshots{span: cfg.UnheldFor.Std(), at: make(map[snapshotKey]time.Time)},
--- a/internal/entry/fakes_test.go
+++ b/internal/entry/fakes_test.go
@@ -11,7 +11,6 @@
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/claim"
 	"rhubarbwood.example/rhubarbwood/internal/delivery"
-	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/query"
@@ -182,5 +181,5 @@
 }
 
 func (w *world) entry() *Entry {
-	return New(DefaultConfig(), w, w, w, w, w, event.Discard(), prometheus.NewRegistry())
+	return New(DefaultConfig(), w, w, w, w, w, prometheus.NewRegistry())
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
@@ -52,3 +54,14 @@
 	m.attempts.Add(float64(d.Attempts))
 	m.needed.Add(float64(d.Needed))
 }
+
+// bandOf returns the label of a coverage in metrics.
+func bandOf(coverage float64) string {
+	switch {
+	case coverage >= 1:
+		return "complete"
+	case coverage == 0:
+		return "none"
+	}
+	return "partial_" + strconv.Itoa(int(coverage*10)*10)
+}
--- a/internal/entry/reserve.go
+++ b/internal/entry/reserve.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -144,14 +143,3 @@
 		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(weight(b), weight(a)))
 	}
 }
-
-// bandOf returns the label of a coverage in metrics.
-func bandOf(coverage float64) string {
-	switch {
-	case coverage >= 1:
-		return "complete"
-	case coverage == 0:
-		return "none"
-	}
-	return "partial_" + strconv.Itoa(int(coverage*10)*10)
-}
--- a/internal/host/modules.go
+++ b/internal/host/modules.go
@@ -193,7 +193,7 @@
 	if l.err != nil {
 		return nil, l.err
 	}
-	return entry.New(h.settings.Entry, cat, lastHostView{members}, local, cat, recorder, h.log, h.metrics), nil
+	return entry.New(h.settings.Entry, cat, lastHostView{members}, local, cat, recorder, h.metrics), nil
 }
 
 func (h *Host) newCallers(f kernel.Finder) (kernel.Module, error) {
--- a/internal/integration/site_test.go
+++ b/internal/integration/site_test.go
@@ -200,7 +200,7 @@
 		h.relay = relay.New(relay.DefaultConfig(), h, h, nil, event.Discard(), prometheus.NewRegistry())
 		h.relay.DialWith(s.dial)
 		_ = h.relay.Start(context.Background())
-		h.entry = entry.New(entry.DefaultConfig(), h, h, h, h, h, event.Discard(), prometheus.NewRegistry())
+		h.entry = entry.New(entry.DefaultConfig(), h, h, h, h, h, prometheus.NewRegistry())
 	}
 	return s
 }
--- a/internal/load/relayloss_site.go
+++ b/internal/load/relayloss_site.go
@@ -80,7 +80,7 @@
 		return Error.New("start relay of %s: %w", h.ID, err)
 	}
 	access := &lossAccess{site: s, self: h.ID}
-	host.entry = entry.New(entry.DefaultConfig(), s.catalog, members, access, alwaysFresh{}, noRecords{}, event.Discard(), host.metrics)
+	host.entry = entry.New(entry.DefaultConfig(), s.catalog, members, access, alwaysFresh{}, noRecords{}, host.metrics)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleet = append(s.fleet, host)
--- a/internal/load/site.go
+++ b/internal/load/site.go
@@ -172,7 +172,7 @@
 		s.searchers[id] = h.relay
 	}
 	access := &access{site: s, self: id, direct: c.direct}
-	h.entry = entry.New(entry.DefaultConfig(), s.catalog, members, access, alwaysFresh{}, noRecords{}, event.Discard(), h.metrics)
+	h.entry = entry.New(entry.DefaultConfig(), s.catalog, members, access, alwaysFresh{}, noRecords{}, h.metrics)
 	s.hosts = append(s.hosts, h)
 	return nil
 }
