--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -14,8 +14,8 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
 // Notifier tells a few peers at once that this host has a newer revision; the
@@ -32,7 +32,7 @@
 // Configuration.
 type Catalog struct {
 	cfg      Config
-	store    platform.Store
+	store    objstore.Store
 	members  member.View
 	puller   Puller
 	notifier Notifier
@@ -63,7 +63,7 @@
 )
 
 // New returns a catalog without configuration.
-func New(cfg Config, store platform.Store, members member.View, puller Puller, notifier Notifier,
+func New(cfg Config, store objstore.Store, members member.View, puller Puller, notifier Notifier,
 	log *event.Log, reg prometheus.Registerer) *Catalog {
 	seed := xxhash.Sum64String(members.Self().ID)
 	c := &Catalog{
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -10,7 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // maxPrevious is how many changes an object remembers, so that a change that
@@ -21,7 +21,7 @@
 // conditional write of one object.
 type Editor struct {
 	cfg     Config
-	store   platform.Store
+	store   objstore.Store
 	view    View
 	log     *event.Log
 	changes *prometheus.CounterVec
@@ -42,9 +42,9 @@
 }
 
 // Read returns a service as the platform has it now. A dropped one is
-// returned with Dropped set; platform.ErrNotFound means there never was one.
+// returned with Dropped set; objstore.ErrNotFound means there never was one.
 func (e *Editor) Read(ctx context.Context, name string) (Stored, error) {
-	o, err := e.store.Get(ctx, platform.KindService, name)
+	o, err := e.store.Get(ctx, objstore.KindService, name)
 	if err != nil {
 		return Stored{}, Error.New("read service %q: %w", name, err)
 	}
@@ -62,7 +62,7 @@
 func (e *Editor) Change(ctx context.Context, req Request) Result {
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ChangeTimeout.Std())
 	defer cancel()
-	r := Result{Kind: platform.KindService, Name: req.Service.Name, ChangeID: ulid.Make().String()}
+	r := Result{Kind: objstore.KindService, Name: req.Service.Name, ChangeID: ulid.Make().String()}
 	return e.record(req.Author, e.change(ctx, req, r))
 }
 
@@ -72,7 +72,7 @@
 			return r.refused(err)
 		}
 	}
-	current, err := e.current(ctx, platform.KindService, req.Service.Name)
+	current, err := e.current(ctx, objstore.KindService, req.Service.Name)
 	if err != nil {
 		return r.refused(Error.New("nothing was written, as the platform can't be read: %w", err))
 	}
@@ -90,7 +90,7 @@
 
 // prepare checks the request against the current object and returns the value to
 // write, or false and a refusal.
-func (e *Editor) prepare(req Request, current platform.Object, r Result) ([]byte, Result, bool) {
+func (e *Editor) prepare(req Request, current objstore.Object, r Result) ([]byte, Result, bool) {
 	live := current.Version > 0 && !dropped(current)
 	wanted := req.Service
 	if req.Verb == Drop {
@@ -119,29 +119,29 @@
 
 // dropOf returns the service to leave behind by a drop: the current one, if it
 // can be read.
-func dropOf(name string, current platform.Object) Service {
+func dropOf(name string, current objstore.Object) Service {
 	if s, err := readService(current); err == nil {
 		return *s
 	}
 	return Service{Name: name}
 }
 
-func dropped(o platform.Object) bool {
+func dropped(o objstore.Object) bool {
 	var s Service
 	return json.Unmarshal(o.Value, &s) == nil && s.Dropped
 }
 
 // current returns the object as the platform has it now, with version 0 if there is none.
-func (e *Editor) current(ctx context.Context, kind, name string) (platform.Object, error) {
+func (e *Editor) current(ctx context.Context, kind, name string) (objstore.Object, error) {
 	o, err := e.store.Get(ctx, kind, name)
-	if errors.Is(err, platform.ErrNotFound) {
-		return platform.Object{Kind: kind, Name: name}, nil
+	if errors.Is(err, objstore.ErrNotFound) {
+		return objstore.Object{Kind: kind, Name: name}, nil
 	}
 	return o, err
 }
 
 // nextChange returns the change that succeeds the one which wrote the object.
-func nextChange(id string, by Author, current platform.Object) Change {
+func nextChange(id string, by Author, current objstore.Object) Change {
 	before := changeOf(current)
 	c := Change{ID: id, Operator: by.Operator, Reason: by.Reason}
 	if current.Version > 0 {
@@ -152,7 +152,7 @@
 }
 
 // changeOf returns the change that wrote an object, empty if it names none.
-func changeOf(o platform.Object) Change {
+func changeOf(o objstore.Object) Change {
 	var v struct {
 		Change Change `json:"change"`
 	}
--- a/internal/catalog/index.go
+++ b/internal/catalog/index.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // view is what a state looks like to the rest of the host. It never changes.
@@ -22,9 +22,9 @@
 	services, snapshots := map[string]*Service{}, map[string]*Snapshot{}
 	for _, e := range changed {
 		switch e.object.Kind {
-		case platform.KindService:
+		case objstore.KindService:
 			services[e.object.Name] = e.service
-		case platform.KindSnapshot:
+		case objstore.KindSnapshot:
 			snapshots[e.object.Name] = e.snapshot
 		}
 	}
--- a/internal/catalog/object.go
+++ b/internal/catalog/object.go
@@ -5,20 +5,20 @@
 	"errors"
 	"fmt"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // kinds are the objects that make up the configuration.
-var kinds = []string{platform.KindService, platform.KindSnapshot}
+var kinds = []string{objstore.KindService, objstore.KindSnapshot}
 
 type key struct{ kind, name string }
 
-func keyOf(o platform.Object) key { return key{o.Kind, o.Name} }
+func keyOf(o objstore.Object) key { return key{o.Kind, o.Name} }
 
 // entry is what is held of one object: the newest version as it was written,
 // and the newest version that could be read. An entry never changes.
 type entry struct {
-	object   platform.Object // Deleted: a deletion
+	object   objstore.Object // Deleted: a deletion
 	service  *Service        // as written, defaults not filled in
 	snapshot *Snapshot
 	problem  error // why object can't be read; then the fields above are of an older version
@@ -26,15 +26,15 @@
 
 // newEntry reads an object. If it can't be read, the content of the entry
 // before it stays in force.
-func newEntry(o platform.Object, before *entry) *entry {
+func newEntry(o objstore.Object, before *entry) *entry {
 	e := &entry{object: o}
 	if o.Deleted {
 		return e
 	}
 	switch o.Kind {
-	case platform.KindService:
+	case objstore.KindService:
 		e.service, e.problem = readService(o)
-	case platform.KindSnapshot:
+	case objstore.KindSnapshot:
 		e.snapshot, e.problem = readSnapshot(o)
 	}
 	if e.problem != nil && before != nil {
@@ -43,7 +43,7 @@
 	return e
 }
 
-func readService(o platform.Object) (*Service, error) {
+func readService(o objstore.Object) (*Service, error) {
 	var s Service
 	if err := json.Unmarshal(o.Value, &s); err != nil {
 		return nil, Error.New("read service %q: %w", o.Name, err)
@@ -57,7 +57,7 @@
 	return &s, nil
 }
 
-func readSnapshot(o platform.Object) (*Snapshot, error) {
+func readSnapshot(o objstore.Object) (*Snapshot, error) {
 	var s Snapshot
 	if err := json.Unmarshal(o.Value, &s); err != nil {
 		return nil, Error.New("read snapshot %q: %w", o.Name, err)
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -7,7 +7,7 @@
 
 	"github.com/oklog/ulid/v2"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // PublishSnapshot writes a new snapshot, which must fit the services in force
@@ -16,7 +16,7 @@
 func (e *Editor) PublishSnapshot(ctx context.Context, s Snapshot, by Author, dryRun bool) Result {
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ChangeTimeout.Std())
 	defer cancel()
-	r := Result{Kind: platform.KindSnapshot, Name: s.ObjectName(), ChangeID: ulid.Make().String()}
+	r := Result{Kind: objstore.KindSnapshot, Name: s.ObjectName(), ChangeID: ulid.Make().String()}
 	return e.record(by, e.publish(ctx, s, by, dryRun, r))
 }
 
@@ -29,8 +29,8 @@
 	if err != nil {
 		return r.refused(Error.New("encode: %w", err))
 	}
-	if len(value) > platform.MaxValue {
-		return r.refused(Error.New("snapshot has %d bytes, the platform takes %d", len(value), platform.MaxValue))
+	if len(value) > objstore.MaxValue {
+		return r.refused(Error.New("snapshot has %d bytes, the platform takes %d", len(value), objstore.MaxValue))
 	}
 	if dryRun {
 		r.Status = Possible
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.ChangeTimeout.Std())
 	defer cancel()
 	name := Snapshot{Workload: workload, ID: id}.ObjectName()
-	r := Result{Kind: platform.KindSnapshot, Name: name, ChangeID: ulid.Make().String()}
+	r := Result{Kind: objstore.KindSnapshot, Name: name, ChangeID: ulid.Make().String()}
 	return e.record(by, e.retire(ctx, workload, id, dryRun, r))
 }
 
@@ -69,16 +69,16 @@
 
 // remove deletes the object and settles an answer that is lost. A snapshot
 // never changes, so one that is gone was deleted, if not by this call.
-func (e *Editor) remove(ctx context.Context, o platform.Object, r Result) Result {
+func (e *Editor) remove(ctx context.Context, o objstore.Object, r Result) Result {
 	delay := newSettleDelay()
 	w := write{kind: o.Kind, name: o.Name, version: o.Version}
 	sent := false
 	for {
 		err := e.store.Delete(ctx, o.Kind, o.Name, o.Version)
-		var conflict *platform.Conflict
-		var unanswered *platform.Unanswered
+		var conflict *objstore.Conflict
+		var unanswered *objstore.Unanswered
 		switch {
-		case err == nil, errors.Is(err, platform.ErrNotFound):
+		case err == nil, errors.Is(err, objstore.ErrNotFound):
 			return e.gone(ctx, o, r)
 		case errors.As(err, &conflict) && conflict.Current.Version == 0:
 			return e.gone(ctx, o, r)
@@ -102,7 +102,7 @@
 }
 
 // gone accepts a deletion and finds its revision, if the platform still knows.
-func (e *Editor) gone(ctx context.Context, o platform.Object, r Result) Result {
+func (e *Editor) gone(ctx context.Context, o objstore.Object, r Result) Result {
 	r.Status = Accepted
 	l, err := e.store.Watch(ctx, o.Revision, 0, o.Kind)
 	if err != nil {
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -8,8 +8,8 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
 const (
@@ -152,7 +152,7 @@
 	b.revision, b.complete, b.floor = out.Revision, out.Complete, out.Floor
 	b.full = out.Full
 	for _, o := range out.Objects {
-		b.objects = append(b.objects, platform.Object{
+		b.objects = append(b.objects, objstore.Object{
 			Kind: o.Kind, Name: o.Name, Version: o.Version, Revision: o.Revision,
 			Value: o.Value, Deleted: o.Deleted,
 		})
--- a/internal/catalog/result.go
+++ b/internal/catalog/result.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // Verb is what a change does to a service.
@@ -77,13 +77,13 @@
 	return r
 }
 
-func (r Result) accepted(o platform.Object) Result {
+func (r Result) accepted(o objstore.Object) Result {
 	r.Status, r.Version, r.Revision = Accepted, o.Version, o.Revision
 	return r
 }
 
 // lost refuses the change because of the current object.
-func (r Result) lost(current platform.Object, wanted []byte) Result {
+func (r Result) lost(current objstore.Object, wanted []byte) Result {
 	r.Status = Refused
 	r.Lost = &LostRace{
 		Version: current.Version, Winner: changeOf(current), Changed: current.Changed,
--- a/internal/catalog/settle.go
+++ b/internal/catalog/settle.go
@@ -9,7 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // write is one conditional write of an operator's change.
@@ -31,11 +31,11 @@
 		if err == nil {
 			return r.accepted(o)
 		}
-		var conflict *platform.Conflict
+		var conflict *objstore.Conflict
 		if errors.As(err, &conflict) {
 			return w.judge(conflict.Current, sent, r)
 		}
-		var unanswered *platform.Unanswered
+		var unanswered *objstore.Unanswered
 		sent = sent || errors.As(err, &unanswered)
 		if !sent {
 			return r.refused(Error.New("nothing was written: %w", err))
@@ -53,11 +53,11 @@
 // readBack waits and reads the object until the platform answers. settled is
 // false if the object still stands at the version that the write asks for, so
 // that the write has not taken effect yet.
-func (e *Editor) readBack(ctx context.Context, w write, delay *backoff.ExponentialBackOff) (current platform.Object, settled bool, err error) {
+func (e *Editor) readBack(ctx context.Context, w write, delay *backoff.ExponentialBackOff) (current objstore.Object, settled bool, err error) {
 	for {
 		await.Sleep(ctx, delay.NextBackOff())
 		if ctx.Err() != nil {
-			return platform.Object{}, false, ctx.Err()
+			return objstore.Object{}, false, ctx.Err()
 		}
 		current, err = e.current(ctx, w.kind, w.name)
 		if err == nil {
@@ -69,7 +69,7 @@
 // judge tells what became of the write from the current object, which is no
 // longer at the version that the write asked for. sent means that an answer was
 // lost before, so the write itself may have moved the object on.
-func (w write) judge(current platform.Object, sent bool, r Result) Result {
+func (w write) judge(current objstore.Object, sent bool, r Result) Result {
 	ids := append([]string{changeOf(current).ID}, changeOf(current).Previous...)
 	newer := slices.Index(ids, w.id) // changes made since
 	switch {
@@ -86,7 +86,7 @@
 
 // remembered reports whether an object that remembers n changes would show
 // the write's, had it been made.
-func (w write) remembered(current platform.Object, n int) bool {
+func (w write) remembered(current objstore.Object, n int) bool {
 	return current.Version > w.version && current.Version-w.version <= uint64(n)
 }
 
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -5,7 +5,7 @@
 	"maps"
 	"slices"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // maxDeletions is how many deletions are kept for peers that have not heard
@@ -35,7 +35,7 @@
 	complete uint64 // up to this revision
 	floor    uint64 // the sender knows every deletion after this revision
 	full     bool   // objects neither in objects nor in held, unchanged since after, are gone
-	objects  []platform.Object
+	objects  []objstore.Object
 	held     []key
 }
 
@@ -75,7 +75,7 @@
 
 // put takes the objects that changed after the given revision. An answer may
 // hold several changes of one object, in any order.
-func (s *state) put(objects []platform.Object, after uint64) []*entry {
+func (s *state) put(objects []objstore.Object, after uint64) []*entry {
 	var changed []*entry
 	for _, o := range objects {
 		held := s.entries[keyOf(o)]
@@ -106,7 +106,7 @@
 		if named[k] || e.object.Deleted {
 			continue
 		}
-		gone := platform.Object{Kind: k.kind, Name: k.name, Version: e.object.Version, Revision: b.complete, Deleted: true}
+		gone := objstore.Object{Kind: k.kind, Name: k.name, Version: e.object.Version, Revision: b.complete, Deleted: true}
 		s.entries[k] = &entry{object: gone}
 		s.revision = b.complete
 		removed = append(removed, s.entries[k])
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -8,7 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 const (
@@ -49,7 +49,7 @@
 		return c.list(ctx)
 	}
 	l, err := c.store.Watch(ctx, after, c.cfg.WatchWait.Std(), kinds...)
-	if errors.Is(err, platform.ErrCompacted) || err == nil && l.Revision < after {
+	if errors.Is(err, objstore.ErrCompacted) || err == nil && l.Revision < after {
 		return c.list(ctx)
 	}
 	if err != nil {
--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -12,8 +12,8 @@
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
 
@@ -37,7 +37,7 @@
 // one id combines their outcomes with outcome.Combine.
 type Claims struct {
 	cfg      Config
-	store    platform.Store
+	store    objstore.Store
 	records  recordStore
 	creates  *createLimiter
 	sender   Sender
@@ -60,7 +60,7 @@
 
 // New returns the module; it answers from the start, and Start begins the
 // removal of old records.
-func New(cfg Config, store platform.Store, sender Sender, asker Asker, view member.View, services Services,
+func New(cfg Config, store objstore.Store, sender Sender, asker Asker, view member.View, services Services,
 	log *event.Log, reg prometheus.Registerer) *Claims {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Claims{
--- a/internal/claim/id.go
+++ b/internal/claim/id.go
@@ -6,7 +6,7 @@
 
 	"github.com/oklog/ulid/v2"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // sliceLength is the span of reservation time whose records share one kind of
@@ -48,7 +48,7 @@
 func timeSliceOf(t time.Time) timeSlice { return timeSlice(t.Unix() / sliceSeconds) }
 
 // kind returns the platform kind of the records of the slice.
-func (s timeSlice) kind() string { return fmt.Sprintf("%s.%d", platform.KindClaim, int64(s)) }
+func (s timeSlice) kind() string { return fmt.Sprintf("%s.%d", objstore.KindClaim, int64(s)) }
 
 // end returns the first moment after the slice.
 func (s timeSlice) end() time.Time { return time.Unix((int64(s)+1)*sliceSeconds, 0) }
--- a/internal/claim/recordstore.go
+++ b/internal/claim/recordstore.go
@@ -6,7 +6,7 @@
 	"errors"
 	"time"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // entry is a record as the platform holds it; version 0 is no record.
@@ -28,7 +28,7 @@
 
 // recordStore keeps one record per reservation in the platform. Writes are
 // conditional on the record's version, which only grows.
-type recordStore struct{ store platform.Store }
+type recordStore struct{ store objstore.Store }
 
 // put writes rec if the record has the version; 0 creates it.
 func (s recordStore) put(ctx context.Context, id reservationID, version uint64, rec Record) (entry, writeResult) {
@@ -40,12 +40,12 @@
 	if err == nil {
 		return entry{rec: rec, version: obj.Version, changed: obj.Changed}, applied
 	}
-	var con *platform.Conflict
+	var con *objstore.Conflict
 	if errors.As(err, &con) {
 		e, _ := decode(con.Current) // a record that cannot be read has no phase, which examine answers with unknown
 		return e, conflict
 	}
-	var un *platform.Unavailable
+	var un *objstore.Unavailable
 	if errors.As(err, &un) {
 		return entry{}, notApplied
 	}
@@ -55,7 +55,7 @@
 // get returns the record; version 0 if there is none.
 func (s recordStore) get(ctx context.Context, id reservationID) (entry, error) {
 	obj, err := s.store.Get(ctx, id.kind(), id.String())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objstore.ErrNotFound) {
 		return entry{}, nil
 	}
 	if err != nil {
@@ -64,7 +64,7 @@
 	return decode(obj)
 }
 
-func decode(obj platform.Object) (entry, error) {
+func decode(obj objstore.Object) (entry, error) {
 	if obj.Version == 0 || obj.Deleted {
 		return entry{}, nil
 	}
--- a/internal/claim/sweep.go
+++ b/internal/claim/sweep.go
@@ -14,11 +14,11 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/member"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 const (
-	cursorKind = platform.KindClaim + "-cursor"
+	cursorKind = objstore.KindClaim + "-cursor"
 	cursorName = "sweep"
 	// cursorLead is how many slices before the oldest record that may be
 	// removed a new cursor begins.
@@ -142,13 +142,13 @@
 
 // remove deletes one record; gone if it was not there as listed, since another
 // sweeper has come as far.
-func (s *sweeper) remove(ctx context.Context, o platform.Object) (gone bool, err error) {
+func (s *sweeper) remove(ctx context.Context, o objstore.Object) (gone bool, err error) {
 	if err := s.call(ctx); err != nil {
 		return false, err
 	}
 	err = s.c.store.Delete(ctx, o.Kind, o.Name, o.Version)
-	var con *platform.Conflict
-	if errors.As(err, &con) || errors.Is(err, platform.ErrNotFound) {
+	var con *objstore.Conflict
+	if errors.As(err, &con) || errors.Is(err, objstore.ErrNotFound) {
 		return true, nil
 	}
 	if err != nil {
@@ -163,7 +163,7 @@
 		return cursor{}, 0, err
 	}
 	obj, err := s.c.store.Get(ctx, cursorKind, cursorName)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objstore.ErrNotFound) {
 		now, _ := s.c.store.Now()
 		return cursor{Slice: timeSliceOf(now.Add(-removeAfter)) - cursorLead}, 0, nil
 	}
@@ -184,7 +184,7 @@
 		return cur, 0, err
 	}
 	obj, err := s.c.store.Put(ctx, cursorKind, cursorName, version, value)
-	var con *platform.Conflict
+	var con *objstore.Conflict
 	if errors.As(err, &con) && con.Current.Version > 0 {
 		return decodeCursor(con.Current)
 	}
@@ -194,7 +194,7 @@
 	return cur, obj.Version, nil
 }
 
-func decodeCursor(obj platform.Object) (cursor, uint64, error) {
+func decodeCursor(obj objstore.Object) (cursor, uint64, error) {
 	var cur cursor
 	if err := json.Unmarshal(obj.Value, &cur); err != nil {
 		return cursor{}, 0, Error.New("decode sweep cursor: %w", err)
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -5,8 +5,10 @@
 	"os"
 	"syscall"
 
+	"rhubarbwood.example/rhubarbwood/internal/discovery"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/gatewayhost"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/settings"
 	"rhubarbwood.example/rhubarbwood/platform"
 )
@@ -24,11 +26,7 @@
 		return usageError(err)
 	}
 	log := event.New(c.env.Out, s.Log.Plog(), s.ID)
-	objects := platform.NewObjects(s.Store.Address, s.Store.Timeout.Std())
-	h, err := gatewayhost.New(s, gatewayhost.Platform{
-		Source:   platform.NewSource(objects),
-		Messages: platform.Messages{},
-	}, log)
+	h, err := gatewayhost.New(s, onPlatform(), log)
 	if err != nil {
 		return fail(ExitFailed, "host %s: %s", s.ID, err)
 	}
@@ -52,3 +50,14 @@
 		h.Reload(settings.Load(c.Settings, gatewayhost.DefaultSettings()))
 	}
 }
+
+// onPlatform returns what a host needs of the users' platform.
+func onPlatform() gatewayhost.Platform {
+	return gatewayhost.Platform{
+		Records: func(c objstore.Config) objstore.Records {
+			return platform.NewObjects(c.Timeout.Std(), c.Addresses...)
+		},
+		Source:   func(r objstore.Records) discovery.Source { return platform.NewSource(r) },
+		Messages: platform.Messages{},
+	}
+}
--- a/internal/cli/plot.go
+++ b/internal/cli/plot.go
@@ -14,8 +14,9 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/host"
 	"rhubarbwood.example/rhubarbwood/internal/member"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/settings"
+	"rhubarbwood.example/rhubarbwood/platform"
 )
 
 // plotTimeout bounds the reading of all windows.
@@ -36,7 +37,8 @@
 	if err != nil {
 		return usageError(err)
 	}
-	store := platform.New(s.Platform, event.Discard(), prometheus.NewRegistry())
+	records := platform.NewObjects(s.Platform.Timeout.Std(), s.Platform.Addresses...)
+	store := objstore.New(objstore.Govern(s.Platform, records, event.Discard(), prometheus.NewRegistry()))
 	ctx, cancel := context.WithTimeout(context.Background(), plotTimeout)
 	defer cancel()
 	var plot bytes.Buffer
@@ -49,8 +51,8 @@
 	return nil
 }
 
-func (c *plotCommand) draw(ctx context.Context, plot *bytes.Buffer, store platform.Store, cfg delivery.Config) error {
-	listing, err := store.List(ctx, platform.KindService, platform.KindMember)
+func (c *plotCommand) draw(ctx context.Context, plot *bytes.Buffer, store objstore.Store, cfg delivery.Config) error {
+	listing, err := store.List(ctx, objstore.KindService, objstore.KindMember)
 	if err != nil {
 		return Error.New("read services: %w", err)
 	}
@@ -66,15 +68,15 @@
 	return Error.Wrap(delivery.PlotBurn(plot, c.Format, series, complete))
 }
 
-func readListing(l platform.Listing) ([]catalog.Service, recordedHosts, error) {
+func readListing(l objstore.Listing) ([]catalog.Service, recordedHosts, error) {
 	var services []catalog.Service
 	var hosts recordedHosts
 	for _, o := range l.Objects {
 		var err error
 		switch o.Kind {
-		case platform.KindService:
+		case objstore.KindService:
 			services, err = appendDecoded(services, o)
-		case platform.KindMember:
+		case objstore.KindMember:
 			hosts, err = appendDecoded(hosts, o)
 		}
 		if err != nil {
@@ -84,7 +86,7 @@
 	return services, hosts, nil
 }
 
-func appendDecoded[T any, S ~[]T](to S, o platform.Object) (S, error) {
+func appendDecoded[T any, S ~[]T](to S, o objstore.Object) (S, error) {
 	var v T
 	if err := json.Unmarshal(o.Value, &v); err != nil {
 		return nil, Error.New("read %s/%s: %w", o.Kind, o.Name, err)
--- a/internal/delivery/clock.go
+++ b/internal/delivery/clock.go
@@ -3,13 +3,13 @@
 import (
 	"time"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // platformClock estimates the platform's clock between its answers by this
 // process's monotonic clock. It never goes back and is never ahead.
 type platformClock struct {
-	store          platform.Store
+	store          objstore.Store
 	anchorLocal    time.Time // monotonic reading at the anchor
 	anchorPlatform time.Time // the platform's clock at the anchor; zero: not known yet
 }
--- a/internal/delivery/codec.go
+++ b/internal/delivery/codec.go
@@ -10,12 +10,12 @@
 	"google.golang.org/protobuf/proto"
 
 	"rhubarbwood.example/rhubarbwood/internal/delivery/deliverypb"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 const (
 	formatVersion = 1
-	maxValue      = platform.MaxValue - 4096 // leaves room for what the platform adds
+	maxValue      = objstore.MaxValue - 4096 // leaves room for what the platform adds
 	maxDecoded    = 64 << 20                 // of one object, against a corrupt one
 )
 
--- a/internal/delivery/compact.go
+++ b/internal/delivery/compact.go
@@ -16,7 +16,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // Compactor sums windows up, level by level, and removes what is past
@@ -24,7 +24,7 @@
 // hosts that both think it theirs write the same, so nothing needs to be agreed.
 type Compactor struct {
 	cfg      Config
-	store    platform.Store
+	store    objstore.Store
 	view     member.View
 	log      *event.Log
 	clock    platformClock
@@ -50,7 +50,7 @@
 
 // NewCompactor returns a compactor. Every host has one. One host at a time
 // also sets the gauges of burn, for the objectives of the services given.
-func NewCompactor(cfg Config, store platform.Store, view member.View, services func() []catalog.Service,
+func NewCompactor(cfg Config, store objstore.Store, view member.View, services func() []catalog.Service,
 	log *event.Log, reg prometheus.Registerer) *Compactor {
 	return &Compactor{
 		cfg: cfg, store: store, view: view, log: log, clock: platformClock{store: store},
@@ -152,7 +152,7 @@
 // round sums up everything in the shard that is due, also what earlier rounds
 // left.
 func (c *Compactor) round(ctx context.Context, now time.Time, shard int) error {
-	listing, err := c.store.List(ctx, inShard(platform.KindWindow, shard), inShard(kindIndex, shard))
+	listing, err := c.store.List(ctx, inShard(objstore.KindWindow, shard), inShard(kindIndex, shard))
 	if err != nil {
 		return Error.New("list windows of shard %d: %w", shard, err)
 	}
@@ -160,7 +160,7 @@
 	c.remember(shard, indexes)
 	summed := coveredBy(allSpans(indexes))
 	l := levels[0]
-	due := map[time.Time][]platform.Object{}
+	due := map[time.Time][]objstore.Object{}
 	for _, o := range windows {
 		if slot := l.slotOf(o.Created); !now.Before(slot.Add(l.slot + slotGrace)) {
 			due[slot] = append(due[slot], o)
@@ -194,8 +194,8 @@
 // sumWindows sums the windows of a slot and removes them. Windows that a sum
 // holds already, left by a round that was cut short or written a second time
 // by a delayed write, are only removed.
-func (c *Compactor) sumWindows(ctx context.Context, s *sum, objects []platform.Object, summed covered) error {
-	var removable []platform.Object
+func (c *Compactor) sumWindows(ctx context.Context, s *sum, objects []objstore.Object, summed covered) error {
+	var removable []objstore.Object
 	for _, o := range objects {
 		w, rows, err := decodeWindow(o.Value)
 		if err != nil {
@@ -278,6 +278,6 @@
 	return nil
 }
 
-func (c *Compactor) unreadable(o platform.Object, err error) {
+func (c *Compactor) unreadable(o objstore.Object, err error) {
 	c.log.Event(evUnreadable).Str("object", o.Kind+"/"+o.Name).Err(err).Msg("")
 }
--- a/internal/delivery/flush.go
+++ b/internal/delivery/flush.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // flush writes the pending windows, oldest first, until one fails or as many
@@ -34,8 +34,8 @@
 	ctx, cancel := context.WithTimeout(ctx, w.cfg.WriteTimeout.Std())
 	defer cancel()
 	_, err = w.store.Put(ctx, w.kind(p.window.Host), p.window.name(), 0, value)
-	var conflict *platform.Conflict
-	var unavailable *platform.Unavailable
+	var conflict *objstore.Conflict
+	var unavailable *objstore.Unavailable
 	switch {
 	case err == nil:
 		w.metrics.bytes.Add(float64(len(value)))
@@ -53,7 +53,7 @@
 
 // kind returns the kind of the host's windows.
 func (w *Windows) kind(host string) string {
-	return inShard(platform.KindWindow, shardOf(host, w.cfg.Shards))
+	return inShard(objstore.KindWindow, shardOf(host, w.cfg.Shards))
 }
 
 // value returns what to write: for a window in doubt the same as before.
--- a/internal/delivery/gather.go
+++ b/internal/delivery/gather.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/delivery/deliverypb"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // timedRows are the sums of the deliveries of a slot, or of a window that no sum
@@ -75,14 +75,14 @@
 // readShard lists windows and indexes at one revision, so that each window is
 // in exactly one place: in a sum, or by itself.
 func (r *Reporter) readShard(ctx context.Context, g *gathered, shard int, withRecords bool) error {
-	listing, err := r.store.List(ctx, inShard(platform.KindWindow, shard), inShard(kindIndex, shard))
+	listing, err := r.store.List(ctx, inShard(objstore.KindWindow, shard), inShard(kindIndex, shard))
 	if err != nil {
 		return Error.New("list windows: %w", err)
 	}
 	if now, ok := r.store.Now(); ok {
 		g.now = now
 	}
-	indexes, windows := readIndexes(listing.Objects, nil, func(o platform.Object, err error) { r.unreadable(g, o, err) })
+	indexes, windows := readIndexes(listing.Objects, nil, func(o objstore.Object, err error) { r.unreadable(g, o, err) })
 	summed := coveredBy(allSpans(indexes))
 	if err := r.addSums(ctx, g, indexes, withRecords); err != nil {
 		return err
@@ -160,7 +160,7 @@
 }
 
 // addWindow takes one window that no sum holds.
-func (r *Reporter) addWindow(g *gathered, o platform.Object, summed covered) {
+func (r *Reporter) addWindow(g *gathered, o objstore.Object, summed covered) {
 	w, rows, err := decodeWindow(o.Value)
 	if err != nil {
 		r.unreadable(g, o, err)
@@ -183,14 +183,14 @@
 }
 
 // endOf returns when a window ended; if its host did not know, when it was written.
-func endOf(w *Window, o platform.Object) time.Time {
+func endOf(w *Window, o objstore.Object) time.Time {
 	if w.End.IsZero() {
 		return o.Created
 	}
 	return w.End
 }
 
-func (r *Reporter) unreadable(g *gathered, o platform.Object, err error) {
+func (r *Reporter) unreadable(g *gathered, o objstore.Object, err error) {
 	name := o.Kind + "/" + o.Name
 	r.log.Event(evUnreadable).Str("object", name).Err(err).Msg("")
 	g.completeness.Unreadable = append(g.completeness.Unreadable, name)
--- a/internal/delivery/parts.go
+++ b/internal/delivery/parts.go
@@ -5,13 +5,13 @@
 	"errors"
 
 	"rhubarbwood.example/rhubarbwood/internal/delivery/deliverypb"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // partReader reads the parts of sums: each by itself when few are wanted, all
 // of a kind at once when many are.
 type partReader struct {
-	store  platform.Store
+	store  objstore.Store
 	listed map[string]map[string][]byte // by kind and name
 }
 
@@ -19,7 +19,7 @@
 // than a read of each, in calls to the platform.
 const manyParts = 40
 
-func newPartReader(ctx context.Context, store platform.Store, wanted []*index) (*partReader, error) {
+func newPartReader(ctx context.Context, store objstore.Store, wanted []*index) (*partReader, error) {
 	r := &partReader{store: store, listed: map[string]map[string][]byte{}}
 	parts := map[string]int{}
 	for _, x := range wanted {
@@ -62,7 +62,7 @@
 		return value, nil
 	}
 	o, err := r.store.Get(ctx, kind, name)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, objstore.ErrNotFound) {
 		return nil, errPartGone
 	}
 	if err != nil {
@@ -105,13 +105,13 @@
 	var all []Record
 	for _, set := range x.Records {
 		for i := range set.Parts {
-			value, err := r.part(ctx, platform.KindRecord, partName(set.Name, i))
+			value, err := r.part(ctx, objstore.KindRecord, partName(set.Name, i))
 			if err != nil {
 				return nil, err
 			}
 			m := &deliverypb.RecordPart{}
 			if err := decode(value, m); err != nil {
-				return nil, Error.New("read %s/%s: %w", platform.KindRecord, partName(set.Name, i), err)
+				return nil, Error.New("read %s/%s: %w", objstore.KindRecord, partName(set.Name, i), err)
 			}
 			all = append(all, recordsOf(m.GetRecords())...)
 		}
--- a/internal/delivery/report.go
+++ b/internal/delivery/report.go
@@ -9,7 +9,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/delivery/deliverypb"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // Filter keeps the deliveries whose field has, or with Not has not, the value.
@@ -75,13 +75,13 @@
 // Reporter merges windows of all hosts from the platform.
 type Reporter struct {
 	cfg   Config
-	store platform.Store
+	store objstore.Store
 	view  member.View
 	log   *event.Log
 }
 
 // NewReporter returns a reporter. Any host can have one.
-func NewReporter(cfg Config, store platform.Store, view member.View, log *event.Log) *Reporter {
+func NewReporter(cfg Config, store objstore.Store, view member.View, log *event.Log) *Reporter {
 	return &Reporter{cfg: cfg, store: store, view: view, log: log}
 }
 
--- a/internal/delivery/rollup.go
+++ b/internal/delivery/rollup.go
@@ -10,7 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rhubarbwood.example/rhubarbwood/internal/delivery/deliverypb"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // Kinds of the objects that hold the sums of many windows, apart from the kind
@@ -240,7 +240,7 @@
 
 // readIndexes takes the indexes out of a listing; the rest are windows. An
 // index never changes, so those that are known need no decoding.
-func readIndexes(objects []platform.Object, known map[string]*index, unreadable func(platform.Object, error)) (indexes []*index, windows []platform.Object) {
+func readIndexes(objects []objstore.Object, known map[string]*index, unreadable func(objstore.Object, error)) (indexes []*index, windows []objstore.Object) {
 	for _, o := range objects {
 		if !strings.HasPrefix(o.Kind, kindIndex) {
 			windows = append(windows, o)
@@ -260,7 +260,7 @@
 	return indexes, windows
 }
 
-func readIndex(o platform.Object) (*index, error) {
+func readIndex(o objstore.Object) (*index, error) {
 	m := &deliverypb.Index{}
 	if err := decode(o.Value, m); err != nil {
 		return nil, err
--- a/internal/delivery/sumstore.go
+++ b/internal/delivery/sumstore.go
@@ -8,7 +8,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rhubarbwood.example/rhubarbwood/internal/delivery/deliverypb"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // write writes the parts of a sum and then its index, from which it counts.
@@ -29,7 +29,7 @@
 		s.index.Records = append(s.index.Records, recordSet{Name: name, Parts: len(records)})
 	}
 	s.index.Parts = len(rows)
-	if err := c.putParts(ctx, platform.KindRecord, name, records); err != nil {
+	if err := c.putParts(ctx, objstore.KindRecord, name, records); err != nil {
 		return err
 	}
 	if err := c.putParts(ctx, s.index.partKind(), name, rows); err != nil {
@@ -61,7 +61,7 @@
 			_, err := c.store.Put(ctx, kind, name, version, value)
 			return err
 		})
-		var conflict *platform.Conflict
+		var conflict *objstore.Conflict
 		switch {
 		case err == nil:
 			return nil
@@ -98,7 +98,7 @@
 func (c *Compactor) removeRecords(ctx context.Context, sets []recordSet) error {
 	for _, set := range sets {
 		for i := range set.Parts {
-			if err := c.remove(ctx, platform.KindRecord, partName(set.Name, i), 1); err != nil {
+			if err := c.remove(ctx, objstore.KindRecord, partName(set.Name, i), 1); err != nil {
 				return err
 			}
 		}
@@ -115,9 +115,9 @@
 	}
 	for {
 		err := c.call(ctx, func(ctx context.Context) error { return c.store.Delete(ctx, kind, name, version) })
-		var conflict *platform.Conflict
+		var conflict *objstore.Conflict
 		switch {
-		case err == nil, errors.Is(err, platform.ErrNotFound):
+		case err == nil, errors.Is(err, objstore.ErrNotFound):
 			return nil
 		case errors.As(err, &conflict) && conflict.Current.Version == 0:
 			return nil
--- a/internal/delivery/windows.go
+++ b/internal/delivery/windows.go
@@ -9,7 +9,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // Windows is the Recorder of a host. It sums deliveries in memory and writes
@@ -17,7 +17,7 @@
 // take waits in bounded memory: totals are kept, only moments grow coarser.
 type Windows struct {
 	cfg     Config
-	store   platform.Store
+	store   objstore.Store
 	view    member.View
 	log     *event.Log
 	metrics *metrics
@@ -41,7 +41,7 @@
 }
 
 // New returns the recorder of the host that view calls itself.
-func New(cfg Config, store platform.Store, view member.View, log *event.Log, reg prometheus.Registerer) *Windows {
+func New(cfg Config, store objstore.Store, view member.View, log *event.Log, reg prometheus.Registerer) *Windows {
 	return &Windows{
 		cfg: cfg, store: store, view: view, log: log, metrics: newMetrics(reg),
 		clock: platformClock{store: store},
--- a/internal/gatewayhost/events.go
+++ b/internal/gatewayhost/events.go
@@ -9,7 +9,7 @@
 var (
 	evStarted = event.Define(12001, "gateway_host_started", plog.InfoLevel,
 		"The host listens. It is ready once it knows a configuration.", "none",
-		"failure_domain", "callers", "readiness", "store")
+		"failure_domain", "callers", "readiness", "platform")
 	evLeaving = event.Define(12002, "gateway_host_leaving", plog.InfoLevel,
 		"The host was told to stop; it is not ready any more and serves on until the balancer has noticed.", "none",
 		"balancer_lag", "grace")
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -12,10 +13,12 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // Names of the modules.
 const (
+	modPlatform  = "platform"  // client of the platform's object API
 	modState     = "state"     // what the host believes
 	modFollower  = "follower"  // keeps it up to date from the store
 	modGateway   = "gateway"   // forwards requests
@@ -26,7 +29,9 @@
 
 // Platform is what a host needs of the platform that it runs on.
 type Platform struct {
-	Source   discovery.Source
+	// Records opens the object API at the addresses of the settings.
+	Records  func(objstore.Config) objstore.Records
+	Source   func(objstore.Records) discovery.Source
 	Messages gateway.Messages
 }
 
@@ -55,9 +60,10 @@
 
 func (h *Host) register() {
 	k := h.kernel
+	k.Register(modPlatform, h.newPlatform)
 	k.Register(modState, h.newState)
 	k.Register(modGateway, h.newGateway, modState)
-	k.Register(modFollower, h.newFollower, modState, modGateway)
+	k.Register(modFollower, h.newFollower, modPlatform, modState, modGateway)
 	k.Register(modMetrics, h.newMetrics)
 	k.Register(modCallers, h.newCallers, modGateway, modFollower)
 	k.Register(modReadiness, h.newReadiness, modGateway, modCallers)
@@ -76,12 +82,33 @@
 	return stateModule{discovery.NewState()}, nil
 }
 
+// platformModule is the governed object API as a module.
+type platformModule struct{ *objstore.Governed }
+
+// Start does nothing: a host starts while the platform is down, too.
+func (platformModule) Start(context.Context) error { return nil }
+
+// Stop closes the idle connections.
+func (m platformModule) Stop(context.Context) error {
+	m.Close()
+	return nil
+}
+
+func (h *Host) newPlatform(kernel.Finder) (kernel.Module, error) {
+	cfg := h.settings.Platform
+	return platformModule{objstore.Govern(cfg, h.platform.Records(cfg), h.log, h.metrics)}, nil
+}
+
 func (h *Host) newFollower(f kernel.Finder) (kernel.Module, error) {
 	state, err := kernel.Find[stateModule](f, modState)
 	if err != nil {
 		return nil, err
 	}
-	return discovery.NewFollower(h.settings.Discovery, h.platform.Source, state.State, h.log), nil
+	records, err := kernel.Find[objstore.Records](f, modPlatform)
+	if err != nil {
+		return nil, err
+	}
+	return discovery.NewFollower(h.settings.Discovery, h.platform.Source(records), state.State, h.log), nil
 }
 
 func (h *Host) newGateway(f kernel.Finder) (kernel.Module, error) {
@@ -121,7 +148,7 @@
 	}
 	a := h.settings.Addresses
 	h.log.Event(evStarted).Str("failure_domain", h.settings.FailureDomain).Str("callers", a.Callers).
-		Str("readiness", a.Readiness).Str("store", h.settings.Store.Address).Msg("")
+		Str("readiness", a.Readiness).Strs("platform", h.settings.Platform.Addresses).Msg("")
 	return nil
 }
 
@@ -139,7 +166,7 @@
 // restartNeeded reports whether settings differ in more than the log level.
 func (h *Host) restartNeeded(s Settings) bool {
 	s.Log = h.settings.Log
-	return s != h.settings
+	return !reflect.DeepEqual(s, h.settings)
 }
 
 // Stop leaves gracefully: readiness fails at once, callers are served until
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -11,6 +11,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/host"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/settings"
 	"rhubarbwood.example/rhubarbwood/internal/unit"
 )
@@ -25,8 +26,8 @@
 	Addresses     Addresses `json:"addresses"`
 	Log           host.Log  `json:"log"`
 	Stop          Stop      `json:"stop"`
-	Store         Store     `json:"store"`
 
+	Platform  objstore.Config  `json:"platform"`
 	Discovery discovery.Config `json:"discovery"`
 	Gateway   gateway.Config   `json:"gateway"`
 }
@@ -38,12 +39,6 @@
 	Metrics   string `json:"metrics"`   // counters and histograms
 }
 
-// Store is where configuration and registry are.
-type Store struct {
-	Address string        `json:"address"` // host:port
-	Timeout unit.Duration `json:"timeout"` // of one call; a watch takes this long on top of its wait
-}
-
 // Stop is how the host leaves.
 type Stop struct {
 	// Grace is the time from the signal to the forced end of the process.
@@ -54,8 +49,7 @@
 
 // Defaults of the settings.
 const (
-	defaultStoreTimeout = time.Second
-	defaultGrace        = 6 * time.Second
+	defaultGrace = 6 * time.Second
 	// defaultBalancerLag covers two missed questions, a second apart, the time
 	// to open a connection, and a request on one that was just opened.
 	defaultBalancerLag = 3700 * time.Millisecond
@@ -64,7 +58,7 @@
 )
 
 // DefaultSettings returns the defaults. It lacks what only the site knows: id,
-// failure domain, addresses and the store's address.
+// failure domain, addresses and the platform's address.
 func DefaultSettings() Settings {
 	return Settings{
 		Log: host.Log{Level: "info"},
@@ -72,7 +66,7 @@
 			Grace:       unit.Duration(defaultGrace),
 			BalancerLag: unit.Duration(defaultBalancerLag),
 		},
-		Store:     Store{Timeout: unit.Duration(defaultStoreTimeout)},
+		Platform:  objstore.DefaultConfig(),
 		Discovery: discovery.DefaultConfig(),
 		Gateway:   gateway.DefaultConfig(),
 	}
@@ -92,15 +86,6 @@
 	)
 }
 
-// Validate checks the address and the range.
-func (s Store) Validate() error {
-	err := settings.CheckAddress("address", s.Address)
-	if s.Timeout <= 0 {
-		err = errors.Join(err, Error.New("timeout %s: want more than 0", s.Timeout))
-	}
-	return err
-}
-
 // Validate checks that a stop has the time it needs.
 func (s Stop) Validate() error {
 	if s.BalancerLag < 0 || s.Grace.Std() <= s.BalancerLag.Std()+exitMargin {
--- a/internal/host/modules.go
+++ b/internal/host/modules.go
@@ -10,11 +10,12 @@
 	"rhubarbwood.example/rhubarbwood/internal/entry"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/peer"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
 	"rhubarbwood.example/rhubarbwood/internal/relay"
 	"rhubarbwood.example/rhubarbwood/internal/relayrpc"
+	"rhubarbwood.example/rhubarbwood/platform"
 )
 
 // Names of the modules.
@@ -55,7 +56,9 @@
 }
 
 func (h *Host) newPlatform(kernel.Finder) (kernel.Module, error) {
-	return platform.New(h.settings.Platform, h.log, h.metrics), nil
+	cfg := h.settings.Platform
+	records := platform.NewObjects(cfg.Timeout.Std(), cfg.Addresses...)
+	return objstore.New(objstore.Govern(cfg, records, h.log, h.metrics)), nil
 }
 
 func (h *Host) newPeerPool(kernel.Finder) (kernel.Module, error) {
@@ -70,7 +73,7 @@
 
 func (h *Host) newMembers(f kernel.Finder) (kernel.Module, error) {
 	l := lookup{finder: f}
-	store := find[platform.Store](&l, modPlatform)
+	store := find[objstore.Store](&l, modPlatform)
 	pool := find[peer.Dialer](&l, modPeerPool)
 	server := find[*peer.Server](&l, modPeerServer)
 	if l.err != nil {
@@ -89,7 +92,7 @@
 
 func (h *Host) newCatalog(f kernel.Finder) (kernel.Module, error) {
 	l := lookup{finder: f}
-	store := find[platform.Store](&l, modPlatform)
+	store := find[objstore.Store](&l, modPlatform)
 	pool := find[peer.Dialer](&l, modPeerPool)
 	server := find[*peer.Server](&l, modPeerServer)
 	members := find[*member.Members](&l, modMembers)
@@ -104,7 +107,7 @@
 
 func (h *Host) newRelay(f kernel.Finder) (kernel.Module, error) {
 	l := lookup{finder: f}
-	store := find[platform.Store](&l, modPlatform)
+	store := find[objstore.Store](&l, modPlatform)
 	members := find[member.View](&l, modMembers)
 	services := find[catalog.View](&l, modCatalog)
 	pool := find[peer.Dialer](&l, modPeerPool)
@@ -119,7 +122,7 @@
 
 func (h *Host) newClaims(f kernel.Finder) (kernel.Module, error) {
 	l := lookup{finder: f}
-	store := find[platform.Store](&l, modPlatform)
+	store := find[objstore.Store](&l, modPlatform)
 	pool := find[peer.Dialer](&l, modPeerPool)
 	server := find[*peer.Server](&l, modPeerServer)
 	members := find[member.View](&l, modMembers)
@@ -159,7 +162,7 @@
 
 func (h *Host) newDelivery(f kernel.Finder) (kernel.Module, error) {
 	l := lookup{finder: f}
-	store := find[platform.Store](&l, modPlatform)
+	store := find[objstore.Store](&l, modPlatform)
 	members := find[member.View](&l, modMembers)
 	if l.err != nil {
 		return nil, l.err
@@ -169,7 +172,7 @@
 
 func (h *Host) newCompactor(f kernel.Finder) (kernel.Module, error) {
 	l := lookup{finder: f}
-	store := find[platform.Store](&l, modPlatform)
+	store := find[objstore.Store](&l, modPlatform)
 	members := find[member.View](&l, modMembers)
 	services := find[catalog.View](&l, modCatalog)
 	if l.err != nil {
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -16,7 +16,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/delivery"
 	"rhubarbwood.example/rhubarbwood/internal/entry"
 	"rhubarbwood.example/rhubarbwood/internal/member"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/relay"
 	"rhubarbwood.example/rhubarbwood/internal/settings"
 	"rhubarbwood.example/rhubarbwood/internal/unit"
@@ -32,7 +32,7 @@
 	Log           Log        `json:"log"`
 	Stop          Stop       `json:"stop"`
 
-	Platform platform.Config `json:"platform"`
+	Platform objstore.Config `json:"platform"`
 	Member   member.Config   `json:"member"`
 	Catalog  catalog.Config  `json:"catalog"`
 	Relay    relay.Config    `json:"relay"`
@@ -87,7 +87,7 @@
 			HardLimit:     unit.Duration(time.Minute),
 		},
 
-		Platform: platform.DefaultConfig(),
+		Platform: objstore.DefaultConfig(),
 		Member:   member.DefaultConfig(),
 		Catalog:  catalog.DefaultConfig(),
 		Relay:    relay.DefaultConfig(),
--- a/internal/host/statements.go
+++ b/internal/host/statements.go
@@ -9,15 +9,15 @@
 	"rhubarbwood.example/rhubarbwood/internal/delivery"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/operate"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 	"rhubarbwood.example/rhubarbwood/internal/relay"
 )
 
 func (h *Host) newOperators(f kernel.Finder) (kernel.Module, error) {
 	l := lookup{finder: f}
-	store := find[platform.Store](&l, modPlatform)
+	store := find[objstore.Store](&l, modPlatform)
 	members := find[member.View](&l, modMembers)
 	cat := find[*catalog.Catalog](&l, modCatalog)
 	claims := find[*claim.Claims](&l, modClaims)
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -15,8 +15,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
 // Prober sends one probe to the host that listens on address.
@@ -43,7 +43,7 @@
 // a Notifier, and the server of the Members calls of its peers.
 type Members struct {
 	cfg     Config
-	store   platform.Store
+	store   objstore.Store
 	prober  Prober
 	log     *event.Log
 	metrics *metrics
@@ -77,7 +77,7 @@
 
 // New returns the membership of the host self, whose State, Incarnation and
 // Revision are not read.
-func New(cfg Config, self Host, store platform.Store, prober Prober, log *event.Log, reg prometheus.Registerer) *Members {
+func New(cfg Config, self Host, store objstore.Store, prober Prober, log *event.Log, reg prometheus.Registerer) *Members {
 	self.State, self.Revision = Alive, 0
 	self.Incarnation = uint64(time.Now().UnixNano())
 	m := &Members{
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -9,8 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
 // joinWrites bounds the writes of the own record at start when others race.
@@ -20,7 +20,7 @@
 // and the seeds for the whole list.
 func (m *Members) join(ctx context.Context) {
 	for range joinWrites {
-		var conflict *platform.Conflict
+		var conflict *objstore.Conflict
 		if err := m.refresh(ctx); !errors.As(err, &conflict) {
 			break
 		}
@@ -66,12 +66,12 @@
 func (m *Members) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.PlatformTimeout.Std())
 	defer cancel()
-	listing, err := m.store.List(ctx, platform.KindMember)
+	listing, err := m.store.List(ctx, objstore.KindMember)
 	m.countCall("list", err)
 	if err != nil {
 		return Error.New("list members: %w", err)
 	}
-	var own platform.Object
+	var own objstore.Object
 	for _, o := range listing.Objects {
 		if o.Name == m.self.ID {
 			own = o
@@ -87,7 +87,7 @@
 
 // learnRecord takes in a host's record, and removes the record if the host has
 // long been dead and it falls to this host.
-func (m *Members) learnRecord(ctx context.Context, o platform.Object) {
+func (m *Members) learnRecord(ctx context.Context, o objstore.Object) {
 	var h Host
 	if json.Unmarshal(o.Value, &h) != nil || h.ID != o.Name || h.Peer == "" {
 		return // not written by this system
@@ -124,7 +124,7 @@
 
 // writeRecord writes this host's record unless the one in the platform is of
 // this incarnation. current is that object, the zero value if there is none.
-func (m *Members) writeRecord(ctx context.Context, current platform.Object) error {
+func (m *Members) writeRecord(ctx context.Context, current objstore.Object) error {
 	var recorded Host
 	if current.Version > 0 && json.Unmarshal(current.Value, &recorded) != nil {
 		recorded = Host{}
@@ -137,7 +137,7 @@
 	if err != nil {
 		return Error.New("encode member record: %w", err)
 	}
-	_, err = m.store.Put(ctx, platform.KindMember, self.ID, current.Version, value)
+	_, err = m.store.Put(ctx, objstore.KindMember, self.ID, current.Version, value)
 	m.countCall("put", err)
 	if err != nil {
 		return Error.New("write member record: %w", err)
@@ -163,8 +163,8 @@
 func (m *Members) removeRecord(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.PlatformTimeout.Std())
 	defer cancel()
-	o, err := m.store.Get(ctx, platform.KindMember, m.self.ID)
-	if errors.Is(err, platform.ErrNotFound) {
+	o, err := m.store.Get(ctx, objstore.KindMember, m.self.ID)
+	if errors.Is(err, objstore.ErrNotFound) {
 		return
 	}
 	if err == nil {
--- a/internal/platform/api.go
+++ b/internal/objstore/api.go
@@ -1,6 +1,7 @@
-// Package platform is the client of the platform's object API: the only code
-// that knows its wire format. What must last is kept there, and nowhere else.
-package platform
+// Package objstore keeps what must last in the platform's object API, and
+// nowhere else: versioned objects over the records that the platform offers. It
+// knows no wire format.
+package objstore
 
 import (
 	"context"
@@ -46,6 +47,9 @@
 	Leaving bool   `json:"leaving"`
 }
 
+// MaxValue is the largest value of an object, in bytes.
+const MaxValue = 1<<20 - 1<<10 // the platform takes 1 MiB, with the envelope
+
 // Store is the platform's object API. Errors are *Conflict, ErrNotFound,
 // ErrCompacted, *Unavailable or *Unanswered.
 type Store interface {
--- a/internal/platform/config.go
+++ b/internal/objstore/config.go
@@ -1,4 +1,4 @@
-package platform
+package objstore
 
 import (
 	"errors"
--- /dev/null
+++ b/internal/objstore/envelope.go
@@ -0,0 +1,61 @@
+package objstore
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// envelope is the spec of an object of the product's own kinds. The platform
+// keeps a revision of each record but neither a version that counts its changes
+// nor times, so they lie with the value.
+type envelope struct {
+	Meta  *envelopeMeta   `json:"rhubarbwood"`
+	Value json.RawMessage `json:"value"`
+}
+
+type envelopeMeta struct {
+	Version uint64    `json:"version"`
+	Created time.Time `json:"created"` // by the platform's clock
+	Changed time.Time `json:"changed"` // by the platform's clock
+}
+
+// Open returns the object that a record holds. A record that was not written
+// by a Client, such as one made by hand, is at version 1 and has no times.
+func Open(kind string, r Record) (Object, error) {
+	o := Object{Kind: kind, Name: r.Name, Revision: r.Revision, Deleted: r.Deleted}
+	var e envelope
+	if err := json.Unmarshal(r.Spec, &e); err != nil || e.Meta == nil {
+		o.Version, o.Value = 1, r.Spec
+		if !json.Valid(r.Spec) {
+			return o, Error.New("record %s/%s is not JSON", kind, r.Name)
+		}
+		return o.withoutDeletedValue(), nil
+	}
+	o.Version, o.Value = e.Meta.Version, e.Value
+	o.Created, o.Changed = e.Meta.Created, e.Meta.Changed
+	return o.withoutDeletedValue(), nil
+}
+
+func (o Object) withoutDeletedValue() Object {
+	if o.Deleted {
+		o.Version++
+		o.Value = nil
+	}
+	return o
+}
+
+// seal returns the spec that holds the object's value, version and times.
+func (o Object) seal() (json.RawMessage, error) {
+	value := o.Value
+	if len(value) == 0 {
+		value = json.RawMessage("null")
+	}
+	spec, err := json.Marshal(envelope{
+		Meta:  &envelopeMeta{Version: o.Version, Created: o.Created, Changed: o.Changed},
+		Value: value,
+	})
+	if err != nil {
+		return nil, Error.New("encode %s/%s: %w", o.Kind, o.Name, err)
+	}
+	return spec, nil
+}
--- a/internal/platform/events.go
+++ b/internal/objstore/events.go
@@ -1,4 +1,4 @@
-package platform
+package objstore
 
 import (
 	plog "github.com/phuslu/log"
--- /dev/null
+++ b/internal/objstore/governed.go
@@ -0,0 +1,151 @@
+package objstore
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+)
+
+// Verbs, as the metrics name them.
+const (
+	verbGet    = "get"
+	verbList   = "list"
+	verbPut    = "put"
+	verbDelete = "delete"
+	verbWatch  = "watch"
+	verbHosts  = "hosts"
+)
+
+// Governed keeps the calls of one host within its rate and its timeout, counts
+// them, and logs when the platform begins or ceases to answer. It never repeats
+// a call, since only the caller knows whether that is safe.
+type Governed struct {
+	cfg     Config
+	records Records
+	bucket  *rate.Limiter
+	up      atomic.Bool
+	log     *event.Log
+	metrics *metrics
+}
+
+var _ Records = (*Governed)(nil)
+
+// Govern returns records under the limits of valid settings.
+func Govern(cfg Config, records Records, log *event.Log, reg prometheus.Registerer) *Governed {
+	return &Governed{
+		cfg: cfg, records: records, log: log, metrics: newMetrics(reg),
+		bucket: rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.Burst),
+	}
+}
+
+// Get implements Records.
+func (g *Governed) Get(ctx context.Context, kind, name string) (r Record, err error) {
+	err = g.call(ctx, verbGet, 0, func(ctx context.Context) (err error) {
+		r, err = g.records.Get(ctx, kind, name)
+		return err
+	})
+	return r, err
+}
+
+// List implements Records.
+func (g *Governed) List(ctx context.Context, kind, after string) (p RecordPage, err error) {
+	err = g.call(ctx, verbList, 0, func(ctx context.Context) (err error) {
+		p, err = g.records.List(ctx, kind, after)
+		return err
+	})
+	return p, err
+}
+
+// Watch implements Records. The timeout comes on top of the wait.
+func (g *Governed) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (p RecordPage, err error) {
+	err = g.call(ctx, verbWatch, wait, func(ctx context.Context) (err error) {
+		p, err = g.records.Watch(ctx, kind, after, wait)
+		return err
+	})
+	return p, err
+}
+
+// Create implements Records.
+func (g *Governed) Create(ctx context.Context, kind, name string, spec json.RawMessage) (r Record, err error) {
+	err = g.call(ctx, verbPut, 0, func(ctx context.Context) (err error) {
+		r, err = g.records.Create(ctx, kind, name, spec)
+		return err
+	})
+	return r, err
+}
+
+// Replace implements Records.
+func (g *Governed) Replace(ctx context.Context, kind, name string, revision uint64, spec json.RawMessage) (r Record, err error) {
+	err = g.call(ctx, verbPut, 0, func(ctx context.Context) (err error) {
+		r, err = g.records.Replace(ctx, kind, name, revision, spec)
+		return err
+	})
+	return r, err
+}
+
+// Delete implements Records.
+func (g *Governed) Delete(ctx context.Context, kind, name string, revision uint64) error {
+	return g.call(ctx, verbDelete, 0, func(ctx context.Context) error {
+		return g.records.Delete(ctx, kind, name, revision)
+	})
+}
+
+// Hosts implements Records.
+func (g *Governed) Hosts(ctx context.Context) (hosts []LiveHost, err error) {
+	err = g.call(ctx, verbHosts, 0, func(ctx context.Context) (err error) {
+		hosts, err = g.records.Hosts(ctx)
+		return err
+	})
+	return hosts, err
+}
+
+// Now implements Records.
+func (g *Governed) Now() (time.Time, bool) { return g.records.Now() }
+
+// Close implements Records.
+func (g *Governed) Close() { g.records.Close() }
+
+// call makes one call within the token bucket and the timeout; wait is added
+// to the timeout.
+func (g *Governed) call(ctx context.Context, verb string, wait time.Duration, do func(context.Context) error) error {
+	start := time.Now()
+	limited, cancel := context.WithTimeout(ctx, g.cfg.Timeout.Std()+wait)
+	defer cancel()
+	err := g.takeToken(limited, verb)
+	if err == nil {
+		err = do(limited)
+		g.logReachability(ctx, verb, err)
+	}
+	g.metrics.observe(verb, time.Since(start), err)
+	return err
+}
+
+// takeToken waits for a token of the bucket; it fails at once when none would
+// come in time.
+func (g *Governed) takeToken(ctx context.Context, verb string) error {
+	if err := g.bucket.Wait(ctx); err != nil {
+		return &Unavailable{Cause: Error.New("%s: wait for a token of %g calls a second: %w", verb, g.cfg.CallsPerSecond, err)}
+	}
+	return nil
+}
+
+// logReachability logs when the platform begins or ceases to answer. A call
+// that the caller gave up tells nothing about that.
+func (g *Governed) logReachability(ctx context.Context, verb string, err error) {
+	switch resultOf(err) {
+	case resultUnavailable, resultUnanswered:
+		if ctx.Err() == nil && g.up.CompareAndSwap(true, false) {
+			g.log.Event(evUnreachable).Str("verb", verb).Str("error", err.Error()).Msg("")
+		}
+	default:
+		if g.up.CompareAndSwap(false, true) {
+			g.log.Event(evReachable).Str("verb", verb).Msg("")
+		}
+	}
+}
--- /dev/null
+++ b/internal/objstore/governed_test.go
@@ -0,0 +1,180 @@
+package objstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+)
+
+// fakeRecords is a platform in memory. Its next write fails with err if that is
+// set; it is then not applied.
+type fakeRecords struct {
+	records  map[objectKey]Record
+	changes  []keyedRecord
+	revision uint64
+	err      error
+	calls    []string
+	page     int // records in a page; 0: all
+	now      time.Time
+}
+
+type keyedRecord struct {
+	kind   string
+	record Record
+}
+
+func newFake() *fakeRecords { return &fakeRecords{records: map[objectKey]Record{}} }
+
+func (f *fakeRecords) fail(call string) error {
+	f.calls = append(f.calls, call)
+	err := f.err
+	f.err = nil
+	return err
+}
+
+func (f *fakeRecords) Get(_ context.Context, kind, name string) (Record, error) {
+	if err := f.fail("get"); err != nil {
+		return Record{}, err
+	}
+	r, ok := f.records[objectKey{kind, name}]
+	if !ok {
+		return Record{}, ErrNotFound
+	}
+	return r, nil
+}
+
+func (f *fakeRecords) List(_ context.Context, kind, after string) (RecordPage, error) {
+	p := RecordPage{Revision: f.revision}
+	if err := f.fail("list"); err != nil {
+		return p, err
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		r, ok := f.records[objectKey{kind, name}]
+		if !ok || name <= after {
+			continue
+		}
+		if f.page > 0 && len(p.Records) == f.page {
+			p.More = true
+			break
+		}
+		p.Records = append(p.Records, r)
+	}
+	return p, nil
+}
+
+func (f *fakeRecords) Watch(_ context.Context, kind string, after uint64, _ time.Duration) (RecordPage, error) {
+	p := RecordPage{Revision: f.revision}
+	for _, c := range f.changes {
+		if c.kind == kind && c.record.Revision > after {
+			p.Records = append(p.Records, c.record)
+		}
+	}
+	return p, f.fail("watch")
+}
+
+func (f *fakeRecords) Create(_ context.Context, kind, name string, spec json.RawMessage) (Record, error) {
+	if err := f.fail("create"); err != nil {
+		return Record{}, err
+	}
+	if r, ok := f.records[objectKey{kind, name}]; ok {
+		return Record{}, &RecordConflict{Current: r}
+	}
+	return f.set(kind, name, spec), nil
+}
+
+func (f *fakeRecords) Replace(_ context.Context, kind, name string, revision uint64, spec json.RawMessage) (Record, error) {
+	if err := f.fail("replace"); err != nil {
+		return Record{}, err
+	}
+	if r := f.records[objectKey{kind, name}]; r.Revision != revision {
+		return Record{}, &RecordConflict{Current: r}
+	}
+	return f.set(kind, name, spec), nil
+}
+
+func (f *fakeRecords) Delete(_ context.Context, kind, name string, revision uint64) error {
+	if err := f.fail("delete"); err != nil {
+		return err
+	}
+	r := f.records[objectKey{kind, name}]
+	if r.Revision != revision {
+		return &RecordConflict{Current: r}
+	}
+	f.revision++
+	r.Revision, r.Deleted = f.revision, true
+	f.changes = append(f.changes, keyedRecord{kind, r})
+	delete(f.records, objectKey{kind, name})
+	return nil
+}
+
+func (f *fakeRecords) set(kind, name string, spec json.RawMessage) Record {
+	f.revision++
+	r := Record{Name: name, Revision: f.revision, Spec: spec}
+	f.records[objectKey{kind, name}] = r
+	f.changes = append(f.changes, keyedRecord{kind, r})
+	return r
+}
+
+func (f *fakeRecords) Hosts(context.Context) ([]LiveHost, error) { return nil, f.fail("hosts") }
+func (f *fakeRecords) Now() (time.Time, bool)                    { return f.now, !f.now.IsZero() }
+func (f *fakeRecords) Close()                                    {}
+
+func govern(f *fakeRecords) *Governed {
+	return Govern(DefaultConfig(), f, event.Discard(), prometheus.NewRegistry())
+}
+
+func TestCallsAreCountedByResult(t *testing.T) {
+	for want, err := range map[string]error{
+		resultOK:          nil,
+		resultNotFound:    ErrNotFound,
+		resultCompacted:   ErrCompacted,
+		resultConflict:    &RecordConflict{},
+		resultUnavailable: &Unavailable{Cause: errors.New("refused")},
+		resultUnanswered:  &Unanswered{Cause: errors.New("cut")},
+	} {
+		t.Run(want, func(t *testing.T) {
+			is := is.New(t)
+			f := newFake()
+			f.err = err
+			g := govern(f)
+			_, got := g.Create(t.Context(), "k", "a", json.RawMessage(`{}`))
+			is.Equal(got, err)
+			is.Equal(testutil.ToFloat64(g.metrics.calls.WithLabelValues(verbPut, want)), 1.0)
+		})
+	}
+}
+
+// TestNoTokenIsUnavailable spends the bucket; the next call would wait for
+// longer than its timeout, so it fails at once and is not sent.
+func TestNoTokenIsUnavailable(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	g := govern(f)
+	g.bucket.SetLimit(0.001)
+	g.bucket.SetBurst(1)
+	_, err := g.Create(t.Context(), "k", "a", json.RawMessage(`{}`))
+	is.NoErr(err)
+	_, err = g.Create(t.Context(), "k", "b", json.RawMessage(`{}`))
+	is.Equal(resultOf(err), resultUnavailable)
+	is.Equal(len(f.calls), 1)
+}
+
+func TestValidateReportsEveryProblem(t *testing.T) {
+	is := is.New(t)
+	good := DefaultConfig()
+	good.Addresses = []string{"127.0.0.1:1"}
+	is.NoErr(good.Validate())
+	bad := Config{Addresses: []string{"nowhere"}, Timeout: -1}
+	problems := strings.Split(bad.Validate().Error(), "\n")
+	is.Equal(len(problems), 4) // address, timeout, rate, burst
+	is.Equal(len(strings.Split(Config{}.Validate().Error(), "\n")), 4)
+}
--- a/internal/platform/metrics.go
+++ b/internal/objstore/metrics.go
@@ -1,4 +1,4 @@
-package platform
+package objstore
 
 import (
 	"errors"
@@ -46,11 +46,12 @@
 // resultOf names the result of a call by its error.
 func resultOf(err error) string {
 	var conflict *Conflict
+	var refused *RecordConflict
 	var unavailable *Unavailable
 	switch {
 	case err == nil:
 		return resultOK
-	case errors.As(err, &conflict):
+	case errors.As(err, &conflict), errors.As(err, &refused):
 		return resultConflict
 	case errors.Is(err, ErrNotFound):
 		return resultNotFound
--- a/internal/platform/platformtest/client.go
+++ b/internal/objstore/objstoretest/client.go
@@ -1,4 +1,4 @@
-package platformtest
+package objstoretest
 
 import (
 	"context"
@@ -6,11 +6,11 @@
 	"sync"
 	"time"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // Client is one host's client of the platform, with faults of its own. It
-// implements platform.Store.
+// implements objstore.Store.
 type Client struct {
 	p *Platform
 
@@ -23,7 +23,7 @@
 	now          time.Time
 }
 
-var _ platform.Store = (*Client)(nil)
+var _ objstore.Store = (*Client)(nil)
 
 // Outage cuts this client off from the platform, or connects it again.
 func (c *Client) Outage(down bool) {
@@ -34,40 +34,40 @@
 }
 
 // LoseNextAnswers lets the next n writes take effect and fail with
-// *platform.Unanswered.
+// *objstore.Unanswered.
 func (c *Client) LoseNextAnswers(n int) { c.set(func() { c.loseAnswers = n }) }
 
-// LoseNextRequests lets the next n writes fail with *platform.Unanswered
+// LoseNextRequests lets the next n writes fail with *objstore.Unanswered
 // without effect.
 func (c *Client) LoseNextRequests(n int) { c.set(func() { c.loseRequests = n }) }
 
-// HoldNextWrites lets the next n writes fail with *platform.Unanswered and
+// HoldNextWrites lets the next n writes fail with *objstore.Unanswered and
 // take effect when Platform.Release is called.
 func (c *Client) HoldNextWrites(n int) { c.set(func() { c.holdWrites = n }) }
 
 // SetLatency makes each call but a watch take d before it takes effect. A
-// call whose context ends first fails with *platform.Unanswered, without effect.
+// call whose context ends first fails with *objstore.Unanswered, without effect.
 func (c *Client) SetLatency(d time.Duration) { c.set(func() { c.latency = d }) }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+// Get implements objstore.Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (objstore.Object, error) {
 	if err := c.begin(ctx, "get"); err != nil {
-		return platform.Object{}, err
+		return objstore.Object{}, err
 	}
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
 	c.tick()
 	o, ok := c.p.objects[key{kind, name}]
 	if !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objstore.Object{}, objstore.ErrNotFound
 	}
 	return o, nil
 }
 
-// List implements platform.Store.
-func (c *Client) List(ctx context.Context, kinds ...string) (platform.Listing, error) {
+// List implements objstore.Store.
+func (c *Client) List(ctx context.Context, kinds ...string) (objstore.Listing, error) {
 	if err := c.begin(ctx, "list"); err != nil {
-		return platform.Listing{}, err
+		return objstore.Listing{}, err
 	}
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
@@ -75,21 +75,21 @@
 	return c.p.list(kinds...), nil
 }
 
-// Put implements platform.Store.
-func (c *Client) Put(ctx context.Context, kind, name string, version uint64, value []byte) (platform.Object, error) {
+// Put implements objstore.Store.
+func (c *Client) Put(ctx context.Context, kind, name string, version uint64, value []byte) (objstore.Object, error) {
 	return c.write(ctx, "put", key{kind, name}, version, value, false)
 }
 
-// Delete implements platform.Store.
+// Delete implements objstore.Store.
 func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
 	_, err := c.write(ctx, "delete", key{kind, name}, version, nil, true)
 	return err
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration, kinds ...string) (platform.Listing, error) {
+// Watch implements objstore.Store.
+func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration, kinds ...string) (objstore.Listing, error) {
 	if err := c.begin(ctx, "watch"); err != nil {
-		return platform.Listing{}, err
+		return objstore.Listing{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
@@ -103,13 +103,13 @@
 		case <-timer.C:
 			return l, nil
 		case <-ctx.Done():
-			return platform.Listing{}, &platform.Unanswered{Cause: ctx.Err()}
+			return objstore.Listing{}, &objstore.Unanswered{Cause: ctx.Err()}
 		}
 	}
 }
 
-// Hosts implements platform.Store.
-func (c *Client) Hosts(ctx context.Context) ([]platform.LiveHost, error) {
+// Hosts implements objstore.Store.
+func (c *Client) Hosts(ctx context.Context) ([]objstore.LiveHost, error) {
 	if err := c.begin(ctx, "hosts"); err != nil {
 		return nil, err
 	}
@@ -119,7 +119,7 @@
 	return slices.Clone(c.p.hosts), nil
 }
 
-// Now implements platform.Store.
+// Now implements objstore.Store.
 func (c *Client) Now() (time.Time, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -139,7 +139,7 @@
 	c.p.calls[verb]++
 	c.p.mu.Unlock()
 	if c.cut() || ctx.Err() != nil {
-		return &platform.Unavailable{Cause: errDown}
+		return &objstore.Unavailable{Cause: errDown}
 	}
 	c.mu.Lock()
 	latency := c.latency
@@ -152,10 +152,10 @@
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
-		return &platform.Unanswered{Cause: ctx.Err()}
+		return &objstore.Unanswered{Cause: ctx.Err()}
 	}
 	if c.cut() {
-		return &platform.Unanswered{Cause: errDown}
+		return &objstore.Unanswered{Cause: errDown}
 	}
 	return nil
 }
@@ -180,24 +180,24 @@
 	}
 }
 
-func (c *Client) write(ctx context.Context, verb string, k key, version uint64, value []byte, deleted bool) (platform.Object, error) {
+func (c *Client) write(ctx context.Context, verb string, k key, version uint64, value []byte, deleted bool) (objstore.Object, error) {
 	if err := c.begin(ctx, verb); err != nil {
-		return platform.Object{}, err
+		return objstore.Object{}, err
 	}
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
-	lost := &platform.Unanswered{Cause: errDown}
+	lost := &objstore.Unanswered{Cause: errDown}
 	switch {
 	case c.take(&c.loseRequests):
-		return platform.Object{}, lost
+		return objstore.Object{}, lost
 	case c.take(&c.holdWrites):
 		kept := slices.Clone(value)
 		c.p.held = append(c.p.held, func() { _, _ = c.p.write(k, version, kept, deleted) })
-		return platform.Object{}, lost
+		return objstore.Object{}, lost
 	}
 	o, err := c.p.write(k, version, value, deleted)
 	if c.take(&c.loseAnswers) {
-		return platform.Object{}, lost
+		return objstore.Object{}, lost
 	}
 	c.tick()
 	return o, err
@@ -215,17 +215,17 @@
 }
 
 // changed returns the changes after a revision and what signals the next one.
-func (c *Client) changed(after uint64, kinds []string) (platform.Listing, <-chan struct{}, error) {
+func (c *Client) changed(after uint64, kinds []string) (objstore.Listing, <-chan struct{}, error) {
 	if c.cut() {
-		return platform.Listing{}, nil, &platform.Unanswered{Cause: errDown}
+		return objstore.Listing{}, nil, &objstore.Unanswered{Cause: errDown}
 	}
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
 	if after < c.p.compacted || after > c.p.revision {
-		return platform.Listing{}, nil, platform.ErrCompacted
+		return objstore.Listing{}, nil, objstore.ErrCompacted
 	}
 	c.tick()
-	l := platform.Listing{Revision: c.p.revision}
+	l := objstore.Listing{Revision: c.p.revision}
 	for _, o := range c.p.changes {
 		if o.Revision > after && slices.Contains(kinds, o.Kind) {
 			l.Objects = append(l.Objects, o)
--- a/internal/platform/platformtest/platformtest.go
+++ b/internal/objstore/objstoretest/objstoretest.go
@@ -2,7 +2,7 @@
 // and starts no goroutine, so it works inside a testing/synctest bubble and
 // gives the same answers on each run. One Platform stands for the store; each
 // host under test has a Client of its own, which can be cut off alone.
-package platformtest
+package objstoretest
 
 import (
 	"errors"
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 // errDown is the cause of each failure that the fake makes.
@@ -22,14 +22,14 @@
 // Platform is the store behind the clients.
 type Platform struct {
 	mu        sync.Mutex
-	objects   map[key]platform.Object
-	changes   []platform.Object // every change after compacted, oldest first
+	objects   map[key]objstore.Object
+	changes   []objstore.Object // every change after compacted, oldest first
 	revision  uint64
 	compacted uint64
 	signal    chan struct{} // closed and replaced at each change, outage and recovery
 	down      bool
 	held      []func()
-	hosts     []platform.LiveHost
+	hosts     []objstore.LiveHost
 	clock     func() time.Time
 	calls     map[string]int
 }
@@ -38,7 +38,7 @@
 // clock inside a synctest bubble.
 func New() *Platform {
 	return &Platform{
-		objects: map[key]platform.Object{},
+		objects: map[key]objstore.Object{},
 		signal:  make(chan struct{}),
 		clock:   time.Now,
 		calls:   map[string]int{},
@@ -49,7 +49,7 @@
 func (p *Platform) Client() *Client { return &Client{p: p} }
 
 // Outage takes the platform down for every client, or up again. Calls fail
-// with *platform.Unavailable; watches that wait fail with *platform.Unanswered.
+// with *objstore.Unavailable; watches that wait fail with *objstore.Unanswered.
 func (p *Platform) Outage(down bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -65,14 +65,14 @@
 }
 
 // SetHosts replaces the platform's list of hosts.
-func (p *Platform) SetHosts(hosts ...platform.LiveHost) {
+func (p *Platform) SetHosts(hosts ...objstore.LiveHost) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.hosts = slices.Clone(hosts)
 }
 
 // Compact forgets the changes up to the newest one, so that a watch from an
-// older revision fails with platform.ErrCompacted.
+// older revision fails with objstore.ErrCompacted.
 func (p *Platform) Compact() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -122,7 +122,7 @@
 }
 
 // Objects returns the objects of a kind, sorted by name.
-func (p *Platform) Objects(kind string) []platform.Object {
+func (p *Platform) Objects(kind string) []objstore.Object {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.list(kind).Objects
@@ -135,14 +135,14 @@
 }
 
 // list returns the objects of the kinds, sorted by kind and name; p.mu is held.
-func (p *Platform) list(kinds ...string) platform.Listing {
-	l := platform.Listing{Revision: p.revision}
+func (p *Platform) list(kinds ...string) objstore.Listing {
+	l := objstore.Listing{Revision: p.revision}
 	for _, o := range p.objects {
 		if slices.Contains(kinds, o.Kind) {
 			l.Objects = append(l.Objects, o)
 		}
 	}
-	slices.SortFunc(l.Objects, func(a, b platform.Object) int {
+	slices.SortFunc(l.Objects, func(a, b objstore.Object) int {
 		return strings.Compare(a.Kind+"/"+a.Name, b.Kind+"/"+b.Name)
 	})
 	return l
@@ -150,16 +150,16 @@
 
 // write applies a conditional write. The version of a name that was deleted
 // starts again from 1.
-func (p *Platform) write(k key, version uint64, value []byte, deleted bool) (platform.Object, error) {
+func (p *Platform) write(k key, version uint64, value []byte, deleted bool) (objstore.Object, error) {
 	current, ok := p.objects[k]
 	if !ok {
-		current = platform.Object{Kind: k.kind, Name: k.name}
+		current = objstore.Object{Kind: k.kind, Name: k.name}
 	}
 	if deleted && !ok {
-		return platform.Object{}, platform.ErrNotFound
+		return objstore.Object{}, objstore.ErrNotFound
 	}
 	if current.Version != version {
-		return platform.Object{}, &platform.Conflict{Current: current}
+		return objstore.Object{}, &objstore.Conflict{Current: current}
 	}
 	now := p.clock()
 	p.revision++
--- /dev/null
+++ b/internal/objstore/records.go
@@ -0,0 +1,58 @@
+package objstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Record is one object as the platform keeps it.
+type Record struct {
+	Name     string
+	Revision uint64 // of the store, at the record's last change; 0: there is none
+	Spec     json.RawMessage
+	Deleted  bool // in the answer to a watch: the record is gone
+	Deleting bool // the record goes once its finalizers are gone
+}
+
+// RecordPage is a part of a listing, or the changes that a watch found.
+type RecordPage struct {
+	Records  []Record
+	Revision uint64 // of the store, to watch from next
+	More     bool   // further records follow, after the name of the last one
+}
+
+// Records is the platform's object API as it is on the wire: each call is one
+// call of the API. Errors are ErrNotFound, ErrCompacted, *RecordConflict,
+// *Unavailable or *Unanswered.
+type Records interface {
+	Get(ctx context.Context, kind, name string) (Record, error)
+	// List returns the records of a kind, by name, that follow the name after.
+	List(ctx context.Context, kind, after string) (RecordPage, error)
+	// Watch waits for changes of a kind after the revision, until wait has
+	// passed; then it returns none.
+	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (RecordPage, error)
+	// Create writes a record that must not exist.
+	Create(ctx context.Context, kind, name string, spec json.RawMessage) (Record, error)
+	// Replace writes a record that must stand at the revision.
+	Replace(ctx context.Context, kind, name string, revision uint64, spec json.RawMessage) (Record, error)
+	// Delete removes a record that must stand at the revision.
+	Delete(ctx context.Context, kind, name string, revision uint64) error
+	// Hosts returns what the platform lists of targets.
+	Hosts(ctx context.Context) ([]LiveHost, error)
+	// Now returns the platform's clock as of its newest answer, and false
+	// before the first one.
+	Now() (time.Time, bool)
+	// Close closes the idle connections.
+	Close()
+}
+
+// RecordConflict means that a conditional write was refused: it was not
+// applied. Current is the record that stands, with revision 0 if there is none.
+type RecordConflict struct{ Current Record }
+
+// Error names the record and its revision.
+func (c *RecordConflict) Error() string {
+	return fmt.Sprintf("record %s stands at revision %d", c.Current.Name, c.Current.Revision)
+}
--- a/internal/operate/change.go
+++ b/internal/operate/change.go
@@ -10,8 +10,8 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/lang"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
 
@@ -70,7 +70,7 @@
 func (e *Executor) read(ctx context.Context, name string) (catalog.Stored, error) {
 	s, err := e.parts.Editor.Read(ctx, name)
 	switch {
-	case errors.Is(err, platform.ErrNotFound), err == nil && s.Service.Dropped:
+	case errors.Is(err, objstore.ErrNotFound), err == nil && s.Service.Dropped:
 		return s, refusal(query.ReasonUnknownService, outcome.NotSent, Error.New("there is no service %q", name))
 	case err != nil:
 		return s, platformUnavailable(err)
--- a/internal/operate/execute.go
+++ b/internal/operate/execute.go
@@ -12,7 +12,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/delivery"
 	"rhubarbwood.example/rhubarbwood/internal/lang"
 	"rhubarbwood.example/rhubarbwood/internal/member"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
 
@@ -63,7 +63,7 @@
 // Parts are what an executor works on. Relay and Claims may be nil.
 type Parts struct {
 	Members member.View
-	Store   platform.Store
+	Store   objstore.Store
 	Catalog Catalog
 	Editor  Editor
 	Reports Reports
--- a/internal/operate/state.go
+++ b/internal/operate/state.go
@@ -11,7 +11,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/lang"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
 func (e *Executor) hosts() *Table {
@@ -64,12 +64,12 @@
 }
 
 // storedServices returns the service objects as the platform holds them now.
-func (e *Executor) storedServices(ctx context.Context) (map[string]platform.Object, error) {
-	l, err := e.parts.Store.List(ctx, platform.KindService)
+func (e *Executor) storedServices(ctx context.Context) (map[string]objstore.Object, error) {
+	l, err := e.parts.Store.List(ctx, objstore.KindService)
 	if err != nil {
 		return nil, err
 	}
-	byName := map[string]platform.Object{}
+	byName := map[string]objstore.Object{}
 	for _, o := range l.Objects {
 		byName[o.Name] = o
 	}
--- a/internal/relay/hostlist.go
+++ b/internal/relay/hostlist.go
@@ -5,15 +5,15 @@
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/plan"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
 )
 
 // hostListKey is hashed with the host ids to choose who reads the list.
 const hostListKey = "host-list"
 
 // ApplyHostList takes the platform's list of hosts, by whatever way it came.
-func (r *Relay) ApplyHostList(hosts []platform.LiveHost) {
+func (r *Relay) ApplyHostList(hosts []objstore.LiveHost) {
 	leaving := make(map[string]bool, len(hosts))
 	for _, h := range hosts {
 		leaving[h.ID] = h.Leaving
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,7 +17,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
-	"rhubarbwood.example/rhubarbwood/internal/platform"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
@@ -28,9 +28,9 @@
 	_ kernel.Module = (*Relay)(nil)
 )
 
-// HostLister reads the platform's list of hosts; platform.Store is one.
+// HostLister reads the platform's list of hosts; objstore.Store is one.
 type HostLister interface {
-	Hosts(ctx context.Context) ([]platform.LiveHost, error)
+	Hosts(ctx context.Context) ([]objstore.LiveHost, error)
 }
 
 // Relay runs shard requests and reservations against targets. Its methods are
--- a/internal/standin/objectstore/faults.go
+++ b/internal/standin/objectstore/faults.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"net"
+	"slices"
 
 	"rhubarbwood.example/rhubarbwood/internal/standin"
 	"rhubarbwood.example/rhubarbwood/internal/unit"
@@ -22,6 +24,8 @@
 // probability is drawn for each write.
 type Faults struct {
 	Outage          Outage          `json:"outage,omitempty"`
+	OutageFor       []string        `json:"outage_for,omitempty"`       // IP addresses of the clients that it concerns; none: all
+	DeafWatches     bool            `json:"deaf_watches,omitempty"`     // watches hear of no change
 	Latency         standin.Latency `json:"latency,omitzero"`           // before each call is looked at
 	LoseAnswers     int             `json:"lose_answers,omitempty"`     // of the next writes: applied, then cut
 	LoseProbability float64         `json:"lose_probability,omitempty"` // of each write
@@ -65,14 +69,26 @@
 	return s.faults
 }
 
-// outage returns the outage in force and a channel that closes when the
-// faults change.
-func (s *Store) outage() (Outage, <-chan struct{}) {
+// outage returns the outage in force for the client at an address, and a
+// channel that closes when the faults change.
+func (s *Store) outage(from string) (Outage, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.faults.concern(from) {
+		return OutageNone, s.faultsChanged
+	}
 	return s.faults.Outage, s.faultsChanged
 }
 
+// concern reports whether an outage concerns the client at host:port.
+func (f Faults) concern(from string) bool {
+	if len(f.OutageFor) == 0 {
+		return true
+	}
+	host, _, err := net.SplitHostPort(from)
+	return err == nil && slices.Contains(f.OutageFor, host)
+}
+
 // writeFaults decides for one write whether it is applied late and whether
 // its answer is lost.
 func (s *Store) writeFaults() (late, lost bool) {
