Connections: the deadline of the last request no longer ends the look at an idle one

Ruled out: idle time of the targets (4 cases), extra bytes (0).

Tests: targetconn has them for cut, doubled, foreign, early and unbounded answers; the one past the deadline failed first.

--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -84,6 +84,10 @@
 	if !ok {
 		return true
 	}
+	// The deadline of the last request would end the look before it begins.
+	if err := c.net.SetReadDeadline(time.Time{}); err != nil {
+		return false
+	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
 		return false
