Discovery: both beliefs are read as soon as the store answers either

Cause: after all hosts were killed during an outage, the targets were read 300 ms after the configuration, as each line of calls paused on its own. Test: both beliefs are read once the store is back.

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -25,7 +25,7 @@
 	defaultApplyWithin     = 3 * time.Second
 	defaultHostsPerWatcher = 32 // 64 long polls a second, under 1 % of a core
 	defaultRetryFirst      = 50 * time.Millisecond
-	defaultRetryMost       = 500 * time.Millisecond
+	defaultRetryMost       = 250 * time.Millisecond // of one or a few hosts; the others wait longer
 	leastApplyWithin       = 500 * time.Millisecond
 	mostApplyWithin        = time.Minute
 )
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -39,6 +39,9 @@
 	state  *State
 	log    *event.Log
 
+	mu   sync.Mutex
+	back chan struct{} // closes when the store answers after it did not
+
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 }
@@ -49,7 +52,7 @@
 	if peers == nil {
 		peers = alone{}
 	}
-	return &Follower{cfg: cfg, source: source, peers: peers, state: state, log: log}
+	return &Follower{cfg: cfg, source: source, peers: peers, state: state, log: log, back: make(chan struct{})}
 }
 
 // Start begins to follow and returns at once: the store may be away.
@@ -94,10 +97,34 @@
 			continue
 		}
 		l.failed(err)
-		await.Sleep(ctx, f.pauseAfter(l))
+		f.rest(ctx, f.pauseAfter(l))
+	}
+}
+
+// rest waits for a pause, or until the store has answered another line of
+// calls: after a restart during an outage nothing can be served before both the
+// configuration and the targets are known.
+func (f *Follower) rest(ctx context.Context, pause time.Duration) {
+	f.mu.Lock()
+	back := f.back
+	f.mu.Unlock()
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-back:
+	case <-ctx.Done():
 	}
 }
 
+// storeIsBack ends the pauses of the other lines of calls.
+func (f *Follower) storeIsBack() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.back)
+	f.back = make(chan struct{})
+}
+
 // pauseAfter returns the time until the next call after one that failed. A host
 // that is not one of the watchers waits longer: its news come from them, and
 // calls are paid for also while the store is away. It cut the calls of seven
@@ -123,6 +150,7 @@
 func (l *link) reached() {
 	if !l.up {
 		l.up = true
+		l.follower.storeIsBack()
 		l.follower.log.Event(evStoreReached).Str("what", l.what).Msg("")
 	}
 }
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -254,6 +254,24 @@
 	})
 }
 
+// Configuration and targets are both known soon after the store is back.
+func TestBothBeliefsAreReadOnceTheStoreIsBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.write(1)
+		store.away = true
+		s, stop := startFollower(t, store, nil)
+		defer stop()
+		time.Sleep(10*time.Second + 17*time.Millisecond)
+		store.set(func() { store.away = false })
+		time.Sleep(DefaultConfig().RetryMost.Std()*3/2 + time.Millisecond) // pauses are spread by half
+		is.True(!s.Freshness().IsZero())
+		v := s.View()
+		is.True(v.RegistryAsOf.Sub(v.ConfigAsOf).Abs() < 20*time.Millisecond)
+	})
+}
+
 // While the store is away the calls are paid for, too.
 func TestCallsDuringAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
