Gateway: a query with shards still out is not told as not run

Cause: when too many shards had failed, the answer went out while others were in flight, and their outcome did not count: 503 with a time to come back, though a shard had run.

--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -54,6 +54,13 @@
 	f.wakeLocked()
 }
 
+// called returns the calls so far.
+func (f *fakeStore) called() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
 func (f *fakeStore) begin() error {
 	f.calls++
 	if f.away {
@@ -249,8 +256,8 @@
 		_, stopOther := startFollower(t, unused, &fakePeers{watcher: watcher})
 		defer stopOther()
 		time.Sleep(time.Minute)
-		is.True(unused.calls <= 4)  // at the start, before there was news
-		is.True(store.calls <= 150) // two kinds, one watch a second each
+		is.True(unused.called() <= 4)  // at the start, before there was news
+		is.True(store.called() <= 150) // two kinds, one watch a second each
 	})
 }
 
@@ -260,7 +267,7 @@
 		is := is.New(t)
 		store := newFakeStore()
 		store.write(1)
-		store.away = true
+		store.set(func() { store.away = true })
 		s, stop := startFollower(t, store, nil)
 		defer stop()
 		time.Sleep(10*time.Second + 17*time.Millisecond)
@@ -286,9 +293,9 @@
 		time.Sleep(10 * time.Second)
 		store.set(func() { store.away = true })
 		away.set(func() { away.away = true })
-		watcherCalls, otherCalls := store.calls, away.calls
+		watcherCalls, otherCalls := store.called(), away.called()
 		time.Sleep(10 * time.Second)
-		is.True(store.calls-watcherCalls <= 100)
-		is.True(away.calls-otherCalls <= 30)
+		is.True(store.called()-watcherCalls <= 100)
+		is.True(away.called()-otherCalls <= 30)
 	})
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -53,6 +53,10 @@
 	return &fleet{cfg: cfg, domain: domain, dial: dialer.DialContext, services: map[string]*service{}}
 }
 
+// DialWith makes the gateway open its connections to targets with dial, before
+// Start. Tests use it for connections in memory.
+func (g *Gateway) DialWith(dial targetconn.DialFunc) { g.fleet.dial = dial }
+
 // service returns the service with the name; it may have no targets yet.
 func (f *fleet) service(name string) *service {
 	f.mu.Lock()
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -56,7 +56,7 @@
 	w.missing = len(g.route.Shards) - len(signatures)
 	w.gateway.messages.Merged(w.writer.Header(), w.request.call.RequestID, signatures, w.missing)
 	w.outcome = outcome.Done
-	w.write(http.StatusOK, merge(bodies, g.route.TopK))
+	w.write(http.StatusOK, Merge(bodies, g.route.TopK))
 }
 
 // refuse answers that the request did not run, and when to come back.
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -83,6 +83,7 @@
 	defer early.Stop()
 	end := time.NewTimer(time.Until(r.deadline))
 	defer end.Stop()
+	defer g.noteOutstanding()
 	late := false
 	for !g.done(late) {
 		select {
@@ -91,7 +92,6 @@
 		case <-early.C:
 			late = true
 		case <-end.C:
-			g.outcomes = outcome.Combine(g.outcomes, outcome.Unknown)
 			return
 		case <-ctx.Done():
 			return
@@ -99,6 +99,14 @@
 	}
 }
 
+// noteOutstanding accounts for the shards that have not ended: they may be
+// running, so the query can't be told as not run.
+func (g *gathering) noteOutstanding() {
+	if g.answered+g.failed < len(g.route.Shards) {
+		g.outcomes = outcome.Combine(g.outcomes, outcome.Unknown)
+	}
+}
+
 func (g *gathering) take(p part) {
 	if !p.ok {
 		g.failed++
@@ -108,7 +116,7 @@
 	g.answered++
 	g.have[p.shard] = true
 	g.parts[p.shard] = p.res
-	g.outcomes = outcome.Done
+	g.outcomes = outcome.Combine(g.outcomes, outcome.Done)
 }
 
 // enough reports whether the parts make a successful answer.
@@ -135,9 +143,9 @@
 // recordSize is the size of a record of a part, in bytes.
 const recordSize = 16
 
-// merge returns the greatest records of the bodies, greatest first. What is
+// Merge returns the greatest records of the bodies, greatest first. What is
 // shorter than a record is none.
-func merge(bodies [][]byte, top int) []byte {
+func Merge(bodies [][]byte, top int) []byte {
 	var records [][]byte
 	for _, b := range bodies {
 		for ; len(b) >= recordSize; b = b[recordSize:] {
--- /dev/null
+++ b/internal/gateway/site_test.go
@@ -0,0 +1,216 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"rhubarbwood.example/rhubarbwood/internal/discovery"
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/gateway"
+	"rhubarbwood.example/rhubarbwood/internal/kernel"
+	"rhubarbwood.example/rhubarbwood/internal/routing"
+	"rhubarbwood.example/rhubarbwood/internal/standin"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+	"rhubarbwood.example/rhubarbwood/internal/unit"
+	"rhubarbwood.example/rhubarbwood/platform"
+)
+
+// Names of the site under test.
+const (
+	callersAddress = "gateway:80"
+	caseHost       = "a.example"
+	domain         = "salt-lake"
+)
+
+// Latencies of the site under test.
+const (
+	targetLatency = 10 * time.Millisecond
+	objective     = 100 * time.Millisecond
+	timeout       = 600 * time.Millisecond
+)
+
+// site is a gateway and its targets in virtual time.
+type site struct {
+	t       *testing.T
+	network *standin.Network
+	state   *discovery.State
+	life    *kernel.Lifecycle
+	targets map[string]*platformtarget.Target
+	servers []*http.Server
+	caller  *http.Transport
+	stop    func()
+
+	revision uint64
+}
+
+// options tell how a site differs from the usual one.
+type options struct {
+	services int // with two targets each; 0: one
+	records  int // in each answer
+	// unconfigured leaves the gateway without a configuration.
+	unconfigured bool
+}
+
+// run runs a test on a site in virtual time.
+func run(t *testing.T, o options, test func(t *testing.T, s *site)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, o)
+		test(t, s)
+		s.close()
+	})
+}
+
+func newSite(t *testing.T, o options) *site {
+	s := &site{
+		t: t, network: standin.NewNetwork(), state: discovery.NewState(), life: kernel.NewLifecycle(),
+		targets: map[string]*platformtarget.Target{},
+	}
+	g := gateway.New(gateway.DefaultConfig(), domain, s.state, platform.Messages{}, s.life, event.Discard(), prometheus.NewRegistry())
+	g.DialWith(s.network.Dial)
+	_ = g.Start(t.Context())
+	s.stop = func() { _ = g.Stop(t.Context()) }
+	s.life.Advance(kernel.Ready)
+	s.serve(callersAddress, g)
+	s.caller = &http.Transport{DialContext: s.network.Dial}
+	for i := range max(o.services, 1) {
+		for j := range 2 {
+			s.addTarget(fmt.Sprintf("s%d", i), fmt.Sprintf("s%d-t%d", i, j), o.records)
+		}
+	}
+	if !o.unconfigured {
+		s.configure(1, s.usualRoutes(max(o.services, 1))...)
+	}
+	return s
+}
+
+func (s *site) serve(address string, h http.Handler) {
+	ln, _ := s.network.Listen(address) // never fails in memory
+	server := &http.Server{Handler: h}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(ln) }()
+}
+
+// close ends everything, so that no goroutine is left in the bubble.
+func (s *site) close() {
+	s.stop()
+	s.caller.CloseIdleConnections()
+	time.Sleep(time.Minute) // every attempt in flight has ended
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	synctest.Wait()
+}
+
+func (s *site) addTarget(service, id string, records int) {
+	target := platformtarget.New(platformtarget.Config{
+		ID: id, Service: service, Slots: 4, Queue: 4, Records: max(records, 1), Seed: uint64(len(s.targets)),
+		Latency: standin.Latency{Mean: unit.Duration(targetLatency)},
+	})
+	s.targets[id] = target
+	s.serve(id+":80", target)
+	s.register(discovery.Target{ID: id, Service: service, Address: id + ":80", Domain: domain, Slots: 4})
+}
+
+func (s *site) register(t discovery.Target) {
+	s.revision++
+	change := discovery.TargetChanges{Changes: []discovery.TargetChange{{Target: t}}, Revision: s.revision}
+	s.state.ApplyChanges(change, time.Now())
+}
+
+// usualRoutes is /one/ to service s0, /once/ the same but not idempotent, and
+// /all/ to every service.
+func (s *site) usualRoutes(services int) []routing.Route {
+	one := routing.Route{
+		Name: "one", Host: caseHost, Prefix: "/one/", Idempotent: true, Timeout: timeout, Objective: objective,
+		MaxAttempts: 2, Destinations: []routing.Destination{{Service: "s0", Weight: 1}},
+	}
+	once := one
+	once.Name, once.Prefix, once.Idempotent = "once", "/once/", false
+	all := one
+	all.Name, all.Prefix, all.Destinations = "all", "/all/", nil
+	all.TopK, all.MinShare = 3, 0.5
+	for i := range services {
+		all.Shards = append(all.Shards, fmt.Sprintf("s%d", i))
+	}
+	return []routing.Route{one, once, all}
+}
+
+// configure puts a version of the configuration in force.
+func (s *site) configure(version uint64, routes ...routing.Route) {
+	c := routing.Config{Version: version, Routes: routes, Limits: routing.Limits{BodyBytes: 1 << 10}}
+	for i := range 20 {
+		c.Services = append(c.Services, routing.Service{Name: fmt.Sprintf("s%d", i), MaxConnections: 90})
+	}
+	s.revision++
+	s.state.ApplyConfig(discovery.ConfigRead{Config: c, Found: true, Revision: s.revision}, time.Now())
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int // 0: none
+	header http.Header
+	body   []byte
+	took   time.Duration
+}
+
+// ask sends a request with an id and the usual time.
+func (s *site) ask(method, path, id, body string) answer {
+	return s.askWith(s.t.Context(), method, path, body, http.Header{
+		platform.HeaderRequestID: {id}, platform.HeaderDeadline: {"600"},
+	})
+}
+
+func (s *site) get(path, id string) answer { return s.ask(http.MethodGet, path, id, "") }
+
+func (s *site) askWith(ctx context.Context, method, path, body string, header http.Header) answer {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+callersAddress+path, bytes.NewBufferString(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Host = caseHost
+	r.Header = header
+	began := time.Now()
+	resp, err := s.caller.RoundTrip(r)
+	if err != nil {
+		return answer{took: time.Since(began)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	got, err := io.ReadAll(resp.Body)
+	a := answer{status: resp.StatusCode, header: resp.Header, body: got, took: time.Since(began)}
+	if err != nil {
+		a.status = 0
+	}
+	return a
+}
+
+// faults puts the faults in force at every target of a service, or at one
+// target.
+func (s *site) faults(name string, f platformtarget.Faults) {
+	for id, t := range s.targets {
+		if id == name || id[:len(id)-len("-t0")] == name {
+			t.SetFaults(f)
+		}
+	}
+}
+
+// runs counts how often a request ran.
+func (s *site) runs(id string) int {
+	n := 0
+	for _, t := range s.targets {
+		for _, r := range t.Runs() {
+			if r.RequestID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/internal/load/relayloss_test.go
+++ b/internal/load/relayloss_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 
 	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/standin"
 )
 
 var lossTables = flag.Int("loss-tables", 0, "write the tables of the losses in virtual time, each over so many seeds")
@@ -16,7 +18,7 @@
 func virtualLoss(t *testing.T) lossMeasurer {
 	return func(_ context.Context, o Options, x lossTrial) (c *course, err error) {
 		synctest.Test(t, func(t *testing.T) {
-			x.site.network = newPipes()
+			x.site.network = memory{standin.NewNetwork()}
 			c, err = measureLoss(t.Context(), o, x)
 			synctest.Wait()
 		})
--- /dev/null
+++ b/internal/standin/network.go
@@ -0,0 +1,77 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+)
+
+// Network is a network in memory, so that programs which only listen and dial
+// run in virtual time.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*networkListener
+}
+
+// NewNetwork returns a network on which nothing listens.
+func NewNetwork() *Network { return &Network{listeners: map[string]*networkListener{}} }
+
+// Listen takes an address, in place of whoever listened there before.
+func (n *Network) Listen(address string) (net.Listener, error) {
+	l := &networkListener{address: address, accept: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listeners[address] = l
+	return l, nil
+}
+
+// Dial connects to an address. It fails with net.ErrClosed if nothing listens
+// there.
+func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l := n.listeners[address]
+	n.mu.Unlock()
+	if l == nil {
+		return nil, net.ErrClosed
+	}
+	here, there := net.Pipe()
+	select {
+	case l.accept <- there:
+		return here, nil
+	case <-l.closed:
+	case <-ctx.Done():
+	}
+	_ = here.Close()
+	return nil, net.ErrClosed
+}
+
+type networkListener struct {
+	address string
+	accept  chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+// Accept waits for a connection.
+func (l *networkListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.accept:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close ends listening.
+func (l *networkListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr returns the address listened on.
+func (l *networkListener) Addr() net.Addr { return networkAddress(l.address) }
+
+type networkAddress string
+
+func (a networkAddress) Network() string { return "memory" }
+func (a networkAddress) String() string  { return string(a) }
