--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -22,6 +22,8 @@
 	Hosts() int
 	// News asks a host that watches the store what is newer than the revisions.
 	News(ctx context.Context, than Known, wait time.Duration) (News, error)
+	// TellFindings tells what this host has judged of targets.
+	TellFindings(ctx context.Context, all []Finding)
 }
 
 // alone is the Peers of a host without any.
@@ -32,6 +34,7 @@
 func (alone) News(context.Context, Known, time.Duration) (News, error) {
 	return News{}, Error.New("there are no peers")
 }
+func (alone) TellFindings(context.Context, []Finding) {}
 
 // Follower keeps a State up to date: from the store on the few hosts that watch
 // it for all, from those hosts on the others. A host whose beliefs grow old
@@ -70,6 +73,7 @@
 	f.done.Go(func() { f.run(ctx, "configuration", f.followConfig) })
 	f.done.Go(func() { f.run(ctx, "targets", f.followTargets) })
 	f.done.Go(func() { f.followPeers(ctx) })
+	f.done.Go(func() { f.tellFindings(ctx) })
 	f.done.Go(func() { f.expire(ctx) })
 	return nil
 }
@@ -276,6 +280,17 @@
 			f.logConfig("peer")
 		}
 		f.logTargets(targets, "peer")
+		f.state.learn(news.Findings)
+	}
+}
+
+// tellFindings tells the peers what this host has judged of targets.
+func (f *Follower) tellFindings(ctx context.Context) {
+	for ctx.Err() == nil {
+		all := f.state.nextReports(ctx)
+		limited, cancel := context.WithTimeout(ctx, f.cfg.peerTimeout())
+		f.peers.TellFindings(limited, all)
+		cancel()
 	}
 }
 
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -141,6 +141,8 @@
 
 func (f *fakePeers) Hosts() int { return 2 }
 
+func (f *fakePeers) TellFindings(_ context.Context, all []Finding) { f.watcher.spreadFindings(all) }
+
 func (f *fakePeers) setCut(cut bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -50,6 +50,10 @@
 type Known struct {
 	ConfigRevision   uint64
 	RegistryRevision uint64
+	// FindingEpoch and FindingNumber name the last finding that the host got
+	// from the one it asks.
+	FindingEpoch  uint64
+	FindingNumber uint64
 }
 
 // News is what one host can tell another that holds older revisions.
@@ -64,6 +68,10 @@
 	RegistryAsOf     time.Time
 
 	Outage time.Time // when the registry could last not be read; zero: never
+
+	Findings      []Finding
+	FindingEpoch  uint64
+	FindingNumber uint64 // of the last finding there is
 }
 
 // Known returns the revisions that this host holds.
@@ -80,7 +88,7 @@
 	defer timer.Stop()
 	for {
 		n, changed := s.newsSince(than)
-		if n.Config != nil || n.AllTargets || len(n.Changes) > 0 {
+		if n.Config != nil || n.AllTargets || len(n.Changes) > 0 || len(n.Findings) > 0 {
 			return n
 		}
 		select {
@@ -102,7 +110,9 @@
 	n := News{
 		ConfigRevision: s.config.revision, ConfigAsOf: s.config.asOf,
 		RegistryRevision: s.registry.revision, RegistryAsOf: s.registry.asOf,
-		Outage: s.outage,
+		Outage:       s.outage,
+		Findings:     s.findings.since(time.Now(), than.FindingEpoch, than.FindingNumber),
+		FindingEpoch: s.findings.epoch, FindingNumber: s.findings.next,
 	}
 	if s.table != nil && than.ConfigRevision < s.config.revision {
 		n.Config = s.newerConfig(than.ConfigRevision)
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -29,19 +29,24 @@
 	dialer  peer.Dialer
 	state   *State
 
-	mu      sync.Mutex
-	turn    int // which of the watchers is asked
+	mu   sync.Mutex
+	turn int // which of the watchers is asked
+	// heard is the last finding that each watcher told.
+	heard   map[string]findingMark
 	chosen  []member.Host
 	chosenF uint64 // generation of the membership that chosen was made for
 }
 
+// findingMark names a finding of one process.
+type findingMark struct{ epoch, number uint64 }
+
 var _ Peers = (*Spread)(nil)
 
 // NewSpread returns the exchange over the members.
 func NewSpread(cfg Config, members member.View, dialer peer.Dialer, state *State) *Spread {
 	// Hosts start with different watchers, so that these share the rest.
 	turn := int(xxhash.Sum64String(members.Self().ID) % mostWatchers)
-	return &Spread{cfg: cfg, members: members, dialer: dialer, state: state, turn: turn}
+	return &Spread{cfg: cfg, members: members, dialer: dialer, state: state, turn: turn, heard: map[string]findingMark{}}
 }
 
 // watchers returns the hosts that watch the store for all. Every host that
@@ -81,10 +86,12 @@
 	}
 	s.mu.Lock()
 	from := watchers[s.turn%len(watchers)]
+	heard := s.heard[from.ID]
 	s.mu.Unlock()
 	asked := time.Now()
 	reply, err := peerpb.NewDRPCDiscoveryClient(s.dialer.Conn(ctx, from.Peer)).Follow(ctx, &peerpb.FollowRequest{
 		ConfigRevision: than.ConfigRevision, RegistryRevision: than.RegistryRevision, WaitUs: wait.Microseconds(),
+		FindingEpoch: heard.epoch, FindingNumber: heard.number,
 	})
 	if err != nil {
 		s.next()
@@ -94,9 +101,54 @@
 		time.Duration(oldest)*time.Microsecond > s.cfg.staleAfter() {
 		s.next()
 	}
+	s.mu.Lock()
+	s.heard[from.ID] = findingMark{reply.FindingEpoch, reply.FindingNumber}
+	s.mu.Unlock()
 	return readReply(reply, asked)
 }
 
+// TellFindings tells what this host has judged to the hosts that others follow.
+func (s *Spread) TellFindings(ctx context.Context, all []Finding) {
+	for _, w := range s.watchers() {
+		if w.ID == s.members.Self().ID {
+			s.state.spreadFindings(all)
+			continue
+		}
+		// A watcher that misses them learns by itself, as its followers do.
+		_, _ = peerpb.NewDRPCDiscoveryClient(s.dialer.Conn(ctx, w.Peer)).Tell(ctx, &peerpb.Findings{Findings: writeFindings(all)})
+	}
+}
+
+// Tell takes the findings of a peer, for this host and those that follow it.
+func (s *Spread) Tell(_ context.Context, in *peerpb.Findings) (*peerpb.FindingsNoted, error) {
+	all := readFindings(in.Findings)
+	s.state.spreadFindings(all)
+	s.state.learn(all)
+	return &peerpb.FindingsNoted{}, nil
+}
+
+func writeFindings(all []Finding) []*peerpb.Finding {
+	out := make([]*peerpb.Finding, 0, len(all))
+	for _, f := range all {
+		out = append(out, &peerpb.Finding{
+			Target: f.Target, Bad: f.Bad, LatencyUs: f.Latency.Microseconds(), Failures: f.Failures,
+			FailureDomain: f.Domain, AgeUs: f.Age.Microseconds(),
+		})
+	}
+	return out
+}
+
+func readFindings(in []*peerpb.Finding) []Finding {
+	var all []Finding
+	for _, f := range in {
+		all = append(all, Finding{
+			Target: f.Target, Bad: f.Bad, Latency: time.Duration(f.LatencyUs) * time.Microsecond, Failures: f.Failures,
+			Domain: f.FailureDomain, Age: time.Duration(f.AgeUs) * time.Microsecond,
+		})
+	}
+	return all
+}
+
 // next makes the next question go to another watcher.
 func (s *Spread) next() {
 	s.mu.Lock()
@@ -108,7 +160,10 @@
 func (s *Spread) Follow(ctx context.Context, in *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
 	began := time.Now()
 	wait := min(time.Duration(in.WaitUs)*time.Microsecond, longestHold)
-	news := s.state.AwaitNews(ctx, Known{ConfigRevision: in.ConfigRevision, RegistryRevision: in.RegistryRevision}, wait)
+	news := s.state.AwaitNews(ctx, Known{
+		ConfigRevision: in.ConfigRevision, RegistryRevision: in.RegistryRevision,
+		FindingEpoch: in.FindingEpoch, FindingNumber: in.FindingNumber,
+	}, wait)
 	return writeReply(news, began)
 }
 
@@ -125,6 +180,7 @@
 		ConfigRevision: n.ConfigRevision, ConfigAgeUs: age(now, n.ConfigAsOf),
 		RegistryRevision: n.RegistryRevision, RegistryAgeUs: age(now, n.RegistryAsOf),
 		AllTargets: n.AllTargets, OutageAgeUs: age(now, n.Outage),
+		Findings: writeFindings(n.Findings), FindingEpoch: n.FindingEpoch, FindingNumber: n.FindingNumber,
 	}
 	if n.Config != nil {
 		text, err := json.Marshal(n.Config)
@@ -152,6 +208,7 @@
 		ConfigRevision: r.ConfigRevision, ConfigAsOf: before(sent, r.ConfigAgeUs),
 		RegistryRevision: r.RegistryRevision, RegistryAsOf: before(sent, r.RegistryAgeUs),
 		AllTargets: r.AllTargets, Outage: before(sent, r.OutageAgeUs),
+		Findings: readFindings(r.Findings), FindingEpoch: r.FindingEpoch, FindingNumber: r.FindingNumber,
 	}
 	if len(r.Config) > 0 {
 		n.Config = &routing.Config{}
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -30,6 +30,10 @@
 	history       history
 	news          chan struct{} // closes at the next change
 	follow        []func(View)
+	findings      findings
+
+	reports    chan Finding // of this host, to be told
+	onFindings func([]Finding)
 }
 
 // belief tells how new a belief is.
@@ -50,7 +54,8 @@
 
 // NewState returns a state that knows nothing.
 func NewState() *State {
-	return &State{targets: map[string]Target{}, lapsed: map[string]time.Time{}, news: make(chan struct{})}
+	return &State{targets: map[string]Target{}, lapsed: map[string]time.Time{}, news: make(chan struct{}),
+		findings: newFindings(), reports: make(chan Finding, mostReports)}
 }
 
 // Follow calls f with every new view, under the lock: f must be short. It is
@@ -226,14 +231,20 @@
 
 // tell tells the followers, and the peers that wait for news.
 func (s *State) tell() {
-	close(s.news)
-	s.news = make(chan struct{})
+	s.wakePeers()
 	v := s.view()
 	for _, f := range s.follow {
 		f(v)
 	}
 }
 
+// wakePeers lets the peers that wait for news look again. The caller holds the
+// lock.
+func (s *State) wakePeers() {
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
 func (s *State) view() View {
 	targets := slices.SortedFunc(maps.Values(s.targets), func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
 	return View{
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -21,6 +21,8 @@
 	body     []byte
 	arrived  time.Time
 	deadline time.Time // until which the caller waits, or the route lets it
+	pace     *pace     // of the route
+	scale    float64   // of latencies; see pace
 }
 
 // result is what became of one attempt.
@@ -42,7 +44,7 @@
 	res := g.exchange(ctx, t, r)
 	res.target = t
 	res.took = time.Since(began)
-	g.release(s, t, res)
+	g.release(s, t, r, res)
 	g.metrics.attempts.WithLabelValues(res.outcome.String()).Inc()
 	return res
 }
@@ -105,8 +107,11 @@
 }
 
 // release gives the place at a target back and learns from the attempt.
-func (g *Gateway) release(s *service, t *target, res result) {
+func (g *Gateway) release(s *service, t *target, r *request, res result) {
 	now := time.Now()
+	if res.outcome == outcome.Done {
+		r.pace.observe(res.took)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t.inFlight--
@@ -114,12 +119,9 @@
 		t.strange = true
 		g.log.Event(evWrongTarget).Str("target", t.conf.ID).Str("service", s.name).Str("address", t.conf.Address).Msg("")
 	}
-	was := t.health.Ejected(now)
-	t.health.Observe(now, res.took, res.signal(), s.bestOther(now, t))
-	if is := t.health.Ejected(now); is != was {
-		g.log.Event(evTargetHealth).Str("target", t.conf.ID).Str("service", s.name).Bool("set_aside", is).
-			Dur("latency", t.health.Latency()).Float64("failures", t.health.FailureRatio()).Msg("")
-	}
+	before := t.health.SetAsideUntil()
+	t.health.ObserveScaled(now, res.took, r.scale, res.signal(), typicalLatency)
+	g.tell(now, t, before)
 	s.wake()
 }
 
@@ -135,17 +137,3 @@
 	}
 	return policy.Errored
 }
-
-// bestOther returns the lowest mean latency of the service's other targets.
-func (s *service) bestOther(now time.Time, t *target) time.Duration {
-	var best time.Duration
-	for _, o := range s.targets {
-		if o == t || o.leaving || !o.health.Known() || o.health.Ejected(now) {
-			continue
-		}
-		if l := o.health.Latency(); best == 0 || l < best {
-			best = l
-		}
-	}
-	return best
-}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -23,14 +23,13 @@
 
 // acquire takes a place at the target that is expected to answer first, among
 // those not in tried. It waits for one while all are busy. release must follow.
-func (s *service) acquire(ctx context.Context, deadline time.Time, tried []*target) (*target, error) {
+func (s *service) acquire(ctx context.Context, r *request, tried []*target) (*target, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
 		t, usable := s.best(time.Now(), tried)
 		if t != nil {
-			t.inFlight++
-			t.health.Sent(time.Now())
+			t.take(time.Now(), r.scale)
 			return t, nil
 		}
 		if !usable {
@@ -39,14 +38,14 @@
 		if s.waiting >= mostWaiting*len(s.targets) {
 			return nil, Error.Wrap(errFull)
 		}
-		if err := s.wait(ctx, deadline); err != nil {
+		if err := s.wait(ctx, r.deadline); err != nil {
 			return nil, err
 		}
 	}
 }
 
 // tryAcquire is acquire without the wait.
-func (s *service) tryAcquire(tried []*target) *target {
+func (s *service) tryAcquire(r *request, tried []*target) *target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -54,11 +53,16 @@
 	if t == nil {
 		return nil
 	}
-	t.inFlight++
-	t.health.Sent(now)
+	t.take(now, r.scale)
 	return t
 }
 
+// take takes a place for one attempt.
+func (t *target) take(now time.Time, scale float64) {
+	t.inFlight++
+	t.health.SentScaled(now, scale)
+}
+
 // wait returns when something has changed. The lock is held before and after.
 func (s *service) wait(ctx context.Context, deadline time.Time) error {
 	changed := s.changed
@@ -85,7 +89,6 @@
 	var least float64
 	var barred *target // set aside, but better than none
 	var leastBarred float64
-	typical := s.typical(now)
 	for _, t := range s.targets {
 		if t.leaving || t.strange || contains(tried, t) {
 			continue
@@ -94,7 +97,7 @@
 		if !t.pool.Free() {
 			continue
 		}
-		cost := t.cost(now, typical)
+		cost := t.cost(now)
 		switch {
 		case t.health.Ejected(now) && !t.health.ProbeDue(now):
 			if barred == nil || cost < leastBarred {
@@ -111,18 +114,14 @@
 }
 
 // cost is the expected time to an answer, weighted by where the target is.
-func (t *target) cost(now time.Time, typical time.Duration) float64 {
-	cost := t.health.Expected(now, t.inFlight, float64(t.conf.Slots), typical)
+func (t *target) cost(now time.Time) float64 {
+	cost := t.health.Expected(now, t.inFlight, float64(t.conf.Slots), typicalLatency)
 	if !t.local {
 		cost *= remoteFactor
 	}
 	return cost
 }
 
-// typical returns the lowest mean latency of the targets that are known, 0 if
-// none is.
-func (s *service) typical(now time.Time) time.Duration { return s.bestOther(now, nil) }
-
 func contains(tried []*target, t *target) bool {
 	for _, x := range tried {
 		if x == t {
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/unit"
 )
 
@@ -17,7 +18,12 @@
 	MaxAnswer int64 `json:"max_answer"`
 	// RetryRatio is the further attempts allowed per first one, over all hosts.
 	RetryRatio float64 `json:"retry_ratio"`
-	// FleetSize is the number of hosts that share a target's connections.
+	// RetrySlack is the further attempts allowed on top of the ratio for each
+	// service, over all hosts, in any span of RetryWindow.
+	RetrySlack  float64       `json:"retry_slack"`
+	RetryWindow unit.Duration `json:"retry_window"`
+	// FleetSize is the least number of hosts that are taken to share a target's
+	// connections and the further attempts, however few are known.
 	FleetSize int `json:"fleet_size"`
 	// FreshFor is how long a configuration is believed to be the newest without
 	// word from the store. A route that is not in it is refused as unknown
@@ -31,7 +37,9 @@
 	defaultConnectTimeout = 300 * time.Millisecond // a connection takes about 10 ms on the deployments known
 	defaultMaxAnswer      = 8 << 20
 	defaultRetryRatio     = 0.2
-	defaultFleetSize      = 9
+	defaultRetrySlack     = 50
+	defaultRetryWindow    = 10 * time.Second
+	defaultFleetSize      = 7 // of the smallest deployment known
 	defaultFreshFor       = 3 * time.Second
 )
 
@@ -42,11 +50,18 @@
 		ConnectTimeout: unit.Duration(defaultConnectTimeout),
 		MaxAnswer:      defaultMaxAnswer,
 		RetryRatio:     defaultRetryRatio,
+		RetrySlack:     defaultRetrySlack,
+		RetryWindow:    unit.Duration(defaultRetryWindow),
 		FleetSize:      defaultFleetSize,
 		FreshFor:       unit.Duration(defaultFreshFor),
 	}
 }
 
+// allowance is the further attempts of all hosts together.
+func (c Config) allowance() policy.Allowance {
+	return policy.Allowance{Ratio: c.RetryRatio, Slack: c.RetrySlack, Window: c.RetryWindow.Std()}
+}
+
 // Validate reports every problem of the settings.
 func (c Config) Validate() error {
 	var problems []error
@@ -62,6 +77,9 @@
 	if c.RetryRatio < 0 || c.RetryRatio > 1 {
 		problems = append(problems, Error.New("retry_ratio %g: want 0 to 1", c.RetryRatio))
 	}
+	if c.RetrySlack < 0 || c.RetryWindow <= 0 {
+		problems = append(problems, Error.New("retry_slack %g, retry_window %s: want 0 or more, and more than 0", c.RetrySlack, c.RetryWindow))
+	}
 	if c.FleetSize < 1 {
 		problems = append(problems, Error.New("fleet_size %d: want at least 1", c.FleetSize))
 	}
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,11 +16,15 @@
 // fleet is the targets of all services as this host uses them.
 type fleet struct {
 	cfg    Config
-	domain string // own failure domain
+	domain string     // own failure domain
+	hosts  func() int // number of hosts, this one included
 	dial   targetconn.DialFunc
 
 	mu       sync.Mutex
 	services map[string]*service
+	owners   map[string]*service // by target
+	shared   int                 // hosts that limits and budgets were last made for
+	view     discovery.View
 }
 
 // service is the targets of one service, the attempts in flight there, and
@@ -44,13 +50,23 @@
 	health   *policy.Outlier
 	inFlight int
 	leaving  bool // gets no new work
+	// badFor is the failure domain of the host that set the target aside.
+	badFor string
 	// strange is set when another target answered at the address.
 	strange bool
 }
 
-func newFleet(cfg Config, domain string) *fleet {
+func newFleet(cfg Config, domain string, hosts func() int) *fleet {
 	dialer := &net.Dialer{KeepAlive: -1}
-	return &fleet{cfg: cfg, domain: domain, dial: dialer.DialContext, services: map[string]*service{}}
+	return &fleet{cfg: cfg, domain: domain, hosts: hosts, dial: dialer.DialContext, services: map[string]*service{}}
+}
+
+// size returns the number of hosts that share targets and budgets. It is never
+// less than it was in this process: hosts that are away may be back at any time, and
+// what they opened may still be open at the targets.
+func (f *fleet) size() int {
+	f.shared = max(f.shared, f.hosts(), f.cfg.FleetSize)
+	return f.shared
 }
 
 // DialWith makes the gateway open its connections to targets with dial, before
@@ -65,7 +81,7 @@
 	if !ok {
 		s = &service{
 			name: name, byID: map[string]*target{}, changed: make(chan struct{}),
-			budget: policy.NewBudget(f.cfg.RetryRatio),
+			budget: policy.NewShare(f.cfg.allowance(), f.size()),
 		}
 		f.services[name] = s
 	}
@@ -75,10 +91,15 @@
 // apply takes over the targets and the configuration of a view.
 func (f *fleet) apply(v discovery.View) {
 	byService := map[string][]discovery.Target{}
+	owners := make(map[string]*service, len(v.Targets))
 	for _, t := range v.Targets {
 		byService[t.Service] = append(byService[t.Service], t)
+		owners[t.ID] = f.service(t.Service)
 	}
 	f.mu.Lock()
+	f.owners = owners
+	f.view = v
+	hosts := f.size()
 	names := make([]string, 0, len(f.services)+len(byService))
 	for name := range f.services {
 		names = append(names, name)
@@ -88,13 +109,35 @@
 		names = append(names, name)
 	}
 	for _, name := range names {
-		f.service(name).apply(byService[name], f.target, f.limit(v, name))
+		f.service(name).apply(byService[name], f.target, f.limit(v, name, hosts), func(b *policy.Budget) {
+			b.SetShare(f.cfg.allowance(), hosts)
+		})
 	}
 }
 
+// find returns a target and its service, nil if it is not known.
+func (f *fleet) find(id string) (*service, *target) {
+	f.mu.Lock()
+	s := f.owners[id]
+	f.mu.Unlock()
+	if s == nil {
+		return nil, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s, s.byID[id]
+}
+
+// deadShare is the part of a target's connections, per open one, that are left
+// for connections whose host lost power: the target does not know that they are
+// dead. With two in place of three connections a host, a site of nine hosts that
+// all lost power earned 0.953 in place of 0.947 of what its callers' answers were
+// worth over 48 s, summed over all requests.
+const deadShare = 0.5
+
 // limit returns the connections that this host may hold to one target of a
 // service: its share of what the target accepts.
-func (f *fleet) limit(v discovery.View, name string) int {
+func (f *fleet) limit(v discovery.View, name string, hosts int) int {
 	if v.Table == nil {
 		return 1
 	}
@@ -102,7 +145,7 @@
 	if !ok || s.MaxConnections <= 0 {
 		return 1
 	}
-	return max(s.MaxConnections/f.cfg.FleetSize, 1)
+	return max(int(float64(s.MaxConnections)/(float64(hosts)*(1+deadShare))), 1)
 }
 
 func (f *fleet) target(t discovery.Target, limit int) *target {
@@ -110,15 +153,16 @@
 		conf:   t,
 		local:  t.Domain == f.domain,
 		pool:   targetconn.NewPool(t.Address, limit, f.cfg.ConnectTimeout.Std(), f.dial),
-		health: policy.NewOutlier(),
+		health: policy.NewQuickOutlier(),
 	}
 }
 
 // apply takes over the targets of the service. Requests in flight at a target
 // that is gone end as they may.
-func (s *service) apply(list []discovery.Target, make func(discovery.Target, int) *target, limit int) {
+func (s *service) apply(list []discovery.Target, make func(discovery.Target, int) *target, limit int, share func(*policy.Budget)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	share(s.budget)
 	known := s.byID
 	s.byID = map[string]*target{}
 	s.targets = s.targets[:0:0]
@@ -154,10 +198,7 @@
 // trim closes the idle connections that targets are about to close.
 func (f *fleet) trim(now time.Time) {
 	f.mu.Lock()
-	services := make([]*service, 0, len(f.services))
-	for _, s := range f.services {
-		services = append(services, s)
-	}
+	services := slices.Collect(maps.Values(f.services))
 	f.mu.Unlock()
 	for _, s := range services {
 		s.mu.Lock()
@@ -169,6 +210,28 @@
 	}
 }
 
+// resize shares connections and budgets anew once there are more hosts.
+func (f *fleet) resize() {
+	f.mu.Lock()
+	before := f.shared
+	hosts := f.size()
+	view := f.view
+	services := slices.Collect(maps.Values(f.services))
+	f.mu.Unlock()
+	if hosts == before {
+		return
+	}
+	for _, s := range services {
+		limit := f.limit(view, s.name, hosts)
+		s.mu.Lock()
+		s.budget.SetShare(f.cfg.allowance(), hosts)
+		for _, t := range s.targets {
+			t.pool.SetLimit(limit)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // trimEvery is the time between two looks at idle connections.
 const trimEvery = time.Second
 
@@ -180,6 +243,7 @@
 		select {
 		case now := <-tick.C:
 			f.trim(now)
+			f.resize()
 		case <-ctx.Done():
 			return
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,9 @@
 	cfg      Config
 	state    *discovery.State
 	messages Messages
+	domain   string     // own failure domain
+	hosts    func() int // number of hosts, this one included
+	paces    paces
 	fleet    *fleet
 	life     *kernel.Lifecycle
 	log      *event.Log
@@ -29,13 +32,14 @@
 }
 
 // New returns a gateway that forwards by what state believes. domain is the
-// host's own failure domain.
-func New(cfg Config, domain string, state *discovery.State, messages Messages, life *kernel.Lifecycle, log *event.Log, reg prometheus.Registerer) *Gateway {
+// host's own failure domain, hosts returns the number of hosts.
+func New(cfg Config, domain string, hosts func() int, state *discovery.State, messages Messages, life *kernel.Lifecycle, log *event.Log, reg prometheus.Registerer) *Gateway {
 	g := &Gateway{
-		cfg: cfg, state: state, messages: messages, life: life, log: log,
-		fleet: newFleet(cfg, domain), metrics: newMetrics(reg),
+		cfg: cfg, state: state, messages: messages, life: life, log: log, domain: domain, hosts: hosts,
+		fleet: newFleet(cfg, domain, hosts), metrics: newMetrics(reg),
 	}
 	state.Follow(g.fleet.apply)
+	state.FollowFindings(g.learn)
 	return g
 }
 
@@ -100,6 +104,8 @@
 	r.body = body
 	r.header = forwardable(hr.Header)
 	r.deadline = r.arrived.Add(g.budget(call, route))
+	r.pace = g.paces.of(route.Name)
+	r.scale = r.pace.scale(route.Objective)
 	g.forward(hr.Context(), w, r, route)
 }
 
--- /dev/null
+++ b/internal/gateway/learn.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/discovery"
+)
+
+// probeSpacing is the mean time between the probes that all hosts together send
+// to a target that is set aside. It bounds how late its recovery is noticed.
+const probeSpacing = 300 * time.Millisecond
+
+// probeAfter returns when this host probes a target that a host set aside. It
+// is drawn anew by each host, so that some host soon does.
+func (g *Gateway) probeAfter() time.Duration {
+	return time.Duration(rand.ExpFloat64() * float64(g.hosts()) * float64(probeSpacing))
+}
+
+// learn takes what other hosts have judged of targets.
+func (g *Gateway) learn(all []discovery.Finding) {
+	now := time.Now()
+	for _, f := range all {
+		s, t := g.fleet.find(f.Target)
+		if t == nil {
+			continue
+		}
+		s.mu.Lock()
+		before := t.health.Ejected(now)
+		t.learn(now, f, g.domain, g.probeAfter())
+		if t.health.Ejected(now) != before {
+			g.logHealth(now, t, f.Domain)
+		}
+		s.wake()
+		s.mu.Unlock()
+	}
+}
+
+// logHealth logs that a target was set aside or taken back, on the word of a
+// host of a failure domain.
+func (g *Gateway) logHealth(now time.Time, t *target, from string) {
+	g.log.Event(evTargetHealth).Str("target", t.conf.ID).Str("service", t.conf.Service).
+		Bool("set_aside", t.health.Ejected(now)).Dur("latency", t.health.Latency()).
+		Float64("failures", t.health.FailureRatio()).Str("from", from).Msg("")
+}
+
+// learn takes one finding. A target may be bad for the hosts of one failure
+// domain only, so it is taken back on the word of a host of the own domain, or
+// of the domain that found it bad.
+func (t *target) learn(now time.Time, f discovery.Finding, domain string, probeAfter time.Duration) {
+	switch {
+	case f.Bad && t.health.Ejected(now):
+		t.health.Postpone(now, probeAfter)
+	case f.Bad:
+		if t.health.Learn(now, f.Latency, f.Failures, true, probeAfter) {
+			t.badFor = f.Domain
+		}
+	case f.Domain == domain || f.Domain == t.badFor:
+		t.health.Learn(now, f.Latency, f.Failures, false, 0)
+	}
+}
+
+// tell tells the other hosts that this one set a target aside, anew, or took it
+// back.
+func (g *Gateway) tell(now time.Time, t *target, before time.Time) {
+	until := t.health.SetAsideUntil()
+	if until.Equal(before) {
+		return
+	}
+	bad := !until.IsZero()
+	if bad {
+		t.badFor = g.domain
+	}
+	g.logHealth(now, t, "this host")
+	g.state.ReportFinding(discovery.Finding{
+		Target: t.conf.ID, Bad: bad, Latency: t.health.Latency(), Failures: t.health.FailureRatio(), Domain: g.domain,
+	})
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -52,5 +52,5 @@
 		return
 	}
 	g.log.Event(evAnswer).Str("request", w.request.call.RequestID).Str("route", w.route).Int("status", w.status).
-		Str("outcome", w.outcome.String()).Int("missing", w.missing).Dur("took", took).Str("reason", w.reason).Msg("")
+		Str("outcome", w.outcome.String()).Int("missing", w.missing).Str("lacking", w.lacking).Dur("took", took).Str("reason", w.reason).Msg("")
 }
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -38,6 +38,7 @@
 	missing int // parts that the answer lacks
 	parts   int // that the answer has
 	reason  string
+	lacking string // missing shards and the targets asked, a few of them
 }
 
 // whole passes a target's answer on.
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
@@ -27,8 +28,10 @@
 // over; then it goes out as soon as enough of them are there.
 func (g *Gateway) scatter(ctx context.Context, w *reply, r *request, route *routing.Route) {
 	parts := make(chan part, len(route.Shards))
+	runs := make([]*run, len(route.Shards))
 	for i, name := range route.Shards {
 		run := g.newRun(g.fleet.service(name), r, route)
+		runs[i] = run
 		go func() {
 			res, ok := run.do(ctx)
 			parts <- part{shard: i, ok: ok, res: res, run: run}
@@ -36,6 +39,7 @@
 	}
 	gathered := newGathering(route)
 	gathered.collect(ctx, r, parts)
+	w.lacking = gathered.lacking(runs)
 	switch {
 	case r.ctx.Err() != nil:
 		w.gone()
@@ -129,6 +133,20 @@
 	return g.answered+g.failed == n || (late && g.enough()) || n-g.failed < g.least
 }
 
+// mostLacking is how many missing shards a log line names.
+const mostLacking = 4
+
+// lacking names the missing shards with the targets that were asked.
+func (g *gathering) lacking(runs []*run) string {
+	var names []string
+	for i, ok := range g.have {
+		if !ok && len(names) < mostLacking {
+			names = append(names, runs[i].asked())
+		}
+	}
+	return strings.Join(names, " ")
+}
+
 // signatures returns the signatures of the parts, and bodies their records.
 func (g *gathering) signatures() (signatures []string, bodies [][]byte) {
 	for i, ok := range g.have {
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"strings"
+	"sync"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
@@ -20,6 +22,7 @@
 	service  *service
 	request  *request
 	route    *routing.Route
+	mu       sync.Mutex // guards tried against asked
 	tried    []*target
 	results  chan result // of attempts in flight; never blocks
 	inFlight int
@@ -76,9 +79,20 @@
 	}
 }
 
+// asked names the service and the targets that were asked.
+func (r *run) asked() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := make([]string, 0, len(r.tried))
+	for _, t := range r.tried {
+		ids = append(ids, t.conf.ID)
+	}
+	return r.service.name + "(" + strings.Join(ids, ",") + ")"
+}
+
 // start makes the first attempt, once a target has a place.
 func (r *run) start(ctx context.Context) bool {
-	t, err := r.service.acquire(ctx, r.request.deadline, r.tried)
+	t, err := r.service.acquire(ctx, r.request, r.tried)
 	if err != nil {
 		r.refused = err
 		return false
@@ -88,7 +102,9 @@
 }
 
 func (r *run) launch(t *target) {
+	r.mu.Lock()
 	r.tried = append(r.tried, t)
+	r.mu.Unlock()
 	r.inFlight++
 	r.sent++
 	go func() { r.results <- r.gateway.send(r.request.ctx, r.service, t, r.request) }()
@@ -122,7 +138,7 @@
 	if !r.service.hasTarget(r.tried) || !free && !r.service.another() {
 		return
 	}
-	t, err := r.service.acquire(ctx, r.request.deadline, r.tried)
+	t, err := r.service.acquire(ctx, r.request, r.tried)
 	if err != nil {
 		r.refused = err
 		return
@@ -138,7 +154,7 @@
 	if !r.service.hasTarget(r.tried) || !r.service.another() {
 		return
 	}
-	if t := r.service.tryAcquire(r.tried); t != nil {
+	if t := r.service.tryAcquire(r.request, r.tried); t != nil {
 		r.launch(t)
 	}
 }
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -74,7 +74,7 @@
 		t: t, network: standin.NewNetwork(), state: discovery.NewState(), life: kernel.NewLifecycle(),
 		targets: map[string]*platformtarget.Target{},
 	}
-	g := gateway.New(gateway.DefaultConfig(), domain, s.state, platform.Messages{}, s.life, event.Discard(), prometheus.NewRegistry())
+	g := gateway.New(gateway.DefaultConfig(), domain, func() int { return 1 }, s.state, platform.Messages{}, s.life, event.Discard(), prometheus.NewRegistry())
 	g.DialWith(s.network.Dial)
 	_ = g.Start(t.Context())
 	s.stop = func() { _ = g.Stop(t.Context()) }
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -78,7 +78,7 @@
 	k.Register(modMembers, h.newMembers, modStore, modPeerPool, modPeers)
 	k.Register(modState, h.newState)
 	k.Register(modSpread, h.newSpread, modState, modMembers, modPeerPool, modPeers)
-	k.Register(modGateway, h.newGateway, modState)
+	k.Register(modGateway, h.newGateway, modState, modMembers)
 	k.Register(modFollower, h.newFollower, modPlatform, modState, modSpread, modGateway)
 	k.Register(modMetrics, h.newMetrics)
 	k.Register(modCallers, h.newCallers, modGateway, modFollower)
@@ -181,12 +181,15 @@
 }
 
 func (h *Host) newGateway(f kernel.Finder) (kernel.Module, error) {
-	state, err := kernel.Find[stateModule](f, modState)
-	if err != nil {
-		return nil, err
+	l := kernel.Lookup{Finder: f}
+	state := kernel.FindIn[stateModule](&l, modState)
+	members := kernel.FindIn[member.View](&l, modMembers)
+	if l.Err != nil {
+		return nil, l.Err
 	}
 	s := h.settings
-	return gateway.New(s.Gateway, s.FailureDomain, state.State, h.platform.Messages, h.life, h.log, h.metrics), nil
+	hosts := func() int { return len(members.Hosts()) }
+	return gateway.New(s.Gateway, s.FailureDomain, hosts, state.State, h.platform.Messages, h.life, h.log, h.metrics), nil
 }
 
 func (h *Host) newCallers(f kernel.Finder) (kernel.Module, error) {
--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -8,9 +8,9 @@
 	// DefaultRetryBudget is the retries allowed per first try.
 	DefaultRetryBudget = 0.10
 
-	budgetBurst = 5.0 // tokens kept at most
+	budgetBurst = 5.0 // tokens kept at most, of a budget that is not shared
 	budgetShare = 0.8 // of the ratio that is earned; the rest is for bursts
-	budgetFloor = 0.1 // tokens a second that come at least
+	budgetFloor = 0.1 // tokens a second that come at least, of a budget that is not shared
 	floorPeriod = time.Second
 )
 
@@ -22,6 +22,8 @@
 // requests can retry at all; it is too small to matter to a target.
 type Budget struct {
 	ratio  float64
+	burst  float64 // tokens kept at most
+	floor  float64 // tokens a second that come at least
 	tokens float64
 	earned float64 // by first tries since the last floor
 	last   time.Time
@@ -29,7 +31,43 @@
 
 // NewBudget returns a budget of ratio extra attempts per first try. A ratio
 // of zero or less allows none.
-func NewBudget(ratio float64) *Budget { return &Budget{ratio: budgetShare * ratio} }
+func NewBudget(ratio float64) *Budget {
+	return &Budget{ratio: budgetShare * ratio, burst: budgetBurst, floor: budgetFloor}
+}
+
+// Allowance is what all hosts together may add to the first tries: Ratio extra
+// attempts per first try and Slack more in any span of Window.
+type Allowance struct {
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Parts of a host's share of the slack. Together with the ratio they leave a
+// fifth of the slack for hosts that count too few others, or restart.
+const (
+	slackBurst = 0.5 // may be spent at once
+	slackFloor = 0.3 // comes back in the course of a window
+)
+
+// NewShare returns the part of one of several hosts in an allowance. It may be
+// spent from the start: a host whose share is less than one attempt a window could
+// not hedge at all otherwise.
+func NewShare(a Allowance, hosts int) *Budget {
+	b := &Budget{ratio: budgetShare * a.Ratio}
+	b.SetShare(a, hosts)
+	b.tokens = b.burst
+	return b
+}
+
+// SetShare changes the number of hosts that share the allowance. What was
+// earned is kept as far as it fits.
+func (b *Budget) SetShare(a Allowance, hosts int) {
+	share := a.Slack / float64(max(hosts, 1))
+	b.burst = max(slackBurst*share, 1)
+	b.floor = slackFloor * share / a.Window.Seconds()
+	b.tokens = min(b.tokens, b.burst)
+}
 
 // First counts a first try, which earns its part of an extra attempt.
 func (b *Budget) First(now time.Time) {
@@ -38,7 +76,7 @@
 	}
 	b.raise(now)
 	b.earned += b.ratio
-	b.tokens = min(b.tokens+b.ratio, budgetBurst)
+	b.tokens = min(b.tokens+b.ratio, b.burst)
 }
 
 // Take spends one extra attempt, and reports false if the budget is used up.
@@ -63,7 +101,7 @@
 	if past < floorPeriod {
 		return
 	}
-	missing := max(budgetFloor*past.Seconds()-b.earned, 0)
-	b.tokens = min(b.tokens+missing, budgetBurst)
+	missing := max(b.floor*past.Seconds()-b.earned, 0)
+	b.tokens = min(b.tokens+missing, b.burst)
 	b.earned, b.last = 0, now
 }
--- a/internal/policy/outlier.go
+++ b/internal/policy/outlier.go
@@ -17,8 +17,11 @@
 	ejectLongest   = 30 * time.Second
 	failurePenalty = 8.0 // cost of a target that always fails, in latencies
 	initialLatency = 5 * time.Millisecond
-	shortest       = 1e-4             // seconds, of a first latency
-	forgetHalf     = 10 * time.Second // without an answer, halves latency and failures
+	shortest       = 1e-4                   // seconds, of a first latency
+	quickRun       = 2                      // slow or failed attempts in a row that set a target aside
+	quickSpan      = 150 * time.Millisecond // that the run must last: longer than a pause for garbage collection
+	trustOwn       = 500 * time.Millisecond // for which a host's own good answer goes before what others say
+	forgetHalf     = 10 * time.Second       // without an answer, halves latency and failures
 )
 
 // Outlier judges one target of a replica set by its own answers, which
@@ -31,19 +34,43 @@
 	outcomes  int
 	good      int // since the last ejection
 	ejected   bool
+	ejectedAt time.Time
 	ejectedTo time.Time
 	ejectFor  time.Duration
 	probing   bool
-	seen      time.Time   // newest attempt judged
-	running   []time.Time // when each attempt in flight was sent
+	seen      time.Time // newest attempt judged
+	running   []flight  // attempts in flight
+
+	quick    bool      // a short run of slow attempts is enough to set aside
+	slowRun  int       // slow or failed attempts in a row
+	slowFrom time.Time // when the first of them was sent
+	wellAt   time.Time // newest valid answer that was not slow
+}
+
+// flight is an attempt in flight.
+type flight struct {
+	sent  time.Time
+	scale float64 // of its latency; see ObserveScaled
 }
 
 // NewOutlier returns the state of a target of which nothing is known.
 func NewOutlier() *Outlier { return &Outlier{latency: initialLatency.Seconds()} }
 
+// NewQuickOutlier is NewOutlier for a target that gets so few requests that a
+// mean would learn too late: a short run of slow or failed attempts sets it
+// aside. Its latencies must be scaled to those of a typical answer.
+func NewQuickOutlier() *Outlier {
+	o := NewOutlier()
+	o.quick = true
+	return o
+}
+
 // Sent tells that an attempt went to the target.
-func (o *Outlier) Sent(now time.Time) {
-	o.running = append(o.running, now)
+func (o *Outlier) Sent(now time.Time) { o.SentScaled(now, 1) }
+
+// SentScaled is Sent for an attempt whose latency will be scaled.
+func (o *Outlier) SentScaled(now time.Time, scale float64) {
+	o.running = append(o.running, flight{now, scale})
 	if o.ProbeDue(now) {
 		o.probing = true
 	}
@@ -52,8 +79,20 @@
 // Observe takes the end of one attempt. best is the lowest latency among the
 // other targets of the replica set, 0 if there is none.
 func (o *Outlier) Observe(now time.Time, latency time.Duration, s Signal, best time.Duration) {
-	o.ended(now.Add(-latency))
+	o.ObserveScaled(now, latency, 1, s, best)
+}
+
+// ObserveScaled is Observe where the latency counts times scale, so that
+// attempts at requests of different kinds can be compared; best is scaled.
+func (o *Outlier) ObserveScaled(now time.Time, latency time.Duration, scale float64, s Signal, best time.Duration) {
+	sent := now.Add(-latency)
+	o.ended(sent)
+	latency = time.Duration(scale * float64(latency))
+	o.countRun(now, sent, latency, s, best)
 	if o.ejected && !o.probing {
+		if o.quick && sent.After(o.ejectedAt) && s == Served && o.slowRun == 0 {
+			o.judgeProbe(now, latency, s, best) // asked for want of any other target, and well
+		}
 		return // sent before the ejection, or for want of any other target
 	}
 	if o.probing {
@@ -65,12 +104,69 @@
 	o.blend(latency, s)
 	o.blendFailure(latency, s, best)
 	if o.bad(best) {
+		if o.quick {
+			o.latency = max(o.latency, latency.Seconds()) // the mean lags behind
+		}
 		o.eject(now)
 		return
 	}
 	o.forgive(s)
 }
 
+// countRun counts the slow or failed attempts in a row.
+func (o *Outlier) countRun(now, sent time.Time, latency time.Duration, s Signal, best time.Duration) {
+	slow := best > 0 && latency.Seconds() > slowRatio*best.Seconds()
+	switch {
+	case s == Errored || s == Shed || slow:
+		if o.slowRun == 0 {
+			o.slowFrom = sent
+		}
+		o.slowRun++
+	case s == Served:
+		o.slowRun, o.wellAt = 0, now
+	}
+}
+
+// SetAsideUntil returns when a target that is set aside is probed; the zero
+// time if it is not.
+func (o *Outlier) SetAsideUntil() time.Time {
+	if !o.ejected {
+		return time.Time{}
+	}
+	return o.ejectedTo
+}
+
+// Learn takes what another host has judged of the target: its scaled latency
+// and the ratio of failed attempts. A bad target is set aside for probeAfter. It
+// reports false if what this host saw itself just now says otherwise.
+func (o *Outlier) Learn(now time.Time, latency time.Duration, failures float64, bad bool, probeAfter time.Duration) bool {
+	if o.ejected == bad {
+		return true
+	}
+	if bad && now.Sub(o.wellAt) < trustOwn {
+		return false
+	}
+	o.latency, o.failures = latency.Seconds(), failures
+	o.outcomes = max(o.outcomes, minOutcomes)
+	o.seen = now
+	o.slowRun, o.good = 0, 0
+	o.ejected = bad
+	o.probing = false
+	if bad {
+		o.ejectedAt = now
+		o.ejectFor = max(o.ejectFor, ejectFirst)
+		o.ejectedTo = now.Add(probeAfter)
+	}
+	return true
+}
+
+// Postpone moves the next probe of a target that is set aside.
+func (o *Outlier) Postpone(now time.Time, probeAfter time.Duration) {
+	if o.ejected {
+		o.ejectedTo = now.Add(probeAfter)
+	}
+}
+
 // Latency returns the moving average of the time to an answer.
 func (o *Outlier) Latency() time.Duration {
 	return time.Duration(o.latency * float64(time.Second))
@@ -175,8 +271,8 @@
 // ended forgets the attempt in flight that was sent nearest to a time.
 func (o *Outlier) ended(sent time.Time) {
 	nearest := -1
-	for i, at := range o.running {
-		if nearest < 0 || at.Sub(sent).Abs() < o.running[nearest].Sub(sent).Abs() {
+	for i, f := range o.running {
+		if nearest < 0 || f.sent.Sub(sent).Abs() < o.running[nearest].sent.Sub(sent).Abs() {
 			nearest = i
 		}
 	}
@@ -188,8 +284,8 @@
 // oldest returns how long the oldest attempt in flight has run, in seconds.
 func (o *Outlier) oldest(now time.Time) float64 {
 	longest := 0.0
-	for _, at := range o.running {
-		longest = max(longest, now.Sub(at).Seconds())
+	for _, f := range o.running {
+		longest = max(longest, f.scale*now.Sub(f.sent).Seconds())
 	}
 	return longest
 }
@@ -205,6 +301,9 @@
 }
 
 func (o *Outlier) bad(best time.Duration) bool {
+	if o.quick && o.slowRun >= quickRun && o.seen.Sub(o.slowFrom) >= quickSpan {
+		return true
+	}
 	if o.outcomes < minOutcomes {
 		return false
 	}
@@ -214,6 +313,8 @@
 
 func (o *Outlier) eject(now time.Time) {
 	o.ejected = true
+	o.ejectedAt = now
+	o.slowRun = 0
 	o.ejectFor = min(max(2*o.ejectFor, ejectFirst), ejectLongest)
 	o.ejectedTo = now.Add(o.ejectFor)
 }
