Discovery: a host that knows nothing asks any other host, and the store, at once

Now a reply without beliefs counts as none, and while the watchers have nothing new every second question goes to any other host.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -50,7 +50,7 @@
 	back chan struct{} // closes when the store answers after it did not
 
 	started    time.Time
-	peerFailed atomic.Bool // the last question to a peer was not answered
+	peerFailed atomic.Bool // the last question to a peer brought nothing
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -268,9 +268,9 @@
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, f.cfg.peerTimeout())
-		news, err := f.peers.News(limited, f.state.Known(), f.cfg.peerWait())
+		news, err := f.peers.News(limited, f.state.Known(), f.peerWait())
 		cancel()
-		f.peerFailed.Store(err != nil)
+		f.peerFailed.Store(err != nil || news.ConfigAsOf.IsZero() || news.RegistryAsOf.IsZero())
 		if err != nil {
 			await.Sleep(ctx, lookEvery) // the next one asked may be another
 			continue
@@ -284,6 +284,18 @@
 	}
 }
 
+// coldWait is how long a peer holds the request of a host that knows nothing:
+// another one may have what this host needs to serve.
+const coldWait = 50 * time.Millisecond
+
+// peerWait returns how long a peer may hold a request for news.
+func (f *Follower) peerWait() time.Duration {
+	if f.state.Freshness().IsZero() {
+		return coldWait
+	}
+	return f.cfg.peerWait()
+}
+
 // tellFindings tells the peers what this host has judged of targets.
 func (f *Follower) tellFindings(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -29,8 +30,9 @@
 	dialer  peer.Dialer
 	state   *State
 
-	mu   sync.Mutex
-	turn int // which of the watchers is asked
+	mu     sync.Mutex
+	turn   int // which of the watchers is asked
+	misses int // questions in a row that brought nothing new enough
 	// heard is the last finding that each watcher told.
 	heard   map[string]findingMark
 	chosen  []member.Host
@@ -80,31 +82,67 @@
 // News implements Peers. After a failure, or old news, another watcher is asked
 // next.
 func (s *Spread) News(ctx context.Context, than Known, wait time.Duration) (News, error) {
-	watchers := s.watchers()
-	if len(watchers) == 0 {
-		return News{}, Error.New("no host watches the store")
+	from, heard, err := s.choose()
+	if err != nil {
+		return News{}, err
 	}
-	s.mu.Lock()
-	from := watchers[s.turn%len(watchers)]
-	heard := s.heard[from.ID]
-	s.mu.Unlock()
 	asked := time.Now()
 	reply, err := peerpb.NewDRPCDiscoveryClient(s.dialer.Conn(ctx, from.Peer)).Follow(ctx, &peerpb.FollowRequest{
 		ConfigRevision: than.ConfigRevision, RegistryRevision: than.RegistryRevision, WaitUs: wait.Microseconds(),
 		FindingEpoch: heard.epoch, FindingNumber: heard.number,
 	})
 	if err != nil {
-		s.next()
+		s.noteReply(from.ID, nil)
 		return News{}, Error.New("ask %s for news: %w", from.ID, err)
 	}
-	if oldest := max(reply.ConfigAgeUs, reply.RegistryAgeUs); reply.ConfigAgeUs < 0 || reply.RegistryAgeUs < 0 ||
-		time.Duration(oldest)*time.Microsecond > s.cfg.staleAfter() {
-		s.next()
+	s.noteReply(from.ID, reply)
+	return readReply(reply, asked)
+}
+
+// choose returns the host to ask next, and the last finding that it told. While
+// the watchers have nothing new every second question goes to any other host: the store may
+// turn the watchers away and serve that one.
+func (s *Spread) choose() (member.Host, findingMark, error) {
+	watchers := s.watchers()
+	self := s.members.Self().ID
+	var others []member.Host
+	for _, h := range s.members.Hosts() {
+		if h.ID != self && h.Usable() {
+			others = append(others, h)
+		}
 	}
 	s.mu.Lock()
-	s.heard[from.ID] = findingMark{reply.FindingEpoch, reply.FindingNumber}
-	s.mu.Unlock()
-	return readReply(reply, asked)
+	defer s.mu.Unlock()
+	var from member.Host
+	switch {
+	case len(others) > 0 && (s.misses%2 == 1 || len(watchers) == 0):
+		from = others[rand.IntN(len(others))]
+	case len(watchers) > 0:
+		from = watchers[s.turn%len(watchers)]
+	default:
+		return from, findingMark{}, Error.New("no other host is known")
+	}
+	return from, s.heard[from.ID], nil
+}
+
+// noteReply notes what a host answered, nil if it did not.
+func (s *Spread) noteReply(from string, r *peerpb.FollowReply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r != nil {
+		s.heard[from] = findingMark{r.FindingEpoch, r.FindingNumber}
+	}
+	if r != nil && s.fresh(r.ConfigAgeUs) && s.fresh(r.RegistryAgeUs) {
+		s.misses = 0
+		return
+	}
+	s.misses++
+	s.turn++
+}
+
+// fresh reports whether an age is one at which the store need not be asked.
+func (s *Spread) fresh(ageUs int64) bool {
+	return ageUs >= 0 && time.Duration(ageUs)*time.Microsecond <= s.cfg.staleAfter()
 }
 
 // TellFindings tells what this host has judged to the hosts that others follow.
@@ -149,13 +187,6 @@
 	return all
 }
 
-// next makes the next question go to another watcher.
-func (s *Spread) next() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.turn++
-}
-
 // Follow answers a peer.
 func (s *Spread) Follow(ctx context.Context, in *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
 	began := time.Now()
