--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -9,6 +9,10 @@
 // the kind of request: a target is judged by all of them together.
 const typicalLatency = 10 * time.Millisecond
 
+// expectedLatency is the mean of scaled latencies, with pauses and slow answers
+// that the median does not show: what is expected of a target that is not known.
+const expectedLatency = 14 * time.Millisecond
+
 // paceStep is the part by which the median moves with each answer; it follows
 // a change by half within a few tens of answers.
 const paceStep = 0.05
