Logs: lines about requests are bounded, never block, and say what was tried

Each failed, refused, late or partial request has its line and one with the targets asked; one in 50 of the others. Lines wait in a bounded queue; dropped and left-out ones are counted and told. Tests: a stuck writer blocks nobody (failed with the plain writer, which waits).

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -25,7 +25,9 @@
 	if err != nil {
 		return usageError(err)
 	}
-	log := event.New(c.env.Out, s.Log.Plog(), s.ID)
+	lines := event.NewQueue(c.env.Out)
+	defer func() { _ = lines.Close() }() // the last lines; a writer that fails can't be told
+	log := event.NewQueued(lines, s.Log.Plog(), s.ID)
 	h, err := gatewayhost.New(s, onPlatform(), log)
 	if err != nil {
 		return fail(ExitFailed, "host %s: %s", s.ID, err)
@@ -33,6 +35,7 @@
 	if err := h.Start(context.Background()); err != nil {
 		return fail(ExitFailed, "host %s: %s", s.ID, err)
 	}
+	h.WatchDrops(lines.Dropped)
 	c.waitForStop(h)
 	if err := h.Stop(context.Background()); err != nil {
 		return fail(ExitCut, "stop: %s", err)
--- /dev/null
+++ b/internal/event/queue_test.go
@@ -0,0 +1,42 @@
+package event
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	plog "github.com/phuslu/log"
+)
+
+// stuckWriter writes nothing until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	buf     bytes.Buffer
+}
+
+func (w *stuckWriter) Write(b []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.buf.Write(b)
+}
+
+func TestAStuckWriterBlocksNobody(t *testing.T) {
+	is := is.New(t)
+	w := &stuckWriter{release: make(chan struct{})}
+	q := NewQueue(w)
+	l := NewQueued(q, plog.InfoLevel, "h")
+	e := Event{Number: 1, Name: "x", Level: plog.InfoLevel}
+	const lines = queueLength + 100
+	for range lines {
+		l.Event(e).Msg("") // returns, though nothing is written
+	}
+	is.True(q.Dropped() >= 98) // one may be at the writer, another on its way
+	close(w.release)
+	is.NoErr(q.Close())
+	is.Equal(uint64(strings.Count(w.buf.String(), "\n")), lines-q.Dropped())
+	is.True(strings.Contains(w.buf.String(), `"host":"h"`))
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
@@ -23,6 +24,7 @@
 	deadline time.Time // until which the caller waits, or the route lets it
 	pace     *pace     // of the route
 	scale    float64   // of latencies; see pace
+	attempts atomic.Int32
 }
 
 // result is what became of one attempt.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -8,9 +8,15 @@
 
 var (
 	evAnswer = event.Define(11001, "request_answered", plog.InfoLevel,
-		"A forwarded request ended otherwise than with a whole answer.",
-		"See the reason; the target's lines around the same time tell its part.",
-		"request", "route", "status", "outcome", "missing", "lacking", "took", "reason")
+		"A forwarded request ended: each that failed, was refused, late or partial, and one in 50 of the others. Of a burst some lines are left out and counted.",
+		"Read the reason; docs/OPERATIONS.md leads from here to the cause.",
+		"request", "route", "status", "outcome", "missing", "took", "version", "reason")
+	evAttempts = event.Define(11004, "request_attempts", plog.InfoLevel,
+		"What was tried for the request of the line before: the targets asked, of shards those that are missing, and the age of the configuration.",
+		"Look for the lines of these targets.", "request", "attempts", "asked", "budget", "age")
+	evSuppressed = event.Define(11005, "request_lines_suppressed", plog.WarnLevel,
+		"Lines about requests were left out, as there were too many.",
+		"The counters on the metrics address count every request all the same.", "lines")
 	evWrongTarget = event.Define(11002, "target_replaced", plog.WarnLevel,
 		"Another target answered at the address of this one, which gets no more work.", "none", "target", "service", "address")
 	evTargetHealth = event.Define(11003, "target_health", plog.InfoLevel,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -28,6 +28,7 @@
 	life     *kernel.Lifecycle
 	log      *event.Log
 	metrics  *metrics
+	lines    *lines
 	cancel   context.CancelFunc
 }
 
@@ -36,7 +37,7 @@
 func New(cfg Config, domain string, hosts func() int, state *discovery.State, messages Messages, life *kernel.Lifecycle, log *event.Log, reg prometheus.Registerer) *Gateway {
 	g := &Gateway{
 		cfg: cfg, state: state, messages: messages, life: life, log: log, domain: domain, hosts: hosts,
-		fleet: newFleet(cfg, domain, hosts), metrics: newMetrics(reg),
+		fleet: newFleet(cfg, domain, hosts), metrics: newMetrics(reg), lines: newLines(),
 	}
 	state.Follow(g.fleet.apply)
 	state.FollowFindings(g.learn)
@@ -90,12 +91,13 @@
 		w.refuse(refusalNoConfig)
 		return
 	}
+	w.version, w.age = table.Config.Version, time.Since(asOf)
 	route := table.Match(hr.Host, hr.URL.Path)
 	if route == nil {
 		g.unknownRoute(w, asOf)
 		return
 	}
-	w.route = route.Name
+	w.route, w.limit = route.Name, route.Objective
 	body, err := readBody(hr, table.Config.Limits.BodyBytes)
 	if err != nil {
 		g.badBody(w, hr, err)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,10 +2,12 @@
 
 import (
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
+	"golang.org/x/time/rate"
 )
 
 type metrics struct {
@@ -38,7 +40,48 @@
 	}
 }
 
-// record counts an answer and logs it if it is not a plain success.
+// Bounds of the lines about requests, a second. Failures have a bound of their
+// own, so that many late or partial answers do not push them out.
+const (
+	failureLines = 100
+	otherLines   = 20
+	lineBurst    = 5  // seconds of lines that may come at once
+	wholeSample  = 50 // one in so many whole answers gets a line
+)
+
+// lines bounds the log lines about requests.
+type lines struct {
+	failures   *rate.Limiter
+	others     *rate.Limiter
+	suppressed atomic.Uint64 // since the last line
+	whole      atomic.Uint64
+}
+
+func newLines() *lines {
+	return &lines{
+		failures: rate.NewLimiter(failureLines, lineBurst*failureLines),
+		others:   rate.NewLimiter(otherLines, lineBurst*otherLines),
+	}
+}
+
+// due reports whether an answer gets a line.
+func (l *lines) due(w *reply) bool {
+	limit := l.others
+	switch {
+	case w.status < 200 || w.status >= 300:
+		limit = l.failures
+	case w.missing == 0 && !w.late() && l.whole.Add(1)%wholeSample != 0:
+		return false
+	}
+	if limit.Allow() {
+		return true
+	}
+	l.suppressed.Add(1)
+	return false
+}
+
+// record counts an answer, and logs it if it is not a plain success; of those
+// only a sample.
 func (g *Gateway) record(w *reply) {
 	took := time.Since(w.request.arrived)
 	g.metrics.requests.WithLabelValues(strconv.Itoa(w.status)).Inc()
@@ -48,9 +91,19 @@
 	if w.missing > 0 {
 		g.metrics.partial.Inc()
 	}
-	if w.status >= 200 && w.status < 300 && w.missing == 0 {
+	if !g.lines.due(w) {
+		return
+	}
+	r := w.request
+	if n := g.lines.suppressed.Swap(0); n > 0 {
+		g.log.Event(evSuppressed).Uint64("lines", n).Msg("")
+	}
+	g.log.Event(evAnswer).Str("request", r.call.RequestID).Str("route", w.route).Int("status", w.status).
+		Str("outcome", w.outcome.String()).Int("missing", w.missing).Dur("took", took).
+		Uint64("version", w.version).Str("reason", w.reason).Msg("")
+	if w.asked == "" {
 		return
 	}
-	g.log.Event(evAnswer).Str("request", w.request.call.RequestID).Str("route", w.route).Int("status", w.status).
-		Str("outcome", w.outcome.String()).Int("missing", w.missing).Str("lacking", w.lacking).Dur("took", took).Str("reason", w.reason).Msg("")
+	g.log.Event(evAttempts).Str("request", r.call.RequestID).Int("attempts", int(r.attempts.Load())).
+		Str("asked", w.asked).Dur("budget", r.deadline.Sub(r.arrived)).Dur("age", w.age).Msg("")
 }
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -38,7 +38,15 @@
 	missing int // parts that the answer lacks
 	parts   int // that the answer has
 	reason  string
-	lacking string // missing shards and the targets asked, a few of them
+	asked   string        // the service and the targets asked; of a query the missing ones, a few of them
+	version uint64        // of the configuration
+	age     time.Duration // since the configuration was known to be current
+	limit   time.Duration // the route's objective
+}
+
+// late reports whether the objective has passed.
+func (w *reply) late() bool {
+	return w.limit > 0 && time.Since(w.request.arrived) > w.limit
 }
 
 // whole passes a target's answer on.
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -39,7 +39,7 @@
 	}
 	gathered := newGathering(route)
 	gathered.collect(ctx, r, parts)
-	w.lacking = gathered.lacking(runs)
+	w.asked = gathered.lacking(runs)
 	switch {
 	case r.ctx.Err() != nil:
 		w.gone()
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -107,6 +107,7 @@
 	r.mu.Unlock()
 	r.inFlight++
 	r.sent++
+	r.request.attempts.Add(1)
 	go func() { r.results <- r.gateway.send(r.request.ctx, r.service, t, r.request) }()
 }
 
@@ -167,6 +168,7 @@
 func (g *Gateway) single(ctx context.Context, w *reply, r *request, route *routing.Route, service string) {
 	run := g.newRun(g.fleet.service(service), r, route)
 	res, ok := run.do(ctx)
+	w.asked = run.asked()
 	switch {
 	case ok:
 		w.whole(res)
--- a/internal/gatewayhost/events.go
+++ b/internal/gatewayhost/events.go
@@ -24,6 +24,9 @@
 		"The settings could not be read again; nothing changed.", "Mend the settings file.", "error")
 	evListenerFailed = event.Define(12007, "gateway_listener_failed", plog.ErrorLevel,
 		"A listener ended by itself.", "Restart the host.", "listener", "error")
+	evDropped = event.Define(12009, "gateway_log_dropped", plog.WarnLevel,
+		"Log lines were dropped, as they came faster than they could be written.",
+		"The counters on the metrics address count every request all the same.", "lines", "total")
 	evServerMessage = event.Define(12008, "gateway_server_message", plog.DebugLevel,
 		"The HTTP server found something wrong with a connection.", "none", "listener", "message")
 )
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -224,6 +224,29 @@
 	return nil
 }
 
+// dropsEvery is the time between two looks at dropped log lines.
+const dropsEvery = time.Second
+
+// WatchDrops logs how many log lines were dropped, while the host runs.
+func (h *Host) WatchDrops(dropped func() uint64) {
+	go func() {
+		told := uint64(0)
+		tick := time.NewTicker(dropsEvery)
+		defer tick.Stop()
+		for {
+			select {
+			case <-tick.C:
+			case <-h.life.Leaving():
+				return
+			}
+			if now := dropped(); now > told {
+				h.log.Event(evDropped).Uint64("lines", now-told).Uint64("total", now).Msg("")
+				told = now
+			}
+		}
+	}()
+}
+
 // Reload notes that the settings may have changed. Everything in them needs a
 // restart, but for the log level.
 func (h *Host) Reload(s Settings, err error) {
