--- a/internal/member/events.go
+++ b/internal/member/events.go
@@ -27,5 +27,5 @@
 		"If this repeats, look for two hosts with the same id in their settings.", "incarnation", "peer_address")
 	evRecordFailed = event.Define(3008, "member_record_failed", plog.WarnLevel,
 		"The member records could not be read or written in the platform; the host goes on with its peers and tries again.",
-		"Check the platform; docs/OPERATING.md tells what works while it is away.", "call", "error")
+		"Check the platform; docs/OPERATIONS.md tells what works while it is away.", "call", "error")
 )
