Gateway: each host asks home targets first and keeps few connections to the others

Now a host asks the targets of its failure domain first, or one picked by its id where there is none; where not every host can keep a connection, idle ones to the others are closed after 1 s.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -116,7 +116,7 @@
 // cost is the expected time to an answer, weighted by where the target is.
 func (t *target) cost(now time.Time) float64 {
 	cost := t.health.Expected(now, t.inFlight, float64(t.conf.Slots), expectedLatency)
-	if !t.local {
+	if !t.home {
 		cost *= remoteFactor
 	}
 	return cost
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/targetconn"
@@ -16,6 +19,7 @@
 // fleet is the targets of all services as this host uses them.
 type fleet struct {
 	cfg    Config
+	host   string     // own id
 	domain string     // own failure domain
 	hosts  func() int // number of hosts, this one included
 	dial   targetconn.DialFunc
@@ -42,9 +46,9 @@
 
 // target is one target as this host sees it.
 type target struct {
-	conf  discovery.Target
-	local bool // in the own failure domain
-	pool  *targetconn.Pool
+	conf discovery.Target
+	home bool // asked first: in the own failure domain, or this host's part of them all
+	pool *targetconn.Pool
 
 	// Guarded by the service's lock.
 	health   *policy.Outlier
@@ -56,9 +60,9 @@
 	strange bool
 }
 
-func newFleet(cfg Config, domain string, hosts func() int) *fleet {
+func newFleet(cfg Config, host, domain string, hosts func() int) *fleet {
 	dialer := &net.Dialer{KeepAlive: -1}
-	return &fleet{cfg: cfg, domain: domain, hosts: hosts, dial: dialer.DialContext, services: map[string]*service{}}
+	return &fleet{cfg: cfg, host: host, domain: domain, hosts: hosts, dial: dialer.DialContext, services: map[string]*service{}}
 }
 
 // size returns the number of hosts that share targets and budgets. It is never
@@ -109,9 +113,8 @@
 		names = append(names, name)
 	}
 	for _, name := range names {
-		f.service(name).apply(byService[name], f.target, f.limit(v, name, hosts), func(b *policy.Budget) {
-			b.SetShare(f.cfg.allowance(), hosts)
-		})
+		f.service(name).apply(f, byService[name])
+		f.service(name).resize(f, v, hosts)
 	}
 }
 
@@ -135,45 +138,58 @@
 // worth over 48 s, summed over all requests.
 const deadShare = 0.5
 
-// limit returns the connections that this host may hold to one target of a
-// service: its share of what the target accepts.
-func (f *fleet) limit(v discovery.View, name string, hosts int) int {
+// shortKeep is how long an idle connection to a target that is not asked first
+// is kept where not every host can keep one.
+const shortKeep = time.Second
+
+// share is what this host may hold of the connections to one target.
+type share struct {
+	home  int           // to the targets that it asks first
+	other int           // to the rest
+	keep  time.Duration // of idle connections to the rest; 0: as the target says
+}
+
+// share returns this host's part in the connections to a target of a service
+// with a number of targets.
+func (f *fleet) share(v discovery.View, name string, targets, hosts int) share {
 	if v.Table == nil {
-		return 1
+		return share{home: 1, other: 1}
 	}
 	s, ok := v.Table.Service(name)
 	if !ok || s.MaxConnections <= 0 {
-		return 1
+		return share{home: 1, other: 1}
+	}
+	each := float64(s.MaxConnections) / (float64(hosts) * (1 + deadShare))
+	out := share{home: max(int(math.Round(each*float64(max(targets, 1)))), 1), other: max(int(each), 1)}
+	if each < 1 {
+		out.keep = shortKeep
 	}
-	return max(int(float64(s.MaxConnections)/(float64(hosts)*(1+deadShare))), 1)
+	return out
 }
 
-func (f *fleet) target(t discovery.Target, limit int) *target {
+func (f *fleet) target(t discovery.Target) *target {
 	return &target{
 		conf:   t,
-		local:  t.Domain == f.domain,
-		pool:   targetconn.NewPool(t.Address, limit, f.cfg.ConnectTimeout.Std(), f.dial),
+		pool:   targetconn.NewPool(t.Address, 1, f.cfg.ConnectTimeout.Std(), f.dial),
 		health: policy.NewQuickOutlier(),
 	}
 }
 
 // apply takes over the targets of the service. Requests in flight at a target
 // that is gone end as they may.
-func (s *service) apply(list []discovery.Target, make func(discovery.Target, int) *target, limit int, share func(*policy.Budget)) {
+func (s *service) apply(f *fleet, list []discovery.Target) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	share(s.budget)
 	known := s.byID
 	s.byID = map[string]*target{}
 	s.targets = s.targets[:0:0]
 	for _, conf := range list {
 		t, ok := known[conf.ID]
 		if !ok || t.conf.Address != conf.Address {
-			t = make(conf, limit)
+			t = f.target(conf)
 		}
 		t.conf = conf
 		t.leaving = conf.Draining
-		t.pool.SetLimit(limit)
 		s.byID[conf.ID] = t
 		s.targets = append(s.targets, t)
 	}
@@ -183,9 +199,46 @@
 			t.pool.Close()
 		}
 	}
+	s.chooseHomes(f.domain, f.host)
 	s.wake()
 }
 
+// chooseHomes marks the targets that this host asks first: those in its failure
+// domain, or, where there is none, the one that its id picks, so that the hosts
+// of such a domain spread over all targets. The caller holds the lock.
+func (s *service) chooseHomes(domain, host string) {
+	var picked *target
+	var highest uint64
+	local := false
+	for _, t := range s.targets {
+		t.home = t.conf.Domain == domain
+		local = local || t.home
+		if h := xxhash.Sum64String(host + "/" + t.conf.ID); !t.leaving && (picked == nil || h > highest) {
+			picked, highest = t, h
+		}
+	}
+	if !local && picked != nil {
+		picked.home = true
+	}
+}
+
+// resize shares connections and budget among a number of hosts.
+func (s *service) resize(f *fleet, v discovery.View, hosts int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	share := f.share(v, s.name, len(s.targets), hosts)
+	s.budget.SetShare(f.cfg.allowance(), hosts)
+	for _, t := range s.targets {
+		if t.home {
+			t.pool.SetLimit(min(share.home, max(t.conf.Slots, 1)))
+			t.pool.SetKeep(0)
+			continue
+		}
+		t.pool.SetLimit(share.other)
+		t.pool.SetKeep(share.keep)
+	}
+}
+
 // wake lets every request that waits for a place look again. The caller holds
 // the lock.
 func (s *service) wake() {
@@ -222,13 +275,7 @@
 		return
 	}
 	for _, s := range services {
-		limit := f.limit(view, s.name, hosts)
-		s.mu.Lock()
-		s.budget.SetShare(f.cfg.allowance(), hosts)
-		for _, t := range s.targets {
-			t.pool.SetLimit(limit)
-		}
-		s.mu.Unlock()
+		s.resize(f, view, hosts)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/fleet_test.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/discovery"
+	"rhubarbwood.example/rhubarbwood/internal/policy"
+	"rhubarbwood.example/rhubarbwood/internal/routing"
+)
+
+// domains of the targets under test; hosts may stand in others.
+var testDomains = []string{"salt-lake", "new-town", "park-circus"}
+
+// fleetOf returns the fleet of one host of a site with one service of three
+// targets, one a domain.
+func fleetOf(host, domain string, hosts, connections int) *fleet {
+	f := newFleet(DefaultConfig(), host, domain, func() int { return hosts })
+	v := discovery.View{Table: routing.NewTable(routing.Config{Services: []routing.Service{{Name: "s", MaxConnections: connections}}})}
+	for _, d := range testDomains {
+		v.Targets = append(v.Targets, discovery.Target{ID: "t-" + d, Service: "s", Address: d + ":80", Domain: d, Slots: 4})
+	}
+	f.apply(v)
+	return f
+}
+
+func TestHostAsksItsOwnFailureDomainFirst(t *testing.T) {
+	is := is.New(t)
+	for _, target := range fleetOf("h", "new-town", 7, 26).service("s").targets {
+		is.Equal(target.home, target.conf.Domain == "new-town")
+	}
+}
+
+// Hosts of a failure domain without targets spread over all targets.
+func TestHostsWithoutTargetsInTheirDomainSpread(t *testing.T) {
+	is := is.New(t)
+	const hosts = 30
+	homes := map[string]int{}
+	for i := range hosts {
+		n := 0
+		for _, target := range fleetOf(fmt.Sprintf("natal-%d", i), "natal", hosts, 70).service("s").targets {
+			if target.home {
+				homes[target.conf.ID]++
+				n++
+			}
+		}
+		is.Equal(n, 1)
+	}
+	for _, d := range testDomains {
+		is.True(homes["t-"+d] >= 4 && homes["t-"+d] <= 17)
+	}
+}
+
+// A target must not be overrun by connections: those that the hosts asking it
+// first keep, and those that died with their hosts, fit in its limit.
+func TestConnectionsFitInTheLimitOfATarget(t *testing.T) {
+	for _, site := range []struct{ hosts, connections int }{{7, 26}, {9, 31}, {71, 68}, {75, 70}, {300, 300}} {
+		t.Run(fmt.Sprintf("%d hosts", site.hosts), func(t *testing.T) {
+			is := is.New(t)
+			f := fleetOf("h", "salt-lake", site.hosts, site.connections)
+			s := f.share(f.view, "s", len(testDomains), site.hosts)
+			home := min(s.home, 4) * ((site.hosts + 2) / 3) // hosts of one domain
+			is.True(home <= site.connections)
+			if s.keep == 0 { // then the others keep theirs as well
+				is.True(home+s.other*(site.hosts-site.hosts/3) <= site.connections*3/2)
+			}
+		})
+	}
+}
+
+func TestSharesFollowTheMembers(t *testing.T) {
+	is := is.New(t)
+	hosts := 7
+	f := newFleet(DefaultConfig(), "h", "salt-lake", func() int { return hosts })
+	f.apply(fleetOf("h", "salt-lake", 7, 260).view)
+	before := f.share(f.view, "s", 3, f.size())
+	hosts = 70
+	f.resize()
+	after := f.share(f.view, "s", 3, f.size())
+	is.True(after.other < before.other)
+	hosts = 7 // those that are away may be back at any time
+	is.Equal(f.size(), 70)
+}
+
+func TestCostOfATarget(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	home := &target{home: true, health: policy.NewQuickOutlier(), conf: discovery.Target{Slots: 2}}
+	other := &target{health: policy.NewQuickOutlier(), conf: discovery.Target{Slots: 2}}
+	is.True(home.cost(now) < other.cost(now))
+	home.inFlight = 4 // a queue, though, costs more than the way
+	is.True(home.cost(now) > other.cost(now))
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
+	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
@@ -32,12 +33,12 @@
 	cancel   context.CancelFunc
 }
 
-// New returns a gateway that forwards by what state believes. domain is the
-// host's own failure domain, hosts returns the number of hosts.
-func New(cfg Config, domain string, hosts func() int, state *discovery.State, messages Messages, life *kernel.Lifecycle, log *event.Log, reg prometheus.Registerer) *Gateway {
+// New returns a gateway that forwards by what state believes. self is this
+// host, hosts returns the number of hosts.
+func New(cfg Config, self member.Host, hosts func() int, state *discovery.State, messages Messages, life *kernel.Lifecycle, log *event.Log, reg prometheus.Registerer) *Gateway {
 	g := &Gateway{
-		cfg: cfg, state: state, messages: messages, life: life, log: log, domain: domain, hosts: hosts,
-		fleet: newFleet(cfg, domain, hosts), metrics: newMetrics(reg), lines: newLines(),
+		cfg: cfg, state: state, messages: messages, life: life, log: log, domain: self.FailureDomain, hosts: hosts,
+		fleet: newFleet(cfg, self.ID, self.FailureDomain, hosts), metrics: newMetrics(reg), lines: newLines(),
 	}
 	state.Follow(g.fleet.apply)
 	state.FollowFindings(g.learn)
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -16,6 +16,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
+	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 	"rhubarbwood.example/rhubarbwood/internal/standin"
 	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
@@ -74,7 +75,7 @@
 		t: t, network: standin.NewNetwork(), state: discovery.NewState(), life: kernel.NewLifecycle(),
 		targets: map[string]*platformtarget.Target{},
 	}
-	g := gateway.New(gateway.DefaultConfig(), domain, func() int { return 1 }, s.state, platform.Messages{}, s.life, event.Discard(), prometheus.NewRegistry())
+	g := gateway.New(gateway.DefaultConfig(), member.Host{ID: "h", FailureDomain: domain}, func() int { return 1 }, s.state, platform.Messages{}, s.life, event.Discard(), prometheus.NewRegistry())
 	g.DialWith(s.network.Dial)
 	_ = g.Start(t.Context())
 	s.stop = func() { _ = g.Stop(t.Context()) }
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -189,7 +189,7 @@
 	}
 	s := h.settings
 	hosts := func() int { return len(members.Hosts()) }
-	return gateway.New(s.Gateway, s.FailureDomain, hosts, state.State, h.platform.Messages, h.life, h.log, h.metrics), nil
+	return gateway.New(s.Gateway, members.Self(), hosts, state.State, h.platform.Messages, h.life, h.log, h.metrics), nil
 }
 
 func (h *Host) newCallers(f kernel.Finder) (kernel.Module, error) {
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -47,6 +47,7 @@
 
 	mu     sync.Mutex
 	limit  int
+	keep   time.Duration // longest time that an idle connection is kept; 0: as the target says
 	open   int
 	dialed uint64
 	idle   []*Conn // the one used last at the end
@@ -67,6 +68,14 @@
 	p.limit = limit
 }
 
+// SetKeep changes how long an idle connection is kept at most; 0 keeps it as
+// long as the target says.
+func (p *Pool) SetKeep(keep time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.keep = keep
+}
+
 // Free reports whether Get would not fail with ErrLimit.
 func (p *Pool) Free() bool {
 	p.mu.Lock()
@@ -137,6 +146,9 @@
 	p.mu.Lock()
 	keep := !p.closed && p.open <= p.limit
 	if keep {
+		if until := time.Now().Add(p.keep); p.keep > 0 && until.Before(c.idleUntil) {
+			c.idleUntil = until
+		}
 		p.idle = append(p.idle, c)
 	}
 	p.mu.Unlock()
