Members, discovery: a restart waits neither for dead seeds nor for a dead watcher

Cause: after all hosts lost power a start waited 0.4 to 0.65 s for seeds that answered nothing, and then up to 0.75 s for the host that should watch the store and was still away. Now a start takes the first peer that answers within 100 ms, and a host that knows nothing asks the store after 0.2 s. Tests (the first two failed before): a seed without power, a cut peer; few hosts keep a record.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,7 +51,8 @@
 	back chan struct{} // closes when the store answers after it did not
 
 	started    time.Time
-	peerFailed atomic.Bool // the last question to a peer brought nothing
+	coldGrace  time.Duration // from the start, before the store is asked in place of peers
+	peerFailed atomic.Bool   // the last question to a peer brought nothing
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -70,6 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.started = time.Now()
+	f.coldGrace = coldGrace + time.Duration(rand.Float64()*float64(f.peers.Hosts())*float64(coldSpread))
 	f.done.Go(func() { f.run(ctx, "configuration", f.followConfig) })
 	f.done.Go(func() { f.run(ctx, "targets", f.followTargets) })
 	f.done.Go(func() { f.followPeers(ctx) })
@@ -92,7 +95,7 @@
 	}
 	fresh := f.state.Freshness()
 	if fresh.IsZero() {
-		return f.peerFailed.Load() || time.Since(f.started) > f.cfg.staleAfter()
+		return f.peerFailed.Load() || time.Since(f.started) > f.coldGrace
 	}
 	return time.Since(fresh) > f.cfg.staleAfter()
 }
@@ -270,8 +273,9 @@
 			await.Sleep(ctx, lookEvery)
 			continue
 		}
-		limited, cancel := context.WithTimeout(ctx, f.cfg.peerTimeout())
-		news, err := f.peers.News(limited, f.state.Known(), f.peerWait())
+		wait, timeout := f.peerWait()
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		news, err := f.peers.News(limited, f.state.Known(), wait)
 		cancel()
 		f.peerFailed.Store(err != nil || news.ConfigAsOf.IsZero() || news.RegistryAsOf.IsZero())
 		if err != nil {
@@ -287,16 +291,26 @@
 	}
 }
 
-// coldWait is how long a peer holds the request of a host that knows nothing:
-// another one may have what this host needs to serve.
-const coldWait = 50 * time.Millisecond
+// Times of a host that knows nothing and can't serve. After all hosts lost power
+// the one that should know may still be away.
+const (
+	// coldWait is how long a peer holds its request: another one may know.
+	coldWait = 50 * time.Millisecond
+	// coldTimeout bounds one question to a peer.
+	coldTimeout = 150 * time.Millisecond
+	// coldGrace is how long it relies on peers alone, and coldSpread what is
+	// added for each host, in part, so that not all ask the store at once.
+	coldGrace  = 200 * time.Millisecond
+	coldSpread = 5 * time.Millisecond
+)
 
-// peerWait returns how long a peer may hold a request for news.
-func (f *Follower) peerWait() time.Duration {
+// peerWait returns how long a peer may hold a request for news, and the
+// timeout of the whole call.
+func (f *Follower) peerWait() (wait, timeout time.Duration) {
 	if f.state.Freshness().IsZero() {
-		return coldWait
+		return coldWait, coldTimeout
 	}
-	return f.cfg.peerWait()
+	return f.cfg.peerWait(), f.cfg.peerTimeout()
 }
 
 // tellFindings tells the peers what this host has judged of targets.
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -236,6 +236,20 @@
 	}
 }
 
+// After a loss of power the host that should know may be away and answer
+// nothing.
+func TestHostThatKnowsNothingSoonAsksTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.write(1)
+		peers := &fakePeers{watcher: NewState(), cut: true}
+		s, stop := startFollower(t, store, peers)
+		defer stop()
+		is.True(inForceAfter(s, 1) < 2*coldGrace)
+	})
+}
+
 // A host that the store turns away gets its news from one that it serves.
 func TestHostThatTheStoreTurnsAwayFollowsItsPeer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/member/members_test.go
+++ b/internal/member/members_test.go
@@ -11,6 +11,8 @@
 	"github.com/matryer/is"
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
+	"rhubarbwood.example/rhubarbwood/internal/objstore/objstoretest"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 )
 
@@ -286,3 +288,36 @@
 		is.True(time.Since(m.lastHeard()) < time.Second)
 	})
 }
+
+// A seed without power answers nothing, not even a refusal. Callers wait for
+// the start, so it must not wait for that seed.
+func TestSeedWithoutPowerDoesNotHoldUpTheStart(t *testing.T) {
+	inBubble(t, func(t *testing.T, net *network) {
+		is := is.New(t)
+		net.change(func() { net.frozen[address(0)] = true })
+		for i, holders := range []int{0, 8} {
+			began := time.Now()
+			m := net.start(downStore{}, i+1, func(m *Members) { m.cfg.RecordHolders = holders })
+			is.True(time.Since(began) <= 2*joinWait)
+			is.Equal(m.Hosts()[0].ID, name(i+1))
+		}
+	})
+}
+
+// Few hosts use the platform, whatever the fleet's size, but a host that no
+// seed answers finds the others there.
+func TestFewHostsKeepARecord(t *testing.T) {
+	inBubble(t, func(t *testing.T, net *network) {
+		is := is.New(t)
+		platform := objstoretest.New()
+		few := func(m *Members) { m.cfg.RecordHolders = 3 }
+		for i := range 20 {
+			net.start(platform.Client(), i, few)
+		}
+		is.True(len(platform.Objects(objstore.KindMember)) < 12)
+		net.change(func() { net.side[address(0)] = 1 }) // the only seed
+		last := net.start(platform.Client(), 20, few)
+		is.True(len(last.Hosts()) > 2)
+		within(t, 20*time.Second, "together", func() bool { return len(last.Hosts()) >= 20 })
+	})
+}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -55,7 +55,13 @@
 	return higher < m.cfg.RecordHolders
 }
 
-// joinPeers asks a few hosts and the seeds for the whole list.
+// joinWait is how long a start waits for a peer to tell the whole list. Peers
+// that are up answer within a few milliseconds; one without power would hold up
+// the start for a probe's timeout, and callers with it.
+const joinWait = 100 * time.Millisecond
+
+// joinPeers asks a few hosts and the seeds for the whole list. It returns once
+// one has answered, all have failed, or joinWait is over; the rest goes on.
 func (m *Members) joinPeers(ctx context.Context) {
 	var addresses []string
 	for _, h := range m.live(joinFrom) {
@@ -66,15 +72,22 @@
 		addresses = append(addresses, h.Peer)
 	}
 	m.mu.Unlock()
-	done := make(chan struct{}, len(addresses))
+	ctx = context.WithoutCancel(ctx) // each exchange has a timeout of its own
+	joined := make(chan error, len(addresses))
 	for _, a := range addresses {
-		go func() {
-			_ = m.exchange(ctx, kindJoin, a, &peerpb.ProbeRequest{All: true}) // alone if none answers
-			done <- struct{}{}
-		}()
+		m.work.Go(func() { joined <- m.exchange(ctx, kindJoin, a, &peerpb.ProbeRequest{All: true}) })
 	}
+	timer := time.NewTimer(joinWait)
+	defer timer.Stop()
 	for range addresses {
-		<-done
+		select {
+		case err := <-joined:
+			if err == nil {
+				return
+			}
+		case <-timer.C:
+			return // alone, or with what the platform lists, until one answers
+		}
 	}
 }
 
