Discovery: a watcher that the store turns away asks the other hosts; the host as a whole under test

Cause: a host that watches for all never asked its peers, so one that started while the store was away, or was turned away by it, learned nothing though others knew (TestHostStartsByItsPeerWhileTheStoreIsAway hung; TestWatcherAsksTheOthers failed first).

--- a/examples/examples_test.go
+++ b/examples/examples_test.go
@@ -179,10 +179,11 @@
 func TestEveryFilePassesCheck(t *testing.T) {
 	kinds := map[string][]string{
 		"host":     {"host.jsonc", "*/hosts/*.jsonc"},
+		"gateway":  {"gateway.jsonc"},
 		"platform": {"*/platform.jsonc"},
 		"target":   {"*/targets/*.jsonc"},
 	}
-	counts := map[string]int{"host": 1 + 9 + 8, "platform": 2, "target": 8}
+	counts := map[string]int{"host": 1 + 9 + 8, "gateway": 1, "platform": 2, "target": 8}
 	for kind, patterns := range kinds {
 		t.Run(kind, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"rhubarbwood.example/rhubarbwood/internal/gatewayhost"
 	"rhubarbwood.example/rhubarbwood/internal/host"
 	"rhubarbwood.example/rhubarbwood/internal/settings"
 	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
@@ -13,13 +14,14 @@
 // Kinds of settings files.
 const (
 	kindHost     = "host"
+	kindGateway  = "gateway"
 	kindPlatform = "platform"
 	kindTarget   = "target"
 )
 
 type checkCommand struct {
 	env  Env
-	Kind string `long:"kind" choice:"host" choice:"platform" choice:"target" default:"host" description:"What the files are for"`
+	Kind string `long:"kind" choice:"host" choice:"gateway" choice:"platform" choice:"target" default:"host" description:"What the files are for"`
 	Args struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
@@ -50,6 +52,8 @@
 
 func effective(kind, file string) (string, error) {
 	switch kind {
+	case kindGateway:
+		return loadAndPrint(file, gatewayhost.DefaultSettings())
 	case kindPlatform:
 		return loadAndPrint(file, objectstore.DefaultConfig())
 	case kindTarget:
--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -2,12 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
+	"net/http"
+	"strings"
 
 	plog "github.com/phuslu/log"
 
 	"rhubarbwood.example/rhubarbwood/internal/demo"
 	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+	"rhubarbwood.example/rhubarbwood/platform"
 )
 
 const freePort = "127.0.0.1:0"
@@ -37,7 +43,7 @@
 	if err != nil {
 		return fail(ExitFailed, "%s", err)
 	}
-	asked := c.ask(site)
+	asked := errors.Join(c.ask(site), c.askGateway(site))
 	if asked == nil && !c.Once {
 		c.printHint(site)
 		<-stopSignal(c.env.Signals)
@@ -66,6 +72,35 @@
 	return nil
 }
 
+// askGateway sends a query and a request that may run once to the host that
+// forwards, as callers on the users' platform do.
+func (c *demoCommand) askGateway(site *demo.Site) error {
+	for i, path := range []string{platformtarget.SiteQuery + "wedding", platformtarget.SiteSingle + "pressure-cooker"} {
+		req, err := http.NewRequest(http.MethodGet, "http://"+site.Gateway()+path, nil)
+		if err != nil {
+			return fail(ExitFailed, "%s", err)
+		}
+		req.Host = platformtarget.SiteHost
+		req.Header.Set(platform.HeaderRequestID, fmt.Sprintf("demo-%d", i))
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return fail(ExitUnreachable, "forwarded request: %s", err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close() // read to its end or broken already
+		if err != nil || resp.StatusCode != http.StatusOK {
+			return fail(ExitFailed, "forwarded request: status %d, %v", resp.StatusCode, err)
+		}
+		fmt.Fprintf(c.env.Out, "\n> GET %s%s\n%d, %d bytes", platformtarget.SiteHost, path, resp.StatusCode, len(body))
+		if parts := resp.Header.Get(platform.HeaderParts); parts != "" {
+			fmt.Fprintf(c.env.Out, ", %d parts, %s missing", strings.Count(parts, ",")+1, resp.Header.Get(platform.HeaderMissing))
+		}
+		fmt.Fprintln(c.env.Out)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	return nil
+}
+
 func (c *demoCommand) printHint(site *demo.Site) {
 	first := site.Hosts()[0]
 	fmt.Fprintf(c.env.Out, `
@@ -73,7 +108,8 @@
 
   export RHUBARBWOOD_ENTRY=%s RHUBARBWOOD_OPERATORS=%s RHUBARBWOOD_TOKEN=%s
   rhubarbwood exec 'show services'
+  curl -H 'Host: %s' -H 'X-Request-Id: 1' http://%s%s | xxd
 
-`, first.Callers, first.Operators, demo.Token)
+`, first.Callers, first.Operators, demo.Token, platformtarget.SiteHost, site.Gateway(), platformtarget.SiteQuery+"wedding")
 	fmt.Fprintln(c.env.Out, "ready")
 }
--- a/internal/cli/demo_test.go
+++ b/internal/cli/demo_test.go
@@ -14,6 +14,7 @@
 	is.Equal(r.code, ExitOK)
 	is.True(strings.Contains(r.out, "coverage 12 of 12 shards: complete"))
 	is.True(strings.Contains(r.out, "granted by target reservation-desk-t"))
+	is.True(strings.Contains(r.out, "200, 80 bytes, 4 parts, 0 missing"))
 	is.True(strings.Contains(r.out, "3 hosts as host salt-lake-1 sees them"))
 }
 
--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -6,12 +6,9 @@
 	"runtime/debug"
 	"syscall"
 
-	"rhubarbwood.example/rhubarbwood/internal/discovery"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/gatewayhost"
-	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/settings"
-	"rhubarbwood.example/rhubarbwood/platform"
 )
 
 type gatewayCommand struct {
@@ -35,7 +32,7 @@
 	lines := event.NewQueue(c.env.Out)
 	defer func() { _ = lines.Close() }() // the last lines; a writer that fails can't be told
 	log := event.NewQueued(lines, s.Log.Plog(), s.ID)
-	h, err := gatewayhost.New(s, onPlatform(), log)
+	h, err := gatewayhost.New(s, gatewayhost.OnPlatform(), log)
 	if err != nil {
 		return fail(ExitFailed, "host %s: %s", s.ID, err)
 	}
@@ -60,14 +57,3 @@
 		h.Reload(settings.Load(c.Settings, gatewayhost.DefaultSettings()))
 	}
 }
-
-// onPlatform returns what a host needs of the users' platform.
-func onPlatform() gatewayhost.Platform {
-	return gatewayhost.Platform{
-		Records: func(c objstore.Config) objstore.Records {
-			return platform.NewObjects(c.Timeout.Std(), c.Addresses...)
-		},
-		Source:   func(r objstore.Records) discovery.Source { return platform.NewSource(r) },
-		Messages: platform.Messages{},
-	}
-}
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -13,12 +13,15 @@
 	"github.com/zeebo/errs"
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/gatewayhost"
 	"rhubarbwood.example/rhubarbwood/internal/host"
 	"rhubarbwood.example/rhubarbwood/internal/settings"
 	"rhubarbwood.example/rhubarbwood/internal/standin"
 	"rhubarbwood.example/rhubarbwood/internal/standin/fixture"
 	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
 	"rhubarbwood.example/rhubarbwood/internal/standin/target"
+	"rhubarbwood.example/rhubarbwood/internal/unit"
 )
 
 // Error is the class of this package's errors.
@@ -28,7 +31,8 @@
 	freePort = "127.0.0.1:0"
 	hosts    = 3
 
-	readyTimeout = 10 * time.Second
+	readyTimeout   = 10 * time.Second
+	forwardLatency = 5 * time.Millisecond // of the targets of forwarded requests
 )
 
 // Token is the operators' token of the demo.
@@ -45,6 +49,8 @@
 type Site struct {
 	layout   fixture.Layout
 	hosts    []*host.Host
+	gateway  *gatewayhost.Host
+	forward  *platformtarget.Site
 	standins []standin.Server
 	serving  sync.WaitGroup
 }
@@ -62,10 +68,13 @@
 	if err := s.startTargets(); err != nil {
 		return err
 	}
-	platform, err := s.startPlatform()
+	store, platform, err := s.startPlatform()
 	if err != nil {
 		return err
 	}
+	if err := s.startGateway(ctx, store, platform, o); err != nil {
+		return err
+	}
 	for i := range hosts {
 		if err := s.startHost(ctx, s.hostSettings(i, platform, o), o); err != nil {
 			return err
@@ -90,16 +99,47 @@
 	return nil
 }
 
-func (s *Site) startPlatform() (string, error) {
+func (s *Site) startPlatform() (*objectstore.Store, string, error) {
 	c := objectstore.DefaultConfig()
 	c.Seeds = s.layout.Seeds()
-	address, err := s.serve(objectstore.NewServer(objectstore.New(c)))
+	store := objectstore.New(c)
+	address, err := s.serve(objectstore.NewServer(store))
 	if err != nil {
-		return "", fmt.Errorf("platform: %w", err)
+		return nil, "", fmt.Errorf("platform: %w", err)
 	}
-	return address, nil
+	return store, address, nil
 }
 
+// startGateway starts a host that forwards, and targets of its own, which are
+// configured and registered in the store as on the users' platform.
+func (s *Site) startGateway(ctx context.Context, store *objectstore.Store, address string, o Options) error {
+	forward, err := platformtarget.StartSite(store, s.layout.Domains, standin.Latency{Mean: unit.Duration(forwardLatency)})
+	if err != nil {
+		return err
+	}
+	s.forward = forward
+	gs := gatewayhost.DefaultSettings()
+	gs.ID = "gateway-1"
+	gs.FailureDomain = s.layout.Domains[0]
+	gs.Addresses = gatewayhost.Addresses{Callers: freePort, Readiness: freePort, Metrics: freePort, Peers: freePort}
+	gs.Platform.Addresses = []string{address}
+	gs.Stop.BalancerLag = 0 // no balancer stands before it
+	h, err := gatewayhost.New(gs, gatewayhost.OnPlatform(), o.Log(gs.ID))
+	if err != nil {
+		return err
+	}
+	if err := h.Start(ctx); err != nil {
+		return err
+	}
+	s.gateway = h
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	return h.WaitReady(ctx)
+}
+
+// Gateway returns where the host that forwards takes callers.
+func (s *Site) Gateway() string { return s.gateway.Addresses().Callers }
+
 // serve starts a stand-in on a free port and returns its address.
 func (s *Site) serve(in standin.Server) (string, error) {
 	ln, err := net.Listen("tcp", freePort)
@@ -158,6 +198,12 @@
 	for _, h := range s.hosts {
 		problems = append(problems, h.Stop(ctx))
 	}
+	if s.gateway != nil {
+		problems = append(problems, s.gateway.Stop(ctx))
+	}
+	if s.forward != nil {
+		problems = append(problems, s.forward.Stop(ctx))
+	}
 	for _, in := range s.standins {
 		problems = append(problems, in.Shutdown(ctx))
 	}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -269,7 +269,9 @@
 // followPeers takes news from the hosts that watch the store.
 func (f *Follower) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.peers.Watches() {
+		// A host that watches for all asks the others, too, when the store
+		// turns it away: it may serve them.
+		if f.peers.Watches() && time.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
 			await.Sleep(ctx, lookEvery)
 			continue
 		}
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -104,9 +104,13 @@
 // the watchers have nothing new every second question goes to any other host: the store may
 // turn the watchers away and serve that one.
 func (s *Spread) choose() (member.Host, findingMark, error) {
-	watchers := s.watchers()
 	self := s.members.Self().ID
-	var others []member.Host
+	var watchers, others []member.Host
+	for _, h := range s.watchers() {
+		if h.ID != self {
+			watchers = append(watchers, h)
+		}
+	}
 	for _, h := range s.members.Hosts() {
 		if h.ID != self && h.Usable() && !slices.ContainsFunc(watchers, func(w member.Host) bool { return w.ID == h.ID }) {
 			others = append(others, h)
--- a/internal/discovery/spread_test.go
+++ b/internal/discovery/spread_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/peer"
 )
@@ -136,6 +137,25 @@
 	is.True(table != nil)
 }
 
+// A watcher that the store turns away takes the news of a host that it serves.
+func TestWatcherAsksTheOthers(t *testing.T) {
+	is := is.New(t)
+	watcher, followers := split(t, startHosts(t, 2))
+	followers[0].state.ApplyConfig(read(7, 3), time.Now())
+	followers[0].state.ApplyTargets(TargetList{Revision: 3}, time.Now())
+	store := newFakeStore()
+	store.set(func() { store.away = true })
+	f := NewFollower(DefaultConfig(), store, watcher.spread, watcher.state, event.Discard())
+	is.NoErr(f.Start(t.Context()))
+	defer func() { is.NoErr(f.Stop(context.Background())) }()
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if table, _ := watcher.state.Table(); table != nil {
+			return
+		}
+	}
+	t.Error("the watcher learned nothing")
+}
+
 func TestFindingsOfLongAgoAreNotHandedOn(t *testing.T) {
 	is := is.New(t)
 	f := newFindings()
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -34,14 +34,6 @@
 	modMetrics   = "metrics"   // listener for counters
 )
 
-// Platform is what a host needs of the platform that it runs on.
-type Platform struct {
-	// Records opens the object API at the addresses of the settings.
-	Records  func(objstore.Config) objstore.Records
-	Source   func(objstore.Records) discovery.Source
-	Messages gateway.Messages
-}
-
 // Host is one process of the system.
 type Host struct {
 	settings Settings
@@ -50,20 +42,28 @@
 	life     *kernel.Lifecycle
 	kernel   *kernel.Kernel
 	metrics  *prometheus.Registry
+	on       listeners
 	callers  *callers
 	members  *member.Members
+	gateway  *gateway.Gateway
 
 	peerMetrics *peer.Metrics
 }
 
-// New returns a host with every module built and nothing started.
+// New returns a host with every module built and every address taken, but
+// nothing started. An address in use is an error here.
 func New(s Settings, p Platform, log *event.Log) (*Host, error) {
-	h := &Host{settings: s, platform: p, log: log, life: kernel.NewLifecycle(), metrics: prometheus.NewRegistry()}
+	on, err := listenOn(s.Addresses)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{settings: s, platform: p, log: log, life: kernel.NewLifecycle(), metrics: prometheus.NewRegistry(), on: on}
 	h.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.peerMetrics = peer.NewMetrics(h.metrics)
 	h.kernel = kernel.New(h.life, s.Stop.Grace.Std(), log)
 	h.register()
 	if err := h.kernel.Build(); err != nil {
+		h.on.close()
 		return nil, Error.Wrap(err)
 	}
 	return h, nil
@@ -128,7 +128,9 @@
 }
 
 func (h *Host) newPeers(kernel.Finder) (kernel.Module, error) {
-	return peer.NewServer(h.settings.Addresses.Peers, peer.WithMetrics(h.peerMetrics)), nil
+	s := peer.NewServer(h.settings.Addresses.Peers, peer.WithMetrics(h.peerMetrics))
+	s.On(h.on.peers)
+	return s, nil
 }
 
 func (h *Host) newMembers(f kernel.Finder) (kernel.Module, error) {
@@ -141,7 +143,7 @@
 	}
 	self := member.Host{
 		ID: h.settings.ID, FailureDomain: h.settings.FailureDomain,
-		Peer: h.settings.Addresses.Peers, API: h.settings.Addresses.Callers,
+		Peer: h.Addresses().Peers, API: h.Addresses().Callers,
 	}
 	h.members = member.New(h.settings.Member, self, store, member.DRPC{Dialer: pool}, h.log, h.metrics)
 	return h.members, h.members.Register(server)
@@ -189,7 +191,8 @@
 	}
 	s := h.settings
 	hosts := func() int { return len(members.Hosts()) }
-	return gateway.New(s.Gateway, members.Self(), hosts, state.State, h.platform.Messages, h.life, h.log, h.metrics), nil
+	h.gateway = gateway.New(s.Gateway, members.Self(), hosts, state.State, h.platform.Messages, h.life, h.log, h.metrics)
+	return h.gateway, nil
 }
 
 func (h *Host) newCallers(f kernel.Finder) (kernel.Module, error) {
@@ -197,7 +200,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h.callers = newCallers(h.settings.Addresses.Callers, g, h.log)
+	h.callers = newCallers(h.on.callers, g, h.log)
 	return h.callers, nil
 }
 
@@ -206,24 +209,51 @@
 	if err != nil {
 		return nil, err
 	}
-	return newReadiness(h.settings.Addresses.Readiness, h.platform.Messages.ReadyPath(), g, h.log), nil
+	return newReadiness(h.on.readiness, h.platform.Messages.ReadyPath(), g, h.log), nil
 }
 
 func (h *Host) newMetrics(kernel.Finder) (kernel.Module, error) {
-	return newMetrics(h.settings.Addresses.Metrics, h.metrics, h.log), nil
+	return newMetrics(h.on.metrics, h.metrics, h.log), nil
 }
 
 // Start starts every module. If one fails, none is left running.
 func (h *Host) Start(ctx context.Context) error {
 	if err := h.kernel.Start(ctx); err != nil {
+		h.on.close()
 		return Error.Wrap(err)
 	}
-	a := h.settings.Addresses
+	a := h.Addresses()
 	h.log.Event(evStarted).Str("failure_domain", h.settings.FailureDomain).Str("callers", a.Callers).
 		Str("readiness", a.Readiness).Strs("platform", h.settings.Platform.Addresses).Msg("")
 	return nil
 }
 
+// Addresses returns where the host listens, with the ports that were taken.
+func (h *Host) Addresses() Addresses {
+	return Addresses{
+		Callers: h.on.callers.Addr().String(), Readiness: h.on.readiness.Addr().String(),
+		Metrics: h.on.metrics.Addr().String(), Peers: h.on.peers.Addr().String(),
+	}
+}
+
+// Ready returns why the host should get no callers, or nil.
+func (h *Host) Ready() error { return h.gateway.Ready() }
+
+// readyPoll is the time between two looks at readiness.
+const readyPoll = 5 * time.Millisecond
+
+// WaitReady waits until the host can serve, or returns why it can't when ctx is
+// done.
+func (h *Host) WaitReady(ctx context.Context) error {
+	for {
+		err := h.Ready()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		await.Sleep(ctx, readyPoll)
+	}
+}
+
 // dropsEvery is the time between two looks at dropped log lines.
 const dropsEvery = time.Second
 
--- /dev/null
+++ b/internal/gatewayhost/host_test.go
@@ -0,0 +1,259 @@
+package gatewayhost
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/settings"
+	"rhubarbwood.example/rhubarbwood/internal/standin"
+	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+	"rhubarbwood.example/rhubarbwood/internal/unit"
+	"rhubarbwood.example/rhubarbwood/platform"
+)
+
+const freePort = "127.0.0.1:0"
+
+var domains = []string{"salt-lake", "new-town"}
+
+// site is a store and targets on loopback.
+type site struct {
+	store   *objectstore.Store
+	address string
+}
+
+func startSite(t *testing.T) *site {
+	t.Helper()
+	store := objectstore.New(objectstore.DefaultConfig())
+	server := objectstore.NewServer(store)
+	ln, err := net.Listen("tcp", freePort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(ln) }()
+	targets, err := platformtarget.StartSite(store, domains, standin.Latency{Mean: unit.Duration(5 * time.Millisecond)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = targets.Stop(context.Background())
+		_ = server.Shutdown(context.Background())
+	})
+	return &site{store: store, address: ln.Addr().String()}
+}
+
+// startHost starts a host of the site; seeds are the peers that it knows.
+func (s *site) startHost(t *testing.T, id string, seeds ...string) *Host {
+	t.Helper()
+	gs := DefaultSettings()
+	gs.ID, gs.FailureDomain = id, domains[0]
+	gs.Addresses = Addresses{Callers: freePort, Readiness: freePort, Metrics: freePort, Peers: freePort}
+	gs.Platform.Addresses = []string{s.address}
+	gs.Member.Seeds = seeds
+	gs.Stop.BalancerLag = unit.Duration(time.Second)
+	h, err := New(gs, OnPlatform(), event.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := h.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func (h *Host) stopForTest(t *testing.T) {
+	t.Helper()
+	if err := h.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+}
+
+// ask sends one request on the client's connections.
+func ask(c *http.Client, address, path, id string) (status int, err error) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	req.Host = platformtarget.SiteHost
+	req.Header.Set(platform.HeaderRequestID, id)
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+func status(t *testing.T, address string) int {
+	t.Helper()
+	resp, err := http.Get("http://" + address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestHostServesByTheStore(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t)
+	h := s.startHost(t, "a")
+	defer h.stopForTest(t)
+	is.NoErr(h.WaitReady(t.Context()))
+	a := h.Addresses()
+	is.Equal(status(t, a.Readiness+"/api/readyz"), http.StatusOK)
+	is.Equal(status(t, a.Metrics+"/metrics"), http.StatusOK)
+	for _, path := range []string{platformtarget.SiteQuery + "x", platformtarget.SiteSingle + "x"} {
+		got, err := ask(http.DefaultClient, a.Callers, path, "r1")
+		is.NoErr(err)
+		is.Equal(got, http.StatusOK)
+	}
+	got, err := ask(http.DefaultClient, a.Callers, "/none", "r2")
+	is.NoErr(err)
+	is.Equal(got, http.StatusNotFound)
+}
+
+// The store is away when the host starts: what it needs comes from its peer.
+func TestHostStartsByItsPeerWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t)
+	first := s.startHost(t, "a")
+	defer first.stopForTest(t)
+	is.NoErr(first.WaitReady(t.Context()))
+	s.store.SetFaults(objectstore.Faults{Outage: objectstore.OutageUnavailable})
+	second := s.startHost(t, "b", first.Addresses().Peers)
+	defer second.stopForTest(t)
+	is.NoErr(second.WaitReady(t.Context()))
+	got, err := ask(http.DefaultClient, second.Addresses().Callers, platformtarget.SiteQuery+"x", "r1")
+	is.NoErr(err)
+	is.Equal(got, http.StatusOK)
+}
+
+func TestHostThatKnowsNothingRefuses(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t)
+	s.store.SetFaults(objectstore.Faults{Outage: objectstore.OutageUnavailable})
+	h := s.startHost(t, "a")
+	defer h.stopForTest(t)
+	got, err := ask(http.DefaultClient, h.Addresses().Callers, platformtarget.SiteQuery+"x", "r1")
+	is.NoErr(err)
+	is.Equal(got, http.StatusServiceUnavailable)
+	is.Equal(status(t, h.Addresses().Readiness+"/api/readyz"), http.StatusServiceUnavailable)
+	s.store.SetFaults(objectstore.Faults{})
+	is.NoErr(h.WaitReady(t.Context()))
+}
+
+// A planned stop cuts off no request: callers that keep their connections, and
+// ones that open new ones until the balancer has noticed, all get answers.
+func TestStopCutsOffNoRequest(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t)
+	h := s.startHost(t, "a")
+	is.NoErr(h.WaitReady(t.Context()))
+	address := h.Addresses().Callers
+	var cut, served atomic.Int64
+	leaving := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			c := &http.Client{Transport: &http.Transport{DisableKeepAlives: i%2 == 1}}
+			defer c.CloseIdleConnections()
+			for n := 0; ; n++ {
+				select {
+				case <-leaving:
+					return
+				default:
+				}
+				got, err := ask(c, address, platformtarget.SiteSingle+"x", strconv.Itoa(i)+"-"+strconv.Itoa(n))
+				if err != nil || got != http.StatusOK {
+					cut.Add(1)
+					t.Logf("status %d: %v", got, err)
+					continue
+				}
+				served.Add(1)
+			}
+		})
+	}
+	for served.Load() < 100 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		h.stopForTest(t)
+	}()
+	<-h.life.Leaving()
+	before := served.Load()
+	for served.Load() < before+50 && cut.Load() == 0 { // served while it leaves
+		time.Sleep(time.Millisecond)
+	}
+	close(leaving) // the balancer has noticed
+	callers.Wait()
+	<-stopped
+	is.Equal(cut.Load(), int64(0))
+}
+
+func TestReloadChangesTheLevelOnly(t *testing.T) {
+	is := is.New(t)
+	s := startSite(t)
+	h := s.startHost(t, "a")
+	defer h.stopForTest(t)
+	changed := h.settings
+	changed.Log.Level = "debug"
+	is.True(!h.restartNeeded(changed))
+	changed.FailureDomain = "elsewhere"
+	is.True(h.restartNeeded(changed))
+	h.Reload(changed, nil)
+	h.Reload(DefaultSettings(), Error.New("not JSON")) // changes nothing
+	is.NoErr(h.WaitReady(t.Context()))
+}
+
+// platformFields are what the platform fills into the template.
+var platformFields = map[string]string{
+	"nodeName|json": `"front-salt-lake-1"`, "zone|json": `"salt-lake"`, "ip": "10.1.0.39",
+	"bindAddresses.front|json": `"10.1.0.39:8226"`, "bindAddresses.ready|json": `"10.1.0.39:8227"`,
+	"bindAddresses.control|json": `"10.1.0.39:8224"`, "seedNodes|json": `["10.1.0.39:8224","10.2.0.33:8224"]`,
+	"platform.address|json": `"10.200.1.7:8229"`, "bounds.graceS": "6", "bounds.configApplyMs": "5000",
+	"bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": "182", "bounds.budgetWindowS": "10",
+}
+
+var placeholder = regexp.MustCompile(`\{\{([^}]+)\}\}`)
+
+func TestTemplateMakesGoodSettings(t *testing.T) {
+	is := is.New(t)
+	text, err := os.ReadFile("../../deploy/gateway.jsonc.tmpl")
+	is.NoErr(err)
+	filled := placeholder.ReplaceAllStringFunc(string(text), func(p string) string {
+		value, ok := platformFields[strings.Trim(p, "{}")]
+		is.True(ok) // a field that the platform has
+		return value
+	})
+	s, err := settings.Parse("template", []byte(filled), DefaultSettings())
+	is.NoErr(err)
+	is.Equal(s.Discovery.ApplyWithin.Std(), 5*time.Second)
+	is.Equal(s.Gateway.RetrySlack, 182.0)
+	is.Equal(s.Addresses.Peers, "10.1.0.39:8224")
+}
+
+func TestBadSettingsAreNamedWithTheirPlace(t *testing.T) {
+	is := is.New(t)
+	_, err := settings.Parse("f", []byte("{\n  \"gateway\": {\"retry_ratio\": 7},\n  \"stop\": {\"grace\": \"1s\"}\n}"), DefaultSettings())
+	is.True(strings.Contains(err.Error(), "f:2:"))
+	is.True(strings.Contains(err.Error(), "retry_ratio"))
+	is.True(strings.Contains(err.Error(), "grace"))
+	is.True(strings.Contains(err.Error(), "failure_domain"))
+}
--- a/internal/gatewayhost/servers.go
+++ b/internal/gatewayhost/servers.go
@@ -13,6 +13,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
+	"rhubarbwood.example/rhubarbwood/internal/listen"
 )
 
 // Bounds of a caller's connection, wider than those of any configuration.
@@ -22,17 +23,36 @@
 	maxHeader     = 64 << 10 // bytes
 )
 
+// listeners are the addresses of a host.
+type listeners struct{ callers, readiness, metrics, peers net.Listener }
+
+func listenOn(a Addresses) (listeners, error) {
+	all, err := listen.All(
+		listen.Address{Name: "callers", Address: a.Callers},
+		listen.Address{Name: "readiness", Address: a.Readiness},
+		listen.Address{Name: "metrics", Address: a.Metrics},
+		listen.Address{Name: "peers", Address: a.Peers},
+	)
+	if err != nil {
+		return listeners{}, Error.Wrap(err)
+	}
+	return listeners{callers: all[0], readiness: all[1], metrics: all[2], peers: all[3]}, nil
+}
+
+// close closes what is still open.
+func (l listeners) close() { listen.Close(l.callers, l.readiness, l.metrics, l.peers) }
+
 // listener is an HTTP server as a module.
 type listener struct {
-	name    string
-	address string
-	server  *http.Server
-	log     *event.Log
+	name   string
+	on     net.Listener
+	server *http.Server
+	log    *event.Log
 }
 
-func newListener(name, address string, h http.Handler, l *event.Log) *listener {
+func newListener(name string, on net.Listener, h http.Handler, l *event.Log) *listener {
 	return &listener{
-		name: name, address: address, log: l,
+		name: name, on: on, log: l,
 		server: &http.Server{
 			Handler:           h,
 			ReadHeaderTimeout: headerTimeout,
@@ -55,14 +75,10 @@
 	return len(b), nil
 }
 
-// Start listens and serves.
+// Start serves.
 func (l *listener) Start(context.Context) error {
-	ln, err := net.Listen("tcp", l.address)
-	if err != nil {
-		return Error.New("listen for %s: %w", l.name, err)
-	}
 	go func() {
-		if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		if err := l.server.Serve(l.on); !errors.Is(err, http.ErrServerClosed) {
 			l.log.Event(evListenerFailed).Str("listener", l.name).Err(err).Msg("")
 		}
 	}()
@@ -81,29 +97,29 @@
 // callers is the listener for requests to forward.
 type callers struct{ *listener }
 
-func newCallers(address string, g *gateway.Gateway, log *event.Log) *callers {
-	return &callers{newListener("callers", address, g, log)}
+func newCallers(on net.Listener, g *gateway.Gateway, log *event.Log) *callers {
+	return &callers{newListener("callers", on, g, log)}
 }
 
 // closeIdle closes connections that have no request in flight, and the others
 // after their answer. New connections are still taken, for one request each.
 func (c *callers) closeIdle() { c.server.SetKeepAlivesEnabled(false) }
 
-func newReadiness(address, path string, g *gateway.Gateway, log *event.Log) *listener {
+func newReadiness(on net.Listener, path string, g *gateway.Gateway, log *event.Log) *listener {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
 		if err := g.Ready(); err != nil {
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
-	return newListener("readiness", address, mux, log)
+	return newListener("readiness", on, mux, log)
 }
 
 // pathMetrics is where counters and histograms are read.
 const pathMetrics = "/metrics"
 
-func newMetrics(address string, reg *prometheus.Registry, log *event.Log) *listener {
+func newMetrics(on net.Listener, reg *prometheus.Registry, log *event.Log) *listener {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+pathMetrics, promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
-	return newListener("metrics", address, mux, log)
+	return newListener("metrics", on, mux, log)
 }
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -84,6 +84,7 @@
 func memberSettings() member.Config {
 	c := member.DefaultConfig()
 	c.RecordHolders = defaultRecordHolders
+	c.RecordKind = objstore.KindGateway
 	return c
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -38,7 +38,7 @@
 // New returns a host with every module built and every address taken, but
 // nothing started. An address in use is an error here.
 func New(s Settings, log *event.Log) (*Host, error) {
-	ln, err := listen(s.Addresses)
+	ln, err := listenOn(s.Addresses)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/host/listeners.go
+++ b/internal/host/listeners.go
@@ -1,44 +1,28 @@
 package host
 
 import (
-	"errors"
 	"net"
+
+	"rhubarbwood.example/rhubarbwood/internal/listen"
 )
 
-// listeners are the three addresses of a host, taken before any module is
-// made: the membership tells them to others, and an address in use is found
-// before anything has started.
+// listeners are the three addresses of a host.
 type listeners struct{ callers, operators, peers net.Listener }
 
-func listen(a Addresses) (listeners, error) {
-	var l listeners
-	var problems []error
-	open := func(field, address string) net.Listener {
-		ln, err := net.Listen("tcp", address)
-		if err != nil {
-			problems = append(problems, Error.New("listen for %s: %w", field, err))
-			return nil
-		}
-		return ln
-	}
-	l.callers = open("callers", a.Callers)
-	l.operators = open("operators", a.Operators)
-	l.peers = open("peers", a.Peers)
-	if len(problems) > 0 {
-		l.close()
-		return listeners{}, errors.Join(problems...)
+func listenOn(a Addresses) (listeners, error) {
+	all, err := listen.All(
+		listen.Address{Name: "callers", Address: a.Callers},
+		listen.Address{Name: "operators", Address: a.Operators},
+		listen.Address{Name: "peers", Address: a.Peers},
+	)
+	if err != nil {
+		return listeners{}, Error.Wrap(err)
 	}
-	return l, nil
+	return listeners{callers: all[0], operators: all[1], peers: all[2]}, nil
 }
 
 // close closes what is still open.
-func (l listeners) close() {
-	for _, ln := range []net.Listener{l.callers, l.operators, l.peers} {
-		if ln != nil {
-			_ = ln.Close() // closed already, if its module was started
-		}
-	}
-}
+func (l listeners) close() { listen.Close(l.callers, l.operators, l.peers) }
 
 func (l listeners) addresses() Addresses {
 	return Addresses{
--- /dev/null
+++ b/internal/listen/listen.go
@@ -0,0 +1,48 @@
+// Package listen takes the addresses of a process before any part of it is
+// made: some are told to others, and an address in use is found before anything
+// has started.
+package listen
+
+import (
+	"errors"
+	"net"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of this package's errors.
+var Error = errs.Class("listen")
+
+// Address is one address to listen on.
+type Address struct {
+	Name    string // for errors
+	Address string // host:port; port 0 takes a free one
+}
+
+// All listens on every address, or on none: the error names each that failed.
+func All(addresses ...Address) ([]net.Listener, error) {
+	all := make([]net.Listener, len(addresses))
+	var problems []error
+	for i, a := range addresses {
+		ln, err := net.Listen("tcp", a.Address)
+		if err != nil {
+			problems = append(problems, Error.New("listen for %s: %w", a.Name, err))
+			continue
+		}
+		all[i] = ln
+	}
+	if len(problems) > 0 {
+		Close(all...)
+		return nil, errors.Join(problems...)
+	}
+	return all, nil
+}
+
+// Close closes what is open.
+func Close(all ...net.Listener) {
+	for _, ln := range all {
+		if ln != nil {
+			_ = ln.Close() // closed already, if its module was started
+		}
+	}
+}
--- a/internal/member/config.go
+++ b/internal/member/config.go
@@ -6,6 +6,7 @@
 	"net"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/unit"
 )
 
@@ -27,6 +28,9 @@
 	// a new host finds the others when no seed answers; 0: all of them. Calls
 	// to the platform are then bounded whatever the fleet's size.
 	RecordHolders int `json:"record_holders"`
+	// RecordKind is the kind of the platform's objects that hold the records;
+	// hosts that do different work have different ones and do not meet.
+	RecordKind string `json:"record_kind"`
 }
 
 // DefaultConfig returns the settings used where none are given.
@@ -42,6 +46,7 @@
 		RefreshMinimum:    unit.Duration(30 * time.Second),
 		RefreshPerHost:    unit.Duration(250 * time.Millisecond),
 		ForgetAfter:       unit.Duration(2 * time.Hour),
+		RecordKind:        objstore.KindMember,
 	}
 }
 
@@ -64,6 +69,9 @@
 	if c.IndirectProbes < 0 {
 		problems = append(problems, Error.New("indirect_probes must not be negative"))
 	}
+	if c.RecordKind == "" {
+		problems = append(problems, Error.New("record_kind is missing"))
+	}
 	if c.RecordHolders < 0 {
 		problems = append(problems, Error.New("record_holders must not be negative"))
 	}
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -113,7 +113,7 @@
 func (m *Members) refresh(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.PlatformTimeout.Std())
 	defer cancel()
-	listing, err := m.store.List(ctx, objstore.KindMember)
+	listing, err := m.store.List(ctx, m.cfg.RecordKind)
 	m.countCall("list", err)
 	if err != nil {
 		return Error.New("list members: %w", err)
@@ -188,7 +188,7 @@
 		return Error.New("encode member record: %w", err)
 	}
 	m.recorded.Store(true) // also if no answer comes
-	_, err = m.store.Put(ctx, objstore.KindMember, self.ID, current.Version, value)
+	_, err = m.store.Put(ctx, m.cfg.RecordKind, self.ID, current.Version, value)
 	m.countCall("put", err)
 	if err != nil {
 		return Error.New("write member record: %w", err)
@@ -217,7 +217,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.cfg.PlatformTimeout.Std())
 	defer cancel()
-	o, err := m.store.Get(ctx, objstore.KindMember, m.self.ID)
+	o, err := m.store.Get(ctx, m.cfg.RecordKind, m.self.ID)
 	if errors.Is(err, objstore.ErrNotFound) {
 		return
 	}
--- a/internal/objstore/api.go
+++ b/internal/objstore/api.go
@@ -15,6 +15,7 @@
 	KindService  = "service"
 	KindSnapshot = "snapshot"
 	KindMember   = "member"
+	KindGateway  = "gateway" // members that forward requests
 	KindClaim    = "claim"
 	KindWindow   = "window" // delivery windows
 	KindRecord   = "record" // single delivery records
