--- a/internal/await/await.go
+++ b/internal/await/await.go
@@ -35,3 +35,17 @@
 		return ctx.Err()
 	}
 }
+
+// readyPoll is the time between two looks of Ready.
+const readyPoll = 5 * time.Millisecond
+
+// Ready waits until ready returns nil, or returns its error when ctx is done.
+func Ready(ctx context.Context, ready func() error) error {
+	for {
+		err := ready()
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		Sleep(ctx, readyPoll)
+	}
+}
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -239,20 +239,9 @@
 // Ready returns why the host should get no callers, or nil.
 func (h *Host) Ready() error { return h.gateway.Ready() }
 
-// readyPoll is the time between two looks at readiness.
-const readyPoll = 5 * time.Millisecond
-
 // WaitReady waits until the host can serve, or returns why it can't when ctx is
 // done.
-func (h *Host) WaitReady(ctx context.Context) error {
-	for {
-		err := h.Ready()
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-		await.Sleep(ctx, readyPoll)
-	}
-}
+func (h *Host) WaitReady(ctx context.Context) error { return await.Ready(ctx, h.Ready) }
 
 // dropsEvery is the time between two looks at dropped log lines.
 const dropsEvery = time.Second
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -86,20 +86,9 @@
 	return nil
 }
 
-// readyPoll is the time between two looks at readiness.
-const readyPoll = 5 * time.Millisecond
-
 // WaitReady waits until the host takes callers, or returns why it doesn't
 // when ctx is done.
-func (h *Host) WaitReady(ctx context.Context) error {
-	for {
-		err := h.Ready()
-		if err == nil || ctx.Err() != nil {
-			return err
-		}
-		await.Sleep(ctx, readyPoll)
-	}
-}
+func (h *Host) WaitReady(ctx context.Context) error { return await.Ready(ctx, h.Ready) }
 
 // Leaving reports whether the host is stopping.
 func (h *Host) Leaving() bool { return h.life.State() >= kernel.Leaving }
--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -179,20 +179,16 @@
 
 // replace writes an object that must stand at the revision; 0 is any.
 func (s *Store) replace(k key, revision uint64, spec json.RawMessage) (platform.Object, int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	standing, ok := s.objects[k]
-	switch {
-	case !ok:
-		return standing, http.StatusNotFound
-	case revision != 0 && standing.Meta.Revision != revision:
-		return standing, http.StatusConflict
-	}
-	return s.writeLocked(k, spec), http.StatusOK
+	return s.changeAt(k, revision, func() platform.Object { return s.writeLocked(k, spec) })
 }
 
 // remove deletes an object that must stand at the revision; 0 is any.
 func (s *Store) remove(k key, revision uint64) (platform.Object, int) {
+	return s.changeAt(k, revision, func() platform.Object { return s.deleteLocked(k) })
+}
+
+// changeAt makes a change to an object that must stand at the revision.
+func (s *Store) changeAt(k key, revision uint64, change func() platform.Object) (platform.Object, int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	standing, ok := s.objects[k]
@@ -202,7 +198,7 @@
 	case revision != 0 && standing.Meta.Revision != revision:
 		return standing, http.StatusConflict
 	}
-	return s.deleteLocked(k), http.StatusOK
+	return change(), http.StatusOK
 }
 
 func (s *Store) writeLocked(k key, spec json.RawMessage) platform.Object {
