Gateway: a repeat does not hold back the answer of another attempt; names mended

Cause: with three attempts or more, a repeat that found every target busy waited for one while another attempt in flight had its answer ready. Test: TestRepeatDoesNotHoldBackAnAnswer; with the branch off it waits for the whole time of the request.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -6,9 +6,10 @@
 	"time"
 )
 
-// remoteFactor is how many times longer a target in another failure domain is
-// taken to answer: bytes between domains are paid for, and a link may be cut.
-const remoteFactor = 2.2
+// otherFactor is how many times longer a target that is not a home of this host
+// is taken to answer: most stand in other failure domains, bytes between domains
+// are paid for, and a link may be cut.
+const otherFactor = 2.2
 
 // mostWaiting is how many requests may wait for a place at a service's
 // targets, per target. More are refused at once.
@@ -113,11 +114,11 @@
 	return best, usable
 }
 
-// cost is the expected time to an answer, weighted by where the target is.
+// cost is the expected time to an answer, more for a target that is not a home.
 func (t *target) cost(now time.Time) float64 {
 	cost := t.health.Expected(now, t.inFlight, float64(t.conf.Slots), expectedLatency)
 	if !t.home {
-		cost *= remoteFactor
+		cost *= otherFactor
 	}
 	return cost
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -47,7 +47,7 @@
 // target is one target as this host sees it.
 type target struct {
 	conf discovery.Target
-	home bool // asked first: in the own failure domain, or this host's part of them all
+	home bool // asked first; see chooseHomes
 	pool *targetconn.Pool
 
 	// Guarded by the service's lock.
@@ -104,17 +104,11 @@
 	f.owners = owners
 	f.view = v
 	hosts := f.size()
-	names := make([]string, 0, len(f.services)+len(byService))
-	for name := range f.services {
-		names = append(names, name)
-	}
+	services := slices.Collect(maps.Values(f.services)) // with those that lost all targets
 	f.mu.Unlock()
-	for name := range byService {
-		names = append(names, name)
-	}
-	for _, name := range names {
-		f.service(name).apply(f, byService[name])
-		f.service(name).resize(f, v, hosts)
+	for _, s := range services {
+		s.apply(f, byService[s.name])
+		s.resize(f, v, hosts)
 	}
 }
 
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
@@ -94,3 +96,21 @@
 	home.inFlight = 4 // a queue, though, costs more than the way
 	is.True(home.cost(now) > other.cost(now))
 }
+
+// While another attempt is in flight its answer must not wait for a repeat that
+// finds no free target.
+func TestRepeatDoesNotHoldBackAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := fleetOf("h", "salt-lake", 7, 26).service("s")
+		for _, target := range s.targets {
+			target.pool.SetLimit(0) // no connection is free
+		}
+		route := &routing.Route{Idempotent: true, MaxAttempts: 3, Objective: 100 * time.Millisecond}
+		r := (&Gateway{}).newRun(s, &request{deadline: time.Now().Add(time.Second)}, route)
+		r.sent, r.inFlight = 1, 1
+		began := time.Now()
+		r.repeat(t.Context(), result{outcome: outcome.Failed})
+		is.Equal(time.Since(began), time.Duration(0)) // virtual time
+	})
+}
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -26,7 +26,7 @@
 	service  *service
 	request  *request
 	route    *routing.Route
-	mu       sync.Mutex // guards tried against asked
+	mu       sync.Mutex // guards writes of tried, which asked reads from another goroutine
 	tried    []*target
 	results  chan result // of attempts in flight; never blocks
 	inFlight int
@@ -143,6 +143,13 @@
 	if !r.service.hasTarget(r.tried) || !free && !r.service.another() {
 		return
 	}
+	if r.inFlight > 0 {
+		// Another attempt may answer at any moment, so this one does not wait.
+		if t := r.service.tryAcquire(r.request, r.tried); t != nil {
+			r.launch(t)
+		}
+		return
+	}
 	t, err := r.service.acquire(ctx, r.request, r.tried)
 	if err != nil {
 		r.refused = err
