Gateway: the route is chosen by the path as it was sent

Cause: the library's decoded path was matched, so /one%2Fx went to the route of /one/ though its target sees another path; a request target that can't be forwarded was refused as busy in place of 400. Test: TestRouteIsChosenByThePathAsItWasSent (200 in place of 404 before).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -15,6 +16,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
+	"rhubarbwood.example/rhubarbwood/internal/targetconn"
 )
 
 // Gateway forwards requests. It is an http.Handler for callers.
@@ -87,13 +89,19 @@
 		w.invalid(http.StatusBadRequest, err.Error())
 		return
 	}
+	if !targetconn.ValidURI(r.uri) {
+		w.invalid(http.StatusBadRequest, "want a path of visible ASCII characters that begins with one slash")
+		return
+	}
 	table, asOf := g.state.Table()
 	if table == nil {
 		w.refuse(refusalNoConfig)
 		return
 	}
 	w.version, w.age = table.Config.Version, time.Since(asOf)
-	route := table.Match(hr.Host, hr.URL.Path)
+	// The path as it was sent: a target sees no other one.
+	path, _, _ := strings.Cut(r.uri, "?")
+	route := table.Match(hr.Host, path)
 	if route == nil {
 		g.unknownRoute(w, asOf)
 		return
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -289,6 +289,17 @@
 	})
 }
 
+// A target would see the path as it was sent, and so must the choice of route.
+func TestRouteIsChosenByThePathAsItWasSent(t *testing.T) {
+	run(t, options{}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		is.Equal(s.get("/one%2Fx", "r1").status, http.StatusNotFound)
+		is.Equal(s.get("//one/x", "r2").status, http.StatusBadRequest)
+		is.Equal(s.get("/one/%2Fx", "r3").status, http.StatusOK)
+		is.Equal(s.runs("r1")+s.runs("r2"), 0)
+	})
+}
+
 func TestRequestBeforeAConfigurationIsKnown(t *testing.T) {
 	run(t, options{unconfigured: true}, func(t *testing.T, s *site) {
 		is := is.New(t)
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -194,7 +194,7 @@
 
 // encode writes the request in the form of HTTP/1.1.
 func (r *Request) encode(buf *bytes.Buffer) error {
-	if !validURI(r.URI) {
+	if !ValidURI(r.URI) {
 		return Error.New("request target %q: want a path of visible ASCII characters that begins with one slash", r.URI)
 	}
 	req := http.Request{
@@ -210,9 +210,9 @@
 	return req.Write(buf)
 }
 
-// validURI reports whether a request target is a path whose characters can't
+// ValidURI reports whether a request target is a path whose characters can't
 // end the request line or name another host.
-func validURI(uri string) bool {
+func ValidURI(uri string) bool {
 	if !strings.HasPrefix(uri, "/") || strings.HasPrefix(uri, "//") {
 		return false
 	}
