--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -36,7 +36,6 @@
 	status  int
 	outcome outcome.Outcome
 	missing int // parts that the answer lacks
-	parts   int // that the answer has
 	reason  string
 	asked   string        // the service and the targets asked; of a query the missing ones, a few of them
 	version uint64        // of the configuration
@@ -61,7 +60,6 @@
 // merged answers with the parts of a query.
 func (w *reply) merged(g *gathering) {
 	signatures, bodies := g.signatures()
-	w.parts = len(signatures)
 	w.missing = len(g.route.Shards) - len(signatures)
 	w.gateway.messages.Merged(w.writer.Header(), w.request.call.RequestID, signatures, w.missing)
 	w.outcome = outcome.Done
