Gateway host: callers' connections keep the limits of the configuration

Cause: header and idle time of callers were fixed bounds, so a configuration with a shorter one was not kept, and one with an idle time above two minutes lost requests that crossed the close. The HTTP server knows fixed times only; the connections now put the configured time in place of its deadlines. A header over the configured size is refused with 431.

Ruled out: a new server for each configuration (it would cut connections). Before: an idle connection closed after 2 min, whatever was configured.

--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -77,6 +77,16 @@
 	return s.table, s.config.asOf
 }
 
+// Limits returns the limits of the configuration in force, none before there is
+// one.
+func (s *State) Limits() routing.Limits {
+	table, _ := s.Table()
+	if table == nil {
+		return routing.Limits{}
+	}
+	return table.Config.Limits
+}
+
 // ApplyConfig takes what was read of the configuration at a time. It reports
 // whether the configuration changed. An older version never replaces a newer.
 func (s *State) ApplyConfig(r ConfigRead, asOf time.Time) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -110,6 +110,10 @@
 		return
 	}
 	w.route, w.limit, w.parts = route.Name, route.Objective, max(len(route.Shards), 1)
+	if limit := table.Config.Limits.HeaderBytes; limit > 0 && headerSize(hr) > limit {
+		w.invalid(http.StatusRequestHeaderFieldsTooLarge, "the header is longer than the configuration allows")
+		return
+	}
 	body, err := readBody(hr, table.Config.Limits.BodyBytes)
 	if err != nil {
 		g.badBody(w, hr, err)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -323,6 +323,7 @@
 			{"no id", http.Header{}, "", http.StatusBadRequest},
 			{"no time", http.Header{platform.HeaderRequestID: {"r"}, platform.HeaderDeadline: {"0"}}, "", http.StatusBadRequest},
 			{"nonsense for a time", http.Header{platform.HeaderRequestID: {"r"}, platform.HeaderDeadline: {"soon"}}, "", http.StatusBadRequest},
+			{"header too long", http.Header{platform.HeaderRequestID: {"r"}, "X-Long": {strings.Repeat("x", 4<<10)}}, "", http.StatusRequestHeaderFieldsTooLarge},
 			{"body too long", http.Header{platform.HeaderRequestID: {"r"}}, strings.Repeat("x", 1<<10+1), http.StatusRequestEntityTooLarge},
 		}
 		for _, tc := range cases {
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -107,7 +107,7 @@
 	switch status {
 	case http.StatusNotFound:
 		w.code = query.ReasonUnknownService
-	case http.StatusRequestEntityTooLarge:
+	case http.StatusRequestEntityTooLarge, http.StatusRequestHeaderFieldsTooLarge:
 		w.code = query.ReasonTooLarge
 	}
 	w.problem(status, 0, reason)
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -151,7 +151,7 @@
 
 // configure puts a version of the configuration in force.
 func (s *site) configure(version uint64, routes ...routing.Route) {
-	c := routing.Config{Version: version, Routes: routes, Limits: routing.Limits{BodyBytes: 1 << 10}}
+	c := routing.Config{Version: version, Routes: routes, Limits: routing.Limits{BodyBytes: 1 << 10, HeaderBytes: 4 << 10}}
 	for i := range 20 {
 		c.Services = append(c.Services, routing.Service{Name: fmt.Sprintf("s%d", i), MaxConnections: 90})
 	}
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -86,7 +86,7 @@
 	k.Register(modGateway, h.newGateway, modState, modMembers, modDelivery)
 	k.Register(modFollower, h.newFollower, modPlatform, modState, modSpread, modGateway)
 	k.Register(modMetrics, h.newMetrics)
-	k.Register(modCallers, h.newCallers, modGateway, modFollower)
+	k.Register(modCallers, h.newCallers, modState, modGateway, modFollower)
 	k.Register(modReadiness, h.newReadiness, modGateway, modCallers)
 }
 
@@ -230,11 +230,13 @@
 }
 
 func (h *Host) newCallers(f kernel.Finder) (kernel.Module, error) {
-	g, err := kernel.Find[*gateway.Gateway](f, modGateway)
-	if err != nil {
-		return nil, err
+	l := kernel.Lookup{Finder: f}
+	g := kernel.FindIn[*gateway.Gateway](&l, modGateway)
+	state := kernel.FindIn[stateModule](&l, modState)
+	if l.Err != nil {
+		return nil, l.Err
 	}
-	h.callers = newCallers(h.on.callers, g, h.log)
+	h.callers = newCallers(h.on.callers, state.Limits, g, h.log)
 	return h.callers, nil
 }
 
--- a/internal/gatewayhost/servers.go
+++ b/internal/gatewayhost/servers.go
@@ -16,11 +16,12 @@
 	"rhubarbwood.example/rhubarbwood/internal/listen"
 )
 
-// Bounds of a caller's connection, wider than those of any configuration.
+// Bounds of a connection where the configuration sets none. A header up to
+// maxHeader bytes is read, so that one over the configuration's limit is told so.
 const (
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
-	maxHeader     = 64 << 10 // bytes
+	maxHeader     = 256 << 10 // bytes; the limits known are a sixteenth of it
 )
 
 // listeners are the addresses of a host.
@@ -97,8 +98,10 @@
 // callers is the listener for requests to forward.
 type callers struct{ *listener }
 
-func newCallers(on net.Listener, g *gateway.Gateway, log *event.Log) *callers {
-	return &callers{newListener("callers", on, g, log)}
+func newCallers(on net.Listener, limits limitsFunc, g *gateway.Gateway, log *event.Log) *callers {
+	l := newListener("callers", limitedListener{on, limits}, g, log)
+	l.server.ConnState = noteState
+	return &callers{l}
 }
 
 // closeIdle closes connections that have no request in flight, and the others
--- a/internal/query/refusal.go
+++ b/internal/query/refusal.go
@@ -15,7 +15,7 @@
 	ReasonBadRequest      Reason = "bad_request"         // malformed; the caller must change it
 	ReasonUnknownService  Reason = "unknown_service"     // no such service or workload
 	ReasonConflict        Reason = "conflict"            // a write lost a race
-	ReasonTooLarge        Reason = "too_large"           // body over the limit
+	ReasonTooLarge        Reason = "too_large"           // header or body over the limit
 	ReasonBudget          Reason = "budget_exhausted"    // the budget ended first
 	ReasonOverload        Reason = "overload"            // shed here or by the target
 	ReasonDraining        Reason = "draining"            // target or host is leaving
