Policy, gateway: a pause sets no target aside; own failure domain first, more firmly

Counted on a scratch copy: of 37,254 attempts 3,883 as the own target was set aside, 2,297 as its mean latency looked slow while it was idle, 1,131 were second attempts. Targets pause 120 or 150 ms every 3 s or so; a run of two held-up answers of 150 ms was enough to set aside, and several answers held up by one pause moved the mean.

Now: a run with a slow answer must last 250 ms (failed ones 150 as before), an answer moves the mean by 0.05 in place of 0.1, and a target that is not a home is taken to be 3.5 times as slow in place of 2.2.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -8,8 +8,10 @@
 
 // otherFactor is how many times longer a target that is not a home of this host
 // is taken to answer: most stand in other failure domains, bytes between domains
-// are paid for, and a link may be cut.
-const otherFactor = 2.2
+// are paid for, and a link may be cut. With 3.5 in place of 2.2, and pauses that
+// move the mean half as much, nine hosts sent 39 in place of 45 MB to other domains
+// in 58 s, and as many answers came within their objective.
+const otherFactor = 3.5
 
 // mostWaiting is how many requests may wait for a place at a service's
 // targets, per target. More are refused at once.
--- a/internal/policy/outlier.go
+++ b/internal/policy/outlier.go
@@ -6,20 +6,22 @@
 )
 
 const (
-	latencyWeight  = 0.1 // of the newest answer in the mean latency
-	failureWeight  = 0.2 // of the newest outcome in the failure ratio
-	failureEject   = 0.5 // failure ratio from which a target is set aside
-	slowRatio      = 3.0 // latency over the best of the others from which it is
-	lateRatio      = 2.0 // the same for one attempt that was given up; it counts as a failure
-	minOutcomes    = 5   // before which nothing is judged
-	trialOutcomes  = 20  // good ones after which an ejection is forgotten
+	latencyWeight  = 0.1  // of the newest answer in the mean latency
+	quickWeight    = 0.05 // the same for NewQuickOutlier: a pause that several requests meet must not look like a slow target
+	failureWeight  = 0.2  // of the newest outcome in the failure ratio
+	failureEject   = 0.5  // failure ratio from which a target is set aside
+	slowRatio      = 3.0  // latency over the best of the others from which it is
+	lateRatio      = 2.0  // the same for one attempt that was given up; it counts as a failure
+	minOutcomes    = 5    // before which nothing is judged
+	trialOutcomes  = 20   // good ones after which an ejection is forgotten
 	ejectFirst     = time.Second
 	ejectLongest   = 30 * time.Second
 	failurePenalty = 8.0 // cost of a target that always fails, in latencies
 	initialLatency = 5 * time.Millisecond
 	shortest       = 1e-4                   // seconds, of a first latency
 	quickRun       = 2                      // slow or failed attempts in a row that set a target aside
-	quickSpan      = 150 * time.Millisecond // that the run must last: longer than a pause for garbage collection
+	failedSpan     = 150 * time.Millisecond // that a run of failed attempts must last
+	slowSpan       = 250 * time.Millisecond // that a run with a slow one must last: longer than a pause for garbage collection, 150 ms on the deployments known
 	trustOwn       = 500 * time.Millisecond // for which a host's own good answer goes before what others say
 	forgetHalf     = 10 * time.Second       // without an answer, halves latency and failures
 )
@@ -43,6 +45,7 @@
 
 	quick    bool      // a short run of slow attempts is enough to set aside
 	slowRun  int       // slow or failed attempts in a row
+	slowSeen bool      // one of them was slow
 	slowFrom time.Time // when the first of them was sent
 	wellAt   time.Time // newest valid answer that was not slow
 }
@@ -119,9 +122,10 @@
 	switch {
 	case s == Errored || s == Shed || slow:
 		if o.slowRun == 0 {
-			o.slowFrom = sent
+			o.slowFrom, o.slowSeen = sent, false
 		}
 		o.slowRun++
+		o.slowSeen = o.slowSeen || slow
 	case s == Served:
 		o.slowRun, o.wellAt = 0, now
 	}
@@ -251,10 +255,18 @@
 	case o.outcomes == 1:
 		o.latency = max(seconds, shortest)
 	case s == Served || (s == Abandoned && seconds > o.latency):
-		o.latency += latencyWeight * (seconds - o.latency)
+		o.latency += o.weight() * (seconds - o.latency)
 	}
 }
 
+// weight returns that of the newest answer in the mean latency.
+func (o *Outlier) weight() float64 {
+	if o.quick {
+		return quickWeight
+	}
+	return latencyWeight
+}
+
 // blendFailure counts an attempt that was given up much later than the others
 // answer as a failure: a hedge overtook it, and how long it would have taken
 // will never be known.
@@ -302,8 +314,7 @@
 
 func (o *Outlier) bad(best time.Duration) bool {
 	if o.quick {
-		run := o.slowRun >= quickRun && o.seen.Sub(o.slowFrom) >= quickSpan
-		return run || (o.Known() && o.failures >= failureEject)
+		return o.longRun() || (o.Known() && o.failures >= failureEject)
 	}
 	if !o.Known() {
 		return false
@@ -312,6 +323,18 @@
 	return slow || o.failures >= failureEject
 }
 
+// longRun reports whether slow or failed attempts in a row have lasted longer
+// than a pause. With a span of 250 ms in place of 150 for slow ones, nine hosts
+// sent 45 in place of 53 MB to other failure domains in 58 s at 320 queries a
+// second: most targets that were set aside had only paused.
+func (o *Outlier) longRun() bool {
+	span := failedSpan
+	if o.slowSeen {
+		span = slowSpan
+	}
+	return o.slowRun >= quickRun && o.seen.Sub(o.slowFrom) >= span
+}
+
 func (o *Outlier) eject(now time.Time) {
 	o.ejected = true
 	o.ejectedAt = now
--- a/internal/policy/quick_test.go
+++ b/internal/policy/quick_test.go
@@ -52,6 +52,26 @@
 	is.True(!o.Ejected(now)) // a good answer between two slow ones ends the run
 }
 
+// A pause of 150 ms that holds up one attempt after another, as each waits for
+// the one before, must not set a target aside, nor make it look slow for long.
+func TestAPauseWithAQueueDoesNotSetATargetAside(t *testing.T) {
+	is := is.New(t)
+	const pause = 150 * time.Millisecond
+	o := NewQuickOutlier()
+	now := attempts(o, time.Now(), 50*time.Millisecond, typicalAnswer, Served, 20)
+	for i := range 5 {
+		o.Sent(now.Add(time.Duration(i) * 25 * time.Millisecond))
+	}
+	end := now.Add(pause)
+	for i := range 5 {
+		sent := now.Add(time.Duration(i) * 25 * time.Millisecond)
+		at := end.Add(time.Duration(i) * typicalAnswer)
+		o.Observe(at, at.Sub(sent), Served, typicalAnswer)
+	}
+	is.True(!o.Ejected(end))
+	is.True(o.Latency() < 4*typicalAnswer)
+}
+
 func TestShedAttemptsSetATargetAside(t *testing.T) {
 	is := is.New(t)
 	o := NewQuickOutlier()
