Discovery: a watch proves what stood when its answer was made; the spread modelled

Cause: modelling the spread of beliefs (model/spread.pml) showed that the end of a watch was believed as of its arrival. A host that was frozen takes an old answer for a fresh one then, and tells callers that a new route is unknown. An answer now proves what stood at the end of the wait, or at the beginning if it has a change; the watch after a change is shorter, so that hosts that follow do not find the belief old.

TestWatchProvesNothingBeyondTheMomentOfItsAnswer failed before.

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -72,6 +72,15 @@
 // in which a change must be in force.
 func (c Config) watchWait() time.Duration { return c.ApplyWithin.Std() / 3 }
 
+// shortestWatch is the least wait of a watch that is cut short to prove an old
+// belief.
+func (c Config) shortestWatch() time.Duration { return c.watchWait() / 4 }
+
+// proveWithin is the age up to which a host that watches proves its beliefs anew:
+// staleAfter less the time for which a peer may hold a question, and a thirtieth
+// of ApplyWithin for the way.
+func (c Config) proveWithin() time.Duration { return c.ApplyWithin.Std() * 4 / 10 }
+
 // peerWait is how long a peer holds a request for news. It bounds how late the
 // loss of that peer is noticed.
 func (c Config) peerWait() time.Duration { return c.ApplyWithin.Std() / 6 }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -208,13 +208,14 @@
 		f.applyConfig(read, asked, "store")
 		return nil
 	}
-	read, err := f.source.WatchConfig(ctx, f.state.Known().ConfigRevision, f.cfg.watchWait())
+	w := f.newWatch(f.state.View().ConfigAsOf)
+	read, err := f.source.WatchConfig(ctx, f.state.Known().ConfigRevision, w.wait)
 	if err != nil {
 		return err
 	}
 	l.reached()
 	l.pause.Reset()
-	f.applyConfig(read, time.Now(), "store")
+	f.applyConfig(read, w.provedAsOf(read.Found), "store")
 	return nil
 }
 
@@ -244,13 +245,14 @@
 		f.logTargets(f.state.ApplyTargets(list, asked), "store")
 		return nil
 	}
-	changes, err := f.source.WatchTargets(ctx, f.state.Known().RegistryRevision, f.cfg.watchWait())
+	w := f.newWatch(f.state.View().RegistryAsOf)
+	changes, err := f.source.WatchTargets(ctx, f.state.Known().RegistryRevision, w.wait)
 	if err != nil {
 		return f.targetsFailed(err)
 	}
 	l.reached()
 	l.pause.Reset()
-	f.logTargets(f.state.ApplyChanges(changes, time.Now()), "store")
+	f.logTargets(f.state.ApplyChanges(changes, w.provedAsOf(len(changes.Changes) > 0)), "store")
 	if len(changes.Changes) > 0 {
 		await.Sleep(ctx, f.cfg.batchWait())
 	}
--- /dev/null
+++ b/internal/discovery/watch_test.go
@@ -0,0 +1,61 @@
+package discovery
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+)
+
+// lateSource is a store whose answers to watches are under way for a time, as to a
+// host that was frozen.
+type lateSource struct {
+	*fakeStore
+	late time.Duration
+}
+
+// WatchConfig implements Source.
+func (l lateSource) WatchConfig(ctx context.Context, after uint64, wait time.Duration) (ConfigRead, error) {
+	read, err := l.fakeStore.WatchConfig(ctx, after, wait)
+	time.Sleep(l.late)
+	return read, err
+}
+
+// An answer that was under way for long proves what stood when it was made, not
+// when it came.
+func TestWatchProvesNothingBeyondTheMomentOfItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := newFakeStore()
+		store.write(1)
+		state := NewState()
+		f := NewFollower(DefaultConfig(), lateSource{store, 3 * time.Second}, nil, state, event.Discard())
+		is.NoErr(f.Start(t.Context()))
+		time.Sleep(50 * time.Millisecond)
+		first := DefaultConfig().watchWait()
+		time.Sleep(first + 3*time.Second) // the first watch has ended, and its answer has come
+		_, asOf := state.Table()
+		is.True(time.Since(asOf) >= 3*time.Second)
+		store.set(func() { store.away = true })
+		is.NoErr(f.Stop(t.Context()))
+	})
+}
+
+// After a change a belief is as old as the watch that found it, so the next watch
+// is shorter: hosts that ask this one must not find it old.
+func TestWatchAfterAChangeIsShorter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cfg := DefaultConfig()
+		f := NewFollower(cfg, nil, nil, NewState(), event.Discard())
+		now := time.Now()
+		is.Equal(f.newWatch(now).wait, cfg.watchWait())
+		next := f.newWatch(now.Add(-cfg.watchWait()))
+		is.True(next.wait < cfg.watchWait())
+		is.True(cfg.watchWait()+next.wait+cfg.peerWait() < cfg.staleAfter())
+	})
+}
--- a/model/check.sh
+++ b/model/check.sh
@@ -71,4 +71,13 @@
 	refuted config "$twin" -DHOSTS=2 -DREVISIONS=2
 done
 
+# Spread of beliefs and their ages. Two hosts, two changes; with pauses of any
+# length, fewer ticks.
+holds spread -DTIME=6
+holds spread -DTIME=4 -DVERSIONS=1 -DPAUSES
+for twin in BROKEN_ARRIVAL BROKEN_DEAF BROKEN_BACK BROKEN_FRESH BROKEN_PEERS; do
+	refuted spread "$twin" -DTIME=5
+done
+refuted spread BROKEN_WATCH -DTIME=3 -DPAUSES
+
 exit $((failures > 0))
