Soak: real hosts as processes under faults, held against the promises

Each seed runs three hosts as processes, with loopback proxies that delay, reset, cut one way or silence connections to store, targets and callers; signals that pause, stop, reload, kill and restart; a store that is away, deaf, slow, loses answers or writes late; targets that slow down, garble, shed, lose. Then a calm with planned work.

Clocks are not stepped: a process can't be given another time from outside here.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -95,6 +95,7 @@
 	addStandins(standin, env)
 	add("report", "Show what callers of gateway hosts got", &reportCommand{env: env})
 	add("plot", "Draw the service-level burn", &plotCommand{env: env})
+	add("soak", "Run hosts as processes under faults, and check what they promise", &soakCommand{env: env})
 	add("load", "Put load on hosts, or run experiments over stand-ins", &loadCommand{env: env})
 	add("events", "Print the catalogue of log events", &eventsCommand{env: env})
 	add("version", "Print the version", &versionCommand{env: env})
--- /dev/null
+++ b/internal/e2e/soak_test.go
@@ -0,0 +1,33 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/soak"
+)
+
+// soakSeeds are those that CI runs: two at will, and each that ever found a broken
+// promise, with a line on its cause.
+var soakSeeds = []uint64{1, 2}
+
+// A short soak of real processes. "rhubarbwood soak" runs longer ones.
+func TestSoak(t *testing.T) {
+	for _, seed := range soakSeeds {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r, err := soak.Run(soak.Config{Binary: binary, Seed: seed, Storm: 2 * time.Second, Callers: 8})
+			is.NoErr(err)
+			is.True(r.Answered > 0)
+			for _, v := range r.Violations {
+				t.Errorf("seed %d: %s", seed, v)
+			}
+			if len(r.Violations) > 0 {
+				t.Logf("steps: %q, logs in %s", r.Steps, r.Logs)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,215 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+	"rhubarbwood.example/rhubarbwood/platform"
+)
+
+// Bounds of the promises that hold in calm times.
+const (
+	inForceWithin = 3 * time.Second        // a change of the configuration, on every host
+	drainWithin   = 3 * time.Second        // a leaving target gets no new work
+	backSlack     = 250 * time.Millisecond // requests that cross the change
+)
+
+// Violation is a promise that was not kept.
+type Violation struct {
+	Promise string
+	Detail  string
+}
+
+// String names the promise and what was seen.
+func (v Violation) String() string { return v.Promise + ": " + v.Detail }
+
+// evidence is what callers and targets have seen in one run.
+type evidence struct {
+	exchanges []exchange
+	runs      map[string][]ran // by request
+	changes   []change
+	drained   map[string]time.Time // by target
+	calmFrom  time.Time
+}
+
+// ran is one run of a request at a target.
+type ran struct {
+	target  string
+	service string
+	began   time.Time
+}
+
+// gather takes what the targets of a site have run.
+func gather(s *site, exchanges []exchange, calmFrom time.Time) *evidence {
+	e := &evidence{exchanges: exchanges, runs: map[string][]ran{}, drained: map[string]time.Time{}, calmFrom: calmFrom}
+	s.mu.Lock()
+	e.changes = slices.Clone(s.changes)
+	for _, t := range s.targets {
+		if !t.drained.IsZero() {
+			e.drained[t.id] = t.drained
+		}
+	}
+	s.mu.Unlock()
+	for _, t := range s.targets {
+		for _, r := range t.target.Runs() {
+			e.runs[r.RequestID] = append(e.runs[r.RequestID], ran{t.id, t.service, r.Began})
+		}
+	}
+	return e
+}
+
+// check returns the promises that were not kept.
+func (e *evidence) check() []Violation {
+	var all []Violation
+	for _, x := range e.exchanges {
+		all = append(all, e.checkOne(x)...)
+	}
+	all = append(all, e.checkDrain()...)
+	return append(all, e.checkNeverBack()...)
+}
+
+func (e *evidence) checkOne(x exchange) []Violation {
+	var all []Violation
+	broken := func(promise, format string, args ...any) {
+		all = append(all, Violation{promise, fmt.Sprintf("request %s at %s: ", x.id, x.from) + fmt.Sprintf(format, args...)})
+	}
+	runs := e.runs[x.id]
+	if x.kind == kindReserve && len(runs) > 1 {
+		broken("at most once", "ran %d times, first at %s, then at %s", len(runs), runs[0].target, runs[1].target)
+	}
+	if promisesNotRun(x.status) && len(runs) > 0 {
+		broken("refused as not run", "status %d, ran at %s", x.status, runs[0].target)
+	}
+	if x.status >= 200 && x.status < 300 {
+		if problem := e.wrongAnswer(x); problem != "" {
+			broken("whole and true answer", "%s", problem)
+		}
+	}
+	if x.sent.IsZero() || x.sent.Before(e.calmFrom) {
+		return all
+	}
+	if x.status == 0 && x.written && len(runs) > 0 {
+		broken("a planned stop cuts off nothing", "sent %s into the calm, ran and got no answer: %v", x.sent.Sub(e.calmFrom), x.err)
+	}
+	if x.kind == kindVersion && len(runs) > 0 {
+		if v := e.newest(x.sent.Add(-inForceWithin)); versionOf(runs[0]) < v {
+			broken("in force within the bound", "sent %s into the calm, handled by version %d, want at least %d", x.sent.Sub(e.calmFrom), versionOf(runs[0]), v)
+		}
+	}
+	return all
+}
+
+// promisesNotRun reports whether a status says that the request did not run and
+// never will.
+func promisesNotRun(status int) bool {
+	return slices.Contains([]int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest}, status)
+}
+
+// wrongAnswer returns what is wrong with a successful answer, "" if nothing is.
+func (e *evidence) wrongAnswer(x exchange) string {
+	if x.kind == kindQuery {
+		return wrongMerge(x)
+	}
+	for _, r := range e.runs[x.id] {
+		if x.signed == platformtarget.Signature(r.service, x.id) && bytes.Equal(x.body, platformtarget.Body(r.service, x.id, records)) {
+			return ""
+		}
+	}
+	return fmt.Sprintf("signature %q and %d bytes are no target's answer to it", x.signed, len(x.body))
+}
+
+// wrongMerge checks the parts of a merged answer, its coverage and its records.
+func wrongMerge(x exchange) string {
+	var all [][]byte
+	named := map[string]bool{}
+	for _, p := range x.parts {
+		service, id, _ := strings.Cut(p, ".")
+		if id != x.id || named[service] || !strings.HasPrefix(service, "lists-") {
+			return fmt.Sprintf("part %q is foreign or named twice", p)
+		}
+		named[service] = true
+		body := platformtarget.Body(service, x.id, records)
+		for chunk := range slices.Chunk(body, len(body)/records) {
+			all = append(all, chunk)
+		}
+	}
+	if len(named)+x.missing != shards || 2*len(named) < shards {
+		return fmt.Sprintf("%d parts and %d missing of %d", len(named), x.missing, shards)
+	}
+	slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+	if !bytes.Equal(x.body, bytes.Join(all[:min(topK, len(all))], nil)) {
+		return "the body is not the greatest records of its parts"
+	}
+	return ""
+}
+
+// newest returns the newest version that was in the store at a time.
+func (e *evidence) newest(at time.Time) int {
+	v := 0
+	for _, c := range e.changes {
+		if !c.at.After(at) {
+			v = c.version
+		}
+	}
+	return v
+}
+
+func versionOf(r ran) int {
+	var v int
+	if _, err := fmt.Sscanf(r.service, "desk-%d", &v); err != nil {
+		return 0 // another service
+	}
+	return v
+}
+
+func (e *evidence) checkDrain() []Violation {
+	var all []Violation
+	for _, x := range e.exchanges {
+		for _, r := range e.runs[x.id] {
+			left, ok := e.drained[r.target]
+			if ok && r.began.After(left.Add(drainWithin)) {
+				all = append(all, Violation{"a leaving target gets no new work", fmt.Sprintf("request %s ran at %s %s after it left", x.id, r.target, r.began.Sub(left))})
+			}
+		}
+	}
+	return all
+}
+
+// checkNeverBack holds the versions that one run of a host used in order.
+func (e *evidence) checkNeverBack() []Violation {
+	byHost := map[string][]exchange{}
+	for _, x := range e.exchanges {
+		if x.kind == kindVersion && len(e.runs[x.id]) > 0 && x.from != "" {
+			byHost[x.from] = append(byHost[x.from], x)
+		}
+	}
+	var all []Violation
+	for host, xs := range byHost {
+		for _, x := range xs {
+			used := versionOf(e.runs[x.id][0])
+			for _, before := range xs {
+				if r := e.runs[before.id][0]; versionOf(r) > used && r.began.Add(backSlack).Before(x.sent) {
+					all = append(all, Violation{"never back", fmt.Sprintf("%s used version %d for %s, %d for %s", host, versionOf(r), before.id, used, x.id)})
+					break
+				}
+			}
+		}
+	}
+	return all
+}
+
+// signatures returns those of the parts of a merged answer.
+func signatures(h http.Header) []string {
+	var all []string
+	for _, line := range h.Values(platform.HeaderParts) {
+		for part := range strings.SplitSeq(line, ",") {
+			all = append(all, strings.TrimSpace(part))
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,159 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/standin"
+	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+	"rhubarbwood.example/rhubarbwood/internal/unit"
+)
+
+// Times of the phases of a run.
+const (
+	warmTime   = 1500 * time.Millisecond // until hosts serve
+	settleTime = 4 * time.Second         // from the last trouble until all must be well again
+	calmTime   = 5 * time.Second         // of planned work without trouble
+)
+
+// step is one fault or one planned act, from a moment of the run on.
+type step struct {
+	at   time.Duration
+	last time.Duration // after which it is undone; 0: it undoes itself
+	name string
+	do   func(*site)
+	undo func(*site)
+}
+
+// storm returns the faults of a seed, in series that overlap, over a time.
+func storm(rng *rand.Rand, lasts time.Duration) []step {
+	var all []step
+	for at := time.Duration(0); at < lasts; {
+		s := fault(rng)
+		s.at = at
+		s.last = min(time.Duration(200+rng.IntN(1500))*time.Millisecond, lasts-at)
+		all = append(all, s)
+		at += time.Duration(50+rng.IntN(500)) * time.Millisecond
+	}
+	return all
+}
+
+// fault draws one fault.
+func fault(rng *rand.Rand) step {
+	host := rng.IntN(hosts)
+	trouble := Trouble(1 + rng.IntN(int(troubleKind)-1))
+	switch rng.IntN(8) {
+	case 0:
+		return proxyFault(fmt.Sprintf("store of host %d", host), trouble, func(s *site) *proxy { return s.stores[host] })
+	case 1:
+		return proxyFault(fmt.Sprintf("callers of host %d", host), trouble, func(s *site) *proxy { return s.fronts[host] })
+	case 2, 3:
+		draw := rng.Uint32()
+		return proxyFault(fmt.Sprintf("target %d", draw), trouble, func(s *site) *proxy { return s.targets[int(draw)%len(s.targets)].proxy })
+	case 4:
+		return targetFault(rng)
+	case 5:
+		return storeFault(rng)
+	case 6:
+		return hostFault(rng, host)
+	}
+	return step{name: "configuration", do: (*site).configure}
+}
+
+func proxyFault(name string, t Trouble, of func(*site) *proxy) step {
+	return step{
+		name: fmt.Sprintf("%s: trouble %d", name, t),
+		do:   func(s *site) { of(s).set(t) },
+		undo: func(s *site) { of(s).set(NoTrouble) },
+	}
+}
+
+// targetFaults are what targets do wrong.
+var targetFaults = []platformtarget.Faults{
+	{Slow: 12}, {Silent: true}, {Fail: 0.5}, {Shed: 0.5}, {Lose: 0.5}, {Cut: 0.5}, {Extra: 0.5}, {Unframed: 0.5}, {Impostor: true},
+}
+
+func targetFault(rng *rand.Rand) step {
+	f := targetFaults[rng.IntN(len(targetFaults))]
+	draw := rng.Uint32()
+	of := func(s *site) *platformtarget.Target { return s.targets[int(draw)%len(s.targets)].target }
+	return step{
+		name: fmt.Sprintf("target %d: %+v", draw, f),
+		do:   func(s *site) { of(s).SetFaults(f) },
+		undo: func(s *site) { of(s).SetFaults(platformtarget.Faults{}) },
+	}
+}
+
+// storeFaults are what the store does wrong.
+var storeFaults = []objectstore.Faults{
+	{Outage: objectstore.OutageUnavailable}, {Outage: objectstore.OutageCut}, {Outage: objectstore.OutageHang},
+	{DeafWatches: true}, {LoseProbability: 0.5}, {LateProbability: 0.5, LateDelay: unit.Duration(time.Second)},
+	{Latency: standin.Latency{Mean: unit.Duration(300 * time.Millisecond)}},
+}
+
+func storeFault(rng *rand.Rand) step {
+	f := storeFaults[rng.IntN(len(storeFaults))]
+	return step{
+		name: fmt.Sprintf("store: %+v", f),
+		do:   func(s *site) { s.store.SetFaults(f) },
+		undo: func(s *site) { s.store.SetFaults(objectstore.Faults{}) },
+	}
+}
+
+// hostFault draws a signal to a host.
+func hostFault(rng *rand.Rand, host int) step {
+	signal := func(sig syscall.Signal) func(*site) { return func(s *site) { s.hosts[host].signal(sig) } }
+	switch rng.IntN(4) {
+	case 0:
+		return step{name: fmt.Sprintf("host %d pauses", host), do: signal(syscall.SIGSTOP), undo: signal(syscall.SIGCONT)}
+	case 1:
+		return step{name: fmt.Sprintf("host %d stops", host), do: signal(syscall.SIGTERM), undo: restart(host)}
+	case 2:
+		return step{name: fmt.Sprintf("host %d reloads", host), do: signal(syscall.SIGHUP)}
+	}
+	return step{name: fmt.Sprintf("host %d is killed", host), do: signal(syscall.SIGKILL), undo: restart(host)}
+}
+
+// restart starts a host again once it has ended. A paused one is woken, so that
+// it can end.
+func restart(host int) func(*site) {
+	return func(s *site) {
+		p := s.hosts[host]
+		p.signal(syscall.SIGCONT)
+		p.await(stopGrace)
+		if err := p.start(); err != nil {
+			panic(err) // the binary was started before
+		}
+	}
+}
+
+// calm is the planned work of the time without trouble: a change of the
+// configuration, a target that leaves, a host that is stopped and started again, a
+// reload.
+func calm(rng *rand.Rand) []step {
+	first := rng.IntN(hosts)
+	second := (first + 1) % hosts
+	leaves := rng.IntN(shards)
+	return []step{
+		{at: 0, name: "configuration", do: (*site).configure},
+		{at: 100 * time.Millisecond, name: "target leaves", do: func(s *site) { s.leave(shardName(leaves)) }},
+		{at: 300 * time.Millisecond, name: "reload", do: func(s *site) { s.hosts[second].signal(syscall.SIGHUP) }},
+		{at: 500 * time.Millisecond, last: 200 * time.Millisecond, name: "host stops",
+			do: func(s *site) { s.hosts[first].signal(syscall.SIGTERM) }, undo: restart(first)},
+	}
+}
+
+// leave lets the first target of a service leave.
+func (s *site) leave(service string) {
+	for _, t := range s.targets {
+		if t.service == service {
+			if err := s.drain(t); err != nil {
+				panic(err) // a registration always has a JSON form
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// freePort is a free port of the loopback.
+const freePort = "127.0.0.1:0"
+
+// Times of a host's graceful stop, shorter than by default so that a run is short.
+const (
+	balancerLag = 500 * time.Millisecond
+	stopGrace   = 5 * time.Second
+)
+
+// process is one host as a process of its own, which the soak starts, signals and
+// ends. All signals go to the process that it started itself.
+type process struct {
+	name     string
+	binary   string
+	settings string // file
+	log      string // file
+	callers  string // address
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+	starts  int
+}
+
+// newProcess writes the settings of a host. store is the address of the store, and
+// ports are its four addresses.
+func newProcess(dir, binary, name, domain, store string, ports [4]string, seeds []string) (*process, error) {
+	p := &process{
+		name: name, binary: binary, callers: ports[0],
+		settings: filepath.Join(dir, name+".jsonc"), log: filepath.Join(dir, name+".log"),
+	}
+	text, err := json.MarshalIndent(map[string]any{
+		"host": name, "failure_domain": domain,
+		"addresses": map[string]string{"callers": ports[0], "readiness": ports[1], "metrics": ports[2], "peers": ports[3]},
+		"stop":      map[string]string{"grace": stopGrace.String(), "balancer_lag": balancerLag.String()},
+		"platform":  map[string]any{"addresses": []string{store}},
+		"member":    map[string]any{"seeds": seeds},
+	}, "", "  ")
+	if err != nil {
+		return nil, Error.New("encode settings of %s: %w", name, err)
+	}
+	return p, Error.Wrap(os.WriteFile(p.settings, text, 0o600))
+}
+
+// start starts the process anew, after the one before has ended.
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return Error.New("open log of %s: %w", p.name, err)
+	}
+	defer func() { _ = log.Close() }() // the process has its own handle
+	p.command = exec.Command(p.binary, "gateway", "--settings", p.settings)
+	p.command.Stdout, p.command.Stderr = log, log
+	if err := p.command.Start(); err != nil {
+		return Error.New("start %s: %w", p.name, err)
+	}
+	p.starts++
+	exited := make(chan struct{})
+	p.exited = exited
+	command := p.command
+	go func() {
+		_ = command.Wait() // a signal's end is an error; the log tells of others
+		close(exited)
+	}()
+	return nil
+}
+
+// signal sends a signal to the running process.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.command.Process.Signal(s) // it may have ended meanwhile
+}
+
+// await waits for the end of the process. After a time it is killed, and false
+// returned.
+func (p *process) await(most time.Duration) bool {
+	p.mu.Lock()
+	exited := p.exited
+	p.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(most):
+		p.signal(syscall.SIGKILL)
+		<-exited
+		return false
+	}
+}
+
+// incarnation names the present run of the process.
+func (p *process) incarnation() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return fmt.Sprintf("%s/%d", p.name, p.starts)
+}
+
+// freePorts returns addresses that were free a moment ago, all different.
+func freePorts(n int) ([]string, error) {
+	var all []string
+	for range n {
+		ln, err := net.Listen("tcp", freePort)
+		if err != nil {
+			return nil, Error.New("find a free port: %w", err)
+		}
+		defer func() { _ = ln.Close() }()
+		all = append(all, ln.Addr().String())
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/soak/site.go
@@ -0,0 +1,263 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/standin"
+	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+	"rhubarbwood.example/rhubarbwood/internal/unit"
+	"rhubarbwood.example/rhubarbwood/platform"
+)
+
+// Sizes of the site.
+const (
+	hosts    = 3
+	shards   = 4
+	replicas = 2  // targets of each service
+	slots    = 4  // of each target
+	records  = 8  // in each answer of a target
+	topK     = 5  // in a merged answer
+	versions = 12 // of the configuration, at most
+)
+
+// Times of the site's routes, and of its targets.
+const (
+	routeTimeout  = time.Second
+	objective     = 200 * time.Millisecond
+	targetLatency = 5 * time.Millisecond
+)
+
+// Names of the site.
+const (
+	siteHost    = "soak.example"
+	pathQuery   = "/lists/" // to all shards
+	pathReserve = "/gifts/" // not idempotent
+	pathVersion = "/desk/"  // to a service of its own in each version
+	serviceOnce = "gifts"
+)
+
+func shardName(i int) string   { return fmt.Sprintf("lists-%d", i) }
+func versionName(v int) string { return fmt.Sprintf("desk-%d", v) }
+
+// site is the store, the targets and the hosts of one run, with proxies between.
+type site struct {
+	dir     string
+	store   *objectstore.Store
+	stores  []*proxy // to the store, one for each host
+	hosts   []*process
+	fronts  []*proxy // to the callers' addresses of the hosts
+	targets []*targetServer
+
+	servers []*http.Server
+	serving sync.WaitGroup
+
+	mu      sync.Mutex
+	version int
+	changes []change
+}
+
+// targetServer is a target with the proxy that hosts reach it by.
+type targetServer struct {
+	id      string
+	service string
+	domain  string
+	target  *platformtarget.Target
+	proxy   *proxy
+	drained time.Time // when its leaving was in the store; zero: it stays
+}
+
+// change is one version of the configuration and when it was in the store.
+type change struct {
+	version int
+	at      time.Time
+}
+
+// newSite starts everything. What was started is stopped by stop, also after an
+// error.
+func newSite(binary string) (*site, error) {
+	dir, err := os.MkdirTemp("", "soak-")
+	if err != nil {
+		return nil, Error.New("make a folder: %w", err)
+	}
+	s := &site{dir: dir, store: objectstore.New(objectstore.DefaultConfig())}
+	if err := s.startTargets(); err != nil {
+		return s, err
+	}
+	s.configure()
+	return s, s.startHosts(binary)
+}
+
+func (s *site) domain(i int) string { return fmt.Sprintf("domain-%d", i%hosts) }
+
+func (s *site) startTargets() error {
+	names := []string{serviceOnce}
+	for i := range shards {
+		names = append(names, shardName(i))
+	}
+	for v := range versions {
+		names = append(names, versionName(v+1))
+	}
+	for _, name := range names {
+		for i := range replicas {
+			if err := s.startTarget(name, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *site) startTarget(service string, i int) error {
+	t := &targetServer{id: fmt.Sprintf("%s-t%d", service, i), service: service, domain: s.domain(len(s.targets))}
+	t.target = platformtarget.New(platformtarget.Config{
+		ID: t.id, Service: service, Slots: slots, Queue: slots, Records: records, Seed: uint64(len(s.targets)),
+		Latency: standin.Latency{Mean: unit.Duration(targetLatency)},
+	})
+	address, err := s.serve(t.target)
+	if err != nil {
+		return err
+	}
+	if t.proxy, err = newProxy(address); err != nil {
+		return err
+	}
+	s.targets = append(s.targets, t)
+	return s.register(t, platform.StateReady)
+}
+
+// serve serves a handler on a free port until stop.
+func (s *site) serve(h http.Handler) (string, error) {
+	ln, err := net.Listen("tcp", freePort)
+	if err != nil {
+		return "", Error.New("listen for a stand-in: %w", err)
+	}
+	server := &http.Server{Handler: h}
+	s.servers = append(s.servers, server)
+	s.serving.Go(func() { _ = server.Serve(ln) }) // ends at stop
+	return ln.Addr().String(), nil
+}
+
+func (s *site) register(t *targetServer, state string) error {
+	r := t.target.Registration(t.proxy.address(), t.domain)
+	r.State = state
+	return s.apply(platform.KindTargets, t.id, r)
+}
+
+func (s *site) apply(kind, name string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return Error.New("encode %s/%s: %w", kind, name, err)
+	}
+	s.store.Apply(kind, name, text)
+	return nil
+}
+
+// drain announces that a target leaves.
+func (s *site) drain(t *targetServer) error {
+	err := s.register(t, platform.StateDraining)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.drained = time.Now()
+	return err
+}
+
+// configure writes the next version of the configuration.
+func (s *site) configure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.version == versions {
+		return
+	}
+	s.version++
+	if err := s.apply(platform.KindConfig, platform.NameConfig, configuration(s.version)); err != nil {
+		panic(err) // the configuration always has a JSON form
+	}
+	s.changes = append(s.changes, change{s.version, time.Now()})
+}
+
+// configuration is one version of it.
+func configuration(version int) platform.Config {
+	route := func(name, prefix, kind, service string) platform.Route {
+		return platform.Route{
+			Name: name, Hostname: siteHost, PathPrefix: prefix, Type: kind, Service: service, MaxAttempts: 2,
+			TimeoutMs: routeTimeout.Milliseconds(), TargetLatencyMs: objective.Milliseconds(),
+		}
+	}
+	query := route("lists", pathQuery, platform.TypeIdempotent, "")
+	query.TopK, query.MinSuccessShare = topK, 0.5
+	c := platform.Config{Version: uint64(version)}
+	for i := range shards {
+		query.Shards = append(query.Shards, shardName(i))
+	}
+	for _, name := range append(query.Shards[:shards:shards], serviceOnce, versionName(version)) {
+		c.Services = append(c.Services, platform.Service{Name: name, HealthCheckPath: "/healthz", MaxConnections: 60})
+	}
+	c.Routes = []platform.Route{
+		query, route("gifts", pathReserve, platform.TypeNonIdempotent, serviceOnce),
+		route("desk", pathVersion, platform.TypeIdempotent, versionName(version)),
+	}
+	return c
+}
+
+func (s *site) startHosts(binary string) error {
+	store, err := s.serve(s.store.Handler())
+	if err != nil {
+		return err
+	}
+	const addresses = 4
+	ports, err := freePorts(hosts * addresses)
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for i := range hosts {
+		seeds = append(seeds, ports[i*addresses+addresses-1])
+	}
+	for i := range hosts {
+		toStore, err := newProxy(store)
+		if err != nil {
+			return err
+		}
+		s.stores = append(s.stores, toStore)
+		p, err := newProcess(s.dir, binary, fmt.Sprintf("host-%d", i), s.domain(i), toStore.address(), [4]string(ports[i*addresses:]), seeds)
+		if err != nil {
+			return err
+		}
+		front, err := newProxy(p.callers)
+		if err != nil {
+			return err
+		}
+		s.fronts = append(s.fronts, front)
+		if err := p.start(); err != nil {
+			return err
+		}
+		s.hosts = append(s.hosts, p)
+	}
+	return nil
+}
+
+// stop ends what newSite started. The folder with the logs stays if keep is set.
+func (s *site) stop(keep bool) {
+	for _, p := range s.hosts {
+		p.await(0)
+	}
+	for _, p := range append(s.fronts, s.stores...) {
+		p.close()
+	}
+	for _, t := range s.targets {
+		t.proxy.close()
+	}
+	for _, server := range s.servers {
+		_ = server.Close() // what runs for ever is cut
+	}
+	s.serving.Wait()
+	if !keep {
+		_ = os.RemoveAll(s.dir) // a folder that stays does no harm
+	}
+}
--- /dev/null
+++ b/tools/soak_twins.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# Shows that the soak finds what it should: builds the program with one mechanism
+# switched off at a time, in a temporary copy, and soaks it. Each of these broken
+# twins must break its promise within a few seeds. Takes some minutes.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+seeds=${1:-12} # that each twin gets
+failed=0
+
+# twin NAME PROMISE FILE SED: SED on FILE switches the mechanism off.
+twin() {
+  local copy
+  copy=$(mktemp -d)
+  git ls-files -z --cached --others --exclude-standard -- '*.go' go.mod go.sum | xargs -0 cp --parents -t "$copy"
+  cp "$copy/$3" "$copy/before"
+  sed -i -E "$4" "$copy/$3"
+  if cmp -s "$copy/before" "$copy/$3"; then
+    echo "FAILED   $1: $3 has no such line any more"
+    failed=1
+  elif ! (cd "$copy" && go build -o rhubarbwood ./cmd/rhubarbwood); then
+    echo "FAILED   $1: does not build"
+    failed=1
+  elif (cd "$copy" && ./rhubarbwood soak --seeds "$seeds" --parallel 4 >out 2>&1); then
+    echo "FAILED   $1: kept every promise in $seeds seeds"
+    failed=1
+  elif grep -q "^  $2: " "$copy/out"; then
+    echo "found    $1: $(grep -c "^  $2: " "$copy/out") times \"$2\" broken"
+  else
+    echo "FAILED   $1: broke something else than \"$2\""
+    grep '^  [a-z ]*: ' "$copy/out" | head -n 5
+    failed=1
+  fi
+  rm -rf "$copy"
+}
+
+twin "reservations are repeated like any other request" "at most once" \
+  internal/gateway/single.go 's/if !r.route.Idempotent \&\& !r.outcomes.NotRun\(\) \{/if false {/'
+twin "what may have run is told as not run" "refused as not run" \
+  internal/gateway/single.go 's/case run.outcomes.NotRun\(\):/case run.outcomes.NotRun() || run.last.outcome == outcome.Unknown:/'
+twin "an answer to another request is taken" "whole and true answer" \
+  internal/gateway/attempt.go 's/return id == "" \|\| id == r.call.RequestID/return id != "none"/'
+twin "a stop does not wait for requests" "a planned stop cuts off nothing" \
+  internal/gatewayhost/servers.go 's/l.server.Shutdown\(ctx\); err != nil/l.server.Close(); err != nil/'
+twin "a leaving target is asked on" "a leaving target gets no new work" \
+  internal/gateway/fleet.go 's/t.leaving = conf.Draining/t.leaving = false/'
+
+exit $failed
