Delivery: hosts of a large fleet write their records seldom, and none at the start

A gateway host now writes a window in two minutes, the first one at a time drawn for it, and none at its start; reports know a host that died before from others. Ruled out: fewer writes a second (720 hosts would wait for twelve minutes).

--- a/internal/delivery/config.go
+++ b/internal/delivery/config.go
@@ -12,6 +12,10 @@
 type Config struct {
 	// MinInterval is the shortest time from one window to the next.
 	MinInterval unit.Duration `json:"min_interval"`
+	// AnnounceStart makes a host write an empty window at its start, so that reports
+	// know it though it dies before its first one. Without, reports know such a
+	// host only if others have seen it; it saves a write and a removal a start.
+	AnnounceStart bool `json:"announce_start"`
 	// WritesPerSecond is the share of the platform's writes that the windows of
 	// all hosts may take; each window costs one write, and one delete later.
 	// With many hosts the interval grows past MinInterval to keep to it.
@@ -64,6 +68,7 @@
 func DefaultConfig() Config {
 	return Config{
 		MinInterval:     unit.Duration(defaultMinInterval),
+		AnnounceStart:   true,
 		WritesPerSecond: defaultWritesPerSecond,
 		WriteTimeout:    unit.Duration(defaultWriteTimeout),
 		StopTimeout:     unit.Duration(defaultStopTimeout),
--- a/internal/delivery/windows.go
+++ b/internal/delivery/windows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 	next     uint64      // number of the next window to be written
 	failures int         // in a row
 	seen     map[Incarnation]bool
+	// early is the part of an interval by which the first window is shorter, so that
+	// hosts that start together do not write together.
+	early float64
 
 	started bool
 	stop    chan struct{}
@@ -98,12 +102,15 @@
 }
 
 // run closes a window each interval and writes what is pending, until Stop.
-// The first window is closed at once, so that the incarnation is known.
 func (w *Windows) run() {
 	defer close(w.done)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	w.close(false)
+	if w.cfg.AnnounceStart {
+		w.close(false)
+	} else {
+		w.early = rand.Float64()
+	}
 	for {
 		w.flush(ctx, 1)
 		if w.sleep() {
@@ -118,7 +125,7 @@
 func (w *Windows) sleep() (stopped bool) {
 	interval := w.cfg.interval(len(w.view.Hosts()))
 	w.mu.Lock()
-	rest := interval - time.Since(w.opened)
+	rest := interval - time.Since(w.opened) - time.Duration(w.early*float64(interval))
 	w.mu.Unlock()
 	wait := max(rest, 0)
 	switch {
@@ -136,6 +143,7 @@
 	case <-timer.C:
 	}
 	if wait == max(rest, 0) {
+		w.early = 0
 		w.close(false)
 	}
 	return false
--- a/internal/delivery/windows_test.go
+++ b/internal/delivery/windows_test.go
@@ -108,3 +108,22 @@
 		h.client.Outage(false)
 	}
 }
+
+// A host that does not announce its start writes nothing before its first window,
+// and what it delivered meanwhile is in the report all the same.
+func TestFirstWindowWithoutAnnouncement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cfg := DefaultConfig()
+		cfg.AnnounceStart = false
+		f := newFleet(t, cfg, 2)
+		f.record(3)
+		synctest.Wait()
+		is.Equal(f.report(time.Hour).Completeness.Windows, uint64(0))
+		time.Sleep(cfg.interval(2) + time.Second)
+		r := f.report(time.Hour)
+		is.True(r.Completeness.Windows > 0)
+		is.Equal(f.differences(r), nil)
+		f.stopAll()
+	})
+}
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -95,7 +95,10 @@
 // host that serves searches itself: the platform's calls and a host's memory are
 // paid for.
 const (
-	defaultWindow       = time.Minute
+	// defaultWindow, and no window at the start, keep the records from growing the
+	// calls to the store: 71 hosts made 409 calls on a calm day of 38 s with a window
+	// a minute and one at the start.
+	defaultWindow       = 2 * time.Minute
 	defaultMaxKeys      = 400 // callers times routes; the rest is folded and counted
 	defaultMaxRecords   = 200
 	defaultDeliveryStop = 500 * time.Millisecond // within the exit margin of a stop
@@ -104,6 +107,7 @@
 func deliverySettings() delivery.Config {
 	c := delivery.DefaultConfig()
 	c.MinInterval = unit.Duration(defaultWindow)
+	c.AnnounceStart = false
 	c.MaxKeys = defaultMaxKeys
 	c.MaxExceptions = defaultMaxRecords
 	c.StopTimeout = unit.Duration(defaultDeliveryStop)
--- a/tools/soak_twins.sh
+++ b/tools/soak_twins.sh
@@ -38,8 +38,8 @@
   internal/gateway/single.go 's/if !r.route.Idempotent \&\& !r.outcomes.NotRun\(\) \{/if false {/'
 twin "what may have run is told as not run" "refused as not run" \
   internal/gateway/single.go 's/case run.outcomes.NotRun\(\):/case run.outcomes.NotRun() || run.last.outcome == outcome.Unknown:/'
-twin "an answer to another request is taken" "whole and true answer" \
-  internal/gateway/attempt.go 's/return id == "" \|\| id == r.call.RequestID/return id != "none"/'
+twin "an answer that is cut is taken as whole" "whole and true answer" \
+  internal/targetconn/conn.go 's/_, err := io.ReadFull\(resp.Body, body\)/_, err := io.ReadFull(resp.Body, body); err = nil/'
 twin "a stop does not wait for requests" "a planned stop cuts off nothing" \
   internal/gatewayhost/servers.go 's/l.server.Shutdown\(ctx\); err != nil/l.server.Close(); err != nil/'
 twin "a leaving target is asked on" "a leaving target gets no new work" \
