Discovery, members: hosts that start together take turns at the store

A host that knows nothing now waits for its turn, drawn over 5 ms a host (60 ms if it knows no other), and turns to the member records within a second, if it keeps one or is still alone by then.

Ruled out: no turns but fewer watchers (the start is what grows with the fleet).

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -51,8 +51,8 @@
 	back chan struct{} // closes when the store answers after it did not
 
 	started    time.Time
-	coldGrace  time.Duration // from the start, before the store is asked in place of peers
-	peerFailed atomic.Bool   // the last question to a peer brought nothing
+	draw       float64     // random part of the times of a host that knows nothing
+	peerFailed atomic.Bool // the last question to a peer brought nothing
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -72,7 +72,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f.cancel = cancel
 	f.started = time.Now()
-	f.coldGrace = coldGrace + time.Duration(rand.Float64()*float64(f.peers.Hosts())*float64(coldSpread))
+	f.draw = rand.Float64()
 	f.done.Go(func() { f.run(ctx, "configuration", f.followConfig) })
 	f.done.Go(func() { f.run(ctx, "targets", f.followTargets) })
 	f.done.Go(func() { f.followPeers(ctx) })
@@ -90,14 +90,27 @@
 // shouldWatch reports whether this host has to ask the store now: it watches
 // for all, its beliefs have grown old, or it has none and no peer tells it any.
 func (f *Follower) shouldWatch() bool {
-	if f.peers.Watches() {
-		return true
-	}
 	fresh := f.state.Freshness()
 	if fresh.IsZero() {
-		return f.peerFailed.Load() || time.Since(f.started) > f.coldGrace
+		return f.coldTurn()
+	}
+	return f.peers.Watches() || time.Since(fresh) > f.cfg.staleAfter()
+}
+
+// coldTurn reports whether this host, which knows nothing, has to ask the store now.
+// Hosts that start together take turns: the first ones tell the rest. Without
+// turns each of 75 hosts read everything from the store.
+func (f *Follower) coldTurn() bool {
+	since := time.Since(f.started)
+	hosts := f.peers.Hosts()
+	if hosts == 1 {
+		return since >= time.Duration(f.draw*float64(aloneSpread))
+	}
+	if f.peers.Watches() {
+		return true
 	}
-	return time.Since(fresh) > f.cfg.staleAfter()
+	turn := time.Duration(f.draw * float64(hosts) * float64(coldSpread))
+	return since > coldGrace+turn || (f.peerFailed.Load() && since > turn)
 }
 
 // lookEvery is the time between two looks at whether this host has to ask the
@@ -304,10 +317,13 @@
 	// in place of 50 above, 755 in place of 721 requests were answered in time in the
 	// two seconds in which all hosts lost power and came back, on six days together.
 	coldTimeout = 60 * time.Millisecond
-	// coldGrace is how long it relies on peers alone, and coldSpread what is
-	// added for each host, in part, so that not all ask the store at once.
+	// coldGrace is how long it relies on peers alone if they don't answer, and
+	// coldSpread the time for each host over which they turn to the store.
 	coldGrace  = 200 * time.Millisecond
 	coldSpread = 5 * time.Millisecond
+	// aloneSpread is the time over which hosts that know no other one turn to the
+	// store: others may just be starting, too.
+	aloneSpread = 60 * time.Millisecond
 )
 
 // peerWait returns how long a peer may hold a request for news, and the
--- a/internal/member/members.go
+++ b/internal/member/members.go
@@ -116,7 +116,12 @@
 	m.cancel = cancel
 	m.work.Go(func() { m.probeLoop(run) })
 	m.work.Go(func() { m.announceLoop(run) })
-	m.work.Go(func() { m.refreshLoop(run) })
+	m.work.Go(func() {
+		if m.cfg.RecordHolders > 0 {
+			m.joinByRecords(run)
+		}
+		m.refreshLoop(run)
+	})
 	return nil
 }
 
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -17,22 +17,41 @@
 const joinWrites = 3
 
 // join finds the other hosts. If only some hosts keep a record in the platform,
-// the seeds are asked first, and the platform only if this host keeps a record
-// or none of them answers.
+// the seeds are asked, and the platform only later, see joinByRecords.
 func (m *Members) join(ctx context.Context) {
-	if m.cfg.RecordHolders > 0 {
-		m.joinPeers(ctx)
-		if !m.usesPlatform() {
-			return
-		}
+	if m.cfg.RecordHolders == 0 {
+		m.readRecords(ctx)
+	}
+	m.joinPeers(ctx)
+}
+
+// recordSpread is the time over which hosts that start together turn to the
+// platform's records. By then most have heard of each other from the seeds, and only
+// those that keep a record need the platform: 75 hosts made 150 calls at a start
+// without it, counted at the store.
+const recordSpread = time.Second
+
+// joinByRecords reads and writes the platform's records some time after the start,
+// if this host keeps one or is still alone.
+func (m *Members) joinByRecords(ctx context.Context) {
+	m.mu.Lock()
+	wait := time.Duration(m.rng.Float64() * float64(recordSpread))
+	m.mu.Unlock()
+	if !await.Sleep(ctx, wait) || !m.usesPlatform() {
+		return
 	}
+	m.readRecords(ctx)
+	m.joinPeers(ctx)
+}
+
+// readRecords reads the records, and writes the own one however others race.
+func (m *Members) readRecords(ctx context.Context) {
 	for range joinWrites {
 		var conflict *objstore.Conflict
 		if err := m.refresh(ctx); !errors.As(err, &conflict) {
-			break
+			return
 		}
 	}
-	m.joinPeers(ctx)
 }
 
 // usesPlatform reports whether this host reads and writes the platform's
