Members, discovery: hosts that start together find each other before they turn to the store

Cause: turns did not help where all 75 hosts were alone: seeds that have no power yet neither answer nor refuse, so the question hung and the join gave up. A peer is now asked again until it answers, for a second; a host that knows nothing looks every 5 ms in place of 50; and at the first start of a site (told by the platform's settings) the turns are spread over 1 s, as nobody waits for service then. Ruled out: the long spread always (it would hold up service after a loss of all hosts).

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -21,6 +21,11 @@
 	// CallSpacing is the mean time between the failed calls of all hosts that
 	// do not watch, for each line of calls.
 	CallSpacing unit.Duration `json:"call_spacing"`
+	// StartSpread is the time over which hosts that start together and know no
+	// other one turn to the store; those whose turn comes late are told by the
+	// first. It holds up service after a loss of all hosts, so it is longer only
+	// where the whole site starts for the first time.
+	StartSpread unit.Duration `json:"start_spread"`
 }
 
 // Defaults of the settings.
@@ -30,6 +35,7 @@
 	defaultRetryFirst      = 50 * time.Millisecond
 	defaultRetryMost       = 250 * time.Millisecond // of one or a few hosts; the others wait longer
 	defaultCallSpacing     = 250 * time.Millisecond // 4 calls a second of the fleet
+	defaultStartSpread     = 60 * time.Millisecond  // a host is told within a few ms once it knows another
 	leastApplyWithin       = 500 * time.Millisecond
 	mostApplyWithin        = time.Minute
 )
@@ -46,6 +52,7 @@
 		RetryFirst:      unit.Duration(defaultRetryFirst),
 		RetryMost:       unit.Duration(defaultRetryMost),
 		CallSpacing:     unit.Duration(defaultCallSpacing),
+		StartSpread:     unit.Duration(defaultStartSpread),
 	}
 }
 
@@ -64,6 +71,9 @@
 	if c.CallSpacing < 0 {
 		problems = append(problems, Error.New("call_spacing %s: want 0 or more", c.CallSpacing))
 	}
+	if c.StartSpread < 0 {
+		problems = append(problems, Error.New("start_spread %s: want 0 or more", c.StartSpread))
+	}
 	return errors.Join(problems...)
 }
 
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -104,7 +104,7 @@
 	since := time.Since(f.started)
 	hosts := f.peers.Hosts()
 	if hosts == 1 {
-		return since >= time.Duration(f.draw*float64(aloneSpread))
+		return since >= time.Duration(f.draw*float64(f.cfg.StartSpread))
 	}
 	if f.peers.Watches() {
 		return true
@@ -117,6 +117,17 @@
 // store, or a peer.
 const lookEvery = 50 * time.Millisecond
 
+// lookCold is lookEvery for a host that knows nothing and can't serve.
+const lookCold = 5 * time.Millisecond
+
+// lookAgain returns the time until the next look.
+func (f *Follower) lookAgain() time.Duration {
+	if f.state.Freshness().IsZero() {
+		return lookCold
+	}
+	return lookEvery
+}
+
 // run reads from the store whenever this host has to, with growing pauses
 // while that fails.
 func (f *Follower) run(ctx context.Context, what string, follow func(context.Context, *link) error) {
@@ -125,7 +136,7 @@
 	l.pause.MaxInterval = f.cfg.RetryMost.Std()
 	for ctx.Err() == nil {
 		if !f.shouldWatch() {
-			await.Sleep(ctx, lookEvery)
+			await.Sleep(ctx, f.lookAgain())
 			continue
 		}
 		err := follow(ctx, l)
@@ -321,9 +332,6 @@
 	// coldSpread the time for each host over which they turn to the store.
 	coldGrace  = 200 * time.Millisecond
 	coldSpread = 5 * time.Millisecond
-	// aloneSpread is the time over which hosts that know no other one turn to the
-	// store: others may just be starting, too.
-	aloneSpread = 60 * time.Millisecond
 )
 
 // peerWait returns how long a peer may hold a request for news, and the
--- a/internal/gatewayhost/host_test.go
+++ b/internal/gatewayhost/host_test.go
@@ -233,20 +233,27 @@
 
 var placeholder = regexp.MustCompile(`\{\{([^}]+)\}\}`)
 
+// firstStart is the section that the platform keeps when the whole site starts for
+// the first time.
+var firstStart = regexp.MustCompile(`\{\{#bootstrap\}\}(.*?)\{\{/bootstrap\}\}`)
+
 func TestTemplateMakesGoodSettings(t *testing.T) {
 	is := is.New(t)
 	text, err := os.ReadFile("../../deploy/gateway.jsonc.tmpl")
 	is.NoErr(err)
-	filled := placeholder.ReplaceAllStringFunc(string(text), func(p string) string {
-		value, ok := platformFields[strings.Trim(p, "{}")]
-		is.True(ok) // a field that the platform has
-		return value
-	})
-	s, err := settings.Parse("template", []byte(filled), DefaultSettings())
-	is.NoErr(err)
-	is.Equal(s.Discovery.ApplyWithin.Std(), 5*time.Second)
-	is.Equal(s.Gateway.RetrySlack, 182.0)
-	is.Equal(s.Addresses.Peers, "10.1.0.39:8224")
+	for kept, spread := range map[string]time.Duration{"$1": time.Second, "": 60 * time.Millisecond} {
+		filled := placeholder.ReplaceAllStringFunc(firstStart.ReplaceAllString(string(text), kept), func(p string) string {
+			value, ok := platformFields[strings.Trim(p, "{}")]
+			is.True(ok) // a field that the platform has
+			return value
+		})
+		s, err := settings.Parse("template", []byte(filled), DefaultSettings())
+		is.NoErr(err)
+		is.Equal(s.Discovery.ApplyWithin.Std(), 5*time.Second)
+		is.Equal(s.Discovery.StartSpread.Std(), spread)
+		is.Equal(s.Gateway.RetrySlack, 182.0)
+		is.Equal(s.Addresses.Peers, "10.1.0.39:8224")
+	}
 }
 
 func TestBadSettingsAreNamedWithTheirPlace(t *testing.T) {
--- a/internal/member/record.go
+++ b/internal/member/record.go
@@ -94,7 +94,7 @@
 	ctx = context.WithoutCancel(ctx) // each exchange has a timeout of its own
 	joined := make(chan error, len(addresses))
 	for _, a := range addresses {
-		m.work.Go(func() { joined <- m.exchange(ctx, kindJoin, a, &peerpb.ProbeRequest{All: true}) })
+		m.work.Go(func() { joined <- m.joinOne(ctx, a) })
 	}
 	timer := time.NewTimer(joinWait)
 	defer timer.Stop()
@@ -110,6 +110,27 @@
 	}
 }
 
+// Hosts that start together find each other by asking again: a peer may just be
+// starting, too, or not have power yet.
+const (
+	joinRetry   = 20 * time.Millisecond // between two questions
+	joinLongest = time.Second           // after which a peer is left to the probes
+)
+
+// joinOne asks one peer for the whole list, again while it fails.
+func (m *Members) joinOne(ctx context.Context, address string) error {
+	began := time.Now()
+	for {
+		limited, cancel := context.WithTimeout(ctx, joinWait)
+		err := m.exchange(limited, kindJoin, address, &peerpb.ProbeRequest{All: true})
+		cancel()
+		if err == nil || time.Since(began) >= joinLongest {
+			return err
+		}
+		time.Sleep(joinRetry)
+	}
+}
+
 // refreshLoop reads the platform's records now and then. The time between
 // grows with the fleet, so that the platform's load does not.
 func (m *Members) refreshLoop(ctx context.Context) {
