--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -20,6 +20,7 @@
 	callerBudget   = 1500 * time.Millisecond // told to the host; above the route's timeout
 	callerPatience = 3 * time.Second         // after which it gives up on an answer that never comes
 	callerPause    = 20 * time.Millisecond   // mean time between two requests
+	movesAfter     = 3                       // requests, in the mean, after which it goes to any host; else none would come to one that is stopping
 	dialPatience   = 500 * time.Millisecond
 )
 
@@ -76,6 +77,9 @@
 		case <-time.After(pause):
 		}
 		c.done = append(c.done, c.exchange(fmt.Sprintf("%s-%d", c.name, n)))
+		if c.rng.IntN(movesAfter) == 0 {
+			c.hangUp()
+		}
 	}
 }
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -31,7 +31,7 @@
 const (
 	routeTimeout  = time.Second
 	objective     = 200 * time.Millisecond
-	targetLatency = 5 * time.Millisecond
+	targetLatency = 15 * time.Millisecond
 )
 
 // Names of the site.
