--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -10,7 +10,7 @@
 // is taken to answer: most stand in other failure domains, bytes between domains
 // are paid for, and a link may be cut. With 3.5 in place of 2.2, and pauses that
 // move the mean half as much, nine hosts sent 39 in place of 45 MB to other domains
-// in 58 s, and as many answers came within their objective.
+// in 58 s; 11,998 in place of 12,013 of 12,266 answers came within their objective.
 const otherFactor = 3.5
 
 // mostWaiting is how many requests may wait for a place at a service's
