Gateway: time for an answer's way back from what the host sees of its caller

Cause: 7 ms were kept for the way to any caller. Change: the round trip that the kernel measured on the caller's own connection, the part of the objective that a caller spent before it sent the request (its own statement of how long it waits, against what callers of the route wait at first on kept connections, and the opening of a new connection), and the observed lag of timers, merge and write. Ruled out: a larger constant (12 or 20 ms serve this customer and cost one nearby).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,6 +22,7 @@
 	header   http.Header // to forward; not changed after it was built
 	body     []byte
 	arrived  time.Time
+	answerBy time.Time // when an answer that lacks parts must leave to be in time
 	deadline time.Time // until which the caller waits, or the route lets it
 	late     bool      // the caller has spent most of the objective before it sent this
 	pace     *pace     // of the route
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,7 +127,7 @@
 	r.deadline = r.arrived.Add(g.budget(call, route))
 	r.pace = g.paces.of(route.Name)
 	r.scale = r.pace.scale(route.Objective)
-	r.late = r.pace.patience.late(call.Budget, route.Objective)
+	r.answerBy, r.late = r.pace.arrive(arrival(hr, r), route.Objective)
 	g.forward(hr.Context(), w, r, route)
 }
 
--- a/internal/gateway/late_test.go
+++ b/internal/gateway/late_test.go
@@ -8,24 +8,6 @@
 	"github.com/matryer/is"
 )
 
-func TestLateRepeatIsToldByTheTimeThatItsCallerWaits(t *testing.T) {
-	is := is.New(t)
-	const objective = 100 * time.Millisecond
-	var p patience
-	is.True(!p.late(600*time.Millisecond, objective))
-	is.True(!p.late(540*time.Millisecond, objective)) // came back at once, in time
-	is.True(p.late(400*time.Millisecond, objective))
-	is.True(!p.late(100*time.Millisecond, objective)) // a caller of another kind
-	is.True(!p.late(0, objective))                    // one that does not say
-	is.True(!p.late(400*time.Millisecond, 0))
-	is.True(!p.late(30*time.Second, objective)) // one that waits for long counts only for a while
-	for range 500 {
-		p.late(600*time.Millisecond, objective)
-	}
-	is.True(!p.late(590*time.Millisecond, objective))
-	is.True(p.late(400*time.Millisecond, objective))
-}
-
 // A late request leaves a place to a later one that can still be in time, but not
 // for longer than a quarter of its own time.
 func TestLateRequestYields(t *testing.T) {
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/policy"
 )
 
 // typicalLatency is what the latency of a typical answer is scaled to, whatever
@@ -13,22 +15,33 @@
 // that the median does not show: what is expected of a target that is not known.
 const expectedLatency = 14 * time.Millisecond
 
-// paceStep is the part by which the median moves with each answer; it follows
-// a change by half within a few tens of answers.
-const paceStep = 0.05
-
 // slowQuantile is the quantile of the latencies of a route after which an
 // attempt is late.
 const slowQuantile = 0.9
 
-// pace is the latency of a route's attempts: the median and a high quantile;
-// and how long its callers wait.
+// pace is what a host learns of a route: the median and a high quantile of the
+// latency of its attempts, and its callers.
 type pace struct {
-	mu     sync.Mutex
-	median time.Duration
-	slow   time.Duration
+	mu      sync.Mutex
+	median  time.Duration
+	slow    time.Duration
+	callers policy.Callers
+}
+
+// arrive takes a request that was read. It returns when an answer that lacks
+// parts must leave, and whether the request is a late repeat.
+func (p *pace) arrive(a policy.Arrival, objective time.Duration) (answerBy time.Time, late bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.callers.Observe(a)
+	return p.callers.AnswerBy(a, objective), p.callers.Late(a, objective)
+}
 
-	patience patience
+// wrote takes how long after it was due an answer that lacks parts had left.
+func (p *pace) wrote(lag time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.callers.Wrote(lag)
 }
 
 // observe takes the latency of a valid answer.
@@ -39,17 +52,8 @@
 		p.median, p.slow = latency, latency
 		return
 	}
-	p.median = towards(p.median, latency, 0.5)
-	p.slow = towards(p.slow, latency, slowQuantile)
-}
-
-// towards moves the estimate of a quantile by one observation.
-func towards(estimate, observed time.Duration, quantile float64) time.Duration {
-	step := 2 * paceStep * float64(estimate)
-	if observed > estimate {
-		return estimate + time.Duration(step*quantile)
-	}
-	return estimate - time.Duration(step*(1-quantile))
+	p.median = policy.TowardsQuantile(p.median, latency, 0.5)
+	p.slow = policy.TowardsQuantile(p.slow, latency, slowQuantile)
 }
 
 // late returns the latency after which an attempt is late, 0 if none is known.
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -10,11 +10,6 @@
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
-// wayBack is the time kept for an answer's way to its caller: an answer with
-// parts missing leaves this long before the objective is over. It covers a
-// millisecond on the network, the merge and late timers.
-const wayBack = 7 * time.Millisecond
-
 // part is what one shard of a query ended with.
 type part struct {
 	shard int
@@ -47,6 +42,9 @@
 		w.gone()
 	case gathered.enough():
 		w.merged(gathered)
+		if gathered.cut {
+			r.pace.wrote(time.Since(r.answerBy))
+		}
 	case gathered.outcomes.NotRun():
 		w.refuse(refusalBusy)
 	case !time.Now().Before(r.deadline):
@@ -86,6 +84,7 @@
 	least    int // parts that a successful answer needs
 	answered int
 	failed   int
+	cut      bool     // the objective ended the wait
 	parts    []result // by shard
 	have     []bool
 	outcomes outcome.Outcome
@@ -109,7 +108,7 @@
 
 // collect takes parts until the answer should go out or can't be had.
 func (g *gathering) collect(ctx context.Context, r *request, parts <-chan part) {
-	early := time.NewTimer(time.Until(r.arrived.Add(g.route.Objective - wayBack)))
+	early := time.NewTimer(time.Until(r.answerBy))
 	defer early.Stop()
 	end := time.NewTimer(time.Until(r.deadline))
 	defer end.Stop()
@@ -121,6 +120,7 @@
 			g.take(p)
 		case <-early.C:
 			late = true
+			g.cut = g.enough()
 		case <-end.C:
 			return
 		case <-ctx.Done():
--- a/internal/gatewayhost/callerconn.go
+++ b/internal/gatewayhost/callerconn.go
@@ -78,6 +78,7 @@
 	waits atomic.Bool
 
 	mu      sync.Mutex
+	served  int  // requests, the one that is served included
 	idle    bool // an answer was sent, and nothing was read since
 	serving bool
 	early   bool // something was read while a request was served
@@ -108,6 +109,7 @@
 	c.serving = s == http.StateActive
 	switch s {
 	case http.StateActive:
+		c.served++
 		c.early = false
 	case http.StateIdle:
 		c.idle = !c.early
@@ -147,3 +149,13 @@
 	}
 	return l.HeaderTimeout
 }
+
+// First implements gateway.CallerConn.
+func (c *callerConn) First() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.served <= 1
+}
+
+// RoundTrip implements gateway.CallerConn.
+func (c *callerConn) RoundTrip() time.Duration { return roundTrip(c.Conn) }
--- a/internal/gatewayhost/servers.go
+++ b/internal/gatewayhost/servers.go
@@ -105,9 +105,18 @@
 	conns := newLimitedListener(on, limits)
 	l := newListener("callers", conns, h, log)
 	l.server.ConnState = conns.noteState
+	l.server.ConnContext = callerContext
 	return &callers{l, conns}
 }
 
+// callerContext lets the gateway see the connection of a caller.
+func callerContext(ctx context.Context, c net.Conn) context.Context {
+	if conn, ok := c.(*callerConn); ok {
+		return gateway.WithCallerConn(ctx, conn)
+	}
+	return ctx
+}
+
 // closeIdle closes the connections that wait for a request. The others end after
 // their answer, which says so; new ones are still taken, for one request each.
 func (c *callers) closeIdle() { c.conns.closeIdle() }
