Gateway: hosts with a narrow link let one with a wide link gather a query

Cause: a host pulls all parts of a query over its own link: 36 parts of 1.3 KB occupy one of 14 Mbit/s for 27 ms and the urgent kind waits behind them; and each of 59 hosts asks a target so rarely that it learns alone, and late, of pauses, failures and sheds. Change: the host that was asked hands the whole query over (drpc) to a host whose link is at least four times as wide, its own failure domain first, by load. Sites whose hosts are alike are not changed.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,6 +24,7 @@
 	arrived  time.Time
 	answerBy time.Time // when an answer that lacks parts must leave to be in time
 	deadline time.Time // until which the caller waits, or the route lets it
+	again    bool      // its shards may have been asked before, by another host
 	gathers  bool      // its answer is made of parts
 	late     bool      // the caller has spent most of the objective before it sent this
 	pace     *pace     // of the route
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -70,6 +70,15 @@
 	return t
 }
 
+// giveBack gives a place back that was not used.
+func (s *service) giveBack(t *target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.inFlight--
+	t.health.Unsent(time.Now())
+	s.wake()
+}
+
 // take takes a place for one attempt.
 func (t *target) take(now time.Time, scale float64) {
 	t.inFlight++
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -13,7 +13,10 @@
 		"request", "route", "status", "outcome", "missing", "took", "version", "reason")
 	evAttempts = event.Define(11004, "request_attempts", plog.InfoLevel,
 		"What was tried for the request of the line before: the targets asked, of shards those that are missing, and the age of the configuration.",
-		"Look for the lines of these targets.", "request", "attempts", "asked", "budget", "age")
+		"Look for the lines of these targets, on the helper if there is one.", "request", "attempts", "asked", "budget", "age", "helper")
+	evHelperLost = event.Define(11006, "helper_lost", plog.WarnLevel,
+		"A host that was to gather a query did not take it in time or broke off. It is set aside for a while, and this host gathers the query.",
+		"Look at that host if it stays so.", "request", "host", "after")
 	evSuppressed = event.Define(11005, "request_lines_suppressed", plog.WarnLevel,
 		"Lines about requests were left out, as there were too many.",
 		"The counters on the metrics address count every request all the same.", "lines")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -26,15 +27,18 @@
 	state    *discovery.State
 	messages Messages
 	recorder delivery.Recorder
-	domain   string     // own failure domain
+	self     member.Host
 	hosts    func() int // number of hosts, this one included
-	paces    paces
-	fleet    *fleet
-	life     *kernel.Lifecycle
-	log      *event.Log
-	metrics  *metrics
-	lines    *lines
-	cancel   context.CancelFunc
+	helpers  *helpers   // nil: every query is gathered here
+	// gathersFor is the number of queries gathered for other hosts.
+	gathersFor atomic.Int32
+	paces      paces
+	fleet      *fleet
+	life       *kernel.Lifecycle
+	log        *event.Log
+	metrics    *metrics
+	lines      *lines
+	cancel     context.CancelFunc
 }
 
 // New returns a gateway that forwards by what state believes and records what
@@ -42,7 +46,7 @@
 func New(cfg Config, self member.Host, hosts func() int, state *discovery.State, messages Messages, recorder delivery.Recorder,
 	life *kernel.Lifecycle, log *event.Log, reg prometheus.Registerer) *Gateway {
 	g := &Gateway{
-		cfg: cfg, state: state, messages: messages, recorder: recorder, life: life, log: log, domain: self.FailureDomain, hosts: hosts,
+		cfg: cfg, state: state, messages: messages, recorder: recorder, life: life, log: log, self: self, hosts: hosts,
 		fleet: newFleet(cfg, self.ID, self.FailureDomain, hosts), metrics: newMetrics(reg), lines: newLines(),
 	}
 	state.Follow(g.fleet.apply)
@@ -153,16 +157,25 @@
 	}
 }
 
-// forward sends a request where its route says. Attempts in flight outlive the
-// answer, so that a late one does not cost its connection, but not the caller's
-// leave; no attempt starts after the answer.
-func (g *Gateway) forward(caller context.Context, w *reply, r *request, route *routing.Route) {
+// attempting returns the context in which attempts of a request start, and sets
+// the one in which they run: those in flight outlive the answer, so that a late
+// one does not cost its connection, but not the caller's leave. done is to be called
+// with the answer; no attempt starts after it.
+func (r *request) attempting(caller context.Context) (ctx context.Context, done func()) {
 	attempts, leave := context.WithCancel(context.WithoutCancel(caller))
 	stop := context.AfterFunc(caller, leave)
-	defer stop()
 	r.ctx = attempts
 	ctx, answered := context.WithCancel(attempts)
-	defer answered()
+	return ctx, func() {
+		answered()
+		stop()
+	}
+}
+
+// forward sends a request where its route says.
+func (g *Gateway) forward(caller context.Context, w *reply, r *request, route *routing.Route) {
+	ctx, done := r.attempting(caller)
+	defer done()
 	if len(route.Shards) > 0 {
 		r.gathers = true
 		g.scatter(ctx, w, r, route)
--- /dev/null
+++ b/internal/gateway/helper.go
@@ -0,0 +1,238 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/policy"
+	"rhubarbwood.example/rhubarbwood/internal/routing"
+)
+
+// Query is a query over shards that another host gathers. Times are from the
+// moment at which it is read.
+type Query struct {
+	RequestID string
+	Caller    string
+	Method    string
+	URI       string
+	Host      string
+	Header    http.Header
+	Body      []byte
+	Route     routing.Route // with its name, shards, objective, attempts and what the answer needs
+	AnswerIn  time.Duration // until parts that are missing are left out
+	Budget    time.Duration // until the caller leaves
+	Late      bool          // the caller has spent most of the objective
+	Again     bool          // its shards may have been asked before
+}
+
+// Helpers are the hosts that gather for others.
+type Helpers interface {
+	// Gather lets a host gather a query. taken is called as soon as the host has
+	// said that it does, with the number of queries that it gathers for others.
+	Gather(ctx context.Context, host member.Host, q Query, taken func(load int)) (Gathered, error)
+	// NotRun reports whether a query that failed certainly did not run.
+	NotRun(err error) bool
+}
+
+// errSilent means that a helper did not say in time that it took a query.
+var errSilent = errors.New("the host did not take the query in time")
+
+// helpers is what this host knows of those that may gather for it.
+type helpers struct {
+	self  member.Host
+	hosts func() []member.Host // those known, this one included
+	call  Helpers
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	known  map[string]*policy.Helper
+	taking policy.Taking
+	back   hop
+}
+
+// hop learns how long after its time an answer of a helper is here.
+type hop struct{ usual time.Duration }
+
+const (
+	hopFirst    = 3 * time.Millisecond // prior: two hops between hosts and two writes
+	hopQuantile = 0.95
+	hopLeast    = time.Millisecond
+)
+
+func (h *hop) observe(lag time.Duration) {
+	h.usual = max(policy.TowardsQuantile(h.reserve(), lag, hopQuantile), hopLeast)
+}
+
+// reserve returns the time kept for the way back from a helper.
+func (h *hop) reserve() time.Duration {
+	if h.usual == 0 {
+		return hopFirst
+	}
+	return h.usual
+}
+
+// HelpWith makes the gateway hand queries over to other hosts, before Start.
+func (g *Gateway) HelpWith(call Helpers, hosts func() []member.Host) {
+	g.helpers = &helpers{
+		self: g.self, hosts: hosts, call: call, known: map[string]*policy.Helper{},
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// choose returns the host that should gather a query of so many bytes; false if
+// this one should.
+func (h *helpers) choose(now time.Time, bytes int, objective time.Duration) (member.Host, bool) {
+	var able []member.Host
+	var options []policy.Option
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, host := range h.hosts() {
+		if host.ID == h.self.ID || host.State != member.Alive ||
+			!policy.HandsOver(float64(h.self.LinkMbps), float64(host.LinkMbps), bytes, objective) {
+			continue
+		}
+		o := h.of(host.ID).Option(now, host.FailureDomain == h.self.FailureDomain)
+		if o.Barred {
+			continue
+		}
+		able = append(able, host)
+		options = append(options, o)
+	}
+	i := policy.Choose(h.rng, options)
+	if i < 0 {
+		return member.Host{}, false
+	}
+	h.of(able[i].ID).Sent()
+	return able[i], true
+}
+
+// of returns what is known of a host. The caller holds the lock.
+func (h *helpers) of(id string) *policy.Helper {
+	one, ok := h.known[id]
+	if !ok {
+		one = &policy.Helper{}
+		h.known[id] = one
+	}
+	return one
+}
+
+// patience returns how long a host may take to say that it takes a query, and the
+// time kept for its answer's way back.
+func (h *helpers) patience(left time.Duration) (taken, back time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.taking.Within(left), h.back.reserve()
+}
+
+// took notes that a host has taken a query, with how many it gathers now.
+func (h *helpers) took(id string, after time.Duration, load int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.taking.Observe(after)
+	h.of(id).Told(load)
+}
+
+// ended notes what became of a query at a host.
+func (h *helpers) ended(id string, well bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.of(id).Ended(time.Now(), well)
+}
+
+// cameBack notes how long after its time an answer was here.
+func (h *helpers) cameBack(lag time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.back.observe(lag)
+}
+
+// gatherElsewhere lets a host with a wider link gather a query. It reports false
+// if this host is to do it: there is none, or it failed with time left.
+func (g *Gateway) gatherElsewhere(ctx context.Context, w *reply, r *request, route *routing.Route) (Gathered, bool) {
+	h := g.helpers
+	now := time.Now()
+	left := r.answerBy.Sub(now)
+	if h == nil || left <= 0 {
+		return Gathered{}, false
+	}
+	host, ok := h.choose(now, r.pace.expectedBytes(len(route.Shards)), route.Objective)
+	if !ok {
+		return Gathered{}, false
+	}
+	got, err := g.handOver(ctx, host, r, route, left)
+	if err == nil {
+		r.attempts.Add(int32(got.Attempts))
+		r.pace.observeBytes(got.PartBytes, len(got.Signatures))
+		w.helper = host.ID
+		return got, true
+	}
+	g.log.Event(evHelperLost).Str("request", r.call.RequestID).Str("host", host.ID).Err(err).Dur("after", time.Since(now)).Msg("")
+	if ctx.Err() != nil {
+		return Gathered{Outcome: outcome.Unknown, Reason: err.Error()}, true
+	}
+	r.again = !h.call.NotRun(err)
+	return Gathered{}, false
+}
+
+// handOver lets one host gather a query.
+func (g *Gateway) handOver(ctx context.Context, host member.Host, r *request, route *routing.Route, left time.Duration) (Gathered, error) {
+	h := g.helpers
+	began := time.Now()
+	within, back := h.patience(left)
+	call, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(within, func() { cancel(errSilent) })
+	defer silence.Stop()
+	q := r.query(route, left-back)
+	got, err := h.call.Gather(call, host, q, func(load int) {
+		silence.Stop()
+		h.took(host.ID, time.Since(began), load)
+	})
+	if err != nil && errors.Is(context.Cause(call), errSilent) {
+		err = errors.Join(errSilent, err)
+	}
+	h.ended(host.ID, err == nil || ctx.Err() != nil) // a caller that leaves says nothing of the helper
+	if err == nil && got.Cut {
+		h.cameBack(time.Since(began.Add(q.AnswerIn)))
+	}
+	return got, err
+}
+
+// query returns the request as another host needs it.
+func (r *request) query(route *routing.Route, answerIn time.Duration) Query {
+	return Query{
+		RequestID: r.call.RequestID, Caller: r.caller, Method: r.method, URI: r.uri, Host: r.host,
+		Header: r.header, Body: r.body, Route: *route,
+		AnswerIn: answerIn, Budget: time.Until(r.deadline), Late: r.late, Again: r.again,
+	}
+}
+
+// GatherFor gathers a query of another host, until ctx is done. began is called
+// first, with the number of queries that this host gathers for others.
+func (g *Gateway) GatherFor(ctx context.Context, q Query, began func(load int)) Gathered {
+	load := g.gathersFor.Add(1)
+	defer g.gathersFor.Add(-1)
+	began(int(load))
+	r := g.requestOf(q)
+	ctx, done := r.attempting(ctx)
+	defer done()
+	return g.gather(ctx, r, &q.Route)
+}
+
+// requestOf returns the request of another host's query.
+func (g *Gateway) requestOf(q Query) *request {
+	now := time.Now()
+	r := &request{
+		call: Call{RequestID: q.RequestID, Budget: q.Budget}, caller: q.Caller, method: q.Method, uri: q.URI, host: q.Host,
+		header: q.Header, body: q.Body, arrived: now, answerBy: now.Add(q.AnswerIn), deadline: now.Add(q.Budget),
+		gathers: true, late: q.Late, again: q.Again, pace: g.paces.of(q.Route.Name),
+	}
+	r.scale = r.pace.scale(q.Route.Objective)
+	return r
+}
--- /dev/null
+++ b/internal/gateway/helper_test.go
@@ -0,0 +1,186 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/gateway"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+	"rhubarbwood.example/rhubarbwood/platform"
+)
+
+// narrow and wide are link rates: the answers of a query of the tests occupy a
+// narrow one for more than a twentieth of the objective.
+const (
+	narrow = 1
+	wide   = 100
+)
+
+// helperFault is how a helper of the tests fails.
+type helperFault uint8
+
+const (
+	helperWell helperFault = iota
+	helperSilent
+	helperRefuses   // the query certainly did not run
+	helperBreaksOff // after it has taken the query
+	helperDiesLate  // takes the query and asks the targets, but never answers
+)
+
+var errHelper = errors.New("helper failed")
+
+// fakeHelpers calls a gateway directly, with a hop's delay.
+type fakeHelpers struct {
+	gateway *gateway.Gateway
+	fault   helperFault
+	asked   int
+}
+
+const hopDelay = time.Millisecond
+
+// NotRun implements gateway.Helpers.
+func (f *fakeHelpers) NotRun(error) bool { return f.fault == helperRefuses }
+
+// Gather implements gateway.Helpers.
+func (f *fakeHelpers) Gather(ctx context.Context, _ member.Host, q gateway.Query, taken func(int)) (gateway.Gathered, error) {
+	f.asked++
+	time.Sleep(hopDelay)
+	switch f.fault {
+	case helperSilent:
+		<-ctx.Done()
+		return gateway.Gathered{}, ctx.Err()
+	case helperRefuses:
+		return gateway.Gathered{}, errHelper
+	case helperBreaksOff:
+		taken(1)
+		return gateway.Gathered{}, errHelper
+	}
+	got := f.gateway.GatherFor(ctx, q, func(load int) { time.AfterFunc(hopDelay, func() { taken(load) }) })
+	time.Sleep(hopDelay)
+	if f.fault == helperDiesLate {
+		return gateway.Gathered{}, errHelper
+	}
+	return got, ctx.Err()
+}
+
+// withHelper runs a test on a site whose gateway has a narrow link and one helper.
+func withHelper(t *testing.T, fault helperFault, test func(t *testing.T, s *site, f *fakeHelpers)) {
+	f := &fakeHelpers{fault: fault}
+	helper := member.Host{ID: "w", FailureDomain: domain, State: member.Alive, LinkMbps: wide}
+	o := options{services: 4, records: 2, link: narrow, hosts: []member.Host{helper}}
+	o.help = func(s *site) gateway.Helpers {
+		f.gateway = s.gateway(helper)
+		return f
+	}
+	run(t, o, func(t *testing.T, s *site) { test(t, s, f) })
+}
+
+func wholeAnswer(is *is.I, a answer) {
+	is.Helper()
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.header.Get(platform.HeaderMissing), "0")
+	is.Equal(len(a.body), 3*16)
+}
+
+func TestNarrowHostHandsQueryOver(t *testing.T) {
+	withHelper(t, helperWell, func(t *testing.T, s *site, f *fakeHelpers) {
+		is := is.New(t)
+		a := s.get("/all/x", "r1")
+		wholeAnswer(is, a)
+		is.Equal(f.asked, 1)
+		is.Equal(s.runs("r1"), 4) // each shard once
+		is.True(a.took < 2*targetLatency)
+		s.get("/one/x", "r2") // one target's answer is left where it is
+		is.Equal(f.asked, 1)
+	})
+}
+
+// What a helper leaves out for the objective is left out in time for the caller.
+func TestHelperLeavesOutTheStragglerInTime(t *testing.T) {
+	withHelper(t, helperWell, func(t *testing.T, s *site, f *fakeHelpers) {
+		is := is.New(t)
+		s.faults("s3", platformtarget.Faults{Silent: true})
+		a := s.get("/all/x", "r1")
+		is.Equal(a.status, http.StatusOK)
+		is.Equal(a.header.Get(platform.HeaderMissing), "1")
+		is.True(a.took < objective)
+	})
+}
+
+// A helper that is silent, refuses or breaks off costs a few milliseconds: this
+// host gathers the query, and sends the helper none for a while.
+func TestLostHelperCostsLittle(t *testing.T) {
+	for name, fault := range map[string]helperFault{"silent": helperSilent, "refuses": helperRefuses, "breaks off": helperBreaksOff} {
+		t.Run(name, func(t *testing.T) {
+			withHelper(t, fault, func(t *testing.T, s *site, f *fakeHelpers) {
+				is := is.New(t)
+				a := s.get("/all/x", "r1")
+				wholeAnswer(is, a)
+				is.Equal(s.runs("r1"), 4)
+				is.True(a.took < targetLatency+objective/4)
+				a = s.get("/all/x", "r2")
+				wholeAnswer(is, a)
+				is.Equal(f.asked, 1)
+				f.fault = helperWell
+				time.Sleep(2 * time.Second)
+				wholeAnswer(is, s.get("/all/x", "r3"))
+				is.Equal(f.asked, 2) // tried again
+			})
+		})
+	}
+}
+
+// A helper that dies after it has asked the targets: they are asked once more, as
+// further attempts, and no part is merged twice.
+func TestQueryOfDeadHelperIsGatheredAgain(t *testing.T) {
+	withHelper(t, helperDiesLate, func(t *testing.T, s *site, f *fakeHelpers) {
+		is := is.New(t)
+		wholeAnswer(is, s.get("/all/x", "r1"))
+		is.Equal(s.runs("r1"), 8)
+	})
+}
+
+// The caller's leave ends the attempts of the helper.
+func TestCallersLeaveReachesTheHelper(t *testing.T) {
+	withHelper(t, helperWell, func(t *testing.T, s *site, f *fakeHelpers) {
+		is := is.New(t)
+		s.faults("s3", platformtarget.Faults{Silent: true})
+		ctx, leave := context.WithTimeout(t.Context(), 30*time.Millisecond)
+		defer leave()
+		s.askWith(ctx, http.MethodGet, "/all/x", "", http.Header{platform.HeaderRequestID: {"r1"}, platform.HeaderDeadline: {"600"}})
+		time.Sleep(20 * time.Millisecond)
+		cancelled := 0
+		for _, target := range s.targets {
+			for _, r := range target.Runs() {
+				if r.Cancelled {
+					cancelled++
+				}
+			}
+		}
+		is.True(cancelled >= 1)
+		wholeAnswerSoon := s.get("/one/x", "r2")
+		is.Equal(wholeAnswerSoon.status, http.StatusOK)
+		is.Equal(f.asked, 1)
+	})
+}
+
+func TestHostWithoutWiderOnesGathersItself(t *testing.T) {
+	for name, link := range map[string]uint32{"as wide": wide, "a little narrower": wide / 2, "not known": 0} {
+		t.Run(name, func(t *testing.T) {
+			f := &fakeHelpers{}
+			helper := member.Host{ID: "w", FailureDomain: domain, State: member.Alive, LinkMbps: wide}
+			o := options{services: 4, records: 2, link: link, hosts: []member.Host{helper}, help: func(*site) gateway.Helpers { return f }}
+			run(t, o, func(t *testing.T, s *site) {
+				is := is.New(t)
+				wholeAnswer(is, s.get("/all/x", "r1"))
+				is.Equal(f.asked, 0)
+			})
+		})
+	}
+}
--- a/internal/gateway/learn.go
+++ b/internal/gateway/learn.go
@@ -27,7 +27,7 @@
 		}
 		s.mu.Lock()
 		before := t.health.Ejected(now)
-		t.learn(now, f, g.domain, g.probeAfter())
+		t.learn(now, f, g.self.FailureDomain, g.probeAfter())
 		if t.health.Ejected(now) != before {
 			g.logHealth(now, t, f.Domain)
 		}
@@ -69,10 +69,10 @@
 	}
 	bad := !until.IsZero()
 	if bad {
-		t.badFor = g.domain
+		t.badFor = g.self.FailureDomain
 	}
 	g.logHealth(now, t, "this host")
 	g.state.ReportFinding(discovery.Finding{
-		Target: t.conf.ID, Bad: bad, Latency: t.health.Latency(), Failures: t.health.FailureRatio(), Domain: g.domain,
+		Target: t.conf.ID, Bad: bad, Latency: t.health.Latency(), Failures: t.health.FailureRatio(), Domain: g.self.FailureDomain,
 	})
 }
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -106,5 +106,6 @@
 		return
 	}
 	g.log.Event(evAttempts).Str("request", r.call.RequestID).Int("attempts", int(r.attempts.Load())).
-		Str("asked", w.asked).Dur("budget", r.deadline.Sub(r.arrived)).Dur("age", w.age).Msg("")
+		Str("asked", w.asked).Dur("budget", r.deadline.Sub(r.arrived)).Dur("age", w.age).
+		Str("helper", w.helper).Msg("")
 }
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -26,6 +26,37 @@
 	median  time.Duration
 	slow    time.Duration
 	callers policy.Callers
+	bytes   float64 // mean of a part's records
+}
+
+const (
+	partBytesFirst = 1000 // prior of a part's records, in bytes
+	partOverhead   = 300  // header of a part and of its packets, in bytes
+	partBytesStep  = 0.1  // weight of the newest query in the mean
+)
+
+// expectedBytes returns how many bytes a number of parts is.
+func (p *pace) expectedBytes(parts int) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return int(float64(parts) * (p.partBytes() + partOverhead))
+}
+
+// observeBytes takes how many bytes a number of parts was.
+func (p *pace) observeBytes(bytes, parts int) {
+	if parts == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bytes = p.partBytes() + partBytesStep*(float64(bytes)/float64(parts)-p.partBytes())
+}
+
+func (p *pace) partBytes() float64 {
+	if p.bytes == 0 {
+		return partBytesFirst
+	}
+	return p.bytes
 }
 
 // arrive takes a request that was read. It returns when an answer that lacks
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -11,6 +11,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/query"
+	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
 // refusal is why a request was answered without having run.
@@ -44,6 +45,7 @@
 	reason  string
 	code    query.Reason
 	asked   string        // the service and the targets asked; of a query the missing ones, a few of them
+	helper  string        // host that gathered the query, empty: this one
 	version uint64        // of the configuration
 	age     time.Duration // since the configuration was known to be current
 	limit   time.Duration // the route's objective
@@ -67,12 +69,11 @@
 }
 
 // merged answers with the parts of a query.
-func (w *reply) merged(g *gathering) {
-	signatures, bodies := g.signatures()
-	w.missing = len(g.route.Shards) - len(signatures)
-	w.gateway.messages.Merged(w.writer.Header(), w.request.call.RequestID, signatures, w.missing)
+func (w *reply) merged(route *routing.Route, got Gathered) {
+	w.missing = len(route.Shards) - len(got.Signatures)
+	w.gateway.messages.Merged(w.writer.Header(), w.request.call.RequestID, got.Signatures, w.missing)
 	w.outcome = outcome.Done
-	w.write(http.StatusOK, Merge(bodies, g.route.TopK))
+	w.write(http.StatusOK, got.Records)
 }
 
 // refuse answers that the request did not run, and when to come back.
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -2,201 +2,36 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
-// part is what one shard of a query ended with.
-type part struct {
-	shard int
-	ok    bool
-	res   result
-	run   *run
-}
-
-// scatter sends a query to one target of each shard and answers it with the
-// merged parts. An answer waits for all parts, until the objective is nearly
-// over; then it goes out as soon as enough of them are there.
+// scatter answers a query over shards with its merged parts, gathered here or by
+// a host with a wider link.
 func (g *Gateway) scatter(ctx context.Context, w *reply, r *request, route *routing.Route) {
-	gathered := newGathering(route)
-	runs := g.newRuns(r, route)
-	if !answerable(runs, gathered.least) {
-		w.refuse(refusalNoTarget)
-		return
+	got, done := g.gatherElsewhere(ctx, w, r, route)
+	if !done {
+		got = g.gather(ctx, r, route)
+		r.pace.observeBytes(got.PartBytes, len(got.Signatures))
 	}
-	parts := make(chan part, len(runs))
-	for i, run := range runs {
-		go func() {
-			res, ok := run.do(ctx)
-			parts <- part{shard: i, ok: ok, res: res, run: run}
-		}()
-	}
-	gathered.collect(ctx, r, parts)
-	w.asked = gathered.lacking(runs)
+	w.asked = got.Lacking
 	switch {
 	case r.ctx.Err() != nil:
 		w.gone()
-	case gathered.enough():
-		w.merged(gathered)
-		if gathered.cut {
+	case got.Outcome == outcome.Done:
+		w.merged(route, got)
+		if got.Cut {
 			r.pace.wrote(time.Since(r.answerBy))
 		}
-	case gathered.outcomes.NotRun():
+	case got.Outcome == outcome.NotSent && got.Reason == errNoTarget.Error():
+		w.refuse(refusalNoTarget)
+	case got.Outcome.NotRun():
 		w.refuse(refusalBusy)
 	case !time.Now().Before(r.deadline):
 		w.timeout()
 	default:
-		w.unknown(Error.New("%d of %d shards answered, want %d", gathered.answered, len(route.Shards), gathered.least))
-	}
-}
-
-// newRuns returns a run for each shard of a query.
-func (g *Gateway) newRuns(r *request, route *routing.Route) []*run {
-	runs := make([]*run, len(route.Shards))
-	for i, name := range route.Shards {
-		runs[i] = g.newRun(g.fleet.service(name), r, route)
-	}
-	return runs
-}
-
-// answerable reports whether as many shards as an answer needs have a target that
-// may be asked. Else nothing is sent, so that the caller can be told that the query
-// has not run: after a restart while registrations are missing, 267 queries in
-// 0.7 s were sent to the few targets known, in vain, and then told as
-// possibly run.
-func answerable(runs []*run, least int) bool {
-	n := 0
-	for _, r := range runs {
-		if r.service.hasTarget(nil) {
-			n++
-		}
-	}
-	return n >= least
-}
-
-// gathering is the parts of one query as they come.
-type gathering struct {
-	route    *routing.Route
-	least    int // parts that a successful answer needs
-	answered int
-	failed   int
-	cut      bool     // the objective ended the wait
-	parts    []result // by shard
-	have     []bool
-	outcomes outcome.Outcome
-}
-
-func newGathering(route *routing.Route) *gathering {
-	n := len(route.Shards)
-	return &gathering{route: route, least: leastParts(n, route.MinShare), parts: make([]result, n), have: make([]bool, n)}
-}
-
-// leastParts returns the least number of n parts that make up a share; one at
-// least.
-func leastParts(n int, share float64) int {
-	for k := 1; k < n; k++ {
-		if float64(k)/float64(n) >= share {
-			return k
-		}
-	}
-	return n
-}
-
-// collect takes parts until the answer should go out or can't be had.
-func (g *gathering) collect(ctx context.Context, r *request, parts <-chan part) {
-	early := time.NewTimer(time.Until(r.answerBy))
-	defer early.Stop()
-	end := time.NewTimer(time.Until(r.deadline))
-	defer end.Stop()
-	defer g.noteOutstanding()
-	late := false
-	for !g.done(late) {
-		select {
-		case p := <-parts:
-			g.take(p)
-		case <-early.C:
-			late = true
-			g.cut = g.enough()
-		case <-end.C:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// noteOutstanding accounts for the shards that have not ended: they may be
-// running, so the query can't be told as not run.
-func (g *gathering) noteOutstanding() {
-	if g.answered+g.failed < len(g.route.Shards) {
-		g.outcomes = outcome.Combine(g.outcomes, outcome.Unknown)
-	}
-}
-
-func (g *gathering) take(p part) {
-	if !p.ok {
-		g.failed++
-		g.outcomes = outcome.Combine(g.outcomes, p.run.outcomes)
-		return
-	}
-	g.answered++
-	g.have[p.shard] = true
-	g.parts[p.shard] = p.res
-	g.outcomes = outcome.Combine(g.outcomes, outcome.Done)
-}
-
-// enough reports whether the parts make a successful answer.
-func (g *gathering) enough() bool { return g.answered >= g.least }
-
-// done reports whether there is nothing more to wait for: every shard has
-// ended, the answer is late and good enough, or it can't become good enough.
-func (g *gathering) done(late bool) bool {
-	n := len(g.route.Shards)
-	return g.answered+g.failed == n || (late && g.enough()) || n-g.failed < g.least
-}
-
-// mostLacking is how many missing shards a log line names.
-const mostLacking = 4
-
-// lacking names the missing shards with the targets that were asked.
-func (g *gathering) lacking(runs []*run) string {
-	var names []string
-	for i, ok := range g.have {
-		if !ok && len(names) < mostLacking {
-			names = append(names, runs[i].asked())
-		}
-	}
-	return strings.Join(names, " ")
-}
-
-// signatures returns the signatures of the parts, and bodies their records.
-func (g *gathering) signatures() (signatures []string, bodies [][]byte) {
-	for i, ok := range g.have {
-		if ok {
-			signatures = append(signatures, g.parts[i].verdict.Signature)
-			bodies = append(bodies, g.parts[i].answer.Body)
-		}
-	}
-	return signatures, bodies
-}
-
-// recordSize is the size of a record of a part, in bytes.
-const recordSize = 16
-
-// Merge returns the greatest records of the bodies, greatest first. What is
-// shorter than a record is none.
-func Merge(bodies [][]byte, top int) []byte {
-	var records [][]byte
-	for _, b := range bodies {
-		for ; len(b) >= recordSize; b = b[recordSize:] {
-			records = append(records, b[:recordSize])
-		}
+		w.unknown(Error.New("%s", got.Reason))
 	}
-	slices.SortFunc(records, func(a, b []byte) int { return slices.Compare(b, a) })
-	records = records[:min(top, len(records))]
-	return slices.Concat(records...)
 }
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -54,7 +54,9 @@
 	if !r.start(ctx) {
 		return result{}, false
 	}
-	r.service.first()
+	if !r.request.again {
+		r.service.first()
+	}
 	hedge := time.NewTimer(r.hedgeDelay())
 	defer hedge.Stop()
 	end := time.NewTimer(time.Until(r.request.deadline))
@@ -101,6 +103,11 @@
 		r.refused = err
 		return false
 	}
+	if r.request.again && !r.service.another() {
+		r.service.giveBack(t)
+		r.outcomes = outcome.Unknown
+		return false
+	}
 	r.launch(t)
 	return true
 }
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -62,6 +62,11 @@
 	records  int // in each answer
 	// unconfigured leaves the gateway without a configuration.
 	unconfigured bool
+	// link is the rate of the gateway's network link, in Mbit/s; help returns what
+	// lets hosts gather for it.
+	link  uint32
+	hosts []member.Host
+	help  func(*site) gateway.Helpers
 }
 
 // run runs a test on a site in virtual time.
@@ -77,12 +82,12 @@
 func newSite(t *testing.T, o options) *site {
 	s := &site{
 		t: t, network: standin.NewNetwork(), state: discovery.NewState(), life: kernel.NewLifecycle(),
-		recorded: &recorder{}, targets: map[string]*platformtarget.Target{},
+		recorded: &recorder{}, targets: map[string]*platformtarget.Target{}, stop: func() {},
+	}
+	g := s.gateway(member.Host{ID: "h", FailureDomain: domain, LinkMbps: o.link})
+	if o.help != nil {
+		g.HelpWith(o.help(s), func() []member.Host { return o.hosts })
 	}
-	g := gateway.New(gateway.DefaultConfig(), member.Host{ID: "h", FailureDomain: domain}, func() int { return 1 }, s.state, platform.Messages{}, s.recorded, s.life, event.Discard(), prometheus.NewRegistry())
-	g.DialWith(s.network.Dial)
-	_ = g.Start(t.Context())
-	s.stop = func() { _ = g.Stop(t.Context()) }
 	s.life.Advance(kernel.Ready)
 	s.serve(callersAddress, g)
 	s.caller = &http.Transport{DialContext: s.network.Dial}
@@ -97,6 +102,19 @@
 	return s
 }
 
+// gateway starts a gateway of the site.
+func (s *site) gateway(self member.Host) *gateway.Gateway {
+	g := gateway.New(gateway.DefaultConfig(), self, func() int { return 1 }, s.state, platform.Messages{}, s.recorded, s.life, event.Discard(), prometheus.NewRegistry())
+	g.DialWith(s.network.Dial)
+	_ = g.Start(s.t.Context())
+	stop := s.stop
+	s.stop = func() {
+		stop()
+		_ = g.Stop(s.t.Context())
+	}
+	return g
+}
+
 func (s *site) serve(address string, h http.Handler) {
 	ln, _ := s.network.Listen(address) // never fails in memory
 	server := &http.Server{Handler: h}
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"reflect"
 	"time"
 
@@ -13,6 +14,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
+	"rhubarbwood.example/rhubarbwood/internal/gatherrpc"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
@@ -83,7 +85,7 @@
 	k.Register(modSpread, h.newSpread, modState, modMembers, modPeerPool, modPeers)
 	k.Register(modDelivery, h.newDelivery, modStore, modMembers)
 	k.Register(modCompactor, h.newCompactor, modStore, modMembers, modState)
-	k.Register(modGateway, h.newGateway, modState, modMembers, modDelivery)
+	k.Register(modGateway, h.newGateway, modState, modMembers, modDelivery, modPeerPool, modPeers)
 	k.Register(modFollower, h.newFollower, modPlatform, modState, modSpread, modGateway)
 	k.Register(modMetrics, h.newMetrics)
 	k.Register(modCallers, h.newCallers, modState, modGateway, modFollower)
@@ -149,6 +151,7 @@
 	self := member.Host{
 		ID: h.settings.ID, FailureDomain: h.settings.FailureDomain,
 		Peer: h.Addresses().Peers, API: h.Addresses().Callers,
+		LinkMbps: uint32(math.Round(h.settings.LinkMbps)),
 	}
 	h.members = member.New(h.settings.Member, self, store, member.DRPC{Dialer: pool}, h.log, h.metrics)
 	return h.members, h.members.Register(server)
@@ -220,13 +223,16 @@
 	state := kernel.FindIn[stateModule](&l, modState)
 	members := kernel.FindIn[member.View](&l, modMembers)
 	recorder := kernel.FindIn[delivery.Recorder](&l, modDelivery)
+	pool := kernel.FindIn[peer.Dialer](&l, modPeerPool)
+	server := kernel.FindIn[*peer.Server](&l, modPeers)
 	if l.Err != nil {
 		return nil, l.Err
 	}
 	s := h.settings
 	hosts := func() int { return len(members.Hosts()) }
 	h.gateway = gateway.New(s.Gateway, members.Self(), hosts, state.State, h.platform.Messages, recorder, h.life, h.log, h.metrics)
-	return h.gateway, nil
+	h.gateway.HelpWith(gatherrpc.NewClient(pool), members.Hosts)
+	return h.gateway, gatherrpc.NewServer(h.gateway).Register(server)
 }
 
 func (h *Host) newCallers(f kernel.Finder) (kernel.Module, error) {
--- a/internal/gatewayhost/host_test.go
+++ b/internal/gatewayhost/host_test.go
@@ -229,20 +229,24 @@
 	"bindAddresses.control|json": `"10.1.0.39:8224"`, "seedNodes|json": `["10.1.0.39:8224","10.2.0.33:8224"]`,
 	"platform.address|json": `"10.200.1.7:8229"`, "bounds.graceS": "6", "bounds.configApplyMs": "5000",
 	"bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": "182", "bounds.budgetWindowS": "10",
+	"limits.bandwidthMbps": "140.0",
 }
 
 var placeholder = regexp.MustCompile(`\{\{([^}]+)\}\}`)
 
-// firstStart is the section that the platform keeps when the whole site starts for
-// the first time.
-var firstStart = regexp.MustCompile(`\{\{#bootstrap\}\}(.*?)\{\{/bootstrap\}\}`)
+// section is what the platform keeps if it has a value, as bootstrap when the whole
+// site starts for the first time.
+var section = regexp.MustCompile(`\{\{#[^}]+\}\}(.*?)\{\{/[^}]+\}\}`)
 
 func TestTemplateMakesGoodSettings(t *testing.T) {
 	is := is.New(t)
 	text, err := os.ReadFile("../../deploy/gateway.jsonc.tmpl")
 	is.NoErr(err)
-	for kept, spread := range map[string]time.Duration{"$1": time.Second, "": 60 * time.Millisecond} {
-		filled := placeholder.ReplaceAllStringFunc(firstStart.ReplaceAllString(string(text), kept), func(p string) string {
+	for kept, want := range map[string]struct {
+		spread time.Duration
+		link   float64
+	}{"$1": {time.Second, 140}, "": {60 * time.Millisecond, 0}} {
+		filled := placeholder.ReplaceAllStringFunc(section.ReplaceAllString(string(text), kept), func(p string) string {
 			value, ok := platformFields[strings.Trim(p, "{}")]
 			is.True(ok) // a field that the platform has
 			return value
@@ -250,7 +254,8 @@
 		s, err := settings.Parse("template", []byte(filled), DefaultSettings())
 		is.NoErr(err)
 		is.Equal(s.Discovery.ApplyWithin.Std(), 5*time.Second)
-		is.Equal(s.Discovery.StartSpread.Std(), spread)
+		is.Equal(s.Discovery.StartSpread.Std(), want.spread)
+		is.Equal(s.LinkMbps, want.link)
 		is.Equal(s.Gateway.RetrySlack, 182.0)
 		is.Equal(s.Addresses.Peers, "10.1.0.39:8224")
 	}
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -26,6 +27,7 @@
 	ID            string    `json:"host"`           // name of the host, the same at each start
 	FailureDomain string    `json:"failure_domain"` // failure domain that the host stands in
 	Addresses     Addresses `json:"addresses"`
+	LinkMbps      float64   `json:"link_mbps"` // rate of the network link, in Mbit/s; 0: not known
 	Log           host.Log  `json:"log"`
 	Stop          Stop      `json:"stop"`
 
@@ -116,7 +118,14 @@
 
 // Validate checks the host's own fields; the parts check themselves.
 func (s Settings) Validate() error {
-	return errors.Join(host.CheckName("host", s.ID), host.CheckName("failure_domain", s.FailureDomain))
+	return errors.Join(host.CheckName("host", s.ID), host.CheckName("failure_domain", s.FailureDomain), s.checkLink())
+}
+
+func (s Settings) checkLink() error {
+	if s.LinkMbps < 0 || s.LinkMbps > math.MaxUint32 {
+		return Error.New("link_mbps %g: want 0 to %d", s.LinkMbps, uint32(math.MaxUint32))
+	}
+	return nil
 }
 
 // Validate checks that every address is there.
--- /dev/null
+++ b/internal/gatherrpc/gatherrpc_test.go
@@ -0,0 +1,117 @@
+package gatherrpc
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"rhubarbwood.example/rhubarbwood/internal/gateway"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/peer"
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+	"rhubarbwood.example/rhubarbwood/internal/routing"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// gatherer answers with what it was given, or waits until its context ends.
+type gatherer struct {
+	got   gateway.Gathered
+	waits bool
+	asked chan gateway.Query
+	ended chan error
+}
+
+func (g *gatherer) GatherFor(ctx context.Context, q gateway.Query, began func(int)) gateway.Gathered {
+	began(3)
+	g.asked <- q
+	if g.waits {
+		<-ctx.Done()
+		g.ended <- ctx.Err()
+	}
+	return g.got
+}
+
+func newGatherer() *gatherer {
+	return &gatherer{asked: make(chan gateway.Query, 1), ended: make(chan error, 1)}
+}
+
+// serve returns a client and the host that it may ask.
+func serve(t *testing.T, g *gatherer) (*Client, member.Host) {
+	t.Helper()
+	s := peer.NewServer("127.0.0.1:0")
+	if err := NewServer(g).Register(s); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = s.Stop(context.Background()) })
+	pool := peer.NewPool()
+	t.Cleanup(func() { _ = pool.Stop(context.Background()) })
+	return NewClient(pool), member.Host{ID: "w", Peer: s.Addr()}
+}
+
+func TestQueryAndAnswerArriveWhole(t *testing.T) {
+	is := is.New(t)
+	g := newGatherer()
+	g.got = gateway.Gathered{
+		Signatures: []string{"a", "b"}, Records: []byte("0123456789abcdef"), Outcome: outcome.Done, Lacking: "s(t)", Reason: "r",
+		Attempts: 4, Cut: true, PartBytes: 99,
+	}
+	client, host := serve(t, g)
+	q := gateway.Query{
+		RequestID: "r1", Caller: "10.0.0.1:99", Method: http.MethodGet, URI: "/a/b?c", Host: "a.example",
+		Header: http.Header{"X-A": {"1", "2"}}, Body: []byte("body"),
+		Route: routing.Route{
+			Name: "all", Host: "a.example", Idempotent: true, Shards: []string{"s0", "s1"}, TopK: 5, MinShare: 0.89,
+			Objective: 150 * time.Millisecond, MaxAttempts: 2,
+		},
+		AnswerIn: 140 * time.Millisecond, Budget: 800 * time.Millisecond, Late: true, Again: true,
+	}
+	load := 0
+	got, err := client.Gather(t.Context(), host, q, func(n int) { load = n })
+	is.NoErr(err)
+	is.Equal(load, 3)
+	is.Equal(got, g.got)
+	is.Equal(<-g.asked, q)
+}
+
+func TestCancelReachesTheOtherHost(t *testing.T) {
+	is := is.New(t)
+	g := newGatherer()
+	g.waits = true
+	client, host := serve(t, g)
+	ctx, cancel := context.WithCancel(t.Context())
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Gather(ctx, host, gateway.Query{}, func(int) {})
+		failed <- err
+	}()
+	<-g.asked
+	cancel()
+	err := <-failed
+	is.True(err != nil)
+	is.True(!client.NotRun(err)) // it was taken
+	is.True(<-g.ended != nil)
+}
+
+func TestHostThatIsGoneHasNotRunTheQuery(t *testing.T) {
+	is := is.New(t)
+	g := newGatherer()
+	client, host := serve(t, g)
+	host.Peer = "127.0.0.1:1" // nobody listens
+	_, err := client.Gather(t.Context(), host, gateway.Query{}, func(int) {})
+	is.True(client.NotRun(err))
+}
+
+func TestAnswerWithAnUnknownOutcomeIsNone(t *testing.T) {
+	is := is.New(t)
+	_, err := gatheredFromWire(&peerpb.GatherReply{Outcome: "perhaps"})
+	is.True(err != nil)
+}
--- a/internal/member/convert.go
+++ b/internal/member/convert.go
@@ -6,6 +6,7 @@
 	return &peerpb.HostInfo{
 		Id: u.ID, FailureDomain: u.FailureDomain, Peer: u.Peer, Api: u.API,
 		Incarnation: u.Incarnation, State: string(u.State), Revision: u.Revision, StateVersion: u.Version,
+		LinkMbps: u.LinkMbps,
 	}
 }
 
@@ -25,6 +26,7 @@
 	h := Host{
 		ID: i.Id, FailureDomain: i.FailureDomain, Peer: i.Peer, API: i.Api,
 		Incarnation: i.Incarnation, State: State(i.State), Revision: i.Revision,
+		LinkMbps: i.LinkMbps,
 	}
 	switch h.State {
 	case Alive, Suspect, Leaving, Dead:
--- a/internal/member/types.go
+++ b/internal/member/types.go
@@ -18,7 +18,8 @@
 	API           string `json:"api"`         // address of its caller listener
 	Incarnation   uint64 `json:"incarnation"` // grows with each start of the host
 	State         State  `json:"state"`
-	Revision      uint64 `json:"revision"` // configuration revision that it last reported
+	Revision      uint64 `json:"revision"`            // configuration revision that it last reported
+	LinkMbps      uint32 `json:"link_mbps,omitempty"` // of its network link; 0: not known
 }
 
 // Usable reports whether new work may be given to the host.
--- /dev/null
+++ b/internal/policy/helper.go
@@ -0,0 +1,107 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// handOverShare is the part of an objective that the parts of a query may
+	// occupy the own link before another host gathers them: less than that costs
+	// no more than the hop.
+	handOverShare = 0.05
+	// widerLink is how many times faster the link of a helper must be. The merged
+	// answer still crosses the own link, and a helper serves others too.
+	widerLink = 4
+
+	// takenQuantile of the observed times until a helper says that it took a query
+	// is what a silent one is given takenFactor times of; takenFirst is the prior:
+	// a round trip between failure domains and a busy processor.
+	takenQuantile = 0.95
+	takenFactor   = 2
+	takenFirst    = 6 * time.Millisecond
+	takenLeast    = 2 * time.Millisecond
+	takenShare    = 0.2 // of what is left of an objective at most
+
+	// A helper that was silent or broke off is set aside, twice as long each time
+	// in a row.
+	helperAsideFirst   = time.Second
+	helperAsideLongest = 16 * time.Second
+)
+
+// HandsOver reports whether a host should leave the parts of a query, so many
+// bytes, to one with another link rate, in Mbit/s. A rate of 0 is not known.
+//
+// It answers the load pattern of many parts on a narrow link: 36 parts of 1.3 KB
+// occupy one of 14 Mbit/s for 27 ms, and an urgent query waits behind them.
+func HandsOver(own, helper float64, bytes int, objective time.Duration) bool {
+	if own <= 0 || helper < widerLink*own || objective <= 0 {
+		return false
+	}
+	return LinkTime(own, bytes) > time.Duration(handOverShare*float64(objective))
+}
+
+// LinkTime returns how long bytes occupy a link with a rate in Mbit/s; 0 if the
+// rate is not known.
+func LinkTime(rate float64, bytes int) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	const bitsPerByte, perMega = 8, 1e6
+	return time.Duration(float64(bytes) * bitsPerByte / (rate * perMega) * float64(time.Second))
+}
+
+// Helper is what a host knows of another that may gather for it. The zero value
+// knows nothing.
+type Helper struct {
+	inFlight int // queries of this host
+	told     int // queries at work there, by its newest answer
+	asideTo  time.Time
+	asideFor time.Duration
+}
+
+// Sent tells that a query went to the helper. Ended must follow.
+func (h *Helper) Sent() { h.inFlight++ }
+
+// Told takes the number of queries that the helper says it gathers.
+func (h *Helper) Told(load int) { h.told = load }
+
+// Ended tells that a query came back, or that the helper was silent or broke off.
+// The latter sets it aside.
+func (h *Helper) Ended(now time.Time, well bool) {
+	h.inFlight--
+	if well {
+		h.asideFor = 0
+		return
+	}
+	h.asideFor = min(max(2*h.asideFor, helperAsideFirst), helperAsideLongest)
+	h.asideTo = now.Add(h.asideFor)
+}
+
+// Option returns the helper as a choice.
+func (h *Helper) Option(now time.Time, local bool) Option {
+	return Option{Cost: float64(1 + h.inFlight + h.told), Local: local, Barred: now.Before(h.asideTo)}
+}
+
+// Taking learns how soon helpers say that they took a query. The zero value
+// knows nothing.
+type Taking struct{ usual time.Duration }
+
+// Observe takes the time until a helper said so.
+func (t *Taking) Observe(took time.Duration) {
+	t.usual = max(TowardsQuantile(t.estimate(), took, takenQuantile), takenLeast)
+}
+
+// Within returns how long a silent helper is waited for, with so much left of the
+// objective.
+func (t *Taking) Within(left time.Duration) time.Duration {
+	most := time.Duration(math.Max(takenShare*float64(left), 0))
+	return min(takenFactor*t.estimate(), most)
+}
+
+func (t *Taking) estimate() time.Duration {
+	if t.usual == 0 {
+		return takenFirst
+	}
+	return t.usual
+}
--- /dev/null
+++ b/internal/policy/helper_test.go
@@ -0,0 +1,81 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestQueriesAreHandedOverWhereTheLinkBinds(t *testing.T) {
+	const objective = 150 * time.Millisecond
+	const kilobyte = 1000
+	for name, x := range map[string]struct {
+		own, helper float64
+		bytes       int
+		want        bool
+	}{
+		"narrow link, many parts":   {14, 140, 36 * 1300, true},
+		"narrow link, few parts":    {14, 140, 4 * kilobyte, false},
+		"wide link":                 {1000, 10000, 36 * 1300, false},
+		"no wider helper":           {14, 28, 36 * 1300, false},
+		"own link not known":        {0, 140, 36 * 1300, false},
+		"helper's link not known":   {14, 0, 36 * 1300, false},
+		"wide link, very many":      {140, 1000, 500 * 4 * kilobyte, true},
+		"narrow link, large answer": {14, 140, 20 * kilobyte, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(HandsOver(x.own, x.helper, x.bytes, objective), x.want)
+			is.True(!HandsOver(x.own, x.helper, x.bytes, 0)) // a route without an objective
+		})
+	}
+}
+
+func TestLostHelperIsSetAsideLonger(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	var h Helper
+	aside := func(after time.Duration) bool { return h.Option(now.Add(after), true).Barred }
+	is.True(!aside(0))
+	h.Sent()
+	h.Ended(now, false)
+	is.True(aside(helperAsideFirst - 1))
+	is.True(!aside(helperAsideFirst))
+	h.Sent()
+	h.Ended(now, false)
+	is.True(aside(2*helperAsideFirst - 1))
+	is.True(!aside(2 * helperAsideFirst))
+	h.Sent()
+	h.Ended(now, true)
+	h.Sent()
+	h.Ended(now, false)
+	is.True(!aside(helperAsideFirst)) // forgiven by the answer in between
+}
+
+func TestHelperWithMoreWorkCostsMore(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	var busy, idle Helper
+	busy.Told(5)
+	is.True(busy.Option(now, true).Cost > idle.Option(now, true).Cost)
+	idle.Sent()
+	idle.Sent()
+	is.Equal(idle.Option(now, true).Cost, 3.0)
+}
+
+func TestSilentHelperIsWaitedForAsLongAsUsual(t *testing.T) {
+	is := is.New(t)
+	var taking Taking
+	const left = 140 * time.Millisecond
+	is.Equal(taking.Within(left), 2*takenFirst)
+	for range 500 {
+		taking.Observe(time.Millisecond)
+	}
+	is.Equal(taking.Within(left), 2*takenLeast)
+	for range 200 {
+		taking.Observe(100 * time.Millisecond)
+	}
+	is.Equal(taking.Within(left), 28*time.Millisecond) // a fifth of what is left
+	is.Equal(taking.Within(-left), time.Duration(0))
+}
--- a/internal/policy/outlier.go
+++ b/internal/policy/outlier.go
@@ -89,6 +89,12 @@
 	}
 }
 
+// Unsent takes back the newest Sent: no attempt was made.
+func (o *Outlier) Unsent(now time.Time) {
+	o.ended(now)
+	o.probing = false
+}
+
 // Observe takes the end of one attempt. best is the lowest latency among the
 // other targets of the replica set, 0 if there is none.
 func (o *Outlier) Observe(now time.Time, latency time.Duration, s Signal, best time.Duration) {
