--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -24,11 +24,14 @@
 	arrived  time.Time
 	answerBy time.Time // when an answer that lacks parts must leave to be in time
 	deadline time.Time // until which the caller waits, or the route lets it
-	again    bool      // its shards may have been asked before, by another host
-	gathers  bool      // its answer is made of parts
-	late     bool      // the caller has spent most of the objective before it sent this
-	pace     *pace     // of the route
-	scale    float64   // of latencies; see pace
+	again    bool      // its shards may have been asked once, by another host
+	// goOn is set once the host that asked for the query will not gather it itself;
+	// nil: the query is this host's own.
+	goOn     *atomic.Bool
+	gathers  bool    // its answer is made of parts
+	late     bool    // the caller has spent most of the objective before it sent this
+	pace     *pace   // of the route
+	scale    float64 // of latencies; see pace
 	attempts atomic.Int32
 }
 
@@ -45,6 +48,9 @@
 	abandoned bool // given up before an answer came
 }
 
+// alone reports whether no other host may be asking the same shards.
+func (r *request) alone() bool { return r.goOn == nil || r.goOn.Load() }
+
 // send makes one attempt at a target that acquire returned, and gives the
 // place back.
 func (g *Gateway) send(ctx context.Context, s *service, t *target, r *request) result {
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/member"
@@ -28,14 +29,14 @@
 	AnswerIn  time.Duration // until parts that are missing are left out
 	Budget    time.Duration // until the caller leaves
 	Late      bool          // the caller has spent most of the objective
-	Again     bool          // its shards may have been asked before
 }
 
 // Helpers are the hosts that gather for others.
 type Helpers interface {
 	// Gather lets a host gather a query. taken is called as soon as the host has
-	// said that it does, with the number of queries that it gathers for others.
-	Gather(ctx context.Context, host member.Host, q Query, taken func(load int)) (Gathered, error)
+	// said that it does, with the number of queries that it gathers for others. If
+	// it returns true, the host is told to go on: until then it asks each shard once.
+	Gather(ctx context.Context, host member.Host, q Query, taken func(load int) bool) (Gathered, error)
 	// NotRun reports whether a query that failed certainly did not run.
 	NotRun(err error) bool
 }
@@ -153,7 +154,9 @@
 }
 
 // gatherElsewhere lets a host with a wider link gather a query. It reports false
-// if this host is to do it: there is none, or it failed with time left.
+// if this host is to do it: there is none, or it did not say that it took the query.
+// One that was told to go on may have sent as many attempts as the route allows, so
+// no shard is asked after its loss.
 func (g *Gateway) gatherElsewhere(ctx context.Context, w *reply, r *request, route *routing.Route) (Gathered, bool) {
 	h := g.helpers
 	now := time.Now()
@@ -165,7 +168,7 @@
 	if !ok {
 		return Gathered{}, false
 	}
-	got, err := g.handOver(ctx, host, r, route, left)
+	got, goOn, err := g.handOver(ctx, host, r, route, left)
 	if err == nil {
 		r.attempts.Add(int32(got.Attempts))
 		r.pace.observeBytes(got.PartBytes, len(got.Signatures))
@@ -173,15 +176,15 @@
 		return got, true
 	}
 	g.log.Event(evHelperLost).Str("request", r.call.RequestID).Str("host", host.ID).Err(err).Dur("after", time.Since(now)).Msg("")
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || goOn {
 		return Gathered{Outcome: outcome.Unknown, Reason: err.Error()}, true
 	}
 	r.again = !h.call.NotRun(err)
 	return Gathered{}, false
 }
 
-// handOver lets one host gather a query.
-func (g *Gateway) handOver(ctx context.Context, host member.Host, r *request, route *routing.Route, left time.Duration) (Gathered, error) {
+// handOver lets one host gather a query, and reports whether it was told to go on.
+func (g *Gateway) handOver(ctx context.Context, host member.Host, r *request, route *routing.Route, left time.Duration) (got Gathered, goOn bool, err error) {
 	h := g.helpers
 	began := time.Now()
 	within, back := h.patience(left)
@@ -190,9 +193,10 @@
 	silence := time.AfterFunc(within, func() { cancel(errSilent) })
 	defer silence.Stop()
 	q := r.query(route, left-back)
-	got, err := h.call.Gather(call, host, q, func(load int) {
-		silence.Stop()
+	got, err = h.call.Gather(call, host, q, func(load int) bool {
+		goOn = silence.Stop()
 		h.took(host.ID, time.Since(began), load)
+		return goOn
 	})
 	if err != nil && errors.Is(context.Cause(call), errSilent) {
 		err = errors.Join(errSilent, err)
@@ -201,7 +205,7 @@
 	if err == nil && got.Cut {
 		h.cameBack(time.Since(began.Add(q.AnswerIn)))
 	}
-	return got, err
+	return got, goOn, err
 }
 
 // query returns the request as another host needs it.
@@ -209,17 +213,19 @@
 	return Query{
 		RequestID: r.call.RequestID, Caller: r.caller, Method: r.method, URI: r.uri, Host: r.host,
 		Header: r.header, Body: r.body, Route: *route,
-		AnswerIn: answerIn, Budget: time.Until(r.deadline), Late: r.late, Again: r.again,
+		AnswerIn: answerIn, Budget: time.Until(r.deadline), Late: r.late,
 	}
 }
 
 // GatherFor gathers a query of another host, until ctx is done. began is called
-// first, with the number of queries that this host gathers for others.
-func (g *Gateway) GatherFor(ctx context.Context, q Query, began func(load int)) Gathered {
+// first, with the number of queries that this host gathers for others. No shard is
+// asked twice before goOn is set, as the other host may still ask it itself.
+func (g *Gateway) GatherFor(ctx context.Context, q Query, began func(load int), goOn *atomic.Bool) Gathered {
 	load := g.gathersFor.Add(1)
 	defer g.gathersFor.Add(-1)
 	began(int(load))
 	r := g.requestOf(q)
+	r.goOn = goOn
 	ctx, done := r.attempting(ctx)
 	defer done()
 	return g.gather(ctx, r, &q.Route)
@@ -231,7 +237,7 @@
 	r := &request{
 		call: Call{RequestID: q.RequestID, Budget: q.Budget}, caller: q.Caller, method: q.Method, uri: q.URI, host: q.Host,
 		header: q.Header, body: q.Body, arrived: now, answerBy: now.Add(q.AnswerIn), deadline: now.Add(q.Budget),
-		gathers: true, late: q.Late, again: q.Again, pace: g.paces.of(q.Route.Name),
+		gathers: true, late: q.Late, pace: g.paces.of(q.Route.Name),
 	}
 	r.scale = r.pace.scale(q.Route.Objective)
 	return r
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -30,14 +30,18 @@
 	tried    []*target
 	results  chan result // of attempts in flight; never blocks
 	inFlight int
-	sent     int // attempts that may have reached a target
+	sent     int // attempts that may have reached a target, those of another host included
 	outcomes outcome.Outcome
 	last     result // the newest one that is no success
 	refused  error  // why no target could be asked
 }
 
 func (g *Gateway) newRun(s *service, r *request, route *routing.Route) *run {
-	return &run{gateway: g, service: s, request: r, route: route, results: make(chan result, mostAttempts(route)+freeRetries)}
+	run := &run{gateway: g, service: s, request: r, route: route, results: make(chan result, mostAttempts(route)+freeRetries)}
+	if r.again {
+		run.sent = 1
+	}
+	return run
 }
 
 // mostAttempts is how many targets one request may reach.
@@ -103,7 +107,7 @@
 		r.refused = err
 		return false
 	}
-	if r.request.again && !r.service.another() {
+	if r.request.again && (r.sent >= mostAttempts(r.route) || !r.service.another()) {
 		r.service.giveBack(t)
 		r.outcomes = outcome.Unknown
 		return false
@@ -140,7 +144,7 @@
 	if ctx.Err() != nil || !time.Now().Before(r.request.deadline) {
 		return
 	}
-	if !r.route.Idempotent && !r.outcomes.NotRun() {
+	if !r.outcomes.NotRun() && !(r.route.Idempotent && r.request.alone()) {
 		return
 	}
 	if r.sent >= mostAttempts(r.route) || len(r.tried) >= mostAttempts(r.route)+freeRetries {
@@ -167,7 +171,7 @@
 
 // hedge starts a second attempt beside one that is late.
 func (r *run) hedge() {
-	if !r.route.Idempotent || r.sent >= r.route.MaxAttempts || r.inFlight == 0 {
+	if !r.route.Idempotent || !r.request.alone() || r.sent >= r.route.MaxAttempts || r.inFlight == 0 {
 		return
 	}
 	if !r.service.hasTarget(r.tried) || !r.service.another() {
--- a/internal/gatherrpc/gatherrpc.go
+++ b/internal/gatherrpc/gatherrpc.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -23,7 +24,7 @@
 
 // Gatherer gathers a query of another host.
 type Gatherer interface {
-	GatherFor(ctx context.Context, q gateway.Query, began func(load int)) gateway.Gathered
+	GatherFor(ctx context.Context, q gateway.Query, began func(load int), goOn *atomic.Bool) gateway.Gathered
 }
 
 // Server takes the queries of other hosts.
@@ -38,17 +39,32 @@
 }
 
 // Gather implements the drpc service.
-func (s *Server) Gather(in *peerpb.GatherRequest, stream peerpb.DRPCGather_GatherStream) error {
+func (s *Server) Gather(stream peerpb.DRPCGather_GatherStream) error {
+	in, err := stream.Recv()
+	if err != nil {
+		return Error.New("read query: %w", err)
+	}
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	got := s.gatherer.GatherFor(ctx, queryFromWire(in), func(load int) {
+	var goOn atomic.Bool
+	began := func(load int) {
 		if err := stream.Send(&peerpb.GatherReply{Taken: true, Load: uint32(load)}); err != nil {
 			cancel() // nobody waits for the parts
+			return
 		}
-	})
+		go awaitGoOn(stream, &goOn)
+	}
+	got := s.gatherer.GatherFor(ctx, queryFromWire(in), began, &goOn)
 	return Error.Wrap(stream.Send(gatheredToWire(&got)))
 }
 
+// awaitGoOn waits for the second message; it ends with the stream at the latest.
+func awaitGoOn(stream peerpb.DRPCGather_GatherStream, goOn *atomic.Bool) {
+	if m, err := stream.Recv(); err == nil && m.GoOn {
+		goOn.Store(true)
+	}
+}
+
 // Client lets other hosts gather queries. It implements gateway.Helpers.
 type Client struct{ dialer peer.Dialer }
 
@@ -59,22 +75,29 @@
 func (*Client) NotRun(err error) bool { return peer.NotRun(err) }
 
 // Gather implements gateway.Helpers.
-func (c *Client) Gather(ctx context.Context, host member.Host, q gateway.Query, taken func(load int)) (gateway.Gathered, error) {
-	stream, err := peerpb.NewDRPCGatherClient(c.dialer.Conn(ctx, host.Peer)).Gather(ctx, queryToWire(&q))
+func (c *Client) Gather(ctx context.Context, host member.Host, q gateway.Query, taken func(load int) bool) (gateway.Gathered, error) {
+	stream, err := peerpb.NewDRPCGatherClient(c.dialer.Conn(ctx, host.Peer)).Gather(ctx)
 	if err != nil {
 		return gateway.Gathered{}, Error.New("ask %s: %w", host.ID, err)
 	}
 	defer func() { _ = stream.Close() }() // the result is known by then
+	if err := stream.Send(queryToWire(&q)); err != nil {
+		return gateway.Gathered{}, Error.New("send query to %s: %w", host.ID, err)
+	}
 	for {
 		m, err := stream.Recv()
 		if err != nil {
 			return gateway.Gathered{}, Error.New("read from %s: %w", host.ID, err)
 		}
-		if m.Taken {
-			taken(int(m.Load))
-			continue
+		if !m.Taken {
+			return gatheredFromWire(m)
+		}
+		if !taken(int(m.Load)) {
+			return gateway.Gathered{}, Error.New("%s took the query too late", host.ID)
+		}
+		if err := stream.Send(&peerpb.GatherRequest{GoOn: true}); err != nil {
+			return gateway.Gathered{}, Error.New("tell %s to go on: %w", host.ID, err)
 		}
-		return gatheredFromWire(m)
 	}
 }
 
@@ -83,7 +106,7 @@
 		RequestId: q.RequestID, Caller: q.Caller, Method: q.Method, Uri: q.URI, Host: q.Host, Body: q.Body,
 		Route: q.Route.Name, Shards: q.Route.Shards, TopK: uint32(q.Route.TopK), MinShare: q.Route.MinShare,
 		ObjectiveUs: q.Route.Objective.Microseconds(), MaxAttempts: uint32(q.Route.MaxAttempts),
-		AnswerUs: q.AnswerIn.Microseconds(), BudgetUs: q.Budget.Microseconds(), Late: q.Late, Again: q.Again,
+		AnswerUs: q.AnswerIn.Microseconds(), BudgetUs: q.Budget.Microseconds(), Late: q.Late,
 	}
 	for name, values := range q.Header {
 		out.Header = append(out.Header, &peerpb.HeaderField{Name: name, Values: values})
@@ -102,7 +125,7 @@
 			Name: in.Route, Host: in.Host, Idempotent: true, Shards: in.Shards, TopK: int(in.TopK), MinShare: in.MinShare,
 			Objective: micros(in.ObjectiveUs), MaxAttempts: int(in.MaxAttempts),
 		},
-		AnswerIn: micros(in.AnswerUs), Budget: micros(in.BudgetUs), Late: in.Late, Again: in.Again,
+		AnswerIn: micros(in.AnswerUs), Budget: micros(in.BudgetUs), Late: in.Late,
 	}
 }
 
