--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -4,7 +4,6 @@
 	"context"
 	"maps"
 	"math"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
+	"rhubarbwood.example/rhubarbwood/internal/netdial"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/targetconn"
 )
@@ -61,7 +61,7 @@
 }
 
 func newFleet(cfg Config, host, domain string, hosts func() int) *fleet {
-	dialer := &net.Dialer{KeepAlive: -1}
+	dialer := netdial.New(0) // the pool bounds the opening
 	return &fleet{cfg: cfg, host: host, domain: domain, hosts: hosts, dial: dialer.DialContext, services: map[string]*service{}}
 }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -10,6 +10,8 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
+
+	"rhubarbwood.example/rhubarbwood/internal/netdial"
 )
 
 const (
@@ -141,7 +143,7 @@
 		return nil, Error.New("wait to dial %s: %w", address, ctx.Err())
 	}
 	defer func() { <-u.slots }()
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := netdial.New(dialTimeout)
 	c, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, Error.New("dial %s: %w", address, err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +16,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/netdial"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/query"
@@ -63,7 +63,7 @@
 // list comes through ApplyHostList alone.
 func New(cfg Config, view catalog.View, members member.View, hosts HostLister,
 	log *event.Log, reg prometheus.Registerer) *Relay {
-	dialer := &net.Dialer{}
+	dialer := netdial.New(0) // the pool bounds the opening
 	r := &Relay{
 		cfg: cfg, view: view, members: members, hosts: hosts, log: log,
 		metrics: newMetrics(reg), dial: dialer.DialContext,
