--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -77,7 +77,10 @@
 		return result{outcome: outcome.NotSent, err: Error.Wrap(errLate), abandoned: true}
 	}
 	header := r.header.Clone()
-	given := r.useful(left)
+	given := left
+	if !g.cfg.off(BoundedWork) {
+		given = r.useful(left)
+	}
 	g.messages.Attempt(header, t.conf.ID, given)
 	began := time.Now()
 	answer, sent, err := conn.Exchange(ctx, r.deadline, &targetconn.Request{
@@ -153,11 +156,20 @@
 		g.log.Event(evWrongTarget).Str("target", t.conf.ID).Str("service", s.name).Str("address", t.conf.Address).Msg("")
 	}
 	before := t.health.SetAsideUntil()
-	t.health.ObserveScaled(now, res.took, r.scale, res.signal(), typicalLatency)
+	t.health.ObserveScaled(now, res.took, r.scale, g.signal(res), typicalLatency)
 	g.tell(now, t, before)
 	s.wake()
 }
 
+// signal is what an attempt shows, by the mechanisms that are on.
+func (g *Gateway) signal(res result) policy.Signal {
+	s := res.signal()
+	if s == policy.Shed && g.cfg.off(ShedCost) {
+		return policy.Abandoned // tells nothing but that it took some time
+	}
+	return s
+}
+
 // signal is what the attempt shows of the target's load and health.
 func (r result) signal() policy.Signal {
 	switch {
--- a/internal/gateway/caller.go
+++ b/internal/gateway/caller.go
@@ -25,7 +25,10 @@
 }
 
 // arrival returns what is seen of a request that was read.
-func arrival(hr *http.Request, r *request) policy.Arrival {
+func (g *Gateway) arrival(hr *http.Request, r *request) policy.Arrival {
+	if g.cfg.off(CallerDistance) {
+		return policy.Arrival{At: r.arrived, Waits: r.call.Budget}
+	}
 	a := policy.Arrival{At: r.arrived, Waits: r.call.Budget, First: true}
 	if c, ok := hr.Context().Value(callerConnKey{}).(CallerConn); ok {
 		a.RoundTrip, a.First = c.RoundTrip(), c.First()
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -121,7 +121,7 @@
 		}
 		cost := t.cost(now)
 		switch {
-		case t.health.Ejected(now) && !t.health.ProbeDue(now):
+		case t.health.Ejected(now) && !t.health.ProbeDue(now) && !s.neverAside:
 			if barred == nil || cost < leastBarred {
 				barred, leastBarred = t, cost
 			}
--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -29,8 +29,13 @@
 	// word from the store. A route that is not in it is refused as unknown
 	// only while it is believed.
 	FreshFor unit.Duration `json:"fresh_for"`
+	// Without names mechanisms that are switched off; see Mechanism.
+	Without []Mechanism `json:"without"`
 }
 
+// off reports whether a mechanism is switched off.
+func (c Config) off(m Mechanism) bool { return without(c.Without).has(m) }
+
 // Defaults of the settings.
 const (
 	defaultMaxBudget      = 30 * time.Second
@@ -86,5 +91,6 @@
 	if c.FreshFor <= 0 {
 		problems = append(problems, Error.New("fresh_for %s: want more than 0", c.FreshFor))
 	}
+	problems = append(problems, without(c.Without).validate())
 	return errors.Join(problems...)
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -14,6 +14,8 @@
 	evAttempts = event.Define(11004, "request_attempts", plog.InfoLevel,
 		"What was tried for the request of the line before: the targets asked, of shards those that are missing, and the age of the configuration.",
 		"Look for the lines of these targets, on the helper if there is one.", "request", "attempts", "asked", "budget", "age", "helper")
+	evWithout = event.Define(11007, "mechanisms_off", plog.WarnLevel,
+		"The settings switch mechanisms of the gateway off.", "Switch them on again after the incident.", "mechanisms")
 	evHelperLost = event.Define(11006, "helper_lost", plog.WarnLevel,
 		"A host that was to gather a query did not take it in time or broke off. It is set aside for a while, and this host gathers the query.",
 		"Look at that host if it stays so.", "request", "host", "after")
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -42,6 +42,8 @@
 	budget  *policy.Budget
 	changed chan struct{} // closes when a target or a place comes free
 	waiting int           // requests that wait for a place
+	// neverAside is set where SetAside is switched off.
+	neverAside bool
 }
 
 // target is one target as this host sees it.
@@ -85,7 +87,7 @@
 	if !ok {
 		s = &service{
 			name: name, byID: map[string]*target{}, changed: make(chan struct{}),
-			budget: policy.NewShare(f.cfg.allowance(), f.size()),
+			budget: policy.NewShare(f.cfg.allowance(), f.size()), neverAside: f.cfg.off(SetAside),
 		}
 		f.services[name] = s
 	}
@@ -193,7 +195,11 @@
 			t.pool.Close()
 		}
 	}
-	s.chooseHomes(f.domain, f.host)
+	if f.cfg.off(Homes) {
+		s.allHomes()
+	} else {
+		s.chooseHomes(f.domain, f.host)
+	}
 	s.wake()
 }
 
@@ -216,6 +222,13 @@
 	}
 }
 
+// allHomes lets every target be asked first. The caller holds the lock.
+func (s *service) allHomes() {
+	for _, t := range s.targets {
+		t.home = true
+	}
+}
+
 // resize shares connections and budget among a number of hosts.
 func (s *service) resize(f *fleet, v discovery.View, hosts int) {
 	s.mu.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -50,7 +50,9 @@
 		fleet: newFleet(cfg, self.ID, self.FailureDomain, hosts), metrics: newMetrics(reg), lines: newLines(),
 	}
 	state.Follow(g.fleet.apply)
-	state.FollowFindings(g.learn)
+	if !cfg.off(Findings) {
+		state.FollowFindings(g.learn)
+	}
 	return g
 }
 
@@ -58,6 +60,9 @@
 func (g *Gateway) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
+	if off := g.cfg.Without; len(off) > 0 {
+		g.log.Event(evWithout).Str("mechanisms", names(off)).Msg("")
+	}
 	go g.fleet.runTrim(ctx)
 	return nil
 }
@@ -131,7 +136,8 @@
 	r.deadline = r.arrived.Add(g.budget(call, route))
 	r.pace = g.paces.of(route.Name)
 	r.scale = r.pace.scale(route.Objective)
-	r.answerBy, r.late = r.pace.arrive(arrival(hr, r), route.Objective)
+	r.answerBy, r.late = r.pace.arrive(g.arrival(hr, r), route.Objective)
+	r.late = r.late && !g.cfg.off(LateYield)
 	g.forward(hr.Context(), w, r, route)
 }
 
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -161,7 +161,7 @@
 	h := g.helpers
 	now := time.Now()
 	left := r.answerBy.Sub(now)
-	if h == nil || left <= 0 {
+	if h == nil || left <= 0 || g.cfg.off(HelperHosts) {
 		return Gathered{}, false
 	}
 	host, ok := h.choose(now, r.pace.expectedBytes(len(route.Shards)), route.Objective)
--- a/internal/gateway/learn.go
+++ b/internal/gateway/learn.go
@@ -72,6 +72,9 @@
 		t.badFor = g.self.FailureDomain
 	}
 	g.logHealth(now, t, "this host")
+	if g.cfg.off(Findings) {
+		return
+	}
 	g.state.ReportFinding(discovery.Finding{
 		Target: t.conf.ID, Bad: bad, Latency: t.health.Latency(), Failures: t.health.FailureRatio(), Domain: g.self.FailureDomain,
 	})
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -141,7 +141,7 @@
 // repeat makes another attempt after one that failed, if the route, the budget
 // and the outcomes so far let it.
 func (r *run) repeat(ctx context.Context, res result) {
-	if ctx.Err() != nil || !time.Now().Before(r.request.deadline) {
+	if ctx.Err() != nil || !time.Now().Before(r.request.deadline) || r.gateway.cfg.off(Repeats) {
 		return
 	}
 	if !r.outcomes.NotRun() && !(r.route.Idempotent && r.request.alone()) {
@@ -171,6 +171,9 @@
 
 // hedge starts a second attempt beside one that is late.
 func (r *run) hedge() {
+	if r.gateway.cfg.off(Hedges) {
+		return
+	}
 	if !r.route.Idempotent || !r.request.alone() || r.sent >= r.route.MaxAttempts || r.inFlight == 0 {
 		return
 	}
