--- a/internal/gateway/helper_test.go
+++ b/internal/gateway/helper_test.go
@@ -206,3 +206,44 @@
 		})
 	}
 }
+
+func TestMechanismsAreSwitchedOff(t *testing.T) {
+	t.Run("hedges", func(t *testing.T) {
+		run(t, options{without: []gateway.Mechanism{gateway.Hedges}}, func(t *testing.T, s *site) {
+			is := is.New(t)
+			s.faults("s0", platformtarget.Faults{Silent: true})
+			s.get("/one/x", "r1")
+			is.Equal(s.runs("r1"), 1)
+		})
+	})
+	t.Run("repeats", func(t *testing.T) {
+		run(t, options{without: []gateway.Mechanism{gateway.Repeats}}, func(t *testing.T, s *site) {
+			is := is.New(t)
+			s.faults("s0", platformtarget.Faults{Fail: 1})
+			s.get("/one/x", "r1")
+			is.Equal(s.runs("r1"), 1)
+		})
+	})
+	t.Run("helpers", func(t *testing.T) {
+		f := &fakeHelpers{}
+		helper := member.Host{ID: "w", FailureDomain: domain, State: member.Alive, LinkMbps: wide}
+		o := options{services: 4, link: narrow, hosts: []member.Host{helper}, help: func(*site) gateway.Helpers { return f },
+			without: []gateway.Mechanism{gateway.HelperHosts}}
+		run(t, o, func(t *testing.T, s *site) {
+			is := is.New(t)
+			is.Equal(s.get("/all/x", "r1").status, http.StatusOK)
+			is.Equal(f.asked, 0)
+		})
+	})
+	t.Run("bounded work", func(t *testing.T) {
+		run(t, options{services: 2, without: []gateway.Mechanism{gateway.BoundedWork}}, func(t *testing.T, s *site) {
+			is := is.New(t)
+			s.get("/all/x", "r1")
+			for _, target := range s.targets {
+				for _, r := range target.Runs() {
+					is.True(r.Left > objective)
+				}
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/gateway/mechanism_test.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestMechanismsOfTheSettingsAreKnown(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.Without = mechanisms
+	is.NoErr(cfg.Validate())
+	cfg.Without = []Mechanism{Hedges, "hedge"}
+	err := cfg.Validate()
+	is.True(strings.Contains(err.Error(), `"hedge"`))
+	is.True(strings.Contains(err.Error(), string(LateYield))) // the error names those there are
+}
+
+func TestMechanismIsOffOnlyIfNamed(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	for _, m := range mechanisms {
+		is.True(!cfg.off(m))
+	}
+	cfg.Without = []Mechanism{Hedges}
+	is.True(cfg.off(Hedges))
+	is.True(!cfg.off(Repeats))
+}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -67,6 +67,8 @@
 	link  uint32
 	hosts []member.Host
 	help  func(*site) gateway.Helpers
+	// without is what is switched off.
+	without []gateway.Mechanism
 }
 
 // run runs a test on a site in virtual time.
@@ -84,7 +86,7 @@
 		t: t, network: standin.NewNetwork(), state: discovery.NewState(), life: kernel.NewLifecycle(),
 		recorded: &recorder{}, targets: map[string]*platformtarget.Target{}, stop: func() {},
 	}
-	g := s.gateway(member.Host{ID: "h", FailureDomain: domain, LinkMbps: o.link})
+	g := s.gateway(member.Host{ID: "h", FailureDomain: domain, LinkMbps: o.link}, o.without...)
 	if o.help != nil {
 		g.HelpWith(o.help(s), func() []member.Host { return o.hosts })
 	}
@@ -103,8 +105,10 @@
 }
 
 // gateway starts a gateway of the site.
-func (s *site) gateway(self member.Host) *gateway.Gateway {
-	g := gateway.New(gateway.DefaultConfig(), self, func() int { return 1 }, s.state, platform.Messages{}, s.recorded, s.life, event.Discard(), prometheus.NewRegistry())
+func (s *site) gateway(self member.Host, without ...gateway.Mechanism) *gateway.Gateway {
+	cfg := gateway.DefaultConfig()
+	cfg.Without = without
+	g := gateway.New(cfg, self, func() int { return 1 }, s.state, platform.Messages{}, s.recorded, s.life, event.Discard(), prometheus.NewRegistry())
 	g.DialWith(s.network.Dial)
 	_ = g.Start(s.t.Context())
 	stop := s.stop
