--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -26,6 +26,7 @@
 	floor  float64 // tokens a second that come at least
 	tokens float64
 	earned float64 // by first tries since the last floor
+	lately float64 // by first tries in the period before that
 	last   time.Time
 }
 
@@ -50,6 +51,14 @@
 	slackFloor = 0.3 // comes back in the course of a window
 )
 
+// earnedBurst is how many periods' earnings a budget keeps at least. A host that
+// does the work of many has their earnings but only its own share of the slack, and a
+// pause of one target calls for several further attempts at once: with 0.7 periods
+// the worth of a day with trouble rose from 0.535 to 0.565 with six helpers of 59
+// hosts. A whole one took 0.002 from sites of six hosts that all work. Kept for a span of ten
+// periods it is a fourteenth of what the ratio allows, and a fifth of that is not earned.
+const earnedBurst = 0.7
+
 // NewShare returns the part of one of several hosts in an allowance. It may be
 // spent from the start: a host whose share is less than one attempt a window could
 // not hedge at all otherwise.
@@ -76,7 +85,7 @@
 	}
 	b.raise(now)
 	b.earned += b.ratio
-	b.tokens = min(b.tokens+b.ratio, b.burst)
+	b.tokens = min(b.tokens+b.ratio, b.most())
 }
 
 // Take spends one extra attempt, and reports false if the budget is used up.
@@ -92,6 +101,9 @@
 	return true
 }
 
+// most returns the tokens kept at most.
+func (b *Budget) most() float64 { return max(b.burst, b.lately) }
+
 // raise adds what the floor gives above the first tries, once a period.
 func (b *Budget) raise(now time.Time) {
 	if b.last.IsZero() {
@@ -102,6 +114,7 @@
 		return
 	}
 	missing := max(b.floor*past.Seconds()-b.earned, 0)
-	b.tokens = min(b.tokens+missing, b.burst)
+	b.lately = b.earned * floorPeriod.Seconds() / past.Seconds()
+	b.tokens = min(b.tokens+missing, b.most())
 	b.earned, b.last = 0, now
 }
--- a/internal/policy/extra_test.go
+++ b/internal/policy/extra_test.go
@@ -167,3 +167,33 @@
 		}
 	})
 }
+
+// A host that does the work of many keeps what that work earns, and stays within
+// the ratio over a window all the same.
+func TestBudgetOfABusyHostIsNotCutToItsShare(t *testing.T) {
+	is := is.New(t)
+	a := Allowance{Ratio: 0.2, Slack: 158, Window: 10 * time.Second}
+	b := NewShare(a, 59)
+	now := time.Unix(100, 0)
+	const perSecond = 50
+	spend := func(span time.Duration) (firsts, taken int) {
+		for range int(span.Seconds() * perSecond) {
+			now = now.Add(time.Second / perSecond)
+			b.First(now)
+			firsts++
+		}
+		for b.Take(now) {
+			taken++
+		}
+		return firsts, taken
+	}
+	spend(3 * time.Second)
+	_, idle := spend(2 * time.Second) // a pause calls for several at once
+	is.True(idle >= 5)
+	firsts, taken := 0, 0
+	for range 10 {
+		f, n := spend(time.Second)
+		firsts, taken = firsts+f, taken+n
+	}
+	is.True(float64(taken) <= 0.2*float64(firsts)+158.0/59)
+}
