--- a/internal/policy/budget.go
+++ b/internal/policy/budget.go
@@ -27,6 +27,7 @@
 	tokens float64
 	earned float64 // by first tries since the last floor
 	lately float64 // by first tries in the period before that
+	shared bool    // keeps part of what was earned lately
 	last   time.Time
 }
 
@@ -51,19 +52,19 @@
 	slackFloor = 0.3 // comes back in the course of a window
 )
 
-// earnedBurst is how many periods' earnings a budget keeps at least. A host that
+// earnedBurst is how many periods' earnings a shared budget keeps at least. A host that
 // does the work of many has their earnings but only its own share of the slack, and a
 // pause of one target calls for several further attempts at once: with 0.7 periods
 // the worth of a day with trouble rose from 0.535 to 0.565 with six helpers of 59
 // hosts. A whole one took 0.002 from sites of six hosts that all work. Kept for a span of ten
-// periods it is a fourteenth of what the ratio allows, and a fifth of that is not earned.
+// periods it is a fourteenth of what the ratio allows, and a fifth of what that allows is not earned.
 const earnedBurst = 0.7
 
 // NewShare returns the part of one of several hosts in an allowance. It may be
 // spent from the start: a host whose share is less than one attempt a window could
 // not hedge at all otherwise.
 func NewShare(a Allowance, hosts int) *Budget {
-	b := &Budget{ratio: budgetShare * a.Ratio}
+	b := &Budget{ratio: budgetShare * a.Ratio, shared: true}
 	b.SetShare(a, hosts)
 	b.tokens = b.burst
 	return b
