--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -18,7 +18,7 @@
 		"The settings switch mechanisms of the gateway off.", "Switch them on again after the incident.", "mechanisms")
 	evHelperLost = event.Define(11006, "helper_lost", plog.WarnLevel,
 		"A host that was to gather a query did not take it in time or broke off. It is set aside for a while, and this host gathers the query.",
-		"Look at that host if it stays so.", "request", "host", "after")
+		"Look at that host if it stays so.", "request", "host", "after", "error")
 	evSuppressed = event.Define(11005, "request_lines_suppressed", plog.WarnLevel,
 		"Lines about requests were left out, as there were too many.",
 		"The counters on the metrics address count every request all the same.", "lines")
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -50,39 +50,17 @@
 	hosts func() []member.Host // those known, this one included
 	call  Helpers
 
-	mu     sync.Mutex
-	rng    *rand.Rand
-	known  map[string]*policy.Helper
-	taking policy.Taking
-	back   hop
-}
-
-// hop learns how long after its time an answer of a helper is here.
-type hop struct{ usual time.Duration }
-
-const (
-	hopFirst    = 3 * time.Millisecond // prior: two hops between hosts and two writes
-	hopQuantile = 0.95
-	hopLeast    = time.Millisecond
-)
-
-func (h *hop) observe(lag time.Duration) {
-	h.usual = max(policy.TowardsQuantile(h.reserve(), lag, hopQuantile), hopLeast)
-}
-
-// reserve returns the time kept for the way back from a helper.
-func (h *hop) reserve() time.Duration {
-	if h.usual == 0 {
-		return hopFirst
-	}
-	return h.usual
+	mu      sync.Mutex
+	rng     *rand.Rand
+	known   map[string]*policy.Helper
+	helping policy.Helping
 }
 
 // HelpWith makes the gateway hand queries over to other hosts, before Start.
 func (g *Gateway) HelpWith(call Helpers, hosts func() []member.Host) {
 	g.helpers = &helpers{
 		self: g.self, hosts: hosts, call: call, known: map[string]*policy.Helper{},
-		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), helping: policy.NewHelping(),
 	}
 }
 
@@ -123,19 +101,18 @@
 	return one
 }
 
-// patience returns how long a host may take to say that it takes a query, and the
-// time kept for its answer's way back.
-func (h *helpers) patience(left time.Duration) (taken, back time.Duration) {
+// patience is policy.Helping.Patience.
+func (h *helpers) patience(left time.Duration) (silent, back time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.taking.Within(left), h.back.reserve()
+	return h.helping.Patience(left)
 }
 
 // took notes that a host has taken a query, with how many it gathers now.
 func (h *helpers) took(id string, after time.Duration, load int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.taking.Observe(after)
+	h.helping.Took(after)
 	h.of(id).Told(load)
 }
 
@@ -150,7 +127,7 @@
 func (h *helpers) cameBack(lag time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.back.observe(lag)
+	h.helping.CameBack(lag)
 }
 
 // gatherElsewhere lets a host with a wider link gather a query. It reports false
@@ -169,6 +146,9 @@
 		return Gathered{}, false
 	}
 	got, goOn, err := g.handOver(ctx, host, r, route, left)
+	if err == nil && got.Outcome == outcome.NotSent {
+		return Gathered{}, false // a host that has just started may know no targets yet
+	}
 	if err == nil {
 		r.attempts.Add(int32(got.Attempts))
 		r.pace.observeBytes(got.PartBytes, len(got.Signatures))
--- a/internal/gateway/helper_test.go
+++ b/internal/gateway/helper_test.go
@@ -12,6 +12,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
 	"rhubarbwood.example/rhubarbwood/platform"
 )
@@ -31,6 +32,7 @@
 	helperSilent
 	helperRefuses  // the query certainly did not run
 	helperMute     // gathers the query, but nothing that it says arrives
+	helperEmpty    // knows no targets
 	helperDiesLate // takes the query and asks the targets, but never answers
 )
 
@@ -58,6 +60,9 @@
 		return gateway.Gathered{}, ctx.Err()
 	case helperRefuses:
 		return gateway.Gathered{}, errHelper
+	case helperEmpty:
+		taken(1)
+		return gateway.Gathered{Outcome: outcome.NotSent, Reason: "no target"}, nil
 	}
 	if f.fault == helperMute {
 		go f.gateway.GatherFor(context.WithoutCancel(ctx), q, func(int) {}, new(atomic.Bool))
@@ -77,9 +82,14 @@
 
 // withHelper runs a test on a site whose gateway has a narrow link and one helper.
 func withHelper(t *testing.T, fault helperFault, test func(t *testing.T, s *site, f *fakeHelpers)) {
+	withHelperOver(t, 4, fault, test)
+}
+
+// withHelperOver is withHelper on a site with a number of shards.
+func withHelperOver(t *testing.T, shards int, fault helperFault, test func(t *testing.T, s *site, f *fakeHelpers)) {
 	f := &fakeHelpers{fault: fault}
 	helper := member.Host{ID: "w", FailureDomain: domain, State: member.Alive, LinkMbps: wide}
-	o := options{services: 4, records: 2, link: narrow, hosts: []member.Host{helper}}
+	o := options{services: shards, records: 2, link: narrow, hosts: []member.Host{helper}}
 	o.help = func(s *site) gateway.Helpers {
 		f.gateway = s.gateway(helper)
 		return f
@@ -168,6 +178,31 @@
 	})
 }
 
+// A host cut off after it got the query may have run it: that the own attempts were
+// all refused does not make it one that has not run.
+func TestQueryThatAMuteHelperMayHaveRunIsNotToldAsNotRun(t *testing.T) {
+	withHelperOver(t, 1, helperMute, func(t *testing.T, s *site, f *fakeHelpers) {
+		is := is.New(t)
+		time.AfterFunc(2*hopDelay, func() {
+			for name := range s.targets {
+				s.faults(name, platformtarget.Faults{Shed: 1})
+			}
+		})
+		a := s.get("/all/x", "r1")
+		is.Equal(a.status, http.StatusBadGateway)
+		is.Equal(s.runs("r1"), 1) // by the helper
+	})
+}
+
+// A helper that has just started and knows no targets leaves the query to this host.
+func TestQueryOfAHelperWithoutTargetsIsGatheredHere(t *testing.T) {
+	withHelper(t, helperEmpty, func(t *testing.T, s *site, f *fakeHelpers) {
+		is := is.New(t)
+		wholeAnswer(is, s.get("/all/x", "r1"))
+		is.Equal(s.runs("r1"), 4)
+	})
+}
+
 // The caller's leave ends the attempts of the helper.
 func TestCallersLeaveReachesTheHelper(t *testing.T) {
 	withHelper(t, helperWell, func(t *testing.T, s *site, f *fakeHelpers) {
--- a/internal/gateway/pace.go
+++ b/internal/gateway/pace.go
@@ -124,7 +124,7 @@
 	}
 	one, ok := p.byID[route]
 	if !ok {
-		one = &pace{}
+		one = &pace{callers: policy.NewCallers()}
 		p.byID[route] = one
 	}
 	return one
--- a/internal/policy/callers.go
+++ b/internal/policy/callers.go
@@ -10,8 +10,6 @@
 	// writeLagFirst is the prior of how late an answer leaves after it was due:
 	// a late timer, the merge and the write.
 	writeLagFirst = 2 * time.Millisecond
-	// writeLagQuantile is the quantile of the observed lags that is kept.
-	writeLagQuantile = 0.95
 	// writeLagLeast keeps the estimate able to grow again.
 	writeLagLeast = 500 * time.Microsecond
 	// mostReserve is the part of the objective that is kept at most, whatever
@@ -52,9 +50,12 @@
 	usual   time.Duration // that callers wait at their first attempt
 	votes   int           // for usual, by requests on kept connections
 	longest time.Duration // wait seen, decaying
-	lag     time.Duration // quantile of how late answers leave
+	lag     Tail          // of how late answers leave
 }
 
+// NewCallers returns what is known of the callers of a route without requests.
+func NewCallers() Callers { return Callers{lag: NewTail(writeLagFirst, writeLagLeast)} }
+
 // Observe takes one arrival into account, before it is judged.
 func (c *Callers) Observe(a Arrival) {
 	if a.Waits <= 0 {
@@ -113,7 +114,7 @@
 	if reserve <= 0 {
 		reserve = unknownRoundTrip
 	}
-	reserve += c.writeLag()
+	reserve += c.lag.Estimate()
 	if !c.Late(a, objective) {
 		reserve += c.Spent(a)
 	}
@@ -121,13 +122,4 @@
 }
 
 // Wrote tells how long after it was due an answer that lacks parts had left.
-func (c *Callers) Wrote(lag time.Duration) {
-	c.lag = max(TowardsQuantile(c.writeLag(), lag, writeLagQuantile), writeLagLeast)
-}
-
-func (c *Callers) writeLag() time.Duration {
-	if c.lag == 0 {
-		return writeLagFirst
-	}
-	return c.lag
-}
+func (c *Callers) Wrote(lag time.Duration) { c.lag.Observe(lag) }
--- a/internal/policy/callers_test.go
+++ b/internal/policy/callers_test.go
@@ -15,7 +15,7 @@
 
 func TestLateRepeatIsToldByTheTimeThatItsCallerWaits(t *testing.T) {
 	is := is.New(t)
-	var c Callers
+	c := NewCallers()
 	late := func(d time.Duration) bool {
 		c.Observe(waits(d))
 		return c.Late(waits(d), callerObjective)
@@ -38,7 +38,7 @@
 // 25 that waits for longer makes no repeat of the others.
 func TestPatientCallersMakeNobodyLate(t *testing.T) {
 	is := is.New(t)
-	var c Callers
+	c := NewCallers()
 	for i := range 200 {
 		a := Arrival{Waits: 800 * time.Millisecond}
 		if i%25 == 0 {
@@ -68,7 +68,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			var c Callers
+			c := NewCallers()
 			c.Observe(Arrival{Waits: full})
 			x.arrival.At = time.Unix(100, 0)
 			want := x.want - writeLagFirst
@@ -82,7 +82,7 @@
 
 func TestSlowWritesAreAllowedFor(t *testing.T) {
 	is := is.New(t)
-	var c Callers
+	c := NewCallers()
 	a := Arrival{At: time.Unix(100, 0), RoundTrip: 2 * time.Millisecond}
 	for range 100 {
 		c.Wrote(6 * time.Millisecond)
--- a/internal/policy/helper.go
+++ b/internal/policy/helper.go
@@ -14,14 +14,18 @@
 	// answer still crosses the own link, and a helper serves others too.
 	widerLink = 4
 
-	// takenQuantile of the observed times until a helper says that it took a query
-	// is what a silent one is given takenFactor times of; takenFirst is the prior:
-	// a round trip between failure domains and a busy processor.
-	takenQuantile = 0.95
-	takenFactor   = 2
-	takenFirst    = 6 * time.Millisecond
-	takenLeast    = 2 * time.Millisecond
-	takenShare    = 0.2 // of what is left of an objective at most
+	// A silent helper is given takenFactor times what helpers usually take to say
+	// that they took a query. takenFirst is the prior: a round trip between failure
+	// domains and a busy processor.
+	takenFactor = 2
+	takenFirst  = 6 * time.Millisecond
+	takenLeast  = 2 * time.Millisecond
+	takenShare  = 0.2 // of what is left of an objective at most
+
+	// backFirst is the prior of how long after it was due a helper's answer is here:
+	// a hop between hosts and two writes.
+	backFirst = 3 * time.Millisecond
+	backLeast = time.Millisecond
 
 	// A helper that was silent or broke off is set aside, twice as long each time
 	// in a row.
@@ -83,25 +87,26 @@
 	return Option{Cost: float64(1 + h.inFlight + h.told), Local: local, Barred: now.Before(h.asideTo)}
 }
 
-// Taking learns how soon helpers say that they took a query. The zero value
-// knows nothing.
-type Taking struct{ usual time.Duration }
-
-// Observe takes the time until a helper said so.
-func (t *Taking) Observe(took time.Duration) {
-	t.usual = max(TowardsQuantile(t.estimate(), took, takenQuantile), takenLeast)
+// Helping is what a host learns of all its helpers.
+type Helping struct {
+	taking Tail // time until a helper says that it took a query
+	back   Tail // time from when its answer was due until that is here
 }
 
-// Within returns how long a silent helper is waited for, with so much left of the
-// objective.
-func (t *Taking) Within(left time.Duration) time.Duration {
-	most := time.Duration(math.Max(takenShare*float64(left), 0))
-	return min(takenFactor*t.estimate(), most)
+// NewHelping returns what is known before the first query.
+func NewHelping() Helping {
+	return Helping{taking: NewTail(takenFirst, takenLeast), back: NewTail(backFirst, backLeast)}
 }
 
-func (t *Taking) estimate() time.Duration {
-	if t.usual == 0 {
-		return takenFirst
-	}
-	return t.usual
+// Took takes the time until a helper said that it took a query.
+func (h *Helping) Took(after time.Duration) { h.taking.Observe(after) }
+
+// CameBack takes how long after it was due an answer that lacks parts was here.
+func (h *Helping) CameBack(lag time.Duration) { h.back.Observe(lag) }
+
+// Patience returns how long a silent helper is waited for, with so much left of the
+// objective, and the time kept for its answer's way back.
+func (h *Helping) Patience(left time.Duration) (silent, back time.Duration) {
+	most := time.Duration(math.Max(takenShare*float64(left), 0))
+	return min(takenFactor*h.taking.Estimate(), most), h.back.Estimate()
 }
--- a/internal/policy/helper_test.go
+++ b/internal/policy/helper_test.go
@@ -66,16 +66,38 @@
 
 func TestSilentHelperIsWaitedForAsLongAsUsual(t *testing.T) {
 	is := is.New(t)
-	var taking Taking
+	helping := NewHelping()
+	within := func(left time.Duration) time.Duration {
+		silent, _ := helping.Patience(left)
+		return silent
+	}
 	const left = 140 * time.Millisecond
-	is.Equal(taking.Within(left), 2*takenFirst)
+	is.Equal(within(left), 2*takenFirst)
 	for range 500 {
-		taking.Observe(time.Millisecond)
+		helping.Took(time.Millisecond)
+	}
+	is.Equal(within(left), 2*takenLeast)
+	for range 200 {
+		helping.Took(100 * time.Millisecond)
+	}
+	is.Equal(within(left), 28*time.Millisecond) // a fifth of what is left
+	is.Equal(within(-left), time.Duration(0))
+}
+
+func TestWayBackFromAHelperIsObserved(t *testing.T) {
+	is := is.New(t)
+	helping := NewHelping()
+	back := func() time.Duration {
+		_, back := helping.Patience(time.Second)
+		return back
 	}
-	is.Equal(taking.Within(left), 2*takenLeast)
+	is.Equal(back(), backFirst)
 	for range 200 {
-		taking.Observe(100 * time.Millisecond)
+		helping.CameBack(8 * time.Millisecond)
+	}
+	is.True(back() > 7*time.Millisecond)
+	for range 2000 {
+		helping.CameBack(0)
 	}
-	is.Equal(taking.Within(left), 28*time.Millisecond) // a fifth of what is left
-	is.Equal(taking.Within(-left), time.Duration(0))
+	is.Equal(back(), backLeast)
 }
