--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -13,18 +13,21 @@
 
 // request is a caller's request on its way through the host.
 type request struct {
-	ctx      context.Context // of every attempt; done when the caller left without an answer
-	call     Call
-	caller   string // address and port
-	method   string
-	uri      string
-	host     string
-	header   http.Header // to forward; not changed after it was built
-	body     []byte
-	arrived  time.Time
-	answerBy time.Time // when an answer that lacks parts must leave to be in time
-	deadline time.Time // until which the caller waits, or the route lets it
-	again    bool      // its shards may have been asked once, by another host
+	ctx     context.Context // of every attempt; done when the caller left without an answer
+	call    Call
+	caller  string // address and port
+	method  string
+	uri     string
+	host    string
+	header  http.Header // to forward; not changed after it was built
+	body    []byte
+	arrived time.Time
+	// objective is the latency up to which an answer is worth all: the route's, or
+	// the time that the caller waits if that names none.
+	objective time.Duration
+	answerBy  time.Time // when an answer that lacks parts must leave to be in time
+	deadline  time.Time // until which the caller waits, or the route lets it
+	again     bool      // its shards may have been asked once, by another host
 	// goOn is set once the host that asked for the query will not gather it itself;
 	// nil: the query is this host's own.
 	goOn     *atomic.Bool
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,10 +133,15 @@
 	}
 	r.body = body
 	r.header = forwardable(hr.Header)
-	r.deadline = r.arrived.Add(g.budget(call, route))
+	budget := g.budget(call, route)
+	r.deadline = r.arrived.Add(budget)
+	r.objective = route.Objective
+	if r.objective <= 0 {
+		r.objective = budget // the route names none: an answer is worth all while the caller waits
+	}
 	r.pace = g.paces.of(route.Name)
-	r.scale = r.pace.scale(route.Objective)
-	r.answerBy, r.late = r.pace.arrive(g.arrival(hr, r), route.Objective)
+	r.scale = r.pace.scale(r.objective)
+	r.answerBy, r.late = r.pace.arrive(g.arrival(hr, r), r.objective)
 	r.late = r.late && !g.cfg.off(LateYield)
 	g.forward(hr.Context(), w, r, route)
 }
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -25,7 +25,8 @@
 	Host      string
 	Header    http.Header
 	Body      []byte
-	Route     routing.Route // with its name, shards, objective, attempts and what the answer needs
+	Route     routing.Route // with its name, shards, attempts and what the answer needs
+	Objective time.Duration // latency up to which the answer is worth all
 	AnswerIn  time.Duration // until parts that are missing are left out
 	Budget    time.Duration // until the caller leaves
 	Late      bool          // the caller has spent most of the objective
@@ -141,7 +142,7 @@
 	if h == nil || left <= 0 || g.cfg.off(HelperHosts) {
 		return Gathered{}, false
 	}
-	host, ok := h.choose(now, r.pace.expectedBytes(len(route.Shards)), route.Objective)
+	host, ok := h.choose(now, r.pace.expectedBytes(len(route.Shards)), r.objective)
 	if !ok {
 		return Gathered{}, false
 	}
@@ -168,7 +169,9 @@
 	h := g.helpers
 	began := time.Now()
 	within, back := h.patience(left)
-	call, cancel := context.WithCancelCause(ctx)
+	bounded, end := context.WithDeadline(ctx, r.deadline) // a frozen helper answers never
+	defer end()
+	call, cancel := context.WithCancelCause(bounded)
 	defer cancel(nil)
 	silence := time.AfterFunc(within, func() { cancel(errSilent) })
 	defer silence.Stop()
@@ -192,7 +195,7 @@
 func (r *request) query(route *routing.Route, answerIn time.Duration) Query {
 	return Query{
 		RequestID: r.call.RequestID, Caller: r.caller, Method: r.method, URI: r.uri, Host: r.host,
-		Header: r.header, Body: r.body, Route: *route,
+		Header: r.header, Body: r.body, Route: *route, Objective: r.objective,
 		AnswerIn: answerIn, Budget: time.Until(r.deadline), Late: r.late,
 	}
 }
@@ -217,8 +220,8 @@
 	r := &request{
 		call: Call{RequestID: q.RequestID, Budget: q.Budget}, caller: q.Caller, method: q.Method, uri: q.URI, host: q.Host,
 		header: q.Header, body: q.Body, arrived: now, answerBy: now.Add(q.AnswerIn), deadline: now.Add(q.Budget),
-		gathers: true, late: q.Late, pace: g.paces.of(q.Route.Name),
+		objective: q.Objective, gathers: true, late: q.Late, pace: g.paces.of(q.Route.Name),
 	}
-	r.scale = r.pace.scale(q.Route.Objective)
+	r.scale = r.pace.scale(r.objective)
 	return r
 }
--- a/internal/gateway/helper_test.go
+++ b/internal/gateway/helper_test.go
@@ -32,6 +32,7 @@
 	helperSilent
 	helperRefuses  // the query certainly did not run
 	helperMute     // gathers the query, but nothing that it says arrives
+	helperFreezes  // after it has taken the query
 	helperEmpty    // knows no targets
 	helperDiesLate // takes the query and asks the targets, but never answers
 )
@@ -60,6 +61,10 @@
 		return gateway.Gathered{}, ctx.Err()
 	case helperRefuses:
 		return gateway.Gathered{}, errHelper
+	case helperFreezes:
+		taken(1)
+		<-ctx.Done()
+		return gateway.Gathered{}, ctx.Err()
 	case helperEmpty:
 		taken(1)
 		return gateway.Gathered{Outcome: outcome.NotSent, Reason: "no target"}, nil
@@ -194,6 +199,18 @@
 	})
 }
 
+// A helper that freezes after it took a query answers never: the caller is told when
+// its time is over.
+func TestQueryOfAFrozenHelperEndsInTime(t *testing.T) {
+	withHelper(t, helperFreezes, func(t *testing.T, s *site, f *fakeHelpers) {
+		is := is.New(t)
+		a := s.get("/all/x", "r1")
+		is.Equal(a.status, http.StatusGatewayTimeout)
+		is.Equal(a.took, timeout)
+		wholeAnswer(is, s.get("/all/x", "r2")) // the helper is set aside
+	})
+}
+
 // A helper that has just started and knows no targets leaves the query to this host.
 func TestQueryOfAHelperWithoutTargetsIsGatheredHere(t *testing.T) {
 	withHelper(t, helperEmpty, func(t *testing.T, s *site, f *fakeHelpers) {
--- a/internal/gateway/scatter_test.go
+++ b/internal/gateway/scatter_test.go
@@ -65,3 +65,23 @@
 		is.Equal(s.runs("r1"), 0)
 	})
 }
+
+// A route that names no objective: every shard is asked once, and parts that are
+// missing are waited for nearly as long as the caller waits.
+func TestQueryWithoutAnObjective(t *testing.T) {
+	run(t, options{services: 4}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		routes := s.usualRoutes(4)
+		routes[2].Objective = 0
+		s.configure(2, routes...)
+		a := s.get("/all/x", "r1")
+		is.Equal(a.status, http.StatusOK)
+		is.Equal(a.header.Get(platform.HeaderMissing), "0")
+		is.Equal(s.runs("r1"), 4)
+		s.faults("s3", platformtarget.Faults{Silent: true})
+		a = s.get("/all/x", "r2")
+		is.Equal(a.status, http.StatusOK)
+		is.Equal(a.header.Get(platform.HeaderMissing), "1")
+		is.True(a.took < timeout)
+	})
+}
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -189,8 +189,8 @@
 // its route, but in time for the second to end within the objective. On a host
 // with a narrow link many answers of one query come after one another.
 func (r *run) hedgeDelay() time.Duration {
-	earliest := time.Duration(hedgeAfter * float64(r.route.Objective))
-	latest := time.Duration(hedgeLatest * float64(r.route.Objective))
+	earliest := time.Duration(hedgeAfter * float64(r.request.objective))
+	latest := time.Duration(hedgeLatest * float64(r.request.objective))
 	return min(max(earliest, r.request.pace.late()), latest)
 }
 
--- a/internal/gatherrpc/gatherrpc.go
+++ b/internal/gatherrpc/gatherrpc.go
@@ -105,7 +105,7 @@
 	out := &peerpb.GatherRequest{
 		RequestId: q.RequestID, Caller: q.Caller, Method: q.Method, Uri: q.URI, Host: q.Host, Body: q.Body,
 		Route: q.Route.Name, Shards: q.Route.Shards, TopK: uint32(q.Route.TopK), MinShare: q.Route.MinShare,
-		ObjectiveUs: q.Route.Objective.Microseconds(), MaxAttempts: uint32(q.Route.MaxAttempts),
+		ObjectiveUs: q.Objective.Microseconds(), MaxAttempts: uint32(q.Route.MaxAttempts),
 		AnswerUs: q.AnswerIn.Microseconds(), BudgetUs: q.Budget.Microseconds(), Late: q.Late,
 	}
 	for name, values := range q.Header {
@@ -123,9 +123,10 @@
 		RequestID: in.RequestId, Caller: in.Caller, Method: in.Method, URI: in.Uri, Host: in.Host, Header: header, Body: in.Body,
 		Route: routing.Route{
 			Name: in.Route, Host: in.Host, Idempotent: true, Shards: in.Shards, TopK: int(in.TopK), MinShare: in.MinShare,
-			Objective: micros(in.ObjectiveUs), MaxAttempts: int(in.MaxAttempts),
+			MaxAttempts: int(in.MaxAttempts),
 		},
-		AnswerIn: micros(in.AnswerUs), Budget: micros(in.BudgetUs), Late: in.Late,
+		Objective: micros(in.ObjectiveUs),
+		AnswerIn:  micros(in.AnswerUs), Budget: micros(in.BudgetUs), Late: in.Late,
 	}
 }
 
--- a/internal/gatherrpc/gatherrpc_test.go
+++ b/internal/gatherrpc/gatherrpc_test.go
@@ -77,9 +77,10 @@
 		Header: http.Header{"X-A": {"1", "2"}}, Body: []byte("body"),
 		Route: routing.Route{
 			Name: "all", Host: "a.example", Idempotent: true, Shards: []string{"s0", "s1"}, TopK: 5, MinShare: 0.89,
-			Objective: 150 * time.Millisecond, MaxAttempts: 2,
+			MaxAttempts: 2,
 		},
-		AnswerIn: 140 * time.Millisecond, Budget: 800 * time.Millisecond, Late: true,
+		Objective: 150 * time.Millisecond,
+		AnswerIn:  140 * time.Millisecond, Budget: 800 * time.Millisecond, Late: true,
 	}
 	load := 0
 	got, err := client.Gather(t.Context(), host, q, func(n int) bool {
