--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -15,6 +15,7 @@
 	Seeds    int           `long:"seeds" default:"1" description:"How many seeds, one after the other from the first"`
 	Storm    time.Duration `long:"storm" default:"6s" description:"Length of the faults of each seed"`
 	Callers  int           `long:"callers" default:"12" description:"Callers of each seed"`
+	Helpers  bool          `long:"helpers" description:"One host gathers the queries of the others, whose links are narrow"`
 	Parallel int           `long:"parallel" default:"2" description:"Seeds that run at once; each has three processes"`
 }
 
@@ -35,7 +36,7 @@
 	for range c.Parallel {
 		work.Go(func() {
 			for seed := range next {
-				r, err := soak.Run(soak.Config{Binary: binary, Seed: seed, Storm: c.Storm, Callers: c.Callers})
+				r, err := soak.Run(soak.Config{Binary: binary, Seed: seed, Storm: c.Storm, Callers: c.Callers, Helpers: c.Helpers})
 				mu.Lock()
 				if err != nil || len(r.Violations) > 0 {
 					broken++
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -16,13 +16,18 @@
 	19, // a stop closed a connection whose request had just been read: the request ran, its answer was lost
 }
 
+// helperSeeds run with hosts that hand queries over to one of them, which is cut off,
+// paused, killed and stopped like the others.
+var helperSeeds = []uint64{3, 4}
+
 // A short soak of real processes. "rhubarbwood soak" runs longer ones.
 func TestSoak(t *testing.T) {
-	for _, seed := range soakSeeds {
+	for i, seed := range append(soakSeeds, helperSeeds...) {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			r, err := soak.Run(soak.Config{Binary: binary, Seed: seed, Storm: 2 * time.Second, Callers: 8})
+			helpers := i >= len(soakSeeds)
+			r, err := soak.Run(soak.Config{Binary: binary, Seed: seed, Storm: 2 * time.Second, Callers: 8, Helpers: helpers})
 			is.NoErr(err)
 			is.True(r.Answered > 0)
 			for _, v := range r.Violations {
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -81,7 +81,7 @@
 
 // newSite starts everything. What was started is stopped by stop, also after an
 // error.
-func newSite(binary string) (*site, error) {
+func newSite(cfg Config) (*site, error) {
 	dir, err := os.MkdirTemp("", "soak-")
 	if err != nil {
 		return nil, Error.New("make a folder: %w", err)
@@ -91,7 +91,7 @@
 		return s, err
 	}
 	s.configure()
-	return s, s.startHosts(binary)
+	return s, s.startHosts(cfg)
 }
 
 func (s *site) domain(i int) string { return fmt.Sprintf("domain-%d", i%hosts) }
@@ -205,7 +205,7 @@
 	return c
 }
 
-func (s *site) startHosts(binary string) error {
+func (s *site) startHosts(cfg Config) error {
 	store, err := s.serve(s.store.Handler())
 	if err != nil {
 		return err
@@ -225,7 +225,7 @@
 			return err
 		}
 		s.stores = append(s.stores, toStore)
-		p, err := newProcess(s.dir, binary, fmt.Sprintf("host-%d", i), s.domain(i), toStore.address(), [4]string(ports[i*addresses:]), seeds)
+		p, err := newProcess(s.dir, cfg.Binary, fmt.Sprintf("host-%d", i), s.domain(i), toStore.address(), [4]string(ports[i*addresses:]), seeds, cfg.link(i))
 		if err != nil {
 			return err
 		}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,6 +22,27 @@
 	Seed    uint64        // of everything that is drawn
 	Storm   time.Duration // of faults, before the calm
 	Callers int
+	// Helpers gives all hosts but the last a narrow link, so that it gathers their
+	// queries.
+	Helpers bool
+}
+
+// Link rates of hosts, in Mbit/s: the answers to a query occupy a narrow one for more
+// than the objective allows.
+const (
+	narrowLink = 1
+	wideLink   = 100
+)
+
+// link returns the link rate that a host is told, 0 if none.
+func (c Config) link(host int) float64 {
+	switch {
+	case !c.Helpers:
+		return 0
+	case host == hosts-1:
+		return wideLink
+	}
+	return narrowLink
 }
 
 // Report is what one run found.
@@ -40,7 +61,7 @@
 func Run(cfg Config) (Report, error) {
 	r := Report{Seed: cfg.Seed}
 	rng := rand.New(rand.NewPCG(cfg.Seed, 0))
-	s, err := newSite(cfg.Binary)
+	s, err := newSite(cfg)
 	if err != nil {
 		if s != nil {
 			s.stop(false)
