--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -112,11 +113,25 @@
 	return fmt.Sprintf("%s/%d", p.name, p.starts)
 }
 
-// freePorts returns addresses that were free a moment ago, all different.
-func freePorts(n int) ([]string, error) {
+// sites counts the sites of this process.
+var sites atomic.Uint32
+
+// ownLoopback returns a loopback address that no other site uses, of this process or
+// of another one that runs now. On a shared address the port of a host that restarts may
+// be taken meanwhile, by another site's host or by any connection: callers then
+// got that site's answers.
+func ownLoopback() string {
+	const perByte = 250 // values of a byte that are used, from 1 on
+	pid := os.Getpid()
+	site := int(sites.Add(1))
+	return fmt.Sprintf("127.%d.%d.%d", 1+pid/perByte%perByte, 1+pid%perByte, 1+site%perByte)
+}
+
+// freePorts returns addresses on ip that were free a moment ago, all different.
+func freePorts(ip string, n int) ([]string, error) {
 	var all []string
 	for range n {
-		ln, err := net.Listen("tcp", freePort)
+		ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, Error.New("find a free port: %w", err)
 		}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -211,7 +211,7 @@
 		return err
 	}
 	const addresses = 4
-	ports, err := freePorts(hosts * addresses)
+	ports, err := freePorts(ownLoopback(), hosts*addresses)
 	if err != nil {
 		return err
 	}
