--- /dev/null
+++ b/internal/gateway/load_test.go
@@ -0,0 +1,97 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/gateway"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+	"rhubarbwood.example/rhubarbwood/platform"
+)
+
+// load is queries that come evenly for some seconds.
+const (
+	loadEvery = 10 * time.Millisecond
+	loadCount = 300
+)
+
+// served is what callers got of a load.
+type served struct {
+	whole  int // in time, with all parts
+	inTime int // successful within the objective
+}
+
+// play sends the load and returns what its callers got.
+func (s *site) play(name string) served {
+	var (
+		mu  sync.Mutex
+		got served
+		all sync.WaitGroup
+	)
+	for i := range loadCount {
+		all.Go(func() {
+			a := s.get("/all/x", fmt.Sprintf("%s-%d", name, i))
+			mu.Lock()
+			defer mu.Unlock()
+			if a.status != http.StatusOK || a.took > objective {
+				return
+			}
+			got.inTime++
+			if a.header.Get(platform.HeaderMissing) == "0" {
+				got.whole++
+			}
+		})
+		time.Sleep(loadEvery)
+	}
+	all.Wait()
+	return got
+}
+
+// One target of each of six shards sheds three of five requests. Asked last, it
+// costs hardly a query; asked like the other, it uses up the further attempts.
+func TestLoadWhileHalfOfTheTargetsShed(t *testing.T) {
+	play := func(t *testing.T, without ...gateway.Mechanism) (got served) {
+		run(t, options{services: 6, without: without}, func(t *testing.T, s *site) {
+			for i := range 6 {
+				s.faults(fmt.Sprintf("s%d-t0", i), platformtarget.Faults{Shed: 0.6})
+			}
+			got = s.play("r")
+		})
+		return got
+	}
+	is := is.New(t)
+	with, without := play(t), play(t, gateway.ShedCost)
+	is.True(with.whole >= loadCount*95/100)
+	is.True(without.whole < loadCount*80/100)
+}
+
+// All targets of one of six shards are silent: every answer leaves that part out and
+// is in time.
+func TestLoadWhileAShardIsDark(t *testing.T) {
+	run(t, options{services: 6}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.faults("s5", platformtarget.Faults{Silent: true})
+		got := s.play("r")
+		is.True(got.inTime >= loadCount*98/100)
+		is.Equal(got.whole, 0)
+	})
+}
+
+// One target of each shard is ten times slower: it is found out, and the other ones
+// carry the load.
+func TestLoadWhileHalfOfTheTargetsAreSlow(t *testing.T) {
+	run(t, options{services: 6}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		for i := range 6 {
+			s.faults(fmt.Sprintf("s%d-t0", i), platformtarget.Faults{Slow: 10})
+		}
+		got := s.play("r")
+		is.True(got.inTime >= loadCount*98/100)
+		is.True(got.whole >= loadCount*90/100)
+	})
+}
