One conversion of times between hosts; names and guards that stood twice go

Cause: read once more: gatherrpc had a copy of relayrpc's microseconds; a type held the list of mechanisms only for two one-line methods; the time on a link was guarded again after its caller. Change: peer.Micros serves both; slices.Contains and one check of names; the guard is its caller's. Ruled out: nothing.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/policy"
@@ -34,7 +35,7 @@
 }
 
 // off reports whether a mechanism is switched off.
-func (c Config) off(m Mechanism) bool { return without(c.Without).has(m) }
+func (c Config) off(m Mechanism) bool { return slices.Contains(c.Without, m) }
 
 // Defaults of the settings.
 const (
@@ -91,6 +92,6 @@
 	if c.FreshFor <= 0 {
 		problems = append(problems, Error.New("fresh_for %s: want more than 0", c.FreshFor))
 	}
-	problems = append(problems, without(c.Without).validate())
+	problems = append(problems, checkMechanisms(c.Without))
 	return errors.Join(problems...)
 }
--- a/internal/gateway/mechanism.go
+++ b/internal/gateway/mechanism.go
@@ -38,13 +38,9 @@
 	CallerDistance, BoundedWork, ShedCost, Hedges, Repeats, SetAside, Findings, Homes, LateYield, HelperHosts,
 }
 
-// without is the mechanisms that are switched off.
-type without []Mechanism
-
-func (w without) has(m Mechanism) bool { return slices.Contains(w, m) }
-
-func (w without) validate() error {
-	for _, m := range w {
+// checkMechanisms reports a name that is no mechanism's.
+func checkMechanisms(all []Mechanism) error {
+	for _, m := range all {
 		if !slices.Contains(mechanisms, m) {
 			return Error.New("without: %q is none of %s", m, names(mechanisms))
 		}
--- a/internal/gatherrpc/gatherrpc.go
+++ b/internal/gatherrpc/gatherrpc.go
@@ -6,7 +6,6 @@
 	"context"
 	"net/http"
 	"sync/atomic"
-	"time"
 
 	"github.com/zeebo/errs"
 	"storj.io/drpc"
@@ -125,8 +124,8 @@
 			Name: in.Route, Host: in.Host, Idempotent: true, Shards: in.Shards, TopK: int(in.TopK), MinShare: in.MinShare,
 			MaxAttempts: int(in.MaxAttempts),
 		},
-		Objective: micros(in.ObjectiveUs),
-		AnswerIn:  micros(in.AnswerUs), Budget: micros(in.BudgetUs), Late: in.Late,
+		Objective: peer.Micros(in.ObjectiveUs),
+		AnswerIn:  peer.Micros(in.AnswerUs), Budget: peer.Micros(in.BudgetUs), Late: in.Late,
 	}
 }
 
@@ -147,5 +146,3 @@
 		Attempts: int(m.Attempts), Cut: m.Cut, PartBytes: int(m.PartBytes),
 	}, nil
 }
-
-func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -50,3 +50,6 @@
 		SoftCancelGrace: o.grace,
 	}
 }
+
+// Micros returns a time that a message carries in microseconds.
+func Micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/internal/policy/helper.go
+++ b/internal/policy/helper.go
@@ -42,15 +42,11 @@
 	if own <= 0 || helper < widerLink*own || objective <= 0 {
 		return false
 	}
-	return LinkTime(own, bytes) > time.Duration(handOverShare*float64(objective))
+	return linkTime(own, bytes) > time.Duration(handOverShare*float64(objective))
 }
 
-// LinkTime returns how long bytes occupy a link with a rate in Mbit/s; 0 if the
-// rate is not known.
-func LinkTime(rate float64, bytes int) time.Duration {
-	if rate <= 0 {
-		return 0
-	}
+// linkTime returns how long bytes occupy a link with a rate in Mbit/s, more than 0.
+func linkTime(rate float64, bytes int) time.Duration {
 	const bitsPerByte, perMega = 8, 1e6
 	return time.Duration(float64(bytes) * bitsPerByte / (rate * perMega) * float64(time.Second))
 }
--- a/internal/relayrpc/convert.go
+++ b/internal/relayrpc/convert.go
@@ -1,9 +1,8 @@
 package relayrpc
 
 import (
-	"time"
-
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/peer"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
@@ -24,7 +23,7 @@
 	out := query.Batch{
 		RequestID: in.RequestId, Caller: in.Caller, Workload: in.Workload, Snapshot: in.Snapshot,
 		Urgency: query.Urgency(in.Urgency), Text: in.Text, Limit: int(in.Limit),
-		Budget: micros(in.BudgetUs), Parts: make([]query.Part, len(in.Parts)),
+		Budget: peer.Micros(in.BudgetUs), Parts: make([]query.Part, len(in.Parts)),
 	}
 	for i, p := range in.Parts {
 		out.Parts[i] = query.Part{Service: p.GetService(), Shards: p.GetShards()}
@@ -32,8 +31,6 @@
 	return out
 }
 
-func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
-
 func resultToWire(requestID string, r *query.ShardResult) *peerpb.ShardResult {
 	out := &peerpb.ShardResult{
 		RequestId: requestID, Service: r.Key.Service, Shard: r.Key.Shard, Snapshot: r.Snapshot,
@@ -57,7 +54,7 @@
 	out := query.ShardResult{
 		Key:      query.ShardKey{Service: in.Service, Shard: in.Shard},
 		Snapshot: in.Snapshot, Outcome: parseOutcome(in.Outcome), TotalRows: int(in.TotalRows),
-		Reason: query.Reason(in.Reason), RetryAfter: micros(in.RetryAfterUs), Attempts: int(in.Attempts),
+		Reason: query.Reason(in.Reason), RetryAfter: peer.Micros(in.RetryAfterUs), Attempts: int(in.Attempts),
 	}
 	if out.Outcome != outcome.Done {
 		return out
@@ -91,6 +88,6 @@
 	return query.Reservation{
 		RequestID: in.RequestId, ReservationID: in.ReservationId, Outcome: parseOutcome(in.Outcome),
 		Granted: in.Granted, Answer: in.Answer, Target: in.Target, Repeated: in.Repeated,
-		Reason: query.Reason(in.Reason), RetryAfter: micros(in.RetryAfterUs),
+		Reason: query.Reason(in.Reason), RetryAfter: peer.Micros(in.RetryAfterUs),
 	}
 }
--- a/internal/relayrpc/server.go
+++ b/internal/relayrpc/server.go
@@ -12,6 +12,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/claim"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
+	"rhubarbwood.example/rhubarbwood/internal/peer"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 	"rhubarbwood.example/rhubarbwood/internal/relay"
@@ -128,7 +129,7 @@
 func (s *Server) Reserve(ctx context.Context, in *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
 	r := query.Reserve{
 		RequestID: in.RequestId, Caller: in.Caller, ReservationID: in.ReservationId,
-		Service: in.Service, Item: in.Item, Budget: micros(in.BudgetUs),
+		Service: in.Service, Item: in.Item, Budget: peer.Micros(in.BudgetUs),
 	}
 	if !s.begin() {
 		return replyToWire(&query.Reservation{
