Gateway: lines that join a request's content and the end of a target

The incident could not be decided from the lines: the id of a request is new with each attempt of its caller, and nothing tells that a connection broke off without an answer, or that the target takes none any more. Added, without a change of logic: event 11008 for an attempt that broke off, with a key of what the request asks and for whom (caller, method, host, path, body), the same on all hosts; event 11009 for a target that took connections and takes none; the key and the caller in 11004; a counter. Tests: two attempts of a caller at one thing have one key and another path has another; a target that is gone is told once.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
+	"rhubarbwood.example/rhubarbwood/internal/quarantine"
 	"rhubarbwood.example/rhubarbwood/internal/targetconn"
 )
 
@@ -37,6 +38,10 @@
 	scale    float64 // of latencies; see pace
 	attempts atomic.Int32
 
+	// content is the key of what the request asks; use contentKey.
+	content     quarantine.Key
+	contentOnce sync.Once
+
 	// What all attempts send alike is encoded with the first.
 	encode  sync.Once
 	encoded []byte
@@ -54,6 +59,9 @@
 	shed      bool // the target refused it
 	ranOut    bool // the target gave it up when the time that it was given was over
 	abandoned bool // given up before an answer came
+	brokeOff  bool // the connection ended while the target had the request
+	// unreachable is set if the target took no connection.
+	unreachable bool
 }
 
 // head returns what all attempts of the request send alike.
@@ -80,6 +88,9 @@
 	res := g.exchange(ctx, t, r)
 	res.target = t
 	res.took = time.Since(began)
+	if res.brokeOff {
+		g.noteBrokeOff(t, r, res)
+	}
 	g.release(s, t, r, res)
 	g.metrics.attempts.WithLabelValues(res.outcome.String()).Inc()
 	return res
@@ -93,7 +104,8 @@
 	}
 	conn, err := t.pool.Get(ctx, r.deadline)
 	if err != nil {
-		return result{outcome: outcome.NotSent, err: err, abandoned: ctx.Err() != nil}
+		abandoned := ctx.Err() != nil
+		return result{outcome: outcome.NotSent, err: err, abandoned: abandoned, unreachable: !abandoned && targetconn.Unreachable(err)}
 	}
 	left := time.Until(r.deadline)
 	if left <= 0 {
@@ -117,7 +129,7 @@
 		if !sent {
 			return result{outcome: outcome.NotSent, err: err, abandoned: late}
 		}
-		return result{outcome: outcome.Unknown, err: err, abandoned: late}
+		return result{outcome: outcome.Unknown, err: err, abandoned: late, brokeOff: !late && targetconn.BrokeOff(err)}
 	}
 	res := g.judge(t, answer)
 	res.ranOut = given < left && res.outcome != outcome.Done && time.Since(began) > given-ranOutMargin
@@ -179,6 +191,7 @@
 		t.strange = true
 		g.log.Event(evWrongTarget).Str("target", t.conf.ID).Str("service", s.name).Str("address", t.conf.Address).Msg("")
 	}
+	g.noteReachable(t, res)
 	before := t.health.SetAsideUntil()
 	t.health.ObserveScaled(now, res.took, r.scale, g.signal(res), typicalLatency)
 	g.tell(now, t, before)
--- /dev/null
+++ b/internal/gateway/broken.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"rhubarbwood.example/rhubarbwood/internal/quarantine"
+)
+
+// contentKey returns the key of what the request asks and for whom. It is made when it is
+// first wanted, as most requests need none.
+func (r *request) contentKey() quarantine.Key {
+	r.contentOnce.Do(func() {
+		r.content = quarantine.KeyOf(addressOf(r.caller), r.method, r.host, r.uri, r.body)
+	})
+	return r.content
+}
+
+// noteBrokeOff counts and logs an attempt whose connection ended while the target had the
+// request.
+func (g *Gateway) noteBrokeOff(t *target, r *request, res result) {
+	g.metrics.brokeOff.Inc()
+	if !g.lines.brokeOff.Allow() {
+		return
+	}
+	g.log.Event(evBrokeOff).Str("request", r.call.RequestID).Stringer("content", r.contentKey()).
+		Str("target", t.conf.ID).Str("service", t.conf.Service).Dur("after", res.took).Err(res.err).Msg("")
+}
+
+// noteReachable logs that a target took connections before and takes none now. The caller
+// holds the lock of the target's service.
+func (g *Gateway) noteReachable(t *target, res result) {
+	switch {
+	case res.unreachable && !t.unreachable:
+		t.unreachable = true
+		g.log.Event(evRefuses).Str("target", t.conf.ID).Str("service", t.conf.Service).
+			Str("address", t.conf.Address).Err(res.err).Msg("")
+	case !res.unreachable && !res.abandoned:
+		t.unreachable = false
+	}
+}
--- /dev/null
+++ b/internal/gateway/broken_test.go
@@ -0,0 +1,81 @@
+package gateway_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/gateway"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+)
+
+// line is what the tests read of a log line.
+type line struct {
+	Event   int    `json:"event"`
+	Request string `json:"request"`
+	Content string `json:"content"`
+	Target  string `json:"target"`
+}
+
+// linesOf returns the lines of one event.
+func linesOf(is *is.I, log *bytes.Buffer, event int) []line {
+	is.Helper()
+	var all []line
+	for text := range bytes.Lines(log.Bytes()) {
+		var l line
+		is.NoErr(json.Unmarshal(text, &l))
+		if l.Event == event {
+			all = append(all, l)
+		}
+	}
+	return all
+}
+
+const (
+	eventBrokeOff    = 11008
+	eventUnreachable = 11009
+)
+
+// A caller's attempts at the same thing can be told from all others by the lines of the
+// connections that broke off under them.
+func TestLinesJoinAttemptsOfOneContent(t *testing.T) {
+	var log bytes.Buffer
+	run(t, options{log: &log, without: []gateway.Mechanism{gateway.Repeats}}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.faults("s0", platformtarget.Faults{Lose: 1})
+		is.Equal(s.get("/one/x", "r1").status, http.StatusBadGateway)
+		is.Equal(s.get("/one/x", "r2").status, http.StatusBadGateway)
+		is.Equal(s.get("/one/y", "r3").status, http.StatusBadGateway)
+		lines := linesOf(is, &log, eventBrokeOff)
+		is.Equal(len(lines), 3)
+		is.Equal(lines[0].Content, lines[1].Content)
+		is.True(lines[0].Content != lines[2].Content)
+		is.True(lines[0].Request != lines[1].Request)
+	})
+}
+
+// That a target takes no more connections is told once, and again after it did.
+func TestUnreachableTargetIsToldOnce(t *testing.T) {
+	var log bytes.Buffer
+	run(t, options{log: &log}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		is.NoErr(s.servers[1].Close()) // of the first target
+		for range 20 {
+			s.get("/one/x", "r")
+			time.Sleep(100 * time.Millisecond)
+		}
+		lines := linesOf(is, &log, eventUnreachable)
+		is.Equal(len(lines), 1)
+		is.Equal(lines[0].Target, "s0-t0")
+		s.serve("s0-t0:80", s.targets["s0-t0"])
+		for range 100 {
+			s.get("/one/x", "r")
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(len(linesOf(is, &log, eventUnreachable)), 1)
+	})
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -13,7 +13,7 @@
 		"request", "route", "status", "outcome", "missing", "took", "version", "reason")
 	evAttempts = event.Define(11004, "request_attempts", plog.InfoLevel,
 		"What was tried for the request of the line before: the targets asked, of shards those that are missing, and the age of the configuration.",
-		"Look for the lines of these targets, on the helper if there is one.", "request", "attempts", "asked", "budget", "age", "helper")
+		"Look for the lines of these targets, on the helper if there is one.", "request", "attempts", "asked", "budget", "age", "helper", "content", "caller")
 	evWithout = event.Define(11007, "mechanisms_off", plog.WarnLevel,
 		"The settings switch mechanisms of the gateway off.", "Switch them on again after the incident.", "mechanisms")
 	evHelperLost = event.Define(11006, "helper_lost", plog.WarnLevel,
@@ -24,6 +24,13 @@
 		"The counters on the metrics address count every request all the same.", "lines")
 	evWrongTarget = event.Define(11002, "target_replaced", plog.WarnLevel,
 		"Another target answered at the address of this one, which gets no more work.", "none", "target", "service", "address")
+	evBrokeOff = event.Define(11008, "attempt_broke_off", plog.InfoLevel,
+		"The connection to a target broke off while the target had a request. Of a burst some lines are left out; the counter has them all.",
+		"Look for more lines with this content, of other requests and on other hosts, and for 11009 of the targets: a request may end those that run it.",
+		"request", "content", "target", "service", "after", "error")
+	evRefuses = event.Define(11009, "target_unreachable", plog.InfoLevel,
+		"A target that took connections takes none.", "Look for 11008 of this target just before: a request may have ended it.",
+		"target", "service", "address", "error")
 	evTargetHealth = event.Define(11003, "target_health", plog.InfoLevel,
 		"A target was set aside for its answers, or taken back.", "Look at the target if it stays set aside.",
 		"target", "service", "set_aside", "latency", "failures", "from")
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -67,6 +67,8 @@
 	badFor string
 	// strange is set when another target answered at the address.
 	strange bool
+	// unreachable is set while the target takes no connection.
+	unreachable bool
 }
 
 func newFleet(cfg Config, host, domain string, hosts func() int) *fleet {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -15,6 +15,7 @@
 	seconds  *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
 	partial  prometheus.Counter
+	brokeOff prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -37,6 +38,10 @@
 			Name: "rhubarbwood_gateway_partial_answers_total",
 			Help: "Answers that lack parts.",
 		}),
+		brokeOff: f.NewCounter(prometheus.CounterOpts{
+			Name: "rhubarbwood_gateway_broken_attempts_total",
+			Help: "Attempts whose connection ended while the target had the request.",
+		}),
 	}
 }
 
@@ -53,6 +58,7 @@
 type lines struct {
 	failures   *rate.Limiter
 	others     *rate.Limiter
+	brokeOff   *rate.Limiter // attempts
 	suppressed atomic.Uint64 // since the last line
 	whole      atomic.Uint64
 }
@@ -61,6 +67,7 @@
 	return &lines{
 		failures: rate.NewLimiter(failureLines, lineBurst*failureLines),
 		others:   rate.NewLimiter(otherLines, lineBurst*otherLines),
+		brokeOff: rate.NewLimiter(otherLines, lineBurst*otherLines),
 	}
 }
 
@@ -107,5 +114,5 @@
 	}
 	g.log.Event(evAttempts).Str("request", r.call.RequestID).Int("attempts", int(r.attempts.Load())).
 		Str("asked", w.asked).Dur("budget", r.deadline.Sub(r.arrived)).Dur("age", w.age).
-		Str("helper", w.helper).Msg("")
+		Str("helper", w.helper).Stringer("content", r.contentKey()).Str("caller", addressOf(r.caller)).Msg("")
 }
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	plog "github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"rhubarbwood.example/rhubarbwood/internal/delivery"
@@ -52,6 +53,7 @@
 	stop    func()
 	// recorded is what the gateway told the delivery records.
 	recorded *recorder
+	log      *event.Log
 
 	revision uint64
 }
@@ -69,6 +71,8 @@
 	help  func(*site) gateway.Helpers
 	// without is what is switched off.
 	without []gateway.Mechanism
+	// log takes the log lines; nil: they are dropped.
+	log io.Writer
 	// domainOf returns the failure domain of a service's targets; nil: domain.
 	domainOf func(service int) string
 }
@@ -86,7 +90,10 @@
 func newSite(t *testing.T, o options) *site {
 	s := &site{
 		t: t, network: standin.NewNetwork(), state: discovery.NewState(), life: kernel.NewLifecycle(),
-		recorded: &recorder{}, targets: map[string]*platformtarget.Target{}, stop: func() {},
+		recorded: &recorder{}, targets: map[string]*platformtarget.Target{}, stop: func() {}, log: event.Discard(),
+	}
+	if o.log != nil {
+		s.log = event.New(o.log, plog.InfoLevel, "h")
 	}
 	g := s.gateway(member.Host{ID: "h", FailureDomain: domain, LinkMbps: o.link}, o.without...)
 	if o.help != nil {
@@ -114,7 +121,7 @@
 func (s *site) gateway(self member.Host, without ...gateway.Mechanism) *gateway.Gateway {
 	cfg := gateway.DefaultConfig()
 	cfg.Without = without
-	g := gateway.New(cfg, self, func() int { return 1 }, s.state, platform.Messages{}, s.recorded, s.life, event.Discard(), prometheus.NewRegistry())
+	g := gateway.New(cfg, self, func() int { return 1 }, s.state, platform.Messages{}, s.recorded, s.life, s.log, prometheus.NewRegistry())
 	g.DialWith(s.network.Dial)
 	_ = g.Start(s.t.Context())
 	stop := s.stop
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -42,6 +42,17 @@
 // errForeign means that answers to other requests came in place of this one's.
 var errForeign = errors.New("the answer belongs to another request")
 
+// BrokeOff reports whether an exchange failed since the connection ended before the whole
+// answer was there.
+func BrokeOff(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
 // mostForeign is how many answers to other requests are skipped on one
 // connection while the right one is awaited.
 const mostForeign = 3
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -20,6 +21,12 @@
 // ErrLimit means that the pool has as many connections as it may.
 var ErrLimit = errors.New("every connection to the target is in use")
 
+// errUnreachable means that the target took no connection.
+var errUnreachable = errors.New("the target takes no connection")
+
+// Unreachable reports whether Get failed since the target took no connection.
+func Unreachable(err error) bool { return errors.Is(err, errUnreachable) }
+
 // errClosed means that the pool was closed.
 var errClosed = errors.New("the target is gone")
 
@@ -138,7 +145,7 @@
 	defer p.mu.Unlock()
 	if err != nil {
 		p.open--
-		return nil, Error.New("connect to %s: %w", p.address, err)
+		return nil, Error.New("connect to %s: %w", p.address, fmt.Errorf("%w: %w", errUnreachable, err))
 	}
 	p.dialed++
 	return &Conn{pool: p, net: nc, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
