Hosts on a network of the caller's choice

A whole host (gateway, beliefs, membership, records) can be built on connections in memory, so that several of them run in virtual time with targets and a store. Behaviour is as it was.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -25,7 +25,7 @@
 	host   string     // own id
 	domain string     // own failure domain
 	hosts  func() int // number of hosts, this one included
-	dial   targetconn.DialFunc
+	dial   netdial.Func
 	roster *roster       // who gathers queries
 	serial atomic.Uint64 // of the view; grows with each
 
@@ -89,7 +89,7 @@
 
 // DialWith makes the gateway open its connections to targets with dial, before
 // Start. Tests use it for connections in memory.
-func (g *Gateway) DialWith(dial targetconn.DialFunc) { g.fleet.dial = dial }
+func (g *Gateway) DialWith(dial netdial.Func) { g.fleet.dial = dial }
 
 // service returns the service with the name; it may have no targets yet.
 func (f *fleet) service(name string) *service {
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net"
 	"reflect"
 	"time"
 
@@ -16,7 +17,9 @@
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/gatherrpc"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
+	"rhubarbwood.example/rhubarbwood/internal/listen"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/netdial"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/peer"
 )
@@ -43,6 +46,7 @@
 type Host struct {
 	settings Settings
 	platform Platform
+	network  Network
 	log      *event.Log
 	life     *kernel.Lifecycle
 	kernel   *kernel.Kernel
@@ -55,14 +59,27 @@
 	peerMetrics *peer.Metrics
 }
 
+// Network is how a host listens and opens connections.
+type Network struct {
+	Listen listen.Func
+	// Dial opens connections to targets and other hosts; nil: over TCP, each part with its
+	// own timeout.
+	Dial netdial.Func
+}
+
 // New returns a host with every module built and every address taken, but
 // nothing started. An address in use is an error here.
 func New(s Settings, p Platform, log *event.Log) (*Host, error) {
-	on, err := listenOn(s.Addresses)
+	return NewOn(Network{Listen: net.Listen}, s, p, log)
+}
+
+// NewOn is New on another network than the machine's.
+func NewOn(n Network, s Settings, p Platform, log *event.Log) (*Host, error) {
+	on, err := listenOn(n, s.Addresses)
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{settings: s, platform: p, log: log, life: kernel.NewLifecycle(), metrics: prometheus.NewRegistry(), on: on}
+	h := &Host{settings: s, platform: p, network: n, log: log, life: kernel.NewLifecycle(), metrics: prometheus.NewRegistry(), on: on}
 	h.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.peerMetrics = peer.NewMetrics(h.metrics)
 	h.kernel = kernel.New(h.life, s.Stop.Grace.Std(), log)
@@ -131,7 +148,11 @@
 }
 
 func (h *Host) newPeerPool(kernel.Finder) (kernel.Module, error) {
-	return peer.NewPool(peer.WithMetrics(h.peerMetrics)), nil
+	opts := []peer.Option{peer.WithMetrics(h.peerMetrics)}
+	if h.network.Dial != nil {
+		opts = append(opts, peer.WithDial(h.network.Dial))
+	}
+	return peer.NewPool(opts...), nil
 }
 
 func (h *Host) newPeers(kernel.Finder) (kernel.Module, error) {
@@ -230,6 +251,9 @@
 	}
 	s := h.settings
 	h.gateway = gateway.New(s.Gateway, members.Self(), members.Count, state.State, h.platform.Messages, recorder, h.life, h.log, h.metrics)
+	if h.network.Dial != nil {
+		h.gateway.DialWith(h.network.Dial)
+	}
 	h.gateway.HelpWith(gatherrpc.NewClient(pool), members.Hosts)
 	return h.gateway, gatherrpc.NewServer(h.gateway).Register(server)
 }
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -19,12 +19,18 @@
 	Address string // host:port; port 0 takes a free one
 }
 
+// Func listens on an address, as net.Listen does.
+type Func func(network, address string) (net.Listener, error)
+
 // All listens on every address, or on none: the error names each that failed.
-func All(addresses ...Address) ([]net.Listener, error) {
+func All(addresses ...Address) ([]net.Listener, error) { return AllOn(net.Listen, addresses...) }
+
+// AllOn is All with listen in place of net.Listen.
+func AllOn(listen Func, addresses ...Address) ([]net.Listener, error) {
 	all := make([]net.Listener, len(addresses))
 	var problems []error
 	for i, a := range addresses {
-		ln, err := net.Listen("tcp", a.Address)
+		ln, err := listen("tcp", a.Address)
 		if err != nil {
 			problems = append(problems, Error.New("listen for %s: %w", a.Name, err))
 			continue
--- a/internal/netdial/netdial.go
+++ b/internal/netdial/netdial.go
@@ -3,6 +3,7 @@
 package netdial
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -15,6 +16,9 @@
 // of a short loss, and shorter than callers wait: a new connection may work at once.
 const SilentAfter = 1500 * time.Millisecond
 
+// Func opens a connection, as net.Dialer's DialContext does.
+type Func func(ctx context.Context, network, address string) (net.Conn, error)
+
 // New returns a dialer of such connections. timeout bounds the opening, 0: only
 // the context does. Idle connections are not probed: the first bytes sent on
 // one show that it is dead.
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -5,6 +5,8 @@
 
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
+
+	"rhubarbwood.example/rhubarbwood/internal/netdial"
 )
 
 // maxMessage is the largest message between hosts, in bytes. The connection
@@ -22,15 +24,20 @@
 
 type options struct {
 	metrics    *Metrics
+	dial       netdial.Func
 	hardCancel bool          // a cancelled call closes its connection; for measurements
 	grace      time.Duration // softCancelGrace, longer in tests
 }
 
+// WithDial makes a Pool open its connections with dial. Tests use it for connections in
+// memory.
+func WithDial(dial netdial.Func) Option { return func(o *options) { o.dial = dial } }
+
 // WithMetrics counts calls, bytes and connections in m.
 func WithMetrics(m *Metrics) Option { return func(o *options) { o.metrics = m } }
 
 func newOptions(opts []Option) options {
-	o := options{grace: softCancelGrace}
+	o := options{grace: softCancelGrace, dial: netdial.New(dialTimeout).DialContext}
 	for _, set := range opts {
 		set(&o)
 	}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, notSent{err}
 	}
-	c, err := u.connect(ctx, k.address)
+	c, err := u.connect(ctx, p.opts.dial, k.address)
 	p.opts.metrics.dials.WithLabelValues(string(k.class), result(err)).Inc()
 	if err != nil {
 		p.release(k, u)
@@ -136,15 +136,14 @@
 }
 
 // connect dials when a slot is free.
-func (u *usage) connect(ctx context.Context, address string) (net.Conn, error) {
+func (u *usage) connect(ctx context.Context, dial netdial.Func, address string) (net.Conn, error) {
 	select {
 	case u.slots <- struct{}{}:
 	case <-ctx.Done():
 		return nil, Error.New("wait to dial %s: %w", address, ctx.Err())
 	}
 	defer func() { <-u.slots }()
-	dialer := netdial.New(dialTimeout)
-	c, err := dialer.DialContext(ctx, "tcp", address)
+	c, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, Error.New("dial %s: %w", address, err)
 	}
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -8,11 +8,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"rhubarbwood.example/rhubarbwood/internal/netdial"
 )
 
 // Error is the class of this package's errors.
@@ -42,14 +43,11 @@
 	idleDefault = 20 * time.Second
 )
 
-// DialFunc opens a connection.
-type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // Pool is the connections to one target. Every method is safe for concurrent
 // use.
 type Pool struct {
 	address string
-	dial    DialFunc
+	dial    netdial.Func
 	timeout time.Duration // of a dial
 
 	mu     sync.Mutex
@@ -63,7 +61,7 @@
 
 // NewPool returns an empty pool for the target at an address. limit is the
 // most connections open at once, timeout that of a dial.
-func NewPool(address string, limit int, timeout time.Duration, dial DialFunc) *Pool {
+func NewPool(address string, limit int, timeout time.Duration, dial netdial.Func) *Pool {
 	return &Pool{address: address, limit: limit, timeout: timeout, dial: dial}
 }
 
