--- /dev/null
+++ b/internal/gatewayhost/fleet_test.go
@@ -0,0 +1,424 @@
+package gatewayhost
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
+	"rhubarbwood.example/rhubarbwood/internal/standin"
+	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+	"rhubarbwood.example/rhubarbwood/internal/unit"
+	"rhubarbwood.example/rhubarbwood/platform"
+)
+
+// The fleet of the tests below: whole hosts, targets and a store in virtual time, over
+// connections in memory.
+const (
+	fleetHosts  = 5
+	fleetShards = 10
+	fleetSlots  = 4
+
+	storeAddress = "store:80"
+	fleetHost    = "lists.example"
+	pathQuery    = "/lists/" // to all shards
+	pathSingle   = "/gifts/" // to one service
+	pathOnce     = "/claim/" // the same, not idempotent
+
+	downFor    = 3 * time.Second         // a target that ended is back after that
+	lapseAfter = 3600 * time.Millisecond // its registration goes after that
+	workTime   = 10 * time.Millisecond   // of a request at a target
+	callerTime = 600 * time.Millisecond  // that a caller waits
+)
+
+// fleetDomains are the failure domains of the hosts in turn; targets stand in all but the last.
+var fleetDomains = []string{"recife-a", "recife-b", "fortaleza-a", "natal-a"}
+
+// fleet is a site under test.
+type fleet struct {
+	t       *testing.T
+	network *standin.Network
+	store   *objectstore.Store
+	servers []*http.Server // of the store
+	targets []*fleetTarget
+	hosts   []*fleetHostProcess
+	links   func(host int) float64 // of the hosts, in Mbit/s; nil: all alike
+	old     []*fleetHostProcess    // that were killed
+
+	mu sync.Mutex
+	// crashes are the ends of targets, in order.
+	crashes []crash
+	// arrivals are the requests that end targets, as they came to targets.
+	arrivals []arrival
+	keepID   bool // a target is back under the id that it had
+}
+
+// crash is the end of a target under a request.
+type crash struct {
+	at     time.Time
+	target string
+}
+
+// arrival is a request that ends targets as it comes to one.
+type arrival struct {
+	at      time.Time
+	request string
+}
+
+// poison is in the path of requests that end the targets that begin to run them.
+const poison = "poison"
+
+// fleetTarget is one target and its incarnations.
+type fleetTarget struct {
+	fleet           *fleet
+	name            string
+	service, domain string
+	address         string
+
+	mu     sync.Mutex
+	starts int
+	id     string
+	server *http.Server
+	up     bool
+}
+
+// start starts an incarnation.
+func (t *fleetTarget) start() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.starts++
+	if t.id == "" || !t.fleet.keepID {
+		t.id = fmt.Sprintf("%s/%d", t.name, t.starts)
+	}
+	target := platformtarget.New(platformtarget.Config{
+		ID: t.id, Service: t.service, Slots: fleetSlots, Queue: fleetSlots, Records: 5,
+		Latency: standin.Latency{Mean: unit.Duration(workTime)},
+	})
+	t.server = &http.Server{Handler: t.fragile(target)}
+	t.up = true
+	ln, _ := t.fleet.network.Listen(t.address) // never fails in memory
+	go func() { _ = t.server.Serve(ln) }()
+	t.fleet.register(t.id, target.Registration(t.address, t.domain))
+}
+
+// fragile ends the target once it begins to run a request of the poison.
+func (t *fleetTarget) fragile(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !isPoison(r) {
+			next.ServeHTTP(w, r)
+			return
+		}
+		t.fleet.noteArrival(r.Header.Get(platform.HeaderRequestID))
+		time.Sleep(workTime / 2)
+		t.crash()
+		panic(http.ErrAbortHandler)
+	})
+}
+
+func isPoison(r *http.Request) bool { return strings.HasSuffix(r.URL.Path, poison) }
+
+// crash ends the target: its connections break off and it takes no new ones. It is back
+// after a while.
+func (t *fleetTarget) crash() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.up {
+		return
+	}
+	t.up = false
+	t.fleet.noteCrash(t.id)
+	_ = t.server.Close()
+	id := t.id
+	time.AfterFunc(downFor, t.start)
+	time.AfterFunc(lapseAfter, func() {
+		if !t.fleet.keepID {
+			t.fleet.store.Remove(platform.KindTargets, id)
+		}
+	})
+}
+
+func (f *fleet) noteCrash(target string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashes = append(f.crashes, crash{time.Now(), target})
+}
+
+func (f *fleet) noteArrival(request string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals = append(f.arrivals, arrival{time.Now(), request})
+}
+
+// register writes a target's registration.
+func (f *fleet) register(id string, r platform.Registration) {
+	f.write(platform.KindTargets, id, r)
+}
+
+func (f *fleet) write(kind, name string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		f.t.Error(err)
+	}
+	f.store.Apply(kind, name, text)
+}
+
+// hostNetwork is the network as one process sees it: it ends with the process.
+type hostNetwork struct {
+	network *standin.Network
+
+	mu    sync.Mutex
+	dead  bool
+	conns []net.Conn
+	on    []net.Listener
+}
+
+// Listen is a listen.Func.
+func (n *hostNetwork) Listen(_, address string) (net.Listener, error) {
+	ln, err := n.network.Listen(address)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.on = append(n.on, ln)
+	return hostListener{ln, n}, err
+}
+
+// Dial is a netdial.Func.
+func (n *hostNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if n.ended() {
+		return nil, net.ErrClosed
+	}
+	c, err := n.network.Dial(ctx, network, address)
+	if err == nil {
+		n.keep(c)
+	}
+	return c, err
+}
+
+func (n *hostNetwork) ended() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dead
+}
+
+func (n *hostNetwork) keep(c net.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns = append(n.conns, c)
+}
+
+// kill ends the process as far as anybody else can tell.
+func (n *hostNetwork) kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dead = true
+	for _, ln := range n.on {
+		_ = ln.Close()
+	}
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
+}
+
+type hostListener struct {
+	net.Listener
+	network *hostNetwork
+}
+
+// Accept waits for a connection.
+func (l hostListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.network.keep(c)
+	}
+	return c, err
+}
+
+// fleetHostProcess is one process of a host.
+type fleetHostProcess struct {
+	*Host
+	network *hostNetwork
+}
+
+// runFleet runs a test on a fleet whose hosts are ready.
+func runFleet(t *testing.T, f *fleet, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f.t, f.network = t, standin.NewNetwork()
+		cfg := objectstore.DefaultConfig()
+		f.store = objectstore.New(cfg)
+		f.startStore()
+		f.configure(1)
+		f.startTargets()
+		for i := range fleetHosts {
+			f.hosts = append(f.hosts, f.startHost(i))
+		}
+		defer f.stop() // also after a failure
+		f.waitReady()
+		test(t, f)
+	})
+}
+
+func (f *fleet) startStore() {
+	ln, _ := f.network.Listen(storeAddress) // never fails in memory
+	server := &http.Server{Handler: f.store.Handler()}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(ln) }()
+}
+
+// configure writes the configuration: a route over all shards, and two to one service.
+func (f *fleet) configure(version uint64) {
+	config := platform.Config{Version: version}
+	query := platform.Route{
+		Name: "lists", Hostname: fleetHost, PathPrefix: pathQuery, Type: platform.TypeIdempotent, TimeoutMs: 600,
+		TargetLatencyMs: 100, MaxAttempts: 2, TopK: 5, MinSuccessShare: 0.9,
+	}
+	for i := range fleetShards {
+		name := shardName(i)
+		query.Shards = append(query.Shards, name)
+		config.Services = append(config.Services, platform.Service{Name: name, HealthCheckPath: "/healthz", MaxConnections: 60})
+	}
+	single := platform.Route{
+		Name: "gifts", Hostname: fleetHost, PathPrefix: pathSingle, Type: platform.TypeIdempotent, Service: singleService,
+		TimeoutMs: 600, TargetLatencyMs: 100, MaxAttempts: 2,
+	}
+	once := single
+	once.Name, once.PathPrefix, once.Type = "claim", pathOnce, platform.TypeNonIdempotent
+	config.Services = append(config.Services, platform.Service{Name: singleService, HealthCheckPath: "/healthz", MaxConnections: 60})
+	config.Routes = []platform.Route{query, single, once}
+	f.write(platform.KindConfig, platform.NameConfig, config)
+}
+
+const singleService = "gifts"
+
+func shardName(i int) string { return fmt.Sprintf("lists-%d", i) }
+
+// startTargets starts three targets of each shard, and six of the single service.
+func (f *fleet) startTargets() {
+	add := func(service string, n int, domain string) {
+		name := fmt.Sprintf("%s-%s-%d", service, domain, n)
+		t := &fleetTarget{fleet: f, name: name, service: service, domain: domain, address: name + ":80"}
+		f.targets = append(f.targets, t)
+		t.start()
+	}
+	for _, domain := range fleetDomains[:len(fleetDomains)-1] {
+		for i := range fleetShards {
+			add(shardName(i), 0, domain)
+		}
+		add(singleService, 0, domain)
+		add(singleService, 1, domain)
+	}
+}
+
+// Ports of the hosts.
+const (
+	portCallers = 80 + iota
+	portReadiness
+	portMetrics
+	portPeers
+)
+
+func hostAddress(i, port int) string { return fmt.Sprintf("host-%d:%d", i, port) }
+
+// startHost starts a process of a host.
+func (f *fleet) startHost(i int) *fleetHostProcess {
+	s := DefaultSettings()
+	s.ID, s.FailureDomain = fmt.Sprintf("host-%d", i), fleetDomains[i%len(fleetDomains)]
+	s.Addresses = Addresses{
+		Callers: hostAddress(i, portCallers), Readiness: hostAddress(i, portReadiness),
+		Metrics: hostAddress(i, portMetrics), Peers: hostAddress(i, portPeers),
+	}
+	s.Platform.Addresses = []string{storeAddress}
+	s.Member.Seeds = []string{hostAddress(0, portPeers), hostAddress(1, portPeers)}
+	s.Stop.BalancerLag = unit.Duration(time.Second)
+	if f.links != nil {
+		s.LinkMbps = f.links(i)
+	}
+	p := &fleetHostProcess{network: &hostNetwork{network: f.network}}
+	onPlatform := OnPlatform()
+	onPlatform.Records = func(c objstore.Config) objstore.Records {
+		return platform.NewObjectsOver(p.network.Dial, c.Addresses...)
+	}
+	var err error
+	p.Host, err = NewOn(Network{Listen: p.network.Listen, Dial: p.network.Dial}, s, onPlatform, event.Discard())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := p.Start(f.t.Context()); err != nil {
+		f.t.Fatal(err)
+	}
+	return p
+}
+
+func (f *fleet) waitReady() {
+	for _, h := range f.hosts {
+		if err := h.WaitReady(f.t.Context()); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+}
+
+// killAll kills every process at the same moment, and starts each anew.
+func (f *fleet) killAll() {
+	for i, h := range f.hosts {
+		h.network.kill()
+		f.old = append(f.old, h)
+		f.hosts[i] = nil
+	}
+	time.Sleep(time.Second)
+	for i := range f.hosts {
+		f.hosts[i] = f.startHost(i)
+	}
+	f.waitReady()
+}
+
+// stop ends everything, so that no goroutine is left in the bubble.
+func (f *fleet) stop() {
+	time.Sleep(time.Minute) // every target is back, every attempt has ended
+	for _, h := range append(f.old, f.hosts...) {
+		_ = h.Stop(context.Background()) // those that were killed can't reach anybody
+	}
+	for _, t := range f.targets {
+		t.mu.Lock()
+		_ = t.server.Close()
+		t.mu.Unlock()
+	}
+	for _, s := range f.servers {
+		_ = s.Close()
+	}
+	time.Sleep(time.Minute)
+	synctest.Wait()
+}
+
+// ask sends a request to a host on a connection of its own, and returns the status, 0 if
+// none came.
+func (f *fleet) ask(host int, method, path, id string) int {
+	transport := &http.Transport{DialContext: f.network.Dial, DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(f.t.Context(), callerTime)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+hostAddress(host, portCallers)+path, nil)
+	if err != nil {
+		f.t.Error(err)
+		return 0
+	}
+	r.Host = fleetHost
+	r.Header = http.Header{platform.HeaderRequestID: {id}, platform.HeaderDeadline: {fmt.Sprint(callerTime.Milliseconds())}}
+	resp, err := transport.RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
