--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -32,6 +32,11 @@
 // Dial connects to an address. It fails as a refused connection does if nothing listens
 // there.
 func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return n.DialFrom(ctx, "memory", address)
+}
+
+// DialFrom is Dial from an address, which the side that listens sees.
+func (n *Network) DialFrom(ctx context.Context, from, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[address]
 	n.mu.Unlock()
@@ -40,7 +45,7 @@
 	}
 	here, there := net.Pipe()
 	select {
-	case l.accept <- there:
+	case l.accept <- addressedConn{there, networkAddress(from)}:
 		return here, nil
 	case <-l.closed:
 	case <-ctx.Done():
@@ -51,6 +56,15 @@
 	return nil, errRefused
 }
 
+// addressedConn is a connection with the address of its other side.
+type addressedConn struct {
+	net.Conn
+	remote networkAddress
+}
+
+// RemoteAddr returns the address of the other side.
+func (c addressedConn) RemoteAddr() net.Addr { return c.remote }
+
 type networkListener struct {
 	address string
 	accept  chan net.Conn
