Quarantine: strikes are told at once, and count for any address

Change: a request has two keys, with and without its caller; strikes of two callers hold it for anyone. What a host finds is told within a millisecond, whether the caller has its answer or not. An answer clears one strike, not all, so that a request under which targets end now and then is held too; strikes are cleared by their ids, which no clock moves.

--- a/internal/discovery/findings.go
+++ b/internal/discovery/findings.go
@@ -87,24 +87,19 @@
 // nextReports waits for findings of this host, and gathers those that follow
 // at once.
 func (s *State) nextReports(ctx context.Context) []Finding {
-	return gather(ctx, s.reports, tellEvery)
-}
-
-// gather waits for a report, and gathers those that follow within a time.
-func gather[T any](ctx context.Context, reports <-chan T, within time.Duration) []T {
-	var all []T
+	var all []Finding
 	select {
-	case one := <-reports:
-		all = append(all, one)
+	case f := <-s.reports:
+		all = append(all, f)
 	case <-ctx.Done():
 		return nil
 	}
-	timer := time.NewTimer(within)
+	timer := time.NewTimer(tellEvery)
 	defer timer.Stop()
 	for {
 		select {
-		case one := <-reports:
-			all = append(all, one)
+		case f := <-s.reports:
+			all = append(all, f)
 		case <-timer.C:
 			return all
 		case <-ctx.Done():
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -91,7 +91,9 @@
 	f.done.Go(func() { f.run(ctx, "targets", f.followTargets) })
 	f.done.Go(func() { f.followPeers(ctx) })
 	f.done.Go(func() { f.tellFindings(ctx) })
-	f.done.Go(func() { f.tellRequests(ctx) })
+	if f.state.requests != nil {
+		f.done.Go(func() { f.tellRequests(ctx) })
+	}
 	if f.requests != nil {
 		f.done.Go(func() { f.run(ctx, "requests in quarantine", f.followRequests) })
 	}
--- a/internal/discovery/requests.go
+++ b/internal/discovery/requests.go
@@ -32,27 +32,7 @@
 	})
 }
 
-// mostRequestReports is how many records of this host may wait to be told.
-const mostRequestReports = 128
-
-// ReportRequest takes what this host holds against a request, for the peers. It does not block.
-func (s *State) ReportRequest(r quarantine.Record) {
-	select {
-	case s.requestReports <- r:
-	default: // so many at once: they are told with the next change of the request
-	}
-}
-
-// nextRequests waits for records of this host, and gathers those that follow at once.
-func (s *State) nextRequests(ctx context.Context) []quarantine.Record {
-	return gather(ctx, s.requestReports, tellRequestsEvery)
-}
-
 const (
-	// tellRequestsEvery is the time in which records are gathered before they are told: those of
-	// requests that one target's end cut off together. The caller of a request that failed
-	// asks another host a few ms later.
-	tellRequestsEvery = time.Millisecond
 	// tellAgainAfter is the time between two tries to tell a host that watches the store.
 	tellAgainAfter = 250 * time.Millisecond
 	// tellFor is for how long that is tried: another host has become the watcher by then, and
@@ -60,11 +40,11 @@
 	tellFor = 10 * time.Second
 )
 
-// tellRequests tells the peers what this host holds against requests, until all that watch
-// the store know it.
+// tellRequests tells the peers what this host finds of requests, until all that watch the store
+// know it.
 func (f *Follower) tellRequests(ctx context.Context) {
 	for ctx.Err() == nil {
-		records := f.state.nextRequests(ctx)
+		records := f.state.requests.NextOwn(ctx)
 		f.done.Go(func() { f.tellUntilKnown(ctx, records) })
 	}
 }
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -33,8 +33,7 @@
 	follow        []func(View)
 	findings      findings
 
-	requests       *quarantine.Table      // what is held against requests; nil: not shared
-	requestReports chan quarantine.Record // of this host, to be told
+	requests *quarantine.Table // what is held against requests; nil: not shared
 
 	reports    chan Finding // of this host, to be told
 	onFindings func([]Finding)
@@ -59,7 +58,7 @@
 // NewState returns a state that knows nothing.
 func NewState() *State {
 	return &State{targets: map[string]Target{}, lapsed: map[string]time.Time{}, news: make(chan struct{}),
-		findings: newFindings(), reports: make(chan Finding, mostReports), requestReports: make(chan quarantine.Record, mostRequestReports)}
+		findings: newFindings(), reports: make(chan Finding, mostReports)}
 }
 
 // Follow calls f with every new view, under the lock: f must be short. It is
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -38,11 +38,8 @@
 	scale    float64 // of latencies; see pace
 	attempts atomic.Int32
 
-	// content is the key of what the request asks; use contentKey.
-	content     quarantine.Key
-	contentOnce sync.Once
-	// struck is set once targets have ended under the request.
-	struck atomic.Bool
+	madeKeys quarantine.Request // use keys
+	keysOnce sync.Once
 
 	// What all attempts send alike is encoded with the first.
 	encode  sync.Once
--- a/internal/gateway/broken.go
+++ b/internal/gateway/broken.go
@@ -7,7 +7,7 @@
 	if !g.lines.brokeOff.Allow() {
 		return
 	}
-	g.log.Event(evBrokeOff).Str("request", r.call.RequestID).Stringer("content", r.contentKey()).
+	g.log.Event(evBrokeOff).Str("request", r.call.RequestID).Str("content", r.keys().Content()).
 		Str("target", t.conf.ID).Str("service", t.conf.Service).Dur("after", res.took).Err(res.err).Msg("")
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,7 +101,6 @@
 	r := &request{caller: hr.RemoteAddr, method: hr.Method, uri: hr.RequestURI, host: hr.Host, arrived: time.Now()}
 	w := &reply{gateway: g, writer: rw, request: r}
 	g.serve(w, r, hr)
-	g.tellRequest(r)
 	g.record(w)
 }
 
--- a/internal/gateway/gathering.go
+++ b/internal/gateway/gathering.go
@@ -22,8 +22,8 @@
 	PartBytes  int    // of the parts together
 	Failed     int    // shards that are lost
 	Helper     string // host that gathered them, empty: this one
-	// Against is what a helper holds against the query.
-	Against quarantine.Record
+	// Known is what a helper knows of the query, if targets ended under it.
+	Known []quarantine.Record
 }
 
 // Missing bounds the parts that may be lost of a query's shards.
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -257,8 +257,8 @@
 		}
 		got, goOn, err := g.handOver(ctx, host, ask, left, asked)
 		got.Helper = host.ID
-		g.hearOf(r, got)
-		if stance, _ := g.stance(r); stance == quarantine.Quarantined {
+		g.hearOf(got)
+		if g.quarantined(r) {
 			if asked > 0 || err != nil && !h.call.NotRun(err) {
 				got.Outcome = outcome.Combine(got.Outcome, outcome.Unknown)
 			}
@@ -354,11 +354,11 @@
 	defer done()
 	stop := context.AfterFunc(enough, done)
 	defer stop()
-	if stance, _ := g.stance(r); stance == quarantine.Quarantined {
-		return Gathered{Outcome: outcome.NotSent, Reason: quarantine.ErrQuarantined.Error(), Against: g.against(r)}
+	if g.quarantined(r) {
+		return Gathered{Outcome: outcome.NotSent, Reason: quarantine.ErrQuarantined.Error(), Known: g.knownOf(r)}
 	}
 	got := g.gatherHere(ctx, r, &q.Route, q.May, q.Asked, p.Partial)
-	got.Against = g.against(r)
+	got.Known = g.knownOf(r)
 	return got
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -124,5 +124,5 @@
 	}
 	g.log.Event(evAttempts).Str("request", r.call.RequestID).Int("attempts", int(r.attempts.Load())).
 		Str("asked", w.asked).Dur("budget", r.deadline.Sub(r.arrived)).Dur("age", w.age).
-		Str("helper", w.helper).Stringer("content", r.contentKey()).Str("caller", addressOf(r.caller)).Msg("")
+		Str("helper", w.helper).Str("content", r.keys().Content()).Str("caller", addressOf(r.caller)).Msg("")
 }
--- a/internal/gatherrpc/gatherrpc.go
+++ b/internal/gatherrpc/gatherrpc.go
@@ -174,7 +174,7 @@
 	return &peerpb.GatherReply{
 		Signatures: g.Signatures, Records: g.Records, Outcome: g.Outcome.String(), Lacking: g.Lacking, Reason: g.Reason,
 		Attempts: uint32(g.Attempts), Cut: g.Cut, PartBytes: uint64(g.PartBytes), Failed: uint32(g.Failed),
-		Against: againstToWire(g.Against),
+		Known: quarantine.AllToWire(g.Known, time.Now()),
 	}
 }
 
@@ -183,18 +183,9 @@
 	if !ok {
 		return gateway.Gathered{}, Error.New("unknown outcome %q", m.Outcome)
 	}
-	against, _ := quarantine.FromWire(m.Against, time.Now())
 	return gateway.Gathered{
 		Signatures: m.Signatures, Records: m.Records, Outcome: o, Lacking: m.Lacking, Reason: m.Reason,
 		Attempts: int(m.Attempts), Cut: m.Cut, PartBytes: int(m.PartBytes), Failed: int(m.Failed),
-		Against: against,
+		Known: quarantine.AllFromWire(m.Known, time.Now()),
 	}, nil
 }
-
-// againstToWire encodes what is held against a query, nil if nothing is.
-func againstToWire(r quarantine.Record) *peerpb.RequestRecord {
-	if len(r.Strikes) == 0 {
-		return nil
-	}
-	return quarantine.ToWire(r, time.Now())
-}
--- a/internal/quarantine/events.go
+++ b/internal/quarantine/events.go
@@ -8,9 +8,9 @@
 
 var (
 	evQuarantined = event.Define(13001, "request_quarantined", plog.WarnLevel,
-		"Requests of one content are kept from targets, as targets end that run them; hold is for how long, from who found it.",
+		"Requests of one content are kept from targets, as targets end that run them: those of one caller, or those of anyone; hold is for how long, from who found it.",
 		"Look for 11010 of this content on all hosts: they name the requests and the targets. \"rhubarbwood quarantine\" lists what is held, and clears it once the targets are mended.",
-		"content", "strikes", "hold", "from")
+		"content", "of_anyone", "strikes", "hold", "from")
 	evStored = event.Define(13002, "quarantine_stored", plog.InfoLevel,
 		"The store holds what is held against requests of one content, so that hosts that start all at once know it.", "none", "content", "strikes")
 	evNotStored = event.Define(13003, "quarantine_not_stored", plog.WarnLevel,
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,13 +88,16 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.InitialInterval, pause.MaxInterval = storeFirst, storeMost
 	for ctx.Err() == nil {
-		record := k.table.known(key)
+		record, ok := k.table.knownOf(key)
+		if !ok {
+			return // it was pushed out, or lapsed
+		}
 		err := k.write(ctx, record)
 		if err == nil {
-			k.log.Event(evStored).Stringer("content", key).Int("strikes", len(record.Strikes)).Msg("")
+			k.log.Event(evStored).Str("content", key.Content()).Int("strikes", len(record.Strikes)).Msg("")
 			return
 		}
-		k.log.Event(evNotStored).Stringer("content", key).Err(err).Msg("")
+		k.log.Event(evNotStored).Str("content", key.Content()).Err(err).Msg("")
 		await.Sleep(ctx, pause.NextBackOff())
 	}
 }
@@ -132,11 +136,12 @@
 type stored struct {
 	Key     string         `json:"key"`
 	Strikes []storedStrike `json:"strikes"`
-	Cleared time.Time      `json:"cleared,omitzero"`
+	Cleared []uint64       `json:"cleared,omitempty"`
 }
 
 type storedStrike struct {
 	ID       uint64    `json:"id"`
+	Caller   Caller    `json:"caller"`
 	Services []string  `json:"services"`
 	At       time.Time `json:"at"`
 }
@@ -172,9 +177,9 @@
 }
 
 func encode(r Record) ([]byte, error) {
-	out := stored{Key: r.Key.String(), Cleared: r.Cleared.Round(0)}
+	out := stored{Key: r.Key.String(), Cleared: r.Cleared}
 	for _, s := range r.Strikes {
-		out.Strikes = append(out.Strikes, storedStrike{ID: s.ID, Services: s.Services, At: s.At.Round(0)})
+		out.Strikes = append(out.Strikes, storedStrike{ID: s.ID, Caller: s.Caller, Services: s.Services, At: s.At.Round(0)})
 	}
 	text, err := json.Marshal(out)
 	return text, Error.Wrap(err)
@@ -198,10 +203,9 @@
 
 // combine returns what two records hold together.
 func combine(a, b Record) Record {
-	var both suspect
-	both.clear(a.Cleared)
-	both.clear(b.Cleared)
-	for _, s := range append(a.Strikes, b.Strikes...) {
+	both := newSuspect(b.Key)
+	both.clear(time.Time{}, slices.Concat(a.Cleared, b.Cleared)...)
+	for _, s := range slices.Concat(a.Strikes, b.Strikes) {
 		both.add(s)
 	}
 	return Record{Key: b.Key, Strikes: both.strikes, Cleared: both.cleared}
@@ -214,5 +218,13 @@
 	if err != nil {
 		return Error.New("read request in quarantine: %w", err)
 	}
-	return Put(ctx, store, standing.Version, Record{Key: key, Cleared: time.Now()})
+	r, err := decode(standing.Value)
+	if err != nil {
+		return err
+	}
+	for _, s := range r.Strikes {
+		r.Cleared = append(r.Cleared, s.ID)
+	}
+	r.Strikes = nil
+	return Put(ctx, store, standing.Version, r)
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -5,35 +5,33 @@
 	"time"
 )
 
-// sameTime is within which two times told by different hosts are taken to be one: they
-// travel as ages, which the way makes longer.
-const sameTime = time.Second
-
 // Record is what is held against the requests of one key, as hosts tell it each other. Its
 // times are those of the host that has it.
 type Record struct {
 	Key     Key
 	Strikes []Strike
-	Cleared time.Time // strikes from before do not count; zero: none was cleared
+	Cleared []uint64 // ids of strikes that do not count any more
 }
 
 // record returns a copy of what is held against a key.
 func (e *entry) record(k Key) Record {
-	return Record{Key: k, Strikes: slices.Clone(e.strikes), Cleared: e.cleared}
+	return Record{Key: k, Strikes: slices.Clone(e.strikes), Cleared: slices.Clone(e.cleared)}
 }
 
-// Record returns what is held against a request; false if it is nothing.
-func (t *Table) Record(k Key) (Record, bool) {
+// Known returns what is known of a request: what is held against it, and what was cleared lately.
+func (t *Table) Known(r Request) []Record {
 	if t.Empty() {
-		return Record{}, false
+		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.suspects[k]
-	if e == nil || len(e.strikes) == 0 {
-		return Record{}, false
+	var all []Record
+	for _, k := range r.keys() {
+		if e := t.suspects[k]; e != nil {
+			all = append(all, e.record(k))
+		}
 	}
-	return e.record(k), true
+	return all
 }
 
 // Merge takes what other hosts hold. Strikes add up, whatever the order in which they
@@ -60,31 +58,28 @@
 	}
 	e := t.entry(r.Key)
 	before := e.stance(now, t.hold)
-	changed := r.Cleared.Sub(e.cleared) > sameTime
-	if changed {
-		e.suspect.clear(r.Cleared)
-	}
+	changed := e.clear(now, r.Cleared...)
 	for _, s := range r.Strikes {
 		changed = e.add(s) || changed
 	}
 	if changed {
 		t.renumber(e)
-		e.wake()
+		t.wake()
 	}
-	if before != Quarantined && e.stance(now, t.hold) == Quarantined {
-		t.logQuarantined(r.Key, e, "other hosts")
+	if e.stance(now, t.hold) == Quarantined {
+		t.noteQuarantined(r.Key, e, before, "other hosts")
 	}
 	return changed
 }
 
-// known returns what is known of a key, also if nothing is held against it any more.
-func (t *Table) known(k Key) Record {
+// knownOf returns what is known of a key; false if nothing is.
+func (t *Table) knownOf(k Key) (Record, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if e := t.suspects[k]; e != nil {
-		return e.record(k)
+		return e.record(k), true
 	}
-	return Record{Key: k, Cleared: time.Now()} // it was cleared before anybody had heard of it
+	return Record{}, false
 }
 
 // Since returns what changed after a mark for other hosts: all there is after a mark of
--- a/internal/quarantine/suspect.go
+++ b/internal/quarantine/suspect.go
@@ -10,6 +10,9 @@
 	// in flight at a target by chance when another one ended it has one. A second one takes a
 	// target that ends just while that request runs there alone, a third one another such.
 	mostStrikes = 3
+	// leastCallers is how many callers the strikes must be of to put the requests of anyone
+	// into quarantine: what one caller asks may end targets for that caller alone.
+	leastCallers = 2
 	// holdGrowth is how many times longer each further quarantine lasts.
 	holdGrowth = 4
 	// longestHold bounds a quarantine.
@@ -18,22 +21,27 @@
 	// after its end a quarantine is remembered, so that a request that comes once in hours
 	// does not end a target each time.
 	remember = 24 * time.Hour
-	// keptStrikes bounds the strikes of one request, to the newest; the quarantine is at its
+	// rememberCleared is how long it is remembered that strikes were cleared: other hosts have
+	// heard of it by then, and tell the old ones no more.
+	rememberCleared = 10 * time.Minute
+	// keptCleared bounds the cleared strikes that are remembered, to the newest.
+	keptCleared = 16
+	// keptStrikes bounds the strikes of one key, to the newest; the quarantine is at its
 	// longest well before.
 	keptStrikes = 8
+	// mostServices bounds the services of a strike: a query of hundreds of shards is not told with
+	// all of them, and two are enough to try it again at.
+	mostServices = 8
 )
 
 // Strike is one time at which targets ended under a request.
 type Strike struct {
 	ID       uint64   // the same on every host that hears of it
+	Caller   Caller   // of the request
 	Services []string // of targets that ended, a few of them
 	At       time.Time
 }
 
-// mostServices bounds the services of a strike: a query of hundreds of shards is not told with
-// all of them, and two are enough to try it again at.
-const mostServices = 8
-
 // join adds services to a strike. It reports whether any was new.
 func (s *Strike) join(services []string) bool {
 	joined := false
@@ -46,7 +54,7 @@
 	return joined
 }
 
-// Stance is how attempts of a request are to be made.
+// Stance is how attempts of a request are to be made. The greater is the stricter.
 type Stance uint8
 
 // Stances.
@@ -58,8 +66,19 @@
 
 // suspect is what is held against the requests of one key.
 type suspect struct {
-	strikes []Strike  // by time
-	cleared time.Time // strikes from before do not count
+	callers int      // that the strikes of a quarantine must be of
+	strikes []Strike // by time
+	// cleared are the ids of strikes that do not count any more. They are kept apart, as
+	// another host may tell the strike later.
+	cleared   []uint64
+	clearedAt time.Time
+}
+
+func newSuspect(k Key) suspect {
+	if k.OfAnyone() {
+		return suspect{callers: leastCallers}
+	}
+	return suspect{callers: 1}
 }
 
 // add takes a strike, once. It reports whether that told anything new.
@@ -68,7 +87,7 @@
 	if i := slices.IndexFunc(s.strikes, same); i >= 0 {
 		return s.strikes[i].join(strike.Services)
 	}
-	if !strike.At.After(s.cleared) {
+	if slices.Contains(s.cleared, strike.ID) {
 		return false
 	}
 	s.strikes = append(s.strikes, strike)
@@ -77,27 +96,41 @@
 	return slices.ContainsFunc(s.strikes, same)
 }
 
-// clear drops the strikes up to a time.
-func (s *suspect) clear(at time.Time) {
-	if at.After(s.cleared) {
-		s.cleared = at
+// clear drops strikes, whether they are known or not. It reports whether any was not cleared yet.
+func (s *suspect) clear(now time.Time, ids ...uint64) bool {
+	cleared := false
+	for _, id := range ids {
+		if slices.Contains(s.cleared, id) {
+			continue
+		}
+		s.cleared = append(s.cleared, id)
+		s.clearedAt, cleared = now, true
 	}
-	s.strikes = slices.DeleteFunc(s.strikes, func(one Strike) bool { return !one.At.After(s.cleared) })
+	s.cleared = s.cleared[max(len(s.cleared)-keptCleared, 0):]
+	s.strikes = slices.DeleteFunc(s.strikes, func(one Strike) bool { return slices.Contains(s.cleared, one.ID) })
+	return cleared
 }
 
+// answered drops the oldest strike: a target lived on that ran the request. Those of a request under
+// which targets end now and then grow all the same.
+func (s *suspect) answered(now time.Time) { s.clear(now, s.strikes[0].ID) }
+
 // quarantinedUntil returns the end of the quarantine; the zero time if there was none. It begins
-// with the third strike, and anew with each one after its end. Strikes in between are those
-// of hosts that did not know of it yet.
+// with the strike that makes them enough, and anew with each one after its end. Strikes in between
+// are those of hosts that did not know of it yet.
 func (s *suspect) quarantinedUntil(hold time.Duration) time.Time {
-	if len(s.strikes) < mostStrikes {
-		return time.Time{}
-	}
-	until := s.strikes[mostStrikes-1].At.Add(hold)
-	for _, strike := range s.strikes[mostStrikes:] {
-		if strike.At.Before(until) {
+	var until time.Time
+	var callers []Caller
+	for i, strike := range s.strikes {
+		if !slices.Contains(callers, strike.Caller) {
+			callers = append(callers, strike.Caller)
+		}
+		switch {
+		case i+1 < mostStrikes || len(callers) < s.callers || strike.At.Before(until):
 			continue
+		case !until.IsZero():
+			hold = min(hold*holdGrowth, longestHold)
 		}
-		hold = min(hold*holdGrowth, longestHold)
 		until = strike.At.Add(hold)
 	}
 	return until
@@ -119,10 +152,10 @@
 
 // lapsed reports whether nothing need be remembered any more.
 func (s *suspect) lapsed(now time.Time, hold time.Duration) bool {
-	from := s.cleared
-	if len(s.strikes) > 0 {
-		from = s.last()
+	if len(s.strikes) == 0 {
+		return now.After(s.clearedAt.Add(rememberCleared))
 	}
+	from := s.last()
 	if until := s.quarantinedUntil(hold); until.After(from) {
 		from = until
 	}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -11,6 +11,7 @@
 
 	"github.com/zeebo/errs"
 
+	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 )
 
@@ -41,17 +42,19 @@
 
 	mu       sync.Mutex
 	suspects map[Key]*entry
-	epoch    uint64 // numbers count from it; drawn at the start
-	number   uint64 // of the newest change that is for other hosts
+	changed  chan struct{} // closes at the next change
+	own      map[Key]bool  // that this host found something of, to be told
+	ownFound chan struct{} // has an element while there are any
+	epoch    uint64        // numbers count from it; drawn at the start
+	number   uint64        // of the newest change that is for other hosts
 	follow   []func()
 }
 
 // entry is one suspect as this host holds it.
 type entry struct {
 	suspect
-	number  uint64 // of the newest change that is for other hosts; 0: none is
-	trying  bool   // an attempt is being made alone
-	changed chan struct{}
+	number uint64 // of the newest change that is for other hosts; 0: none is
+	trying bool   // an attempt is being made alone
 }
 
 // Mark names a change of one process's table.
@@ -59,7 +62,8 @@
 
 // NewTable returns an empty table with valid settings.
 func NewTable(cfg Config, log *event.Log) *Table {
-	return &Table{hold: cfg.Hold.Std(), log: log, onOwn: func(Key) {}, suspects: map[Key]*entry{}, epoch: rand.Uint64() | 1}
+	return &Table{hold: cfg.Hold.Std(), log: log, onOwn: func(Key) {}, suspects: map[Key]*entry{}, changed: make(chan struct{}),
+		own: map[Key]bool{}, ownFound: make(chan struct{}, 1), epoch: rand.Uint64() | 1}
 }
 
 // Follow calls f after each change that is for other hosts, without a lock held. It is to
@@ -71,23 +75,44 @@
 func (t *Table) Empty() bool { return t == nil || t.size.Load() == 0 }
 
 // Stance returns how attempts of a request are to be made now, and until when if not at all.
-func (t *Table) Stance(k Key) (Stance, time.Time) {
+func (t *Table) Stance(r Request) (Stance, time.Time) {
 	if t.Empty() {
 		return Free, time.Time{}
 	}
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.suspects[k]
-	if e == nil {
-		return Free, time.Time{}
+	return t.stance(r, now)
+}
+
+// stance is Stance. The caller holds the lock.
+func (t *Table) stance(r Request, now time.Time) (strictest Stance, until time.Time) {
+	for _, e := range t.entries(r) {
+		strictest = max(strictest, e.stance(now, t.hold))
+		if end := e.quarantinedUntil(t.hold); end.After(until) {
+			until = end
+		}
 	}
-	return e.stance(now, t.hold), e.quarantinedUntil(t.hold)
+	return strictest, until
 }
 
+// entries returns what there is of a request: of its caller and of anyone. The caller holds the
+// lock.
+func (t *Table) entries(r Request) []*entry {
+	var all []*entry
+	for _, k := range r.keys() {
+		if e := t.suspects[k]; e != nil {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+func (r Request) keys() [2]Key { return [2]Key{r.OfCaller, r.OfAnyone} }
+
 // Attempt is an attempt that wants to be made.
 type Attempt struct {
-	Key     Key
+	Request Request
 	Service string
 	Among   []string // services that the request is sent to
 }
@@ -127,117 +152,154 @@
 	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.suspects[a.Key]
-	if e == nil {
-		return false, nil, nil
-	}
-	switch e.stance(now, t.hold) {
+	switch stance, _ := t.stance(a.Request, now); stance {
 	case Free:
 		return false, nil, nil
 	case Quarantined:
 		return false, nil, Error.Wrap(ErrQuarantined)
 	}
-	if e.trying || !e.tells(a) {
-		return false, e.changed, nil
+	entries, tells := t.entries(a.Request), false
+	for _, e := range entries {
+		if e.trying {
+			return false, t.changed, nil
+		}
+		tells = tells || e.tells(a)
+	}
+	if !tells {
+		return false, t.changed, nil
+	}
+	for _, e := range entries {
+		e.trying = true
 	}
-	e.trying = true
 	return true, nil, nil
 }
 
 // tells reports whether an attempt at a service can clear the request: a target of it ended,
 // or of none of the services that the request is sent to.
 func (e *entry) tells(a Attempt) bool {
-	return e.struck(a.Service) || !slices.ContainsFunc(a.Among, e.struck)
+	return len(e.strikes) > 0 && (e.struck(a.Service) || !slices.ContainsFunc(a.Among, e.struck))
 }
 
 // Left ends an attempt that was made alone.
-func (t *Table) Left(k Key) {
+func (t *Table) Left(r Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.suspects[k]; e != nil {
+	for _, e := range t.entries(r) {
 		e.trying = false
-		e.wake()
 	}
+	t.wake()
 }
 
-// Ended takes a strike against a request, and returns how many there are.
-func (t *Table) Ended(k Key, s Strike) int {
+// Ended takes a strike against a request. It reports whether the request is in quarantine now.
+func (t *Table) Ended(r Request, id uint64, service string) (quarantined bool) {
+	now := time.Now()
+	strike := Strike{ID: id, Caller: r.OfCaller.caller(), Services: []string{service}, At: now}
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	e := t.entry(k)
-	if e.add(s) {
-		e.wake()
-		if e.stance(time.Now(), t.hold) == Quarantined {
-			t.logQuarantined(k, e, "this host")
+	for _, k := range r.keys() {
+		e := t.entry(k)
+		before := e.stance(now, t.hold)
+		if !e.add(strike) {
+			continue
+		}
+		t.found(k, e)
+		if e.stance(now, t.hold) == Quarantined {
+			t.noteQuarantined(k, e, before, "this host")
 			t.onOwn(k)
 		}
 	}
-	return len(e.strikes)
+	t.wake()
+	stance, _ := t.stance(r, now)
+	t.mu.Unlock()
+	t.tell()
+	return stance == Quarantined
 }
 
-func (t *Table) logQuarantined(k Key, e *entry, from string) {
-	t.log.Event(evQuarantined).Stringer("content", k).Int("strikes", len(e.strikes)).
+// noteQuarantined logs that requests of a key are in quarantine from now on.
+func (t *Table) noteQuarantined(k Key, e *entry, before Stance, from string) {
+	if before == Quarantined {
+		return
+	}
+	t.log.Event(evQuarantined).Str("content", k.Content()).Bool("of_anyone", k.OfAnyone()).Int("strikes", len(e.strikes)).
 		Dur("hold", time.Until(e.quarantinedUntil(t.hold))).Str("from", from).Msg("")
 }
 
-// Answered takes an answer of a service to a request. It reports whether that clears the
-// request: a target lived on that ran it, of a service whose targets had ended.
-func (t *Table) Answered(k Key, service string) bool {
+// Strikes returns how many strikes there are against a request.
+func (t *Table) Strikes(r Request) int {
 	if t.Empty() {
-		return false
+		return 0
 	}
 	t.mu.Lock()
-	e := t.suspects[k]
-	if e == nil || !e.struck(service) {
-		t.mu.Unlock()
-		return false
+	defer t.mu.Unlock()
+	most := 0
+	for _, e := range t.entries(r) {
+		most = max(most, len(e.strikes))
 	}
-	t.clear(k, e, time.Now())
-	t.mu.Unlock()
-	t.tell()
-	return true
+	return most
 }
 
-// Clear drops all that is held against a request.
-func (t *Table) Clear(k Key) {
+// Answered takes an answer of a service to a request: a target lived on that ran it. Where targets of
+// the service had ended that clears a strike. It reports whether it did.
+func (t *Table) Answered(r Request, service string) bool {
+	if t.Empty() {
+		return false
+	}
+	now := time.Now()
 	t.mu.Lock()
-	if e := t.suspects[k]; e != nil {
-		t.clear(k, e, time.Now())
+	cleared := false
+	for _, k := range r.keys() {
+		e := t.suspects[k]
+		if e == nil || !e.struck(service) {
+			continue
+		}
+		if !e.quarantinedUntil(t.hold).IsZero() {
+			t.onOwn(k) // the store knows of it
+		}
+		e.answered(now)
+		t.found(k, e)
+		cleared = true
 	}
+	t.wake()
 	t.mu.Unlock()
-	t.tell()
+	if cleared {
+		t.tell()
+	}
+	return cleared
 }
 
-// clear drops the strikes of an entry. One that other hosts have heard of stays, so that they
-// hear of this, too. The caller holds the lock.
-func (t *Table) clear(k Key, e *entry, at time.Time) {
-	wasHeld := len(e.strikes) >= mostStrikes
-	e.suspect.clear(at)
-	e.wake()
-	if wasHeld {
-		t.onOwn(k)
-	}
-	if e.number == 0 {
-		t.drop(k)
-		return
-	}
+// found notes that this host found something of a key, for the others to be told. The caller holds
+// the lock.
+func (t *Table) found(k Key, e *entry) {
 	t.renumber(e)
+	t.own[k] = true
+	select {
+	case t.ownFound <- struct{}{}:
+	default: // it is set already
+	}
 }
 
-// Share makes what is held against a request be for other hosts, and returns it; false if it
-// is nothing.
-func (t *Table) Share(k Key) (Record, bool) {
+// tellEvery is the time in which what is found is gathered before it is told: one target's end cuts
+// off many requests. The caller of one that failed asks another host a few ms later.
+const tellEvery = time.Millisecond
+
+// NextOwn waits until this host has found something of requests that the others are to be told, and
+// returns it; nil once ctx is done.
+func (t *Table) NextOwn(ctx context.Context) []Record {
+	select {
+	case <-t.ownFound:
+	case <-ctx.Done():
+		return nil
+	}
+	await.Sleep(ctx, tellEvery)
 	t.mu.Lock()
-	e := t.suspects[k]
-	if e == nil || len(e.strikes) == 0 {
-		t.mu.Unlock()
-		return Record{}, false
+	defer t.mu.Unlock()
+	var all []Record
+	for k := range t.own {
+		if e := t.suspects[k]; e != nil {
+			all = append(all, e.record(k))
+		}
 	}
-	t.renumber(e)
-	r := e.record(k)
-	t.mu.Unlock()
-	t.tell()
-	return r, true
+	clear(t.own)
+	return all
 }
 
 // renumber makes an entry the newest change. The caller holds the lock.
@@ -258,7 +320,7 @@
 	e := t.suspects[k]
 	if e == nil {
 		t.makeRoom(time.Now())
-		e = &entry{changed: make(chan struct{})}
+		e = &entry{suspect: newSuspect(k)}
 		t.suspects[k] = e
 		t.size.Store(int32(len(t.suspects)))
 	}
@@ -267,11 +329,9 @@
 
 // drop forgets a key. The caller holds the lock.
 func (t *Table) drop(k Key) {
-	if e := t.suspects[k]; e != nil {
-		e.wake()
-	}
 	delete(t.suspects, k)
 	t.size.Store(int32(len(t.suspects)))
+	t.wake()
 }
 
 // makeRoom forgets what has lapsed and, where that is not enough, the suspect with the least
@@ -330,8 +390,8 @@
 	return all
 }
 
-// wake lets the attempts that wait look again.
-func (e *entry) wake() {
-	close(e.changed)
-	e.changed = make(chan struct{})
+// wake lets the attempts that wait look again. The caller holds the lock.
+func (t *Table) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
 }
--- a/internal/quarantine/wire.go
+++ b/internal/quarantine/wire.go
@@ -9,30 +9,24 @@
 
 // ToWire encodes a record with ages as of now, as the clocks of hosts differ.
 func ToWire(r Record, now time.Time) *peerpb.RequestRecord {
-	out := &peerpb.RequestRecord{Key: r.Key[:], ClearedAgeUs: never}
-	if !r.Cleared.IsZero() {
-		out.ClearedAgeUs = now.Sub(r.Cleared).Microseconds()
-	}
+	out := &peerpb.RequestRecord{Key: r.Key[:], Cleared: r.Cleared}
 	for _, s := range r.Strikes {
-		out.Strikes = append(out.Strikes, &peerpb.Strike{Id: s.ID, Services: s.Services, AgeUs: now.Sub(s.At).Microseconds()})
+		out.Strikes = append(out.Strikes, &peerpb.Strike{Id: s.ID, Caller: s.Caller[:], Services: s.Services, AgeUs: now.Sub(s.At).Microseconds()})
 	}
 	return out
 }
 
-// never is the age of what never was.
-const never = -1
-
 // FromWire decodes a record that was told at a time. It reports false for what can't be one.
 func FromWire(in *peerpb.RequestRecord, told time.Time) (Record, bool) {
 	if len(in.GetKey()) != len(Key{}) {
 		return Record{}, false
 	}
-	r := Record{Key: Key(in.Key)}
-	if in.ClearedAgeUs >= 0 {
-		r.Cleared = told.Add(-peer.Micros(in.ClearedAgeUs))
-	}
+	r := Record{Key: Key(in.Key), Cleared: in.Cleared}
 	for _, s := range in.Strikes {
-		r.Strikes = append(r.Strikes, Strike{ID: s.Id, Services: s.Services, At: told.Add(-peer.Micros(max(s.AgeUs, 0)))})
+		if len(s.Caller) != callerBytes {
+			return Record{}, false
+		}
+		r.Strikes = append(r.Strikes, Strike{ID: s.Id, Caller: Caller(s.Caller), Services: s.Services, At: told.Add(-peer.Micros(max(s.AgeUs, 0)))})
 	}
 	return r, true
 }
