--- /dev/null
+++ b/internal/cli/quarantine_test.go
@@ -0,0 +1,52 @@
+package cli
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/objstore"
+	"rhubarbwood.example/rhubarbwood/internal/quarantine"
+	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
+	"rhubarbwood.example/rhubarbwood/platform"
+)
+
+// An operator sees what is kept from targets, and lets it through again.
+func TestQuarantineIsListedAndCleared(t *testing.T) {
+	is := is.New(t)
+	store := objectstore.New(objectstore.DefaultConfig())
+	ln, err := net.Listen("tcp", freePort)
+	is.NoErr(err)
+	server := objectstore.NewServer(store)
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Shutdown(context.Background()) })
+	address := ln.Addr().String()
+	file := writeFile(t, strings.Replace(gatewaySettings, "STORE", address, 1))
+
+	request := quarantine.NewRequest("10.0.0.1", "GET", "lists.example", "/lists/x", nil)
+	record := quarantine.Record{Key: request.OfCaller}
+	for i := range uint64(3) {
+		record.Strikes = append(record.Strikes, quarantine.Strike{ID: i, Services: []string{"lists-1", "lists-2"}, At: time.Now()})
+	}
+	records := platform.NewObjects(time.Second, address)
+	defer records.Close()
+	is.NoErr(quarantine.Put(t.Context(), objstore.New(records), 0, record))
+
+	r := run("", "quarantine", "--settings", file)
+	is.Equal(r.code, ExitOK)
+	row := fieldsOfLines(r.out)[request.Content()]
+	is.Equal(row[:4], []string{request.Content(), "one", "3", "lists-1,lists-2"})
+
+	r = run("", "quarantine", "--settings", file, "--clear", "0123")
+	is.Equal(r.code, ExitFailed)
+	is.True(strings.Contains(r.err, `"0123"`))
+	r = run("", "quarantine", "--settings", file, "--clear", request.Content())
+	is.Equal(r.code, ExitOK)
+	r = run("", "quarantine", "--settings", file)
+	is.Equal(r.code, ExitOK)
+	is.True(!strings.Contains(r.out, request.Content()))
+}
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -52,7 +52,8 @@
 	log      *event.Log
 	life     *kernel.Lifecycle
 	kernel   *kernel.Kernel
-	metrics  *prometheus.Registry
+	metrics  *prometheus.Registry // of the product
+	runtime  *prometheus.Registry // of the process and Go's runtime
 	on       listeners
 	callers  *callers
 	members  *member.Members
@@ -82,8 +83,8 @@
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{settings: s, platform: p, network: n, log: log, life: kernel.NewLifecycle(), metrics: prometheus.NewRegistry(), on: on}
-	h.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	h := &Host{settings: s, platform: p, network: n, log: log, life: kernel.NewLifecycle(), metrics: prometheus.NewRegistry(), runtime: prometheus.NewRegistry(), on: on}
+	h.runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.peerMetrics = peer.NewMetrics(h.metrics)
 	h.kernel = kernel.New(h.life, s.Stop.Grace.Std(), log)
 	h.register()
@@ -308,7 +309,7 @@
 }
 
 func (h *Host) newMetrics(kernel.Finder) (kernel.Module, error) {
-	return newMetrics(h.on.metrics, h.metrics, h.log), nil
+	return newMetrics(h.on.metrics, h.metrics, h.runtime, h.log), nil
 }
 
 // Start starts every module. If one fails, none is left running.
--- a/internal/gatewayhost/host_test.go
+++ b/internal/gatewayhost/host_test.go
@@ -117,6 +117,7 @@
 	a := h.Addresses()
 	is.Equal(status(t, a.Readiness+"/api/readyz"), http.StatusOK)
 	is.Equal(status(t, a.Metrics+"/metrics"), http.StatusOK)
+	is.Equal(status(t, a.Metrics+"/metrics/runtime"), http.StatusOK)
 	for _, path := range []string{platformtarget.SiteQuery + "x", platformtarget.SiteSingle + "x"} {
 		got, _, err := ask(http.DefaultClient, a.Callers, path, "r1")
 		is.NoErr(err)
--- a/internal/gatewayhost/servers.go
+++ b/internal/gatewayhost/servers.go
@@ -131,11 +131,16 @@
 	return newListener("readiness", on, mux, log)
 }
 
-// pathMetrics is where counters and histograms are read.
-const pathMetrics = "/metrics"
+// Where counters and histograms are read. Those of the process stand apart: what was collected
+// of an incident held the first lines of each reading only, which were Go's.
+const (
+	pathMetrics = "/metrics"
+	pathRuntime = "/metrics/runtime"
+)
 
-func newMetrics(on net.Listener, reg *prometheus.Registry, log *event.Log) *listener {
+func newMetrics(on net.Listener, product, runtime *prometheus.Registry, log *event.Log) *listener {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+pathMetrics, promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.Handle("GET "+pathMetrics, promhttp.HandlerFor(product, promhttp.HandlerOpts{}))
+	mux.Handle("GET "+pathRuntime, promhttp.HandlerFor(runtime, promhttp.HandlerOpts{}))
 	return newListener("metrics", on, mux, log)
 }
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -211,20 +211,26 @@
 	return Record{Key: b.Key, Strikes: both.strikes, Cleared: both.cleared}
 }
 
-// ClearStored drops all that the store holds against a request. Hosts that keep it from targets
-// learn of it when they next review the store, within some 10 s.
-func ClearStored(ctx context.Context, store objstore.Store, key Key) error {
-	standing, err := store.Get(ctx, objstore.KindQuarantine, key.String())
+// ClearStored drops all that the store holds against requests of a content, and returns of how many
+// keys. Hosts that keep them from targets learn of it when they next review the store.
+func ClearStored(ctx context.Context, store objstore.Store, content string) (keys int, err error) {
+	listing, err := store.List(ctx, objstore.KindQuarantine)
 	if err != nil {
-		return Error.New("read request in quarantine: %w", err)
+		return 0, Error.New("list requests in quarantine: %w", err)
 	}
-	r, err := decode(standing.Value)
-	if err != nil {
-		return err
-	}
-	for _, s := range r.Strikes {
-		r.Cleared = append(r.Cleared, s.ID)
+	for _, o := range listing.Objects {
+		r, err := decode(o.Value)
+		if err != nil || r.Key.Content() != content || len(r.Strikes) == 0 {
+			continue // of another content, or cleared already
+		}
+		for _, s := range r.Strikes {
+			r.Cleared = append(r.Cleared, s.ID)
+		}
+		r.Strikes = nil
+		if err := Put(ctx, store, o.Version, r); err != nil {
+			return keys, err
+		}
+		keys++
 	}
-	r.Strikes = nil
-	return Put(ctx, store, standing.Version, r)
+	return keys, nil
 }
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -97,7 +97,12 @@
 		request := testRequest("/x")
 		all[0].quarantine(request, 1)
 		time.Sleep(time.Minute)
-		is.NoErr(ClearStored(t.Context(), store.Client(), request.OfCaller))
+		cleared, err := ClearStored(t.Context(), store.Client(), request.Content())
+		is.NoErr(err)
+		is.Equal(cleared, 1) // that of the caller; the one of anyone is in no quarantine
+		cleared, err = ClearStored(t.Context(), store.Client(), request.Content())
+		is.NoErr(err)
+		is.Equal(cleared, 0)
 		is.NoErr(all[0].Read(t.Context()))
 		is.Equal(all[0].stanceOf(request), Alone) // as to anyone: one caller was cleared
 	})
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -13,6 +13,14 @@
 	Cleared []uint64 // ids of strikes that do not count any more
 }
 
+// Until returns when a quarantine by the record ends, of which the first lasts for hold; the zero time
+// if there is none.
+func (r Record) Until(hold time.Duration) time.Time {
+	s := newSuspect(r.Key)
+	s.strikes = r.Strikes
+	return s.quarantinedUntil(hold)
+}
+
 // record returns a copy of what is held against a key.
 func (e *entry) record(k Key) Record {
 	return Record{Key: k, Strikes: slices.Clone(e.strikes), Cleared: slices.Clone(e.cleared)}
