Registry: one foreign entry costs no other; incarnations by id and start

Cause: a page of a list or watch was decoded as a whole, and the first entry that could not be read failed it, so that one entry of another writer hid all targets from every host; entries without address, state or slots were taken for targets. And an incarnation was its id alone: what was known of a target passed to the next one under the same id, and requests in flight waited for an answer that could not come.

Items are read one by one, in lists and watches of every kind. A registration names a target only if all its fields are there and of their type; else its target is out at once, also around an outage, until it is sound again: event 10007 once for each problem, 1003 for records that can't be read, counters.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-# Targets: build, demo, test, model, lint, bench, generate, docs, clean. Wants
+# Targets: build, demo, test, model, fuzz, lint, bench, generate, docs, clean. Wants
 # Go, gcc and make; what else a target needs it installs, but for protoc, which
 # generate takes as it finds it.
 
 BIN := $(CURDIR)/.cache/bin
 
-.PHONY: build demo test model lint bench generate docs clean
+.PHONY: build demo test model fuzz lint bench generate docs clean
 
 build:
 	go build -o bin/rhubarbwood ./cmd/rhubarbwood
@@ -17,12 +17,17 @@
 test: model
 	go vet ./...
 	go test -timeout 400s ./...
+	tools/fuzz.sh 2000
 
 # The protocol models and their broken twins.
 model:
 	tools/spin.sh
 	model/check.sh
 
+# A long run of the fuzz targets, of about five minutes.
+fuzz:
+	tools/fuzz.sh 500000
+
 lint: $(BIN)/staticcheck
 	@unformatted=$$(gofmt -l cmd design examples internal platform); \
 	if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -19,6 +19,9 @@
 	evTargetKnown = event.Define(10005, "target_known", plog.InfoLevel,
 		"A target registered itself or changed its registration.", "none",
 		"target", "service", "address", "failure_domain", "draining", "revision", "from")
+	evUnusable = event.Define(10007, "registration_unusable", plog.WarnLevel,
+		"A registration names no target to use, as another writer may leave one; the others hold. It is told once for each problem, and again after it was sound.",
+		"Find who wrote it, by its name.", "registration", "problem", "revision")
 	evTargetGone = event.Define(10006, "target_gone", plog.InfoLevel,
 		"A target's registration is gone; it gets no new work.", "none", "target", "service", "revision", "from")
 )
--- a/internal/discovery/findings.go
+++ b/internal/discovery/findings.go
@@ -9,6 +9,7 @@
 // Finding is what one host has judged of a target's health.
 type Finding struct {
 	Target   string
+	Born     int64         // of the incarnation that was judged; see Target
 	Bad      bool          // set aside; else taken back
 	Latency  time.Duration // scaled to a typical answer
 	Failures float64       // ratio of failed attempts, 0..1
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -213,7 +213,7 @@
 	cfg.Settle = unit.Duration(settle)
 	h.members = member.New(members, h.self, objstoretest.New().Client(), h, event.Discard(), nil)
 	h.spread = NewSpread(cfg, h.members, h, h.state)
-	h.follow = NewFollower(cfg, store, h.spread, h.state, event.Discard())
+	h.follow = NewFollower(cfg, store, h.spread, h.state, event.Discard(), nil)
 	net.mu.Lock()
 	net.hosts[h.self.Peer] = h
 	net.mu.Unlock()
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/event"
@@ -53,14 +55,17 @@
 // it for all, from those hosts on the others. A host whose beliefs grow old
 // asks the store itself, whatever the reason.
 type Follower struct {
-	cfg    Config
-	source Source
-	peers  Peers
-	state  *State
-	log    *event.Log
+	cfg     Config
+	source  Source
+	peers   Peers
+	state   *State
+	log     *event.Log
+	metrics *metrics
 	// requests is read by a host that has to ask the store; nil: nothing is.
 	requests RequestStore
 
+	unusableLines *rate.Limiter
+
 	mu   sync.Mutex
 	back chan struct{} // closes when the store answers after it did not
 
@@ -74,11 +79,12 @@
 
 // NewFollower returns a follower that reads nothing before Start. Without
 // peers it watches the store itself.
-func NewFollower(cfg Config, source Source, peers Peers, state *State, log *event.Log) *Follower {
+func NewFollower(cfg Config, source Source, peers Peers, state *State, log *event.Log, reg prometheus.Registerer) *Follower {
 	if peers == nil {
 		peers = alone{}
 	}
-	return &Follower{cfg: cfg, source: source, peers: peers, state: state, log: log, back: make(chan struct{})}
+	return &Follower{cfg: cfg, source: source, peers: peers, state: state, log: log, metrics: newMetrics(reg),
+		unusableLines: rate.NewLimiter(unusableLines, unusableBurst), back: make(chan struct{})}
 }
 
 // Start begins to follow and returns at once: the store may be away.
@@ -357,6 +363,10 @@
 func (f *Follower) logTargets(changes []TargetChange, from string) {
 	revision := f.state.Known().RegistryRevision
 	for _, c := range changes {
+		if c.Problem != "" {
+			f.noteUnusable(c, revision)
+			continue
+		}
 		if c.Gone {
 			f.log.Event(evTargetGone).Str("target", c.Target.ID).Str("service", c.Target.Service).
 				Uint64("revision", revision).Str("from", from).Msg("")
@@ -368,6 +378,20 @@
 	}
 }
 
+// unusableLines bounds the lines about registrations that name no target, a second; unusableBurst
+// those at once.
+const (
+	unusableLines = 1
+	unusableBurst = 50
+)
+
+func (f *Follower) noteUnusable(c TargetChange, revision uint64) {
+	f.metrics.unusable.Inc()
+	if f.unusableLines.Allow() {
+		f.log.Event(evUnusable).Str("registration", c.Target.ID).Str("problem", c.Problem).Uint64("revision", revision).Msg("")
+	}
+}
+
 // expireEvery is the time between two looks at targets that went missing.
 const expireEvery = 200 * time.Millisecond
 
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -170,7 +170,7 @@
 func startFollower(t *testing.T, store Source, peers Peers) (*State, func()) {
 	t.Helper()
 	s := NewState()
-	f := NewFollower(DefaultConfig(), store, peers, s, event.Discard())
+	f := NewFollower(DefaultConfig(), store, peers, s, event.Discard(), nil)
 	if err := f.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -230,7 +230,7 @@
 	out := make([]*peerpb.Finding, 0, len(all))
 	for _, f := range all {
 		out = append(out, &peerpb.Finding{
-			Target: f.Target, Bad: f.Bad, LatencyUs: f.Latency.Microseconds(), Failures: f.Failures,
+			Target: f.Target, BornMs: f.Born, Bad: f.Bad, LatencyUs: f.Latency.Microseconds(), Failures: f.Failures,
 			FailureDomain: f.Domain, AgeUs: f.Age.Microseconds(),
 		})
 	}
@@ -241,7 +241,7 @@
 	var all []Finding
 	for _, f := range in {
 		all = append(all, Finding{
-			Target: f.Target, Bad: f.Bad, Latency: time.Duration(f.LatencyUs) * time.Microsecond, Failures: f.Failures,
+			Target: f.Target, Born: f.BornMs, Bad: f.Bad, Latency: time.Duration(f.LatencyUs) * time.Microsecond, Failures: f.Failures,
 			Domain: f.FailureDomain, Age: time.Duration(f.AgeUs) * time.Microsecond,
 		})
 	}
@@ -289,7 +289,7 @@
 		out.Targets = append(out.Targets, &peerpb.TargetInfo{
 			Id: c.Target.ID, Gone: c.Gone, Service: c.Target.Service, Address: c.Target.Address,
 			FailureDomain: c.Target.Domain, Slots: int64(c.Target.Slots), Draining: c.Target.Draining,
-			WarmupUs: c.Target.Warmup.Microseconds(),
+			WarmupUs: c.Target.Warmup.Microseconds(), BornMs: c.Target.Born,
 		})
 	}
 	return out
@@ -317,7 +317,7 @@
 	for _, t := range r.Targets {
 		n.Changes = append(n.Changes, TargetChange{Gone: t.Gone, Target: Target{
 			ID: t.Id, Service: t.Service, Address: t.Address, Domain: t.FailureDomain,
-			Slots: int(t.Slots), Draining: t.Draining, Warmup: time.Duration(t.WarmupUs) * time.Microsecond,
+			Slots: int(t.Slots), Draining: t.Draining, Warmup: time.Duration(t.WarmupUs) * time.Microsecond, Born: t.BornMs,
 		}})
 	}
 	return n, nil
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -20,9 +20,11 @@
 // revision: everything has to be read again.
 var ErrHistoryGone = errors.New("the store has dropped the changes since that revision")
 
-// Target is one incarnation of a server of a service, as it registered itself.
+// Target is one incarnation of a server of a service, as it registered itself. An incarnation is its
+// id and when it started: a target may come back under the id that it had.
 type Target struct {
-	ID       string // of this incarnation; a restart gets another one
+	ID       string
+	Born     int64 // when it started, in milliseconds of Unix time; 0: it does not say, and each start has an id of its own
 	Service  string
 	Address  string // host:port
 	Domain   string // failure domain
@@ -43,13 +45,22 @@
 // TargetList is all registered targets.
 type TargetList struct {
 	Targets  []Target
-	Revision uint64 // of the store, at which this was read
+	Unusable []Unusable // registrations that name no target
+	Revision uint64     // of the store, at which this was read
+}
+
+// Unusable is a registration that names no target to use, as another writer may leave one.
+type Unusable struct {
+	ID      string // empty if not even that can be read
+	Problem string // what is wrong with it
 }
 
 // TargetChange is one change of the registry.
 type TargetChange struct {
 	Target Target // only its ID is set when it is gone
 	Gone   bool
+	// Problem is set with Gone if the registration is there and names no target to use.
+	Problem string
 }
 
 // TargetChanges is what changed since a revision.
--- a/internal/discovery/spread_test.go
+++ b/internal/discovery/spread_test.go
@@ -147,7 +147,7 @@
 	followers[0].state.ApplyTargets(TargetList{Revision: 3}, time.Now())
 	store := newFakeStore()
 	store.set(func() { store.away = true })
-	f := NewFollower(DefaultConfig(), store, watcher.spread, watcher.state, event.Discard())
+	f := NewFollower(DefaultConfig(), store, watcher.spread, watcher.state, event.Discard(), nil)
 	is.NoErr(f.Start(t.Context()))
 	defer func() { is.NoErr(f.Stop(context.Background())) }()
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -27,6 +27,7 @@
 	registry      belief
 	targets       map[string]Target
 	lapsed        map[string]time.Time // targets that went missing, and until when they are kept
+	unusable      map[string]string    // problems of registrations that name no target, by id
 	outage        time.Time            // last moment at which the registry could not be read
 	history       history
 	news          chan struct{} // closes at the next change
@@ -57,7 +58,7 @@
 
 // NewState returns a state that knows nothing.
 func NewState() *State {
-	return &State{targets: map[string]Target{}, lapsed: map[string]time.Time{}, news: make(chan struct{}),
+	return &State{targets: map[string]Target{}, lapsed: map[string]time.Time{}, unusable: map[string]string{}, news: make(chan struct{}),
 		findings: newFindings(), reports: make(chan Finding, mostReports)}
 }
 
@@ -127,7 +128,8 @@
 
 // ApplyTargets takes a full list of the registry that was current at a time.
 // Targets that are missing in it are gone, except for a while after an outage.
-// It returns the targets that came, changed or went. An old list is ignored.
+// It returns the targets that came, changed or went, and the registrations that turned
+// unusable. An old list is ignored.
 func (s *State) ApplyTargets(l TargetList, asOf time.Time) []TargetChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,6 +142,10 @@
 		listed[t.ID] = true
 		changes = append(changes, TargetChange{Target: t})
 	}
+	for _, u := range l.Unusable {
+		listed[u.ID] = true
+		changes = append(changes, TargetChange{Target: Target{ID: u.ID}, Gone: true, Problem: u.Problem})
+	}
 	for id := range s.targets {
 		if !listed[id] {
 			changes = append(changes, TargetChange{Target: Target{ID: id}, Gone: true})
@@ -195,8 +201,11 @@
 	if asOf.After(s.registry.asOf) {
 		s.registry.asOf = asOf
 	}
-	var made []TargetChange
+	var made, unusable []TargetChange
 	for _, c := range changes {
+		if s.noteUnusable(c) {
+			unusable = append(unusable, c)
+		}
 		if !s.differs(c) {
 			continue
 		}
@@ -208,7 +217,28 @@
 	if len(made) > 0 {
 		s.tell()
 	}
-	return made
+	return append(made, unusable...)
+}
+
+// mostUnusable bounds the registrations whose problem is remembered, so that it is told once.
+const mostUnusable = 512
+
+// noteUnusable remembers the problem of a registration that names no target, or that there is none. It
+// reports whether there is a new one.
+func (s *State) noteUnusable(c TargetChange) bool {
+	id := c.Target.ID
+	if c.Problem == "" {
+		delete(s.unusable, id)
+		return false
+	}
+	if s.unusable[id] == c.Problem {
+		return false
+	}
+	if len(s.unusable) >= mostUnusable {
+		clear(s.unusable) // they are told again
+	}
+	s.unusable[id] = c.Problem
+	return true
 }
 
 // differs reports whether a change is one to what the registry is known to
@@ -217,7 +247,7 @@
 	known, ok := s.targets[c.Target.ID]
 	_, missing := s.lapsed[c.Target.ID]
 	if c.Gone {
-		return ok && !missing
+		return ok && (!missing || c.Problem != "")
 	}
 	return !ok || missing || !sameTarget(known, c.Target)
 }
@@ -232,7 +262,7 @@
 		s.targets[id] = c.Target
 		return c, true
 	}
-	if until := s.outage.Add(lapseHold); now.Before(until) {
+	if until := s.outage.Add(lapseHold); now.Before(until) && c.Problem == "" {
 		s.lapsed[id] = until
 		return c, false
 	}
--- a/internal/discovery/state_test.go
+++ b/internal/discovery/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,3 +170,54 @@
 	is.True(!n.AllTargets)
 	is.Equal(len(n.Changes), 2)
 }
+
+// A registration that another writer spoils takes its target out at once, also around an outage of
+// the store, in which those that lapse are kept; sound again it is back. It is told once.
+func TestRegistrationThatTurnsUnusableIsOutUntilItIsSound(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	good := Target{ID: "a", Service: "s", Address: "h:1", Slots: 1}
+	other := Target{ID: "b", Service: "s", Address: "h:2", Slots: 1}
+	now := time.Now()
+	is.Equal(len(s.ApplyTargets(TargetList{Targets: []Target{good, other}, Revision: 1}, now)), 2)
+	s.Outage(now)
+	spoilt := TargetChange{Target: Target{ID: "a"}, Gone: true, Problem: "service: want the name of a service"}
+	told := s.ApplyChanges(TargetChanges{Changes: []TargetChange{spoilt}, Revision: 2}, now)
+	is.Equal(len(told), 2) // the target is gone, and why
+	is.Equal(s.View().Targets, []Target{other})
+	is.Equal(len(s.ApplyChanges(TargetChanges{Changes: []TargetChange{spoilt}, Revision: 3}, now)), 0)
+	list := TargetList{Targets: []Target{other}, Unusable: []Unusable{{ID: "a", Problem: spoilt.Problem}}, Revision: 4}
+	is.Equal(len(s.ApplyTargets(list, now)), 0)
+	is.Equal(len(s.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: good}}, Revision: 5}, now)), 1)
+	is.Equal(len(s.View().Targets), 2)
+	is.Equal(len(s.ApplyChanges(TargetChanges{Changes: []TargetChange{spoilt}, Revision: 6}, now)), 2) // told again
+}
+
+// Registrations of other writers do not grow what a host remembers without bound.
+func TestUnusableRegistrationsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	for i := range 4 * mostUnusable {
+		c := TargetChange{Target: Target{ID: fmt.Sprint(i)}, Gone: true, Problem: "p"}
+		s.ApplyChanges(TargetChanges{Changes: []TargetChange{c}, Revision: uint64(i + 1)}, time.Now())
+	}
+	is.True(len(s.unusable) <= mostUnusable)
+}
+
+// News of an incarnation that come late, from the store or from a host, do not take the place of
+// those of the next one.
+func TestOldNewsOfAnIncarnationDoNotComeBack(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	first := Target{ID: "a", Service: "s", Address: "h:1", Slots: 1, Born: 1000}
+	again := first
+	again.Born = 2000
+	now := time.Now()
+	s.ApplyTargets(TargetList{Targets: []Target{first}, Revision: 5}, now)
+	s.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: again}}, Revision: 9}, now)
+	is.Equal(s.View().Targets, []Target{again})
+	s.ApplyTargets(TargetList{Targets: []Target{first}, Revision: 8}, now)
+	s.ApplyNews(News{Changes: []TargetChange{{Target: first}}, RegistryRevision: 7, RegistryAsOf: now})
+	s.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: Target{ID: "a"}, Gone: true}}, Revision: 8}, now)
+	is.Equal(s.View().Targets, []Target{again})
+}
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -33,7 +33,7 @@
 		store := newFakeStore()
 		store.write(1)
 		state := NewState()
-		f := NewFollower(DefaultConfig(), lateSource{store, 3 * time.Second}, nil, state, event.Discard())
+		f := NewFollower(DefaultConfig(), lateSource{store, 3 * time.Second}, nil, state, event.Discard(), nil)
 		is.NoErr(f.Start(t.Context()))
 		time.Sleep(50 * time.Millisecond)
 		first := DefaultConfig().watchWait()
@@ -51,7 +51,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		cfg := DefaultConfig()
-		f := NewFollower(cfg, nil, nil, NewState(), event.Discard())
+		f := NewFollower(cfg, nil, nil, NewState(), event.Discard(), nil)
 		now := time.Now()
 		is.Equal(f.newWatch(now).wait, cfg.watchWait())
 		next := f.newWatch(now.Add(-cfg.watchWait()))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,7 @@
 	ranOut    bool // the target gave it up when the time that it was given was over
 	abandoned bool // given up before an answer came
 	brokeOff  bool // the connection ended while the target had the request
+	replaced  bool // another incarnation took the target's place while it had the request
 	// unreachable is set if the target took no connection.
 	unreachable bool
 }
@@ -130,6 +132,9 @@
 		if !sent {
 			return result{outcome: outcome.NotSent, err: err, abandoned: late}
 		}
+		if t.replaced.Load() && !late {
+			return result{outcome: outcome.Unknown, err: Error.Wrap(errReplaced), replaced: true}
+		}
 		return result{outcome: outcome.Unknown, err: err, abandoned: late, brokeOff: !late && targetconn.BrokeOff(err)}
 	}
 	res := g.judge(t, answer)
@@ -137,6 +142,9 @@
 	return res
 }
 
+// errReplaced means that a target has started again while it had a request.
+var errReplaced = errors.New("the target has started again; the request may have run")
+
 // ranOutMargin is how long before the end of its time a target may say that it
 // was not enough: it counts in milliseconds, on its own clock.
 const ranOutMargin = 2 * time.Millisecond
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -53,11 +53,13 @@
 	neverAside bool
 }
 
-// target is one target as this host sees it.
+// target is one incarnation of a target as this host sees it.
 type target struct {
 	conf discovery.Target
-	home bool // asked first; see chooseHomes
-	pool *targetconn.Pool
+	// replaced is set once another incarnation has taken the target's place.
+	replaced atomic.Bool
+	home     bool // asked first; see chooseHomes
+	pool     *targetconn.Pool
 
 	// Guarded by the service's lock.
 	health   *policy.Outlier
@@ -239,7 +241,7 @@
 	s.targets = s.targets[:0:0]
 	for _, conf := range list {
 		t, ok := known[conf.ID]
-		if !ok || t.conf.Address != conf.Address {
+		if !ok || t.conf.Address != conf.Address || t.conf.Born != conf.Born {
 			t = f.target(conf)
 		}
 		t.conf = conf
@@ -248,9 +250,8 @@
 		s.targets = append(s.targets, t)
 	}
 	for id, t := range known {
-		if s.byID[id] != t {
-			t.leaving = true
-			t.pool.Close()
+		if now := s.byID[id]; now != t {
+			t.retire(now)
 		}
 	}
 	if f.cfg.off(Homes) {
@@ -261,6 +262,18 @@
 	s.wake()
 }
 
+// retire ends the use of a target whose registration is gone or is that of another incarnation
+// now. A target that is gone may still answer what it has; with one that has started again all that
+// was in flight has ended. The caller holds the lock.
+func (t *target) retire(now *target) {
+	t.leaving = true
+	t.pool.Close()
+	if now != nil && now.conf.Born != t.conf.Born {
+		t.replaced.Store(true)
+		t.pool.Abort()
+	}
+}
+
 // chooseHomes marks the targets that this host asks first: those in its failure
 // domain, or, where there is none, the one that its id picks, so that the hosts
 // of such a domain spread over all targets. The caller holds the lock.
--- /dev/null
+++ b/internal/gateway/incarnation_test.go
@@ -0,0 +1,131 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/discovery"
+	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
+)
+
+// born is when a target of the tests started, at first and again.
+const (
+	bornFirst = 1_764_720_000_000
+	bornAgain = bornFirst + 5000
+)
+
+// restart registers a target again under the id that it had.
+func (s *site) restart(id string, born int64) {
+	s.register(discovery.Target{ID: id, Service: id[:len(id)-len("-t0")], Address: id + ":80", Domain: domain, Slots: 4, Born: born})
+}
+
+// onlySelf is the membership of a host that is alone.
+type onlySelf struct{ member.View }
+
+// Self implements member.View.
+func (onlySelf) Self() member.Host { return member.Host{ID: "h"} }
+
+// learn lets the host hear what another one found of a target.
+func (s *site) learn(target string, born int64) {
+	spread := discovery.NewSpread(discovery.DefaultConfig(), onlySelf{}, nil, s.state)
+	_, err := spread.Tell(s.t.Context(), &peerpb.Findings{Findings: []*peerpb.Finding{{
+		Target: target, BornMs: born, Bad: true, Failures: 1, FailureDomain: domain,
+	}}})
+	if err != nil {
+		s.t.Error(err)
+	}
+}
+
+// together sends n requests at the same moment.
+func (s *site) together(n int, id string) {
+	var all sync.WaitGroup
+	for i := range n {
+		all.Go(func() { s.get("/one/x", fmt.Sprint(id, i)) })
+	}
+	all.Wait()
+}
+
+// A target that was set aside for its failures starts again under its id: what was known of the
+// one before does not keep work from it.
+func TestTargetThatStartsAgainIsKnownAnew(t *testing.T) {
+	run(t, options{}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.restart("s0-t0", bornFirst)
+		s.faults("s0-t0", platformtarget.Faults{Fail: 1})
+		for i := range 40 {
+			s.get("/one/x", fmt.Sprintf("bad%d", i))
+		}
+		s.faults("s0-t0", platformtarget.Faults{})
+		arrived := s.targets["s0-t0"].Arrived()
+		for range 4 {
+			s.together(4, "aside")
+		}
+		is.True(s.targets["s0-t0"].Arrived() <= arrived+1) // it is set aside, but for a probe
+		arrived = s.targets["s0-t0"].Arrived()
+		s.restart("s0-t0", bornAgain)
+		for range 4 {
+			s.together(4, "again")
+		}
+		is.True(s.targets["s0-t0"].Arrived() >= arrived+4) // of 16
+	})
+}
+
+// What other hosts found of an incarnation is not held against the next, whichever comes first.
+func TestFindingsOfAnotherIncarnationDoNotCount(t *testing.T) {
+	run(t, options{}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.restart("s0-t0", bornAgain)
+		s.restart("s0-t1", bornFirst)
+		s.learn("s0-t0", bornFirst) // of the one before
+		s.learn("s0-t1", bornAgain) // of one that this host has not heard of
+		s.together(4, "r")
+		is.True(s.targets["s0-t0"].Arrived() > 0)
+		is.True(s.targets["s0-t1"].Arrived() > 0)
+	})
+}
+
+// A target falls silent with a request and starts again: the request ended with it. It is sent to
+// another one, unless it must not run twice.
+func TestRequestEndsWithTheIncarnationThatHasIt(t *testing.T) {
+	for path, want := range map[string]int{"/one/x": http.StatusOK, "/once/x": http.StatusBadGateway} {
+		t.Run(path, func(t *testing.T) {
+			run(t, options{}, func(t *testing.T, s *site) {
+				is := is.New(t)
+				s.restart("s0-t0", bornFirst)
+				s.restart("s0-t1", bornFirst)
+				s.faults("s0", platformtarget.Faults{Silent: true})
+				got := make(chan answer, 1)
+				go func() { got <- s.get(path, "r1") }()
+				time.Sleep(20 * time.Millisecond)
+				s.faults("s0", platformtarget.Faults{})
+				for id, target := range s.targets {
+					if target.Arrived() > 0 {
+						s.restart(id, bornAgain)
+					}
+				}
+				a := <-got
+				is.Equal(a.status, want)
+				is.True(a.took < 50*time.Millisecond) // not when its time is over
+			})
+		})
+	}
+}
+
+// A registration that is written again, as for its sequence, changes nothing.
+func TestSameIncarnationKeepsWhatIsKnown(t *testing.T) {
+	run(t, options{}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		s.restart("s0-t0", bornFirst)
+		s.learn("s0-t0", bornFirst)
+		s.restart("s0-t0", bornFirst)
+		s.together(4, "r")
+		is.Equal(s.targets["s0-t0"].Arrived(), 0)
+	})
+}
--- a/internal/gateway/learn.go
+++ b/internal/gateway/learn.go
@@ -22,7 +22,7 @@
 	now := time.Now()
 	for _, f := range all {
 		s, t := g.fleet.find(f.Target)
-		if t == nil {
+		if t == nil || f.Born != t.conf.Born { // of another incarnation
 			continue
 		}
 		s.mu.Lock()
@@ -76,6 +76,6 @@
 		return
 	}
 	g.state.ReportFinding(discovery.Finding{
-		Target: t.conf.ID, Bad: bad, Latency: t.health.Latency(), Failures: t.health.FailureRatio(), Domain: g.self.FailureDomain,
+		Target: t.conf.ID, Born: t.conf.Born, Bad: bad, Latency: t.health.Latency(), Failures: t.health.FailureRatio(), Domain: g.self.FailureDomain,
 	})
 }
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -84,8 +84,8 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, o)
+		defer s.close() // also after a failure
 		test(t, s)
-		s.close()
 	})
 }
 
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -80,7 +80,7 @@
 		if g.suspects() && g.requests.Answered(r.keys(), t.conf.Service) {
 			g.log.Event(evCleared).Str("request", r.call.RequestID).Str("content", r.keys().Content()).Str("target", t.conf.ID).Msg("")
 		}
-	case res.brokeOff && g.hasEnded(r.ctx, t):
+	case res.replaced, res.brokeOff && g.hasEnded(r.ctx, t):
 		g.strike(r, t, alone)
 	case alone && unresolved(res) && g.requests.Strikes(r.keys()) >= decided:
 		// Twice its targets have ended, and this attempt has shown nothing: its target may
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -236,7 +236,7 @@
 	if l.Err != nil {
 		return nil, l.Err
 	}
-	follower := discovery.NewFollower(h.settings.Discovery, h.platform.Source(records), spread, state.State, h.log)
+	follower := discovery.NewFollower(h.settings.Discovery, h.platform.Source(records), spread, state.State, h.log, h.metrics)
 	follower.ReadRequests(requests)
 	return follower, nil
 }
--- a/internal/objstore/client.go
+++ b/internal/objstore/client.go
@@ -76,13 +76,12 @@
 		if page == 0 {
 			revision = p.Revision
 		}
-		if err := c.openAll(kind, p.Records, l); err != nil {
-			return 0, err
-		}
-		if !p.More || len(p.Records) == 0 {
+		c.openAll(kind, p.Records, l)
+		next := p.After()
+		if !p.More || next <= after {
 			return revision, nil
 		}
-		after = p.Records[len(p.Records)-1].Name
+		after = next
 	}
 }
 
@@ -101,9 +100,7 @@
 		if err != nil {
 			return Listing{}, err
 		}
-		if err := c.openAll(kind, p.Records, &l); err != nil {
-			return Listing{}, err
-		}
+		c.openAll(kind, p.Records, &l)
 		if i == 0 || p.Revision < l.Revision {
 			l.Revision = p.Revision
 		}
@@ -244,15 +241,13 @@
 	return time.Now()
 }
 
-func (c *Client) openAll(kind string, records []Record, l *Listing) error {
+// openAll adds the objects of the records that can be read.
+func (c *Client) openAll(kind string, records []Record, l *Listing) {
 	for _, r := range records {
-		o, err := c.open(kind, r)
-		if err != nil {
-			return err
+		if o, err := c.open(kind, r); err == nil { // else another writer's; Governed has told it
+			l.Objects = append(l.Objects, o)
 		}
-		l.Objects = append(l.Objects, o)
 	}
-	return nil
 }
 
 // open returns the object of a record and remembers its revision.
--- a/internal/objstore/envelope.go
+++ b/internal/objstore/envelope.go
@@ -23,6 +23,9 @@
 // by a Client, such as one made by hand, is at version 1 and has no times.
 func Open(kind string, r Record) (Object, error) {
 	o := Object{Kind: kind, Name: r.Name, Revision: r.Revision, Deleted: r.Deleted}
+	if r.Problem != nil {
+		return o, Error.New("record %s/%s: %w", kind, r.Name, r.Problem)
+	}
 	var e envelope
 	if err := json.Unmarshal(r.Spec, &e); err != nil || e.Meta == nil {
 		o.Version, o.Value = 1, r.Spec
--- a/internal/objstore/events.go
+++ b/internal/objstore/events.go
@@ -13,4 +13,7 @@
 		"verb", "error")
 	evReachable = event.Define(1002, "platform_reachable", plog.InfoLevel,
 		"The platform answers, at first or again.", "none", "verb")
+	evUnreadable = event.Define(1003, "record_unreadable", plog.WarnLevel,
+		"A record in the store can't be read; the others hold. Of many some lines are left out; the counter has them all.",
+		"Find who wrote it, by its kind and name, and remove it.", "kind", "record", "error")
 )
--- /dev/null
+++ b/internal/objstore/fuzz_test.go
@@ -0,0 +1,21 @@
+package objstore
+
+import "testing"
+
+// Whatever a record holds, it is an object with a version, or an error.
+func FuzzOpen(f *testing.F) {
+	for _, spec := range []string{
+		`{"rhubarbwood":{"version":3,"created":"2026-01-01T00:00:00Z"},"value":{"a":1}}`, `{"rhubarbwood":7}`, `{"value":1}`, `null`, ``, `{`,
+	} {
+		f.Add([]byte(spec), false)
+	}
+	f.Fuzz(func(t *testing.T, spec []byte, deleted bool) {
+		o, err := Open("kind", Record{Name: "n", Revision: 4, Spec: spec, Deleted: deleted})
+		if o.Name != "n" || o.Kind != "kind" || o.Revision != 4 {
+			t.Fatalf("opened %+v", o)
+		}
+		if err == nil && deleted && o.Value != nil {
+			t.Fatalf("an object that is gone has value %s", o.Value)
+		}
+	})
+}
--- a/internal/objstore/governed.go
+++ b/internal/objstore/governed.go
@@ -26,10 +26,11 @@
 // them, and logs when the platform begins or ceases to answer. It never repeats
 // a call, since only the caller knows whether that is safe.
 type Governed struct {
-	cfg     Config
-	records Records
-	bucket  *rate.Limiter
-	up      atomic.Bool
+	cfg        Config
+	records    Records
+	bucket     *rate.Limiter
+	unreadable *rate.Limiter // lines about records that can't be read
+	up         atomic.Bool
 	// answered is set by the first answer. started is this host's clock when
 	// the records were opened; see Now.
 	answered atomic.Bool
@@ -40,11 +41,18 @@
 
 var _ Records = (*Governed)(nil)
 
+// Bounds of the lines about records that can't be read, a second and at once: one that stays is
+// met again with each list.
+const (
+	unreadableLines = 1
+	unreadableBurst = 20
+)
+
 // Govern returns records under the limits of valid settings.
 func Govern(cfg Config, records Records, log *event.Log, reg prometheus.Registerer) *Governed {
 	return &Governed{
 		cfg: cfg, records: records, started: time.Now(), log: log, metrics: newMetrics(reg),
-		bucket: rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.Burst),
+		bucket: rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.Burst), unreadable: rate.NewLimiter(unreadableLines, unreadableBurst),
 	}
 }
 
@@ -63,15 +71,30 @@
 		p, err = g.records.List(ctx, kind, after)
 		return err
 	})
+	g.noteUnreadable(kind, p)
 	return p, err
 }
 
+// noteUnreadable counts and logs the records of a page that can't be read.
+func (g *Governed) noteUnreadable(kind string, p RecordPage) {
+	for _, r := range p.Records {
+		if r.Problem == nil {
+			continue
+		}
+		g.metrics.unreadable.WithLabelValues(kind).Inc()
+		if g.unreadable.Allow() {
+			g.log.Event(evUnreadable).Str("kind", kind).Str("record", r.Name).Err(r.Problem).Msg("")
+		}
+	}
+}
+
 // Watch implements Records. The timeout comes on top of the wait.
 func (g *Governed) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (p RecordPage, err error) {
 	err = g.call(ctx, verbWatch, wait, func(ctx context.Context) (err error) {
 		p, err = g.records.Watch(ctx, kind, after, wait)
 		return err
 	})
+	g.noteUnreadable(kind, p)
 	return p, err
 }
 
--- a/internal/objstore/metrics.go
+++ b/internal/objstore/metrics.go
@@ -19,13 +19,18 @@
 )
 
 type metrics struct {
-	calls   *prometheus.CounterVec
-	seconds *prometheus.HistogramVec
+	calls      *prometheus.CounterVec
+	seconds    *prometheus.HistogramVec
+	unreadable *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
 	f := promauto.With(reg)
 	return &metrics{
+		unreadable: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "rhubarbwood_platform_unreadable_records_total",
+			Help: "Records that could not be read, by kind, each time that they were met.",
+		}, []string{"kind"}),
 		calls: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "rhubarbwood_platform_calls_total",
 			Help: "Calls to the platform by verb and result.",
--- a/internal/objstore/records.go
+++ b/internal/objstore/records.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -14,15 +15,29 @@
 	Spec     json.RawMessage
 	Deleted  bool // in the answer to a watch: the record is gone
 	Deleting bool // the record goes once its finalizers are gone
+	// Problem is why the record can't be read; nothing but its name is known then, and that
+	// may be empty.
+	Problem error
 }
 
-// RecordPage is a part of a listing, or the changes that a watch found.
+// RecordPage is a part of a listing, or the changes that a watch found. Other writers may
+// have left records in it that can't be read; they cost none of the others.
 type RecordPage struct {
 	Records  []Record
 	Revision uint64 // of the store, to watch from next
 	More     bool   // further records follow, after the name of the last one
 }
 
+// After returns the name after which the next page begins: the last one that can be read.
+func (p RecordPage) After() string {
+	for _, r := range slices.Backward(p.Records) {
+		if r.Name != "" {
+			return r.Name
+		}
+	}
+	return ""
+}
+
 // Records is the platform's object API as it is on the wire: each call is one
 // call of the API. Errors are ErrNotFound, ErrCompacted, *RecordConflict,
 // *Unavailable or *Unanswered.
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -79,7 +79,7 @@
 func (c *Conn) Discard() {
 	c.once.Do(func() {
 		_ = c.net.Close() // whatever it says, the connection is not used again
-		c.pool.left()
+		c.pool.left(c)
 	})
 }
 
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -58,6 +58,7 @@
 	limit  int
 	keep   time.Duration // longest time that an idle connection is kept; 0: as the target says
 	open   int
+	all    map[*Conn]bool // that are open, those in use included
 	dialed uint64
 	idle   []*Conn // the one used last at the end
 	closed bool
@@ -66,7 +67,7 @@
 // NewPool returns an empty pool for the target at an address. limit is the
 // most connections open at once, timeout that of a dial.
 func NewPool(address string, limit int, timeout time.Duration, dial netdial.Func) *Pool {
-	return &Pool{address: address, limit: limit, timeout: timeout, dial: dial}
+	return &Pool{address: address, limit: limit, timeout: timeout, dial: dial, all: map[*Conn]bool{}}
 }
 
 // SetLimit changes the most connections that may be open. Those above it are
@@ -150,7 +151,9 @@
 		return nil, Error.New("connect to %s: %w", p.address, fmt.Errorf("%w: %w", errUnreachable, err))
 	}
 	p.dialed++
-	return &Conn{pool: p, net: nc, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
+	c := &Conn{pool: p, net: nc, reader: bufio.NewReaderSize(nc, readBuffer)}
+	p.all[c] = true
+	return c, nil
 }
 
 // checkedKeep is how long a connection that Check opened is kept idle: the target has not said
@@ -192,10 +195,11 @@
 	}
 }
 
-func (p *Pool) left() {
+func (p *Pool) left(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
+	delete(p.all, c)
 }
 
 // Trim closes the idle connections that the target is about to close, so that
@@ -218,6 +222,15 @@
 	}
 }
 
+// Abort ends what is in flight: the target that had it is no more.
+func (p *Pool) Abort() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.all {
+		_ = c.net.SetDeadline(longAgo) // it may be closed already
+	}
+}
+
 // Close closes the idle connections. Those in use are closed when their
 // request has ended.
 func (p *Pool) Close() {
