Ages count the time in which the host is suspended

Cause: every age was told by the steady clock, which stands still while a machine is suspended. A host that woke believed its configuration, registry, findings, strikes and leases to be as young as when it fell asleep, and its held requests had all of their time left.

Now one clock type (internal/clock, CLOCK_BOOTTIME through x/sys) tells the ages of what discovery, catalog, quarantine and the store's time believe; requests that are held over a suspension are answered at once if their time is over, else when it is. The strikes of a store written by a clock that is ahead count as now.

Ruled out: wall time (steps); a look at gaps between ticks (a process that is stopped looks the same, and the length is not known).

Open: the older path (entry, relay) holds its requests by the steady clock.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
@@ -32,6 +33,7 @@
 // Configuration.
 type Catalog struct {
 	cfg      Config
+	clock    *clock.Clock // of all ages
 	store    objstore.Store
 	members  member.View
 	puller   Puller
@@ -81,13 +83,20 @@
 	return c
 }
 
+// GoBy makes the ages of answers go by a clock that counts the time in which the machine is
+// suspended. It is to be called before Start.
+func (c *Catalog) GoBy(clock *clock.Clock) {
+	c.clock = clock
+	c.started = clock.Now()
+}
+
 // Start begins to follow the configuration and waits up to StartWait for a first
 // one. Without one it succeeds as well, and the host is stale.
 func (c *Catalog) Start(ctx context.Context) error {
 	run, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
 	c.mu.Lock()
-	c.started = time.Now()
+	c.started = c.clock.Now()
 	c.mu.Unlock()
 	for _, loop := range []func(context.Context){c.watchLoop, c.pullLoop, c.hintLoop} {
 		c.done.Go(func() { loop(run) })
@@ -139,7 +148,7 @@
 func (c *Catalog) Stale() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.fresh.stale(time.Now())
+	return c.fresh.stale(c.clock.Now())
 }
 
 // applyBatch applies a batch, announces it to the peers if it held something
@@ -193,14 +202,14 @@
 // noteFreshness logs when the host becomes stale or fresh.
 func (c *Catalog) noteFreshness() {
 	c.mu.Lock()
-	stale, last := c.fresh.stale(time.Now()), c.fresh.confirmed
+	stale, last := c.fresh.stale(c.clock.Now()), c.fresh.confirmed
 	turned := stale != c.wasStale
 	c.wasStale = stale
 	c.mu.Unlock()
 	switch {
 	case turned && stale:
 		c.metrics.stale.Set(1)
-		c.log.Event(evStale).Dur("last_heard", time.Since(last)).Msg("")
+		c.log.Event(evStale).Dur("last_heard", c.clock.Since(last)).Msg("")
 	case turned:
 		c.metrics.stale.Set(0)
 		c.log.Event(evFresh).Uint64("revision", c.Revision()).Msg("")
--- a/internal/catalog/fakes_test.go
+++ b/internal/catalog/fakes_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
@@ -36,7 +37,8 @@
 // fleet is a few hosts with their catalogs. Calls between them take no time
 // and fail between hosts that are cut from each other.
 type fleet struct {
-	reportNothing bool // the membership tells no revision
+	reportNothing bool         // the membership tells no revision
+	machine       *clock.Clock // of the hosts that are added; nil: never suspended
 	t             testing.TB
 	platform      *objstoretest.Platform
 	mu            sync.Mutex
@@ -62,6 +64,7 @@
 	n := &node{f: f, client: f.platform.Client()}
 	n.host = member.Host{ID: id, FailureDomain: domain, Peer: id, Incarnation: 1, State: member.Alive}
 	n.catalog = New(DefaultConfig(), n.client, n, n, n, event.Discard(), prometheus.NewRegistry())
+	n.catalog.GoBy(f.machine)
 	f.mu.Lock()
 	f.nodes = append(f.nodes, n)
 	f.mu.Unlock()
--- a/internal/catalog/fresh.go
+++ b/internal/catalog/fresh.go
@@ -7,8 +7,8 @@
 // It is fresh while the newest answer of the platform, or of a peer that is
 // itself fresh, is younger than the limit. An answer is dated by the moment at
 // which it was asked for: one that waited in a socket while the process was
-// stopped is as old as the question. All times are readings of this process's
-// monotonic clock.
+// stopped is as old as the question. All times are readings of one clock.Clock,
+// which goes on while the machine is suspended.
 //
 // When the platform is down and the network fails for longer than the limit,
 // every host is stale at once, and no fresh one is left to begin from. So a
--- a/internal/catalog/pull.go
+++ b/internal/catalog/pull.go
@@ -99,7 +99,7 @@
 // pull takes from a peer what changed since this host's last change, and
 // reports whether the peer answered.
 func (c *Catalog) pull(ctx context.Context, from member.Host) bool {
-	asked := time.Now()
+	asked := c.clock.Now()
 	b, last, err := c.fetch(ctx, from)
 	if err == nil {
 		err = c.applyBatch(b, sourcePeer)
--- a/internal/catalog/serve.go
+++ b/internal/catalog/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -19,7 +18,7 @@
 func (c *Catalog) Pull(_ context.Context, in *peerpb.PullRequest) (*peerpb.PullReply, error) {
 	s := c.state.Load()
 	out := s.page(in.AfterRevision, max(in.AfterRevision, in.Cursor))
-	now := time.Now()
+	now := c.clock.Now()
 	c.mu.Lock()
 	out.Stale = c.fresh.stale(now)
 	out.PlatformAgeUs = c.lastHeard.ages(now)
--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
@@ -154,6 +155,24 @@
 	})
 }
 
+// A host that was suspended is stale at once, and fresh again once a question that it asked after it
+// woke is answered.
+func TestHostThatWasSuspendedIsStaleAndRecovers(t *testing.T) {
+	inFleet(t, 12, 3, func(is *is.I, f *fleet) {
+		machine, suspend := clock.Virtual()
+		f.machine = machine
+		woken := f.add("host-12", "domain-0")
+		f.machine = nil
+		f.pass(spreadBound)
+		is.True(!woken.catalog.Stale())
+		suspend(DefaultConfig().StaleAfter.Std() + time.Millisecond)
+		is.True(woken.catalog.Stale())
+		is.Equal(f.stale(), 1)
+		f.pass(2 * DefaultConfig().PullInterval.Std())
+		is.Equal(f.stale(), 0)
+	})
+}
+
 func TestHostCutOffFromAllIsStaleAndRecovers(t *testing.T) {
 	inFleet(t, 12, 3, func(is *is.I, f *fleet) {
 		alone := f.nodes[5]
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -43,7 +43,7 @@
 // follow takes the next changes from the platform: all objects if this host
 // has none yet, or if the platform has forgotten changes since.
 func (c *Catalog) follow(ctx context.Context) error {
-	asked := time.Now()
+	asked := c.clock.Now()
 	after := c.state.Load().complete
 	if after == 0 {
 		return c.list(ctx)
@@ -63,7 +63,7 @@
 }
 
 func (c *Catalog) list(ctx context.Context) error {
-	asked := time.Now()
+	asked := c.clock.Now()
 	l, err := c.store.List(ctx, kinds...)
 	if err != nil {
 		return Error.New("list: %w", err)
@@ -91,7 +91,7 @@
 	rank := watchRank(self, hosts)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
+	now := c.clock.Now()
 	should := c.watcherAt(rank, now)
 	if c.state.Load().complete == 0 {
 		should = len(hosts) < 2 || now.Sub(c.started) >= c.leftToPeers(rank)
--- a/internal/discovery/findings.go
+++ b/internal/discovery/findings.go
@@ -113,7 +113,7 @@
 func (s *State) spreadFindings(all []Finding) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.findings.add(time.Now(), all)
+	s.findings.add(s.clock.Now(), all)
 	s.wakePeers()
 }
 
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -124,7 +124,7 @@
 		return true
 	}
 	turn := time.Duration(f.peers.Turn()) * f.cfg.staleStep()
-	return time.Since(fresh) > f.cfg.staleAfter()+turn
+	return f.state.clock.Since(fresh) > f.cfg.staleAfter()+turn
 }
 
 // lookEvery is the time between two looks at whether this host has to ask the
@@ -238,7 +238,7 @@
 // followConfig makes one call about the configuration.
 func (f *Follower) followConfig(ctx context.Context, l *link) error {
 	if l.mustList(f.state.Known().ConfigRevision) {
-		asked := time.Now()
+		asked := f.state.clock.Now()
 		read, err := f.source.Config(ctx)
 		if err != nil {
 			return err
@@ -270,13 +270,13 @@
 	v := f.state.View()
 	f.log.Event(evConfigInForce).Uint64("version", v.Table.Config.Version).Uint64("revision", v.ConfigRevision).
 		Int("routes", len(v.Table.Config.Routes)).Int("services", len(v.Table.Config.Services)).
-		Str("from", from).Dur("age", time.Since(v.ConfigAsOf)).Msg("")
+		Str("from", from).Dur("age", f.state.clock.Since(v.ConfigAsOf)).Msg("")
 }
 
 // followTargets makes one call about the registry.
 func (f *Follower) followTargets(ctx context.Context, l *link) error {
 	if l.mustList(f.state.Known().RegistryRevision) {
-		asked := time.Now()
+		asked := f.state.clock.Now()
 		list, err := f.source.Targets(ctx)
 		if err != nil {
 			return f.targetsFailed(err)
@@ -305,7 +305,7 @@
 // not gone for sure.
 func (f *Follower) targetsFailed(err error) error {
 	if !errors.Is(err, ErrHistoryGone) {
-		f.state.Outage(time.Now())
+		f.state.Outage(f.state.clock.Now())
 	}
 	return err
 }
@@ -315,7 +315,7 @@
 	for ctx.Err() == nil {
 		// A host that watches for all asks the others, too, when the store
 		// turns it away: it may serve them.
-		if f.peers.Watches() && time.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
+		if f.peers.Watches() && f.state.clock.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
 			await.Sleep(ctx, lookEvery)
 			continue
 		}
@@ -344,7 +344,7 @@
 	if f.state.Freshness().IsZero() {
 		return f.coldPeerWait()
 	}
-	if time.Since(f.state.Freshness()) > f.cfg.hurryAfter() {
+	if f.state.clock.Since(f.state.Freshness()) > f.cfg.hurryAfter() {
 		return f.cfg.hurriedWait(), f.cfg.peerTimeout()
 	}
 	return f.cfg.peerWait(), f.cfg.peerTimeout()
@@ -397,6 +397,6 @@
 
 func (f *Follower) expire(ctx context.Context) {
 	for await.Sleep(ctx, expireEvery) {
-		f.logTargets(f.state.Expire(time.Now()), "outage over")
+		f.logTargets(f.state.Expire(f.state.clock.Now()), "outage over")
 	}
 }
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -117,7 +117,7 @@
 		ConfigRevision: s.config.revision, ConfigAsOf: s.config.asOf,
 		RegistryRevision: s.registry.revision, RegistryAsOf: s.registry.asOf,
 		Outage:       s.outage,
-		Findings:     s.findings.since(time.Now(), than.FindingEpoch, than.FindingNumber),
+		Findings:     s.findings.since(s.clock.Now(), than.FindingEpoch, than.FindingNumber),
 		FindingEpoch: s.findings.epoch, FindingNumber: s.findings.next,
 	}
 	n.Requests, n.RequestsMark = s.requests.Since(than.Requests)
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -96,7 +96,7 @@
 	if err != nil {
 		return News{}, err
 	}
-	asked := time.Now()
+	asked := s.state.clock.Now()
 	reply, err := peerpb.NewDRPCDiscoveryClient(s.dialer.Conn(ctx, from.Peer)).Follow(ctx, &peerpb.FollowRequest{
 		ConfigRevision: than.ConfigRevision, RegistryRevision: than.RegistryRevision, WaitUs: wait.Microseconds(),
 		FindingEpoch: heard.epoch, FindingNumber: heard.number,
@@ -222,7 +222,7 @@
 		s.state.spreadFindings(all)
 		s.state.learn(all)
 	}
-	s.state.mergeRequests(quarantine.AllFromWire(in.Requests, time.Now()))
+	s.state.mergeRequests(quarantine.AllFromWire(in.Requests, s.state.clock.Now()))
 	return &peerpb.FindingsNoted{}, nil
 }
 
@@ -250,14 +250,14 @@
 
 // Follow answers a peer.
 func (s *Spread) Follow(ctx context.Context, in *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
-	began := time.Now()
+	began := s.state.clock.Now()
 	wait := min(time.Duration(in.WaitUs)*time.Microsecond, longestHold)
 	news := s.state.AwaitNews(ctx, Known{
 		ConfigRevision: in.ConfigRevision, RegistryRevision: in.RegistryRevision,
 		FindingEpoch: in.FindingEpoch, FindingNumber: in.FindingNumber,
 		Requests: quarantine.Mark{Epoch: in.RequestEpoch, Number: in.RequestNumber},
 	}, wait)
-	reply := writeReply(news, began)
+	reply := writeReply(news, began, s.state.clock.Now())
 	if news.Config != nil {
 		text, err := s.encodeConfig(news.Config)
 		if err != nil {
@@ -273,10 +273,9 @@
 	return Error.Wrap(peerpb.DRPCRegisterDiscovery(server, s))
 }
 
-// writeReply encodes news for a request that came at a time, but for the
+// writeReply encodes news for a request that came at a time and is answered now, but for the
 // configuration.
-func writeReply(n News, began time.Time) *peerpb.FollowReply {
-	now := time.Now()
+func writeReply(n News, began, now time.Time) *peerpb.FollowReply {
 	out := &peerpb.FollowReply{
 		HeldUs:         now.Sub(began).Microseconds(),
 		ConfigRevision: n.ConfigRevision, ConfigAgeUs: age(now, n.ConfigAsOf),
--- a/internal/discovery/requests.go
+++ b/internal/discovery/requests.go
@@ -105,7 +105,7 @@
 // TellRequests implements Peers. It tells all hosts that watch the store at once, and returns
 // how many it did not reach.
 func (s *Spread) TellRequests(ctx context.Context, records []quarantine.Record) (missed int) {
-	in := &peerpb.Findings{Requests: quarantine.AllToWire(records, time.Now())}
+	in := &peerpb.Findings{Requests: quarantine.AllToWire(records, s.state.clock.Now())}
 	results := make(chan error)
 	watchers := except(s.divided().allWatchers(), s.members.Self().ID)
 	for _, w := range watchers {
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/quarantine"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
@@ -18,6 +19,8 @@
 
 // State is what the host believes. Every method is safe for concurrent use.
 type State struct {
+	clock *clock.Clock // of all ages
+
 	mu     sync.Mutex
 	table  *routing.Table // nil: no configuration yet
 	config belief
@@ -62,6 +65,13 @@
 		findings: newFindings(), reports: make(chan Finding, mostReports)}
 }
 
+// GoBy makes the ages of what is believed go by a clock that counts the time in which the machine is
+// suspended. It is to be called before the state is used.
+func (s *State) GoBy(c *clock.Clock) { s.clock = c }
+
+// Clock returns the clock of all ages.
+func (s *State) Clock() *clock.Clock { return s.clock }
+
 // Follow calls f with every new view, under the lock: f must be short. It is
 // to be called before the state is used.
 func (s *State) Follow(f func(View)) { s.follow = append(s.follow, f) }
@@ -196,7 +206,7 @@
 
 // apply changes the targets and tells the followers if anything differs.
 func (s *State) apply(changes []TargetChange, revision uint64, asOf time.Time) []TargetChange {
-	now := time.Now()
+	now := s.clock.Now()
 	s.registry.revision = max(s.registry.revision, revision)
 	if asOf.After(s.registry.asOf) {
 		s.registry.asOf = asOf
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -1,9 +1,14 @@
 package discovery
 
-import "time"
+import (
+	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/clock"
+)
 
 // watch is one watch of the store.
 type watch struct {
+	clock *clock.Clock
 	began time.Time
 	wait  time.Duration // for which it waits for a change
 }
@@ -12,9 +17,9 @@
 // be current at a time. It is shorter if that is long ago, so that the belief is
 // proved anew before the hosts that ask this one find it old.
 func (f *Follower) newWatch(asOf time.Time) watch {
-	now := time.Now()
+	now := f.state.clock.Now()
 	left := f.cfg.proveWithin() - now.Sub(asOf)
-	return watch{began: now, wait: min(max(left, f.cfg.shortestWatch()), f.cfg.watchWait())}
+	return watch{clock: f.state.clock, began: now, wait: min(max(left, f.cfg.shortestWatch()), f.cfg.watchWait())}
 }
 
 // provedAsOf returns the time as of which the answer of the watch, which has just
@@ -28,7 +33,7 @@
 		return w.began
 	}
 	end := w.began.Add(w.wait)
-	if now := time.Now(); now.Before(end) {
+	if now := w.clock.Now(); now.Before(end) {
 		return now
 	}
 	return end
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -25,6 +25,8 @@
 	header  http.Header // to forward; not changed after it was built
 	body    []byte
 	arrived time.Time
+	came    time.Time   // the same by the clock that goes on while the machine is suspended
+	expired atomic.Bool // its time was over when the machine went on after a suspension
 	// objective is the latency up to which an answer is worth all: the route's, or
 	// the time that the caller waits if that names none.
 	objective time.Duration
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -37,6 +37,9 @@
 		"request", "content", "target", "service", "alone", "strikes", "quarantined")
 	evCleared = event.Define(11011, "request_cleared", plog.InfoLevel,
 		"A target answered a request under which others had ended; nothing is held against it any more.", "none", "request", "content", "target")
+	evWoken = event.Define(11012, "host_was_suspended", plog.WarnLevel,
+		"The machine was suspended for a time, and this process with it. What it believed before counts as old as it is; requests whose time was over meanwhile are answered.",
+		"Find out why, if it is not a virtual machine that was moved.", "asleep", "expired")
 	evTargetHealth = event.Define(11003, "target_health", plog.InfoLevel,
 		"A target was set aside for its answers, or taken back.", "Look at the target if it stays set aside.",
 		"target", "service", "set_aside", "latency", "failures", "from")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -35,6 +35,7 @@
 	gathersFor atomic.Int32
 	paces      paces
 	requests   *quarantine.Table // what is held against requests
+	held       held
 	fleet      *fleet
 	life       *kernel.Lifecycle
 	log        *event.Log
@@ -52,7 +53,7 @@
 	life *kernel.Lifecycle, log *event.Log, reg prometheus.Registerer) *Gateway {
 	g := &Gateway{
 		cfg: cfg, state: state, requests: requests, messages: messages, recorder: recorder, life: life, log: log, self: self, hosts: hosts,
-		fleet: newFleet(cfg, self.ID, self.FailureDomain, hosts), metrics: newMetrics(reg), lines: newLines(),
+		fleet: newFleet(cfg, self.ID, self.FailureDomain, hosts), metrics: newMetrics(reg), lines: newLines(), held: newHeld(),
 	}
 	g.attemptHeader = http.Header{}
 	messages.Attempt(g.attemptHeader, "", 0)
@@ -71,6 +72,7 @@
 		g.log.Event(evWithout).Str("mechanisms", names(off)).Msg("")
 	}
 	go g.fleet.runTrim(ctx)
+	go g.state.Clock().Watch(ctx, g.woken)
 	return nil
 }
 
@@ -98,7 +100,7 @@
 
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(rw http.ResponseWriter, hr *http.Request) {
-	r := &request{caller: hr.RemoteAddr, method: hr.Method, uri: hr.RequestURI, host: hr.Host, arrived: time.Now()}
+	r := &request{caller: hr.RemoteAddr, method: hr.Method, uri: hr.RequestURI, host: hr.Host, arrived: time.Now(), came: g.state.Clock().Now()}
 	w := &reply{gateway: g, writer: rw, request: r}
 	g.serve(w, r, hr)
 	g.record(w)
@@ -120,12 +122,12 @@
 		w.refuse(refusalNoConfig)
 		return
 	}
-	w.version, w.age = table.Config.Version, time.Since(asOf)
+	w.version, w.age = table.Config.Version, r.came.Sub(asOf)
 	// The path as it was sent: a target sees no other one.
 	path, _, _ := strings.Cut(r.uri, "?")
 	route := table.Match(hr.Host, path)
 	if route == nil {
-		g.unknownRoute(w, asOf)
+		g.unknownRoute(w)
 		return
 	}
 	w.route, w.limit, w.parts = route.Name, route.Objective, max(len(route.Shards), 1)
@@ -155,8 +157,8 @@
 
 // unknownRoute answers a request for which the configuration has no route. A
 // configuration that may be old proves nothing.
-func (g *Gateway) unknownRoute(w *reply, asOf time.Time) {
-	if time.Since(asOf) > g.cfg.FreshFor.Std() {
+func (g *Gateway) unknownRoute(w *reply) {
+	if w.age > g.cfg.FreshFor.Std() {
 		w.refuse(refusalStale)
 		return
 	}
@@ -178,7 +180,7 @@
 // attempting returns the context in which attempts of a request start, and sets
 // the one in which they run: those in flight outlive the answer, so that a late
 // one does not cost its connection, but not the caller's leave. done is to be called
-// with the answer; no attempt starts after it.
+// with the answer; no attempt starts after it, and nothing waits for one.
 func (r *request) attempting(caller context.Context) (ctx context.Context, done func()) {
 	attempts, leave := context.WithCancel(context.WithoutCancel(caller))
 	stop := context.AfterFunc(caller, leave)
@@ -192,12 +194,13 @@
 
 // forward sends a request where its route says.
 func (g *Gateway) forward(caller context.Context, w *reply, r *request, route *routing.Route) {
-	if stance, until := g.stance(r); stance == quarantine.Quarantined {
-		w.quarantined(until)
+	if stance, left := g.stance(r); stance == quarantine.Quarantined {
+		w.quarantined(left)
 		return
 	}
 	ctx, done := r.attempting(caller)
 	defer done()
+	defer g.held.hold(r, done)()
 	if len(route.Shards) > 0 {
 		r.gathers = true
 		g.scatter(ctx, w, r, route)
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -352,6 +352,7 @@
 	r.goOn = goOn
 	ctx, done := r.attempting(ctx)
 	defer done()
+	defer g.held.hold(r, done)()
 	stop := context.AfterFunc(enough, done)
 	defer stop()
 	if g.quarantined(r) {
@@ -367,7 +368,7 @@
 	now := time.Now()
 	r := &request{
 		call: Call{RequestID: q.RequestID, Budget: q.Budget}, caller: q.Caller, method: q.Method, uri: q.URI, host: q.Host,
-		header: q.Header, body: q.Body, arrived: now, answerBy: now.Add(q.AnswerIn), deadline: now.Add(q.Budget),
+		header: q.Header, body: q.Body, arrived: now, came: g.state.Clock().Now(), answerBy: now.Add(q.AnswerIn), deadline: now.Add(q.Budget),
 		objective: q.Objective, gathers: true, late: q.Late, pace: g.paces.of(q.Route.Name),
 	}
 	r.scale = r.pace.scale(r.objective)
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -86,10 +86,10 @@
 
 // quarantined answers that the request did not run, as targets end under it, and when it may
 // be tried again.
-func (w *reply) quarantined(until time.Time) {
+func (w *reply) quarantined(left time.Duration) {
 	w.gateway.metrics.quarantined.Inc()
 	w.outcome, w.code = outcome.NotSent, refusalQuarantined.reason
-	w.problem(http.StatusServiceUnavailable, time.Until(until), refusalQuarantined.name)
+	w.problem(http.StatusServiceUnavailable, left, refusalQuarantined.name)
 }
 
 // timeout answers that the time is over and the request may have run.
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -30,7 +30,7 @@
 		w.quarantined(until)
 	case got.Outcome.NotRun():
 		w.refuse(refusalBusy)
-	case !time.Now().Before(r.deadline):
+	case r.over():
 		w.timeout()
 	default:
 		w.unknown(Error.New("%s", got.Reason))
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -246,7 +246,7 @@
 		w.refuse(run.reason())
 	case run.last.outcome == outcome.Failed:
 		w.whole(run.last)
-	case !time.Now().Before(r.deadline):
+	case r.over():
 		w.timeout()
 	default:
 		w.unknown(run.last.err)
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -14,6 +14,7 @@
 	plog "github.com/phuslu/log"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/delivery"
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
 	"rhubarbwood.example/rhubarbwood/internal/event"
@@ -56,6 +57,7 @@
 	recorded *recorder
 	log      *event.Log
 	requests *quarantine.Table
+	suspend  func(time.Duration) // of the machine
 
 	revision uint64
 }
@@ -97,6 +99,9 @@
 	if o.log != nil {
 		s.log = event.New(o.log, plog.InfoLevel, "h")
 	}
+	machine, suspend := clock.Virtual()
+	s.state.GoBy(machine)
+	s.suspend = suspend
 	s.requests = quarantine.NewTable(quarantine.DefaultConfig(), s.log)
 	g := s.gateway(member.Host{ID: "h", FailureDomain: domain, LinkMbps: o.link}, o.without...)
 	if o.help != nil {
--- a/internal/gateway/trial.go
+++ b/internal/gateway/trial.go
@@ -27,10 +27,10 @@
 // suspects reports whether anything is held against any request, so that it is worth asking of one.
 func (g *Gateway) suspects() bool { return !g.requests.Empty() && !g.cfg.off(Quarantine) }
 
-// stance returns how attempts of a request are to be made, and until when if not at all.
-func (g *Gateway) stance(r *request) (quarantine.Stance, time.Time) {
+// stance returns how attempts of a request are to be made, and for how long if not at all.
+func (g *Gateway) stance(r *request) (s quarantine.Stance, left time.Duration) {
 	if !g.suspects() {
-		return quarantine.Free, time.Time{}
+		return quarantine.Free, 0
 	}
 	return g.requests.Stance(r.keys())
 }
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/delivery"
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
 	"rhubarbwood.example/rhubarbwood/internal/event"
@@ -48,7 +49,7 @@
 type Host struct {
 	settings Settings
 	platform Platform
-	network  Network
+	system   System
 	log      *event.Log
 	life     *kernel.Lifecycle
 	kernel   *kernel.Kernel
@@ -63,27 +64,29 @@
 	peerMetrics *peer.Metrics
 }
 
-// Network is how a host listens and opens connections.
-type Network struct {
+// System is how a host listens, opens connections and tells time.
+type System struct {
 	Listen listen.Func
 	// Dial opens connections to targets and other hosts; nil: over TCP, each part with its
 	// own timeout.
 	Dial netdial.Func
+	// Clock tells the ages of what the host believes; nil: the steady clock.
+	Clock *clock.Clock
 }
 
 // New returns a host with every module built and every address taken, but
 // nothing started. An address in use is an error here.
 func New(s Settings, p Platform, log *event.Log) (*Host, error) {
-	return NewOn(Network{Listen: net.Listen}, s, p, log)
+	return NewOn(System{Listen: net.Listen, Clock: clock.New()}, s, p, log)
 }
 
-// NewOn is New on another network than the machine's.
-func NewOn(n Network, s Settings, p Platform, log *event.Log) (*Host, error) {
-	on, err := listenOn(n, s.Addresses)
+// NewOn is New with another network or clock than the machine's.
+func NewOn(system System, s Settings, p Platform, log *event.Log) (*Host, error) {
+	on, err := listenOn(system, s.Addresses)
 	if err != nil {
 		return nil, err
 	}
-	h := &Host{settings: s, platform: p, network: n, log: log, life: kernel.NewLifecycle(), metrics: prometheus.NewRegistry(), runtime: prometheus.NewRegistry(), on: on}
+	h := &Host{settings: s, platform: p, system: system, log: log, life: kernel.NewLifecycle(), metrics: prometheus.NewRegistry(), runtime: prometheus.NewRegistry(), on: on}
 	h.runtime.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.peerMetrics = peer.NewMetrics(h.metrics)
 	h.kernel = kernel.New(h.life, s.Stop.Grace.Std(), log)
@@ -129,6 +132,7 @@
 		return nil, err
 	}
 	s := discovery.NewState()
+	s.GoBy(h.system.Clock)
 	s.ShareRequests(requests.table)
 	return stateModule{s}, nil
 }
@@ -146,6 +150,7 @@
 		return nil, err
 	}
 	h.requests = quarantine.NewTable(h.settings.Quarantine, h.log)
+	h.requests.GoBy(h.system.Clock)
 	return requestsModule{quarantine.NewKeeper(h.requests, store, h.log), h.requests}, nil
 }
 
@@ -163,7 +168,9 @@
 
 func (h *Host) newPlatform(kernel.Finder) (kernel.Module, error) {
 	cfg := h.settings.Platform
-	return platformModule{objstore.Govern(cfg, h.platform.Records(cfg), h.log, h.metrics)}, nil
+	records := objstore.Govern(cfg, h.platform.Records(cfg), h.log, h.metrics)
+	records.GoBy(h.system.Clock)
+	return platformModule{records}, nil
 }
 
 func (h *Host) newStore(f kernel.Finder) (kernel.Module, error) {
@@ -176,8 +183,8 @@
 
 func (h *Host) newPeerPool(kernel.Finder) (kernel.Module, error) {
 	opts := []peer.Option{peer.WithMetrics(h.peerMetrics)}
-	if h.network.Dial != nil {
-		opts = append(opts, peer.WithDial(h.network.Dial))
+	if h.system.Dial != nil {
+		opts = append(opts, peer.WithDial(h.system.Dial))
 	}
 	return peer.NewPool(opts...), nil
 }
@@ -282,11 +289,11 @@
 	}
 	s := h.settings
 	h.gateway = gateway.New(s.Gateway, members.Self(), members.Count, state.State, requests.table, h.platform.Messages, recorder, h.life, h.log, h.metrics)
-	if h.network.Dial != nil {
-		h.gateway.DialWith(h.network.Dial)
+	if h.system.Dial != nil {
+		h.gateway.DialWith(h.system.Dial)
 	}
-	h.gateway.HelpWith(gatherrpc.NewClient(pool), members.Hosts)
-	return h.gateway, gatherrpc.NewServer(h.gateway).Register(server)
+	h.gateway.HelpWith(gatherrpc.NewClient(pool, h.system.Clock), members.Hosts)
+	return h.gateway, gatherrpc.NewServer(h.gateway, h.system.Clock).Register(server)
 }
 
 func (h *Host) newCallers(f kernel.Finder) (kernel.Module, error) {
--- a/internal/gatewayhost/servers.go
+++ b/internal/gatewayhost/servers.go
@@ -27,8 +27,8 @@
 // listeners are the addresses of a host.
 type listeners struct{ callers, readiness, metrics, peers net.Listener }
 
-func listenOn(n Network, a Addresses) (listeners, error) {
-	all, err := listen.AllOn(n.Listen,
+func listenOn(s System, a Addresses) (listeners, error) {
+	all, err := listen.AllOn(s.Listen,
 		listen.Address{Name: "callers", Address: a.Callers},
 		listen.Address{Name: "readiness", Address: a.Readiness},
 		listen.Address{Name: "metrics", Address: a.Metrics},
--- a/internal/gatherrpc/fuzz_test.go
+++ b/internal/gatherrpc/fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -33,7 +34,7 @@
 		if proto.Unmarshal(text, &reply) != nil {
 			return
 		}
-		got, err := gatheredFromWire(&reply)
+		got, err := gatheredFromWire(&reply, time.Now())
 		if _, known := outcome.Parse(reply.Outcome); known != (err == nil) {
 			t.Fatalf("read %+v: %v", got, err)
 		}
--- a/internal/gatherrpc/gatherrpc.go
+++ b/internal/gatherrpc/gatherrpc.go
@@ -13,6 +13,7 @@
 	"github.com/zeebo/errs"
 	"storj.io/drpc"
 
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
@@ -31,10 +32,13 @@
 }
 
 // Server takes the queries of other hosts.
-type Server struct{ gatherer Gatherer }
+type Server struct {
+	gatherer Gatherer
+	clock    *clock.Clock // of the ages of what is known of requests
+}
 
 // NewServer returns a server in front of a gatherer.
-func NewServer(g Gatherer) *Server { return &Server{gatherer: g} }
+func NewServer(g Gatherer, c *clock.Clock) *Server { return &Server{gatherer: g, clock: c} }
 
 // Register adds the server to those of a peer listener.
 func (s *Server) Register(mux drpc.Mux) error {
@@ -68,13 +72,13 @@
 			return true
 		},
 		Partial: func(got gateway.Gathered) {
-			m := gatheredToWire(&got)
+			m := gatheredToWire(&got, s.clock.Now())
 			m.Partial = true
 			send(m)
 		},
 	}
 	got := s.gatherer.GatherFor(ctx, enough, queryFromWire(in), progress, &goOn)
-	return Error.Wrap(stream.Send(gatheredToWire(&got)))
+	return Error.Wrap(stream.Send(gatheredToWire(&got, s.clock.Now())))
 }
 
 // awaitWord waits for the word to go on and for that the other host has enough, which it
@@ -96,10 +100,13 @@
 }
 
 // Client lets other hosts gather queries. It implements gateway.Helpers.
-type Client struct{ dialer peer.Dialer }
+type Client struct {
+	dialer peer.Dialer
+	clock  *clock.Clock // of the ages of what is known of requests
+}
 
 // NewClient returns a client over connections to other hosts.
-func NewClient(d peer.Dialer) *Client { return &Client{dialer: d} }
+func NewClient(d peer.Dialer, c *clock.Clock) *Client { return &Client{dialer: d, clock: c} }
 
 // NotRun implements gateway.Helpers.
 func (*Client) NotRun(err error) bool { return peer.NotRun(err) }
@@ -130,13 +137,13 @@
 				return gateway.Gathered{}, Error.New("tell %s to go on: %w", host.ID, err)
 			}
 		case m.Partial:
-			got, err := gatheredFromWire(m)
+			got, err := gatheredFromWire(m, c.clock.Now())
 			if err != nil {
 				return got, err
 			}
 			p.Partial(got)
 		default:
-			return gatheredFromWire(m)
+			return gatheredFromWire(m, c.clock.Now())
 		}
 	}
 }
@@ -170,15 +177,15 @@
 	}
 }
 
-func gatheredToWire(g *gateway.Gathered) *peerpb.GatherReply {
+func gatheredToWire(g *gateway.Gathered, now time.Time) *peerpb.GatherReply {
 	return &peerpb.GatherReply{
 		Signatures: g.Signatures, Records: g.Records, Outcome: g.Outcome.String(), Lacking: g.Lacking, Reason: g.Reason,
 		Attempts: uint32(g.Attempts), Cut: g.Cut, PartBytes: uint64(g.PartBytes), Failed: uint32(g.Failed),
-		Known: quarantine.AllToWire(g.Known, time.Now()),
+		Known: quarantine.AllToWire(g.Known, now),
 	}
 }
 
-func gatheredFromWire(m *peerpb.GatherReply) (gateway.Gathered, error) {
+func gatheredFromWire(m *peerpb.GatherReply, now time.Time) (gateway.Gathered, error) {
 	o, ok := outcome.Parse(m.Outcome)
 	if !ok {
 		return gateway.Gathered{}, Error.New("unknown outcome %q", m.Outcome)
@@ -186,6 +193,6 @@
 	return gateway.Gathered{
 		Signatures: m.Signatures, Records: m.Records, Outcome: o, Lacking: m.Lacking, Reason: m.Reason,
 		Attempts: int(m.Attempts), Cut: m.Cut, PartBytes: int(m.PartBytes), Failed: int(m.Failed),
-		Known: quarantine.AllFromWire(m.Known, time.Now()),
+		Known: quarantine.AllFromWire(m.Known, now),
 	}, nil
 }
--- a/internal/gatherrpc/gatherrpc_test.go
+++ b/internal/gatherrpc/gatherrpc_test.go
@@ -64,7 +64,7 @@
 func serve(t *testing.T, g *gatherer) (*Client, member.Host) {
 	t.Helper()
 	s := peer.NewServer("127.0.0.1:0")
-	if err := NewServer(g).Register(s); err != nil {
+	if err := NewServer(g, nil).Register(s); err != nil {
 		t.Fatal(err)
 	}
 	if err := s.Start(t.Context()); err != nil {
@@ -73,7 +73,7 @@
 	t.Cleanup(func() { _ = s.Stop(context.Background()) })
 	pool := peer.NewPool()
 	t.Cleanup(func() { _ = pool.Stop(context.Background()) })
-	return NewClient(pool), member.Host{ID: "w", Peer: s.Addr()}
+	return NewClient(pool, nil), member.Host{ID: "w", Peer: s.Addr()}
 }
 
 func TestQueryAndAnswerArriveWhole(t *testing.T) {
@@ -149,7 +149,7 @@
 
 func TestAnswerWithAnUnknownOutcomeIsNone(t *testing.T) {
 	is := is.New(t)
-	_, err := gatheredFromWire(&peerpb.GatherReply{Outcome: "perhaps"})
+	_, err := gatheredFromWire(&peerpb.GatherReply{Outcome: "perhaps"}, time.Now())
 	is.True(err != nil)
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -9,6 +9,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
@@ -20,6 +21,7 @@
 type Host struct {
 	settings    Settings
 	log         *event.Log
+	clock       *clock.Clock // of ages
 	life        *kernel.Lifecycle
 	kernel      *kernel.Kernel
 	metrics     *prometheus.Registry
@@ -43,6 +45,7 @@
 		return nil, err
 	}
 	h := &Host{
+		clock:     clock.New(),
 		settings:  s,
 		log:       log,
 		life:      kernel.NewLifecycle(),
--- a/internal/host/modules.go
+++ b/internal/host/modules.go
@@ -58,7 +58,9 @@
 func (h *Host) newPlatform(kernel.Finder) (kernel.Module, error) {
 	cfg := h.settings.Platform
 	records := platform.NewObjects(cfg.Timeout.Std(), cfg.Addresses...)
-	return objstore.New(objstore.Govern(cfg, records, h.log, h.metrics)), nil
+	governed := objstore.Govern(cfg, records, h.log, h.metrics)
+	governed.GoBy(h.clock)
+	return objstore.New(governed), nil
 }
 
 func (h *Host) newPeerPool(kernel.Finder) (kernel.Module, error) {
@@ -101,6 +103,7 @@
 	}
 	c := catalog.New(h.settings.Catalog, store, members, catalog.NewPeerPuller(pool), members, h.log, h.metrics)
 	members.Follow(c)
+	c.GoBy(h.clock)
 	h.parts.catalog = c
 	return c, peerpb.DRPCRegisterConfiguration(server, c)
 }
--- a/internal/objstore/governed.go
+++ b/internal/objstore/governed.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/time/rate"
 
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 )
 
@@ -35,6 +36,8 @@
 	// the records were opened; see Now.
 	answered atomic.Bool
 	started  time.Time
+	clock    *clock.Clock
+	began    time.Time // when they were opened, by clock
 	log      *event.Log
 	metrics  *metrics
 }
@@ -51,11 +54,15 @@
 // Govern returns records under the limits of valid settings.
 func Govern(cfg Config, records Records, log *event.Log, reg prometheus.Registerer) *Governed {
 	return &Governed{
-		cfg: cfg, records: records, started: time.Now(), log: log, metrics: newMetrics(reg),
+		cfg: cfg, records: records, started: time.Now(), began: time.Now(), log: log, metrics: newMetrics(reg),
 		bucket: rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.Burst), unreadable: rate.NewLimiter(unreadableLines, unreadableBurst),
 	}
 }
 
+// GoBy makes Now count the time in which the machine is suspended. It is to be called before the
+// records are used.
+func (g *Governed) GoBy(c *clock.Clock) { g.clock, g.began = c, c.Now() }
+
 // Get implements Records.
 func (g *Governed) Get(ctx context.Context, kind, name string) (r Record, err error) {
 	err = g.call(ctx, verbGet, 0, func(ctx context.Context) (err error) {
@@ -133,8 +140,8 @@
 }
 
 // Now implements Records. Where the platform's answers tell no time, it is this
-// host's clock as it stood when the records were opened, carried on by the steady
-// clock, so that a step of the time of day moves nothing.
+// host's clock as it stood when the records were opened, carried on by one that no step
+// of the time of day moves.
 func (g *Governed) Now() (time.Time, bool) {
 	if now, ok := g.records.Now(); ok {
 		return now, true
@@ -142,7 +149,7 @@
 	if !g.answered.Load() {
 		return time.Time{}, false
 	}
-	return g.started.Add(time.Since(g.started)), true
+	return g.started.Add(g.clock.Since(g.began)), true
 }
 
 // Close implements Records.
--- a/internal/objstore/governed_test.go
+++ b/internal/objstore/governed_test.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 )
 
@@ -195,6 +196,24 @@
 	})
 }
 
+// A host that was suspended tells the time as if it had run on: a lease of somebody else has
+// ended by then.
+func TestTimeGoesOnWhileTheMachineIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := govern(newFake())
+		machine, suspend := clock.Virtual()
+		g.GoBy(machine)
+		_, err := g.List(t.Context(), "k", "")
+		is.NoErr(err)
+		before, ok := g.Now()
+		is.True(ok)
+		suspend(time.Minute)
+		after, _ := g.Now()
+		is.Equal(after.Sub(before), time.Minute)
+	})
+}
+
 func TestValidateReportsEveryProblem(t *testing.T) {
 	is := is.New(t)
 	good := DefaultConfig()
--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -73,8 +73,8 @@
 	defer expire.Stop()
 	for {
 		select {
-		case now := <-expire.C:
-			k.table.Expire(now)
+		case <-expire.C:
+			k.table.Expire()
 		case key := <-k.changed:
 			k.keep(ctx, key)
 		case <-ctx.Done():
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -45,7 +45,7 @@
 // Merge takes what other hosts hold. Strikes add up, whatever the order in which they
 // come; what was cleared stays so.
 func (t *Table) Merge(records []Record) {
-	now := time.Now()
+	now := t.clock.Now()
 	t.mu.Lock()
 	changed := false
 	for _, r := range records {
@@ -68,6 +68,9 @@
 	before := e.stance(now, t.hold)
 	changed := e.clear(now, r.Cleared...)
 	for _, s := range r.Strikes {
+		if s.At.After(now) {
+			s.At = now // the clock of the host that wrote it to the store is ahead
+		}
 		changed = e.add(s) || changed
 	}
 	if changed {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 )
 
@@ -32,8 +33,9 @@
 
 // Table is what a host holds against requests. Every method is safe for concurrent use.
 type Table struct {
-	hold time.Duration
-	log  *event.Log
+	hold  time.Duration
+	clock *clock.Clock // of the ages of strikes
+	log   *event.Log
 	// onOwn is called with each key that this host put into quarantine, or cleared after
 	// that. It must not block.
 	onOwn func(Key)
@@ -74,15 +76,20 @@
 // made.
 func (t *Table) Empty() bool { return t == nil || t.size.Load() == 0 }
 
-// Stance returns how attempts of a request are to be made now, and until when if not at all.
-func (t *Table) Stance(r Request) (Stance, time.Time) {
+// GoBy makes the ages of strikes go by a clock that counts the time in which the machine is suspended.
+// It is to be called before the table is used.
+func (t *Table) GoBy(c *clock.Clock) { t.clock = c }
+
+// Stance returns how attempts of a request are to be made now, and for how long if not at all.
+func (t *Table) Stance(r Request) (s Stance, left time.Duration) {
 	if t.Empty() {
-		return Free, time.Time{}
+		return Free, 0
 	}
-	now := time.Now()
+	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.stance(r, now)
+	s, until := t.stance(r, now)
+	return s, max(until.Sub(now), 0)
 }
 
 // stance is Stance. The caller holds the lock.
@@ -149,7 +156,7 @@
 // admit is Admit without the wait: it returns a channel that closes when it is worth
 // asking again.
 func (t *Table) admit(a Attempt) (alone bool, changed <-chan struct{}, err error) {
-	now := time.Now()
+	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch stance, _ := t.stance(a.Request, now); stance {
@@ -192,7 +199,7 @@
 
 // Ended takes a strike against a request. It reports whether the request is in quarantine now.
 func (t *Table) Ended(r Request, id uint64, service string) (quarantined bool) {
-	now := time.Now()
+	now := t.clock.Now()
 	strike := Strike{ID: id, Caller: r.OfCaller.caller(), Services: []string{service}, At: now}
 	t.mu.Lock()
 	for _, k := range r.keys() {
@@ -220,7 +227,7 @@
 		return
 	}
 	t.log.Event(evQuarantined).Str("content", k.Content()).Bool("of_anyone", k.OfAnyone()).Int("strikes", len(e.strikes)).
-		Dur("hold", time.Until(e.quarantinedUntil(t.hold))).Str("from", from).Msg("")
+		Dur("hold", e.quarantinedUntil(t.hold).Sub(t.clock.Now())).Str("from", from).Msg("")
 }
 
 // Strikes returns how many strikes there are against a request.
@@ -243,7 +250,7 @@
 	if t.Empty() {
 		return false
 	}
-	now := time.Now()
+	now := t.clock.Now()
 	t.mu.Lock()
 	cleared := false
 	for _, k := range r.keys() {
@@ -319,7 +326,7 @@
 func (t *Table) entry(k Key) *entry {
 	e := t.suspects[k]
 	if e == nil {
-		t.makeRoom(time.Now())
+		t.makeRoom(t.clock.Now())
 		e = &entry{suspect: newSuspect(k)}
 		t.suspects[k] = e
 		t.size.Store(int32(len(t.suspects)))
@@ -362,10 +369,10 @@
 }
 
 // Expire forgets what has lapsed.
-func (t *Table) Expire(now time.Time) {
+func (t *Table) Expire() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.expire(now)
+	t.expire(t.clock.Now())
 }
 
 func (t *Table) expire(now time.Time) {
@@ -378,7 +385,7 @@
 
 // Held returns the requests in quarantine.
 func (t *Table) Held() []Key {
-	now := time.Now()
+	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var all []Key
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 )
 
@@ -75,9 +76,9 @@
 		for i := range uint64(3) {
 			table.Ended(request, 10+i, "s")
 			time.Sleep(hold - time.Second)
-			stance, until := table.Stance(request)
+			stance, left := table.Stance(request)
 			is.Equal(stance, Quarantined)
-			is.Equal(time.Until(until), time.Second)
+			is.Equal(left, time.Second)
 			time.Sleep(2 * time.Second)
 			stance, _ = table.Stance(request)
 			is.Equal(stance, Alone)
@@ -199,20 +200,20 @@
 			table.Ended(testRequest("/held"), i, "s")
 		}
 		time.Sleep(remember + time.Second)
-		table.Expire(time.Now())
+		table.Expire()
 		stance, _ := table.Stance(testRequest("/once"))
 		is.Equal(stance, Free)
 		stance, _ = table.Stance(testRequest("/held"))
 		is.Equal(stance, Alone)
 		time.Sleep(defaultHold)
-		table.Expire(time.Now())
+		table.Expire()
 		is.True(table.Empty())
 		// What was cleared is forgotten soon, so that no request need be looked at.
 		table.Ended(testRequest("/x"), 1, "s")
 		time.Sleep(time.Second)
 		is.True(table.Answered(testRequest("/x"), "s"))
 		time.Sleep(rememberCleared + time.Second)
-		table.Expire(time.Now())
+		table.Expire()
 		is.True(table.Empty())
 	})
 }
@@ -289,9 +290,9 @@
 			time.Sleep(longestHold)
 			table.Ended(request, i, "s")
 		}
-		stance, until := table.Stance(request)
+		stance, left := table.Stance(request)
 		is.Equal(stance, Quarantined)
-		is.Equal(time.Until(until), longestHold)
+		is.Equal(left, longestHold)
 	})
 }
 
@@ -303,7 +304,46 @@
 		for i := range uint64(keptStrikes) {
 			table.Ended(request, i, "s")
 		}
-		_, until := table.Stance(request)
-		is.Equal(time.Until(until), defaultHold)
+		_, left := table.Stance(request)
+		is.Equal(left, defaultHold)
+	})
+}
+
+// A request is not kept from targets for longer because the machine was suspended meanwhile.
+func TestHoldCountsTheTimeInWhichTheMachineIsSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table, request := newTestTable(), testRequest("/x")
+		machine, suspend := clock.Virtual()
+		table.GoBy(machine)
+		for i := range uint64(mostStrikes) {
+			table.Ended(request, i, "s")
+		}
+		suspend(defaultHold - time.Second)
+		stance, left := table.Stance(request)
+		is.Equal(stance, Quarantined)
+		is.Equal(left, time.Second)
+		suspend(time.Second)
+		stance, _ = table.Stance(request)
+		is.Equal(stance, Alone)
+	})
+}
+
+// What the store holds is dated by the clock of the host that wrote it, which may be ahead: a strike
+// that has not been yet holds no request for longer than one of now.
+func TestStrikesOfAClockThatIsAheadHoldNoLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table, request := newTestTable(), testRequest("/x")
+		var ahead []Strike
+		for i := range uint64(mostStrikes) {
+			strike := strikeOf(i, "s")
+			strike.At = time.Now().Add(24 * time.Hour)
+			ahead = append(ahead, strike)
+		}
+		table.Merge([]Record{recordOf(request, ahead...)})
+		stance, left := table.Stance(request)
+		is.Equal(stance, Quarantined)
+		is.Equal(left, defaultHold)
 	})
 }
