Soak: crashes, foreign entries, suspensions, signals in series

Targets crash and are back under their id as new incarnations; one caller sends copies of a query that ends what runs it; foreign entries stand in the store; hosts are suspended by a process that stands still and a clock that is told of more (--suspended-file); signals and configurations come in series; every second caller keeps its connection until the host is gone; any number of hosts. New promises: the ending request is kept from targets, hosts serve again, a host ends only if it is told to. Seeds of before play what they did (--first-faults).

Cause by its exit: SIGHUP 3 ms after its start, before the program can catch it (10 ms of initialisation). Allowed: the operating system's default; the soak waits until the host takes connections, OPERATIONS.md says so.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -5,6 +5,7 @@
 	"os"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/gatewayhost"
@@ -14,6 +15,7 @@
 type gatewayCommand struct {
 	env      Env
 	Settings string `long:"settings" env:"RHUBARBWOOD_SETTINGS" required:"true" description:"Settings file of the host"`
+	Asleep   string `long:"suspended-file" description:"For tests: file with a time, such as 5s, for which the host counts as having been suspended besides"`
 }
 
 // gcPercent is how much the heap of a gateway host may grow between collections.
@@ -32,7 +34,7 @@
 	lines := event.NewQueue(c.env.Out)
 	defer func() { _ = lines.Close() }() // the last lines; a writer that fails can't be told
 	log := event.NewQueued(lines, s.Log.Plog(), s.ID)
-	h, err := gatewayhost.New(s, gatewayhost.OnPlatform(), log)
+	h, err := gatewayhost.NewOn(c.system(), s, gatewayhost.OnPlatform(), log)
 	if err != nil {
 		return fail(ExitFailed, "host %s: %s", s.ID, err)
 	}
@@ -47,6 +49,22 @@
 	return nil
 }
 
+// system returns what the host runs on.
+func (c *gatewayCommand) system() gatewayhost.System {
+	system := gatewayhost.OwnSystem()
+	if c.Asleep != "" {
+		system.Clock = system.Clock.Plus(func() time.Duration { return readDuration(c.Asleep) })
+	}
+	return system
+}
+
+// readDuration returns the duration that a file holds, 0 if there is none.
+func readDuration(file string) time.Duration {
+	text, _ := os.ReadFile(file)             // not written yet
+	d, _ := time.ParseDuration(string(text)) // 0 of no text
+	return d
+}
+
 // waitForStop returns at the first signal to stop, and reads the settings
 // again at each SIGHUP.
 func (c *gatewayCommand) waitForStop(h *gatewayhost.Host) {
--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -16,15 +16,23 @@
 	Storm    time.Duration `long:"storm" default:"6s" description:"Length of the faults of each seed"`
 	Callers  int           `long:"callers" default:"12" description:"Callers of each seed"`
 	Helpers  bool          `long:"helpers" description:"One host gathers the queries of the others, whose links are narrow"`
-	Parallel int           `long:"parallel" default:"2" description:"Seeds that run at once; each has three processes"`
+	Hosts    int           `long:"hosts" default:"3" description:"Hosts of each seed, a process each"`
+	First    bool          `long:"first-faults" description:"Only the faults that seeds of earlier reports were drawn from"`
+	Parallel int           `long:"parallel" default:"2" description:"Seeds that run at once"`
 }
 
+// mostProcesses bounds the processes of all seeds that run at once: a few hundred.
+const mostProcesses = 300
+
 // Execute runs the seeds and prints a line for each, with the steps of those that
 // found a promise broken.
 func (c *soakCommand) Execute([]string) error {
 	if c.Seeds < 1 || c.Callers < 1 || c.Parallel < 1 || c.Storm < 0 {
 		return fail(ExitUsage, "seeds, callers and parallel: want at least 1; storm: want 0 or more")
 	}
+	if c.Hosts < 3 || c.Hosts*c.Parallel > mostProcesses {
+		return fail(ExitUsage, "hosts: want at least 3, and %d at most of all seeds that run at once", mostProcesses)
+	}
 	binary, err := os.Executable()
 	if err != nil {
 		return fail(ExitFailed, "find the program: %s", err)
@@ -36,7 +44,9 @@
 	for range c.Parallel {
 		work.Go(func() {
 			for seed := range next {
-				r, err := soak.Run(soak.Config{Binary: binary, Seed: seed, Storm: c.Storm, Callers: c.Callers, Helpers: c.Helpers})
+				r, err := soak.Run(soak.Config{
+					Binary: binary, Seed: seed, Storm: c.Storm, Callers: c.Callers, Helpers: c.Helpers, Hosts: c.Hosts, AllFaults: !c.First,
+				})
 				mu.Lock()
 				if err != nil || len(r.Violations) > 0 {
 					broken++
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -33,10 +33,15 @@
 // Virtual returns a clock for tests, and a function that lets a suspension of the machine pass.
 func Virtual() (c *Clock, suspend func(time.Duration)) {
 	var asleep atomic.Int64
-	c = &Clock{now: func() time.Time { return time.Now().Add(time.Duration(asleep.Load())) }}
+	c = (*Clock)(nil).Plus(func() time.Duration { return time.Duration(asleep.Load()) })
 	return c, func(d time.Duration) { asleep.Add(int64(d)) }
 }
 
+// Plus returns the clock of a machine that was suspended for some time more, as a function tells.
+func (c *Clock) Plus(asleep func() time.Duration) *Clock {
+	return &Clock{now: func() time.Time { return c.Now().Add(asleep()) }}
+}
+
 // Now returns the time.
 func (c *Clock) Now() time.Time {
 	if c == nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,8 +81,8 @@
 	return r.encoded, r.invalid
 }
 
-// alone reports whether no other host may be asking the same shards.
-func (r *request) alone() bool { return r.goOn == nil || r.goOn.Load() }
+// soleAsker reports whether no other host may be asking the same shards.
+func (r *request) soleAsker() bool { return r.goOn == nil || r.goOn.Load() }
 
 // send makes one attempt at a target that acquire returned, gives the place back, and
 // holds the outcome against the target or the request. alone tells that no other attempt of
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -164,7 +164,7 @@
 	if ctx.Err() != nil || !time.Now().Before(r.request.deadline) || r.gateway.cfg.off(Repeats) {
 		return
 	}
-	if !r.outcomes.NotRun() && !(r.route.Idempotent && r.request.alone()) {
+	if !r.outcomes.NotRun() && !(r.route.Idempotent && r.request.soleAsker()) {
 		return
 	}
 	if r.sent >= mostAttempts(r.route) || len(r.tried) >= mostAttempts(r.route)+freeRetries {
@@ -215,7 +215,7 @@
 	if r.gateway.cfg.off(Hedges) {
 		return
 	}
-	if !r.route.Idempotent || !r.request.alone() || r.sent >= r.route.MaxAttempts || r.inFlight == 0 {
+	if !r.route.Idempotent || !r.request.soleAsker() || r.sent >= r.route.MaxAttempts || r.inFlight == 0 {
 		return
 	}
 	if r.service.hasTarget(r.tried) {
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -77,9 +77,12 @@
 // New returns a host with every module built and every address taken, but
 // nothing started. An address in use is an error here.
 func New(s Settings, p Platform, log *event.Log) (*Host, error) {
-	return NewOn(System{Listen: net.Listen, Clock: clock.New()}, s, p, log)
+	return NewOn(OwnSystem(), s, p, log)
 }
 
+// OwnSystem is the machine that the process runs on.
+func OwnSystem() System { return System{Listen: net.Listen, Clock: clock.New()} }
+
 // NewOn is New with another network or clock than the machine's.
 func NewOn(system System, s Settings, p Platform, log *event.Log) (*Host, error) {
 	on, err := listenOn(system, s.Addresses)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -20,6 +20,7 @@
 	callerBudget   = 1500 * time.Millisecond // told to the host; above the route's timeout
 	callerPatience = 3 * time.Second         // after which it gives up on an answer that never comes
 	callerPause    = 20 * time.Millisecond   // mean time between two requests
+	poisonPause    = 300 * time.Millisecond  // mean time between two copies of the poison
 	movesAfter     = 3                       // requests, in the mean, after which it goes to any host; else none would come to one that is stopping
 	dialPatience   = 500 * time.Millisecond
 )
@@ -32,10 +33,14 @@
 	kindQuery   kind = iota // to all shards
 	kindReserve             // may run once
 	kindVersion             // tells by its service which version of the configuration sent it
+	kindPoison              // ends the targets that run it
 	kinds
 )
 
-var paths = [kinds]string{pathQuery, pathReserve, pathVersion}
+// usual are the kinds that callers draw from.
+var usual = []kind{kindQuery, kindReserve, kindVersion}
+
+var paths = [kinds]string{pathQuery, pathReserve, pathVersion, pathPoison}
 
 // exchange is one request and what became of it.
 type exchange struct {
@@ -57,19 +62,22 @@
 // caller sends requests to hosts, one after the other, over a connection that it
 // keeps until it is closed.
 type caller struct {
-	site *site
-	name string
-	rng  *rand.Rand
-	host int
-	conn net.Conn
-	read *bufio.Reader
-	done []exchange
+	site  *site
+	name  string
+	rng   *rand.Rand
+	keeps bool          // it never closes a connection itself
+	sends []kind        // it draws from them
+	pause time.Duration // mean time between two requests
+	host  int
+	conn  net.Conn
+	read  *bufio.Reader
+	done  []exchange
 }
 
 // run sends requests until stop closes.
 func (c *caller) run(stop <-chan struct{}) {
 	for n := 0; ; n++ {
-		pause := time.Duration(c.rng.ExpFloat64() * float64(callerPause))
+		pause := time.Duration(c.rng.ExpFloat64() * float64(c.pause))
 		select {
 		case <-stop:
 			c.hangUp()
@@ -77,7 +85,7 @@
 		case <-time.After(pause):
 		}
 		c.done = append(c.done, c.exchange(fmt.Sprintf("%s-%d", c.name, n)))
-		if c.rng.IntN(movesAfter) == 0 {
+		if !c.keeps && c.rng.IntN(movesAfter) == 0 {
 			c.hangUp()
 		}
 	}
@@ -89,11 +97,11 @@
 		_ = c.conn.Close() // nothing more is expected of it
 		c.conn = nil
 	}
-	c.host = c.rng.IntN(hosts)
+	c.host = c.rng.IntN(len(c.site.hosts))
 }
 
 func (c *caller) exchange(id string) exchange {
-	e := exchange{id: id, kind: kind(c.rng.IntN(int(kinds))), host: c.host}
+	e := exchange{id: id, kind: c.sends[c.rng.IntN(len(c.sends))], host: c.host}
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.site.fronts[c.host].address(), dialPatience)
 		if err != nil {
@@ -119,8 +127,12 @@
 	if e.kind == kindReserve {
 		method, body = http.MethodPost, "item "+e.id
 	}
-	text := fmt.Sprintf("%s %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		method, paths[e.kind], e.id, siteHost, platform.HeaderRequestID, e.id,
+	path := paths[e.kind]
+	if e.kind != kindPoison {
+		path += e.id // no two are alike
+	}
+	text := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		method, path, siteHost, platform.HeaderRequestID, e.id,
 		platform.HeaderDeadline, callerBudget.Milliseconds(), len(body), body)
 	if err := c.conn.SetDeadline(time.Now().Add(callerPatience)); err != nil {
 		return Error.Wrap(err)
@@ -155,16 +167,30 @@
 	work sync.WaitGroup
 }
 
-func startCallers(s *site, n int, rng *rand.Rand) *callers {
+// startCallers starts callers. With all faults every second one keeps its connections until the
+// host is gone, and one more sends copies of the poison.
+func startCallers(s *site, cfg Config, rng *rand.Rand) *callers {
 	cs := &callers{stop: make(chan struct{})}
-	for i := range n {
-		c := &caller{site: s, name: fmt.Sprintf("c%d", i), rng: rand.New(rand.NewPCG(rng.Uint64(), uint64(i))), host: i % hosts}
-		cs.all = append(cs.all, c)
+	for i := range cfg.Callers {
+		c := cs.add(s, rng, fmt.Sprintf("c%d", i))
+		c.host, c.keeps = i%len(s.hosts), cfg.AllFaults && i%2 == 1
+	}
+	if cfg.AllFaults {
+		c := cs.add(s, rng, "poison")
+		c.sends, c.pause = []kind{kindPoison}, poisonPause
+	}
+	for _, c := range cs.all {
 		cs.work.Go(func() { c.run(cs.stop) })
 	}
 	return cs
 }
 
+func (cs *callers) add(s *site, rng *rand.Rand, name string) *caller {
+	c := &caller{site: s, name: name, rng: rand.New(rand.NewPCG(rng.Uint64(), uint64(len(cs.all)))), sends: usual, pause: callerPause}
+	cs.all = append(cs.all, c)
+	return c
+}
+
 // end stops the callers and returns what they saw.
 func (cs *callers) end() []exchange {
 	close(cs.stop)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -17,6 +17,10 @@
 	inForceWithin = 3 * time.Second        // a change of the configuration, on every host
 	drainWithin   = 3 * time.Second        // a leaving target gets no new work
 	backSlack     = 250 * time.Millisecond // requests that cross the change
+	mostPoison    = 3                      // copies that reach targets in the calm: what hosts need to learn, if all that knew were lost
+	servedWithin  = calmTime * 3 / 4       // from the start of the calm until all hosts serve again
+	leastServed   = 0.5                    // share of the requests at each host that are then answered; nearly all are
+	fewRequests   = 10                     // at a host, of which no share is told
 )
 
 // Violation is a promise that was not kept.
@@ -34,7 +38,10 @@
 	runs      map[string][]ran // by request
 	changes   []change
 	drained   map[string]time.Time // by target
+	poison    []arrival
+	ends      []string // of hosts that were not told to
 	calmFrom  time.Time
+	calmTo    time.Time
 }
 
 // ran is one run of a request at a target.
@@ -45,18 +52,22 @@
 }
 
 // gather takes what the targets of a site have run.
-func gather(s *site, exchanges []exchange, calmFrom time.Time) *evidence {
-	e := &evidence{exchanges: exchanges, runs: map[string][]ran{}, drained: map[string]time.Time{}, calmFrom: calmFrom}
+func gather(s *site, exchanges []exchange, calmFrom, calmTo time.Time) *evidence {
+	e := &evidence{exchanges: exchanges, runs: map[string][]ran{}, drained: map[string]time.Time{}, calmFrom: calmFrom, calmTo: calmTo}
 	s.mu.Lock()
-	e.changes = slices.Clone(s.changes)
-	for _, t := range s.targets {
-		if !t.drained.IsZero() {
-			e.drained[t.id] = t.drained
-		}
-	}
+	e.changes, e.poison = slices.Clone(s.changes), slices.Clone(s.arrivals)
 	s.mu.Unlock()
+	for _, p := range s.hosts {
+		e.ends = append(e.ends, p.untold()...)
+	}
+	for _, a := range e.poison {
+		e.runs[a.request] = append(e.runs[a.request], ran{a.target, "", a.at})
+	}
 	for _, t := range s.targets {
-		for _, r := range t.target.Runs() {
+		if left := t.leftAt(); !left.IsZero() {
+			e.drained[t.id] = left
+		}
+		for _, r := range t.runs() {
 			e.runs[r.RequestID] = append(e.runs[r.RequestID], ran{t.id, t.service, r.Began})
 		}
 	}
@@ -70,6 +81,11 @@
 		all = append(all, e.checkOne(x)...)
 	}
 	all = append(all, e.checkDrain()...)
+	all = append(all, e.checkPoison()...)
+	all = append(all, e.checkServed()...)
+	for _, end := range e.ends {
+		all = append(all, Violation{"a host ends only if it is told to", end})
+	}
 	return append(all, e.checkNeverBack()...)
 }
 
@@ -180,6 +196,41 @@
 	return all
 }
 
+// checkPoison holds that a request that ends its targets is kept from them.
+func (e *evidence) checkPoison() []Violation {
+	late := map[string]bool{}
+	for _, a := range e.poison {
+		if a.at.After(e.calmFrom) {
+			late[a.request] = true
+		}
+	}
+	if len(late) <= mostPoison {
+		return nil
+	}
+	return []Violation{{"a request that ends its targets is kept from them", fmt.Sprintf("%d copies reached targets in the calm", len(late))}}
+}
+
+// checkServed holds that hosts serve again once all trouble is over.
+func (e *evidence) checkServed() []Violation {
+	sent, served := map[int]int{}, map[int]int{}
+	for _, x := range e.exchanges {
+		if x.kind == kindPoison || x.sent.Before(e.calmFrom.Add(servedWithin)) || x.sent.After(e.calmTo) {
+			continue
+		}
+		sent[x.host]++
+		if x.status >= 200 && x.status < 300 {
+			served[x.host]++
+		}
+	}
+	var all []Violation
+	for host, n := range sent {
+		if n >= fewRequests && float64(served[host]) < leastServed*float64(n) {
+			all = append(all, Violation{"served again in the calm", fmt.Sprintf("host %d answered %d of %d requests", host, served[host], n)})
+		}
+	}
+	return all
+}
+
 // checkNeverBack holds the versions that one run of a host used in order.
 func (e *evidence) checkNeverBack() []Violation {
 	byHost := map[string][]exchange{}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http"
 	"slices"
 	"testing"
@@ -31,6 +32,48 @@
 	return e, x
 }
 
+// copiesAt is copies of the poison that came to two targets each.
+func copiesAt(at time.Time, n int) []arrival {
+	var all []arrival
+	for i := range n {
+		all = append(all, arrival{fmt.Sprint(i), "lists-0-t0", at}, arrival{fmt.Sprint(i), "lists-1-t0", at})
+	}
+	return all
+}
+
+// A host must answer at least half of what is sent to it at the end of the calm; what comes
+// before, copies of the poison and a few requests say nothing.
+func TestHostThatDoesNotServeIsFound(t *testing.T) {
+	late := servedWithin + time.Millisecond
+	cases := map[string]struct {
+		at        time.Duration
+		kind      kind
+		n, served int
+		want      string
+	}{
+		"half":       {late, kindQuery, 20, 10, ""},
+		"less":       {late, kindQuery, 20, 9, "served again in the calm"},
+		"few":        {late, kindQuery, fewRequests - 1, 0, ""},
+		"earlier":    {servedWithin - time.Millisecond, kindQuery, 20, 0, ""},
+		"the poison": {late, kindPoison, 20, 0, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			e := &evidence{calmFrom: second(0), calmTo: second(0).Add(calmTime)}
+			for i := range c.n {
+				x := exchange{id: fmt.Sprint(i), kind: c.kind, sent: second(0).Add(c.at), status: http.StatusBadGateway}
+				if i < c.served {
+					x.status = http.StatusOK
+				}
+				e.exchanges = append(e.exchanges, x)
+			}
+			found := e.checkServed()
+			is := is.New(t)
+			is.Equal(len(found) > 0, c.want != "")
+		})
+	}
+}
+
 // merged is an answered query.
 func merged(services ...string) (*evidence, *exchange) {
 	e, x := good()
@@ -67,6 +110,15 @@
 		"never sent":                 {func(_ *evidence, x *exchange) { x.status, x.written = 0, false }, ""},
 		"new work for a leaving one": {func(e *evidence, _ *exchange) { e.drained["gifts-t0"] = second(-3) }, "a leaving target gets no new work"},
 		"work as it leaves":          {func(e *evidence, _ *exchange) { e.drained["gifts-t0"] = second(-1) }, ""},
+		"a host that ends":           {func(e *evidence, _ *exchange) { e.ends = []string{"host-0/1"} }, "a host ends only if it is told to"},
+		"three copies in the calm":   {func(e *evidence, _ *exchange) { e.poison = copiesAt(second(1), 3) }, ""},
+		"four copies in the storm":   {func(e *evidence, _ *exchange) { e.poison = copiesAt(second(-1), 4) }, ""},
+		"four copies in the calm": {func(e *evidence, _ *exchange) { e.poison = copiesAt(second(1), 4) },
+			"a request that ends its targets is kept from them"},
+		"a copy refused that came to a target": {func(e *evidence, x *exchange) {
+			x.kind, x.status = kindPoison, http.StatusServiceUnavailable
+			e.runs["r"] = []ran{{"lists-0-t0", "", second(1)}}
+		}, "refused as not run"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -10,6 +10,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
 	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
 	"rhubarbwood.example/rhubarbwood/internal/unit"
+	"rhubarbwood.example/rhubarbwood/platform"
 )
 
 // Times of the phases of a run.
@@ -28,11 +29,20 @@
 	undo func(*site)
 }
 
-// storm returns the faults of a seed, in series that overlap, over a time.
-func storm(rng *rand.Rand, lasts time.Duration) []step {
+// storm returns the faults of a seed, in series that overlap.
+func (c Config) storm(rng *rand.Rand) []step {
+	all := series(rng, c.Storm, c.fault)
+	if c.AllFaults {
+		all = append(all, series(rng, c.Storm, c.furtherFault)...)
+	}
+	return all
+}
+
+// series draws one fault after another over a time; they overlap.
+func series(rng *rand.Rand, lasts time.Duration, draw func(*rand.Rand) step) []step {
 	var all []step
 	for at := time.Duration(0); at < lasts; {
-		s := fault(rng)
+		s := draw(rng)
 		s.at = at
 		s.last = min(time.Duration(200+rng.IntN(1500))*time.Millisecond, lasts-at)
 		all = append(all, s)
@@ -41,9 +51,9 @@
 	return all
 }
 
-// fault draws one fault.
-func fault(rng *rand.Rand) step {
-	host := rng.IntN(hosts)
+// fault draws one of the faults that each seed has.
+func (c Config) fault(rng *rand.Rand) step {
+	host := rng.IntN(c.hosts())
 	trouble := Trouble(1 + rng.IntN(int(troubleKind)-1))
 	switch rng.IntN(10) {
 	case 0:
@@ -90,7 +100,7 @@
 func targetFault(rng *rand.Rand) step {
 	f := targetFaults[rng.IntN(len(targetFaults))]
 	draw := rng.Uint32()
-	of := func(s *site) *platformtarget.Target { return s.asked(draw).target }
+	of := func(s *site) *platformtarget.Target { return s.asked(draw).current() }
 	return step{
 		name: fmt.Sprintf("target %d: %+v", draw, f),
 		do:   func(s *site) { of(s).SetFaults(f) },
@@ -123,7 +133,7 @@
 	case 1:
 		return step{name: fmt.Sprintf("host %d stops", host), do: signal(syscall.SIGTERM), undo: restart(host)}
 	case 2:
-		return step{name: fmt.Sprintf("host %d reloads", host), do: signal(syscall.SIGHUP)}
+		return step{name: fmt.Sprintf("host %d reloads", host), do: func(s *site) { s.hosts[host].reload() }}
 	}
 	return step{name: fmt.Sprintf("host %d is killed", host), do: signal(syscall.SIGKILL), undo: restart(host)}
 }
@@ -141,27 +151,34 @@
 	}
 }
 
-// calm is the planned work of the time without trouble: a change of the
+// calm returns the planned work of the time without trouble: a change of the
 // configuration, a target that leaves, a host that is stopped and started again, a
 // reload.
-func calm(rng *rand.Rand) []step {
-	first := rng.IntN(hosts)
-	second := (first + 1) % hosts
+func (c Config) calm(rng *rand.Rand) []step {
+	first := rng.IntN(c.hosts())
+	second := (first + 1) % c.hosts()
 	leaves := rng.IntN(shards)
-	return []step{
+	all := []step{
 		{at: 0, name: "configuration", do: (*site).configure},
 		{at: 100 * time.Millisecond, name: "target leaves", do: func(s *site) { s.leave(shardName(leaves)) }},
-		{at: 300 * time.Millisecond, name: "reload", do: func(s *site) { s.hosts[second].signal(syscall.SIGHUP) }},
+		{at: 300 * time.Millisecond, name: "reload", do: func(s *site) { s.hosts[second].reload() }},
 		{at: 500 * time.Millisecond, last: 200 * time.Millisecond, name: "host stops",
 			do: func(s *site) { s.hosts[first].signal(syscall.SIGTERM) }, undo: restart(first)},
 	}
+	if c.AllFaults {
+		all = append(all, suspend(700*time.Millisecond, (first+2)%c.hosts(), longestSuspension))
+		stays := foreignRecord(platform.KindTargets, "stray", foreignTexts[rng.IntN(len(foreignTexts))])
+		stays.undo = nil
+		all = append(all, stays)
+	}
+	return all
 }
 
 // leave lets the first target of a service leave.
 func (s *site) leave(service string) {
 	for _, t := range s.targets {
 		if t.service == service {
-			if err := s.drain(t); err != nil {
+			if err := t.drain(); err != nil {
 				panic(err) // a registration always has a JSON form
 			}
 			return
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -29,12 +30,16 @@
 	binary   string
 	settings string // file
 	log      string // file
+	asleep   string // file that tells for how long it was suspended
 	callers  string // address
 
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
 	starts  int
+	told    bool          // to end
+	ends    []string      // of runs that ended though they were not told to
+	slept   time.Duration // so far, as its clock tells
 }
 
 // newProcess writes the settings of a host. store is the address of the store, and
@@ -43,6 +48,7 @@
 	p := &process{
 		name: name, binary: binary, callers: ports[0],
 		settings: filepath.Join(dir, name+".jsonc"), log: filepath.Join(dir, name+".log"),
+		asleep: filepath.Join(dir, name+".asleep"),
 	}
 	text, err := json.MarshalIndent(map[string]any{
 		"host": name, "failure_domain": domain, "link_mbps": link,
@@ -66,30 +72,81 @@
 		return Error.New("open log of %s: %w", p.name, err)
 	}
 	defer func() { _ = log.Close() }() // the process has its own handle
-	p.command = exec.Command(p.binary, "gateway", "--settings", p.settings)
+	p.command = exec.Command(p.binary, "gateway", "--settings", p.settings, "--suspended-file", p.asleep)
 	p.command.Stdout, p.command.Stderr = log, log
 	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none is left if the soak itself is ended
 	if err := p.command.Start(); err != nil {
 		return Error.New("start %s: %w", p.name, err)
 	}
 	p.starts++
+	p.told = false
 	exited := make(chan struct{})
 	p.exited = exited
 	command := p.command
 	go func() {
-		_ = command.Wait() // a signal's end is an error; the log tells of others
+		p.noteEnd(command.Wait())
 		close(exited)
 	}()
 	return nil
 }
 
+// noteEnd takes how the present run ended: an error, or nil.
+func (p *process) noteEnd(how error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.told {
+		p.ends = append(p.ends, fmt.Sprintf("%s/%d: %v", p.name, p.starts, how))
+	}
+}
+
+// untold returns how runs ended that were not told to.
+func (p *process) untold() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.ends)
+}
+
 // signal sends a signal to the running process.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.told = p.told || s == syscall.SIGTERM || s == syscall.SIGKILL
 	_ = p.command.Process.Signal(s) // it may have ended meanwhile
 }
 
+// Times of a reload.
+const (
+	mostToListen = 2 * time.Second       // until a host that was started takes connections; else it is not reloaded
+	listenEvery  = 10 * time.Millisecond // between two looks at that
+)
+
+// reload tells the process to read its settings again, once it takes connections: in the
+// first 10 ms or so of a process the signal ends it, as it can't be caught yet.
+func (p *process) reload() {
+	for began := time.Now(); time.Since(began) < mostToListen; time.Sleep(listenEvery) {
+		conn, err := net.DialTimeout("tcp", p.callers, listenEvery)
+		if err != nil {
+			continue
+		}
+		_ = conn.Close() // it was opened to see that it can be
+		p.signal(syscall.SIGHUP)
+		return
+	}
+}
+
+// sleep tells the process's clock that it was suspended for a time. The process stands still
+// meanwhile.
+func (p *process) sleep(d time.Duration) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slept += d
+	next := p.asleep + ".next"
+	if err := os.WriteFile(next, []byte(p.slept.String()), 0o600); err != nil {
+		return Error.New("suspend %s: %w", p.name, err)
+	}
+	return Error.Wrap(os.Rename(next, p.asleep))
+}
+
 // await waits for the end of the process. After a time it is killed, and false
 // returned.
 func (p *process) await(most time.Duration) bool {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -31,26 +31,28 @@
 // proxy carries connections to one address and takes troubles.
 type proxy struct {
 	to string
-	ln net.Listener
+	on string // address
 
 	mu      sync.Mutex
+	ln      net.Listener // nil: new connections are refused
 	trouble Trouble
 	conns   map[net.Conn]bool
 	closed  bool
 }
 
-// newProxy returns a proxy to an address, on a free port of the loopback.
-func newProxy(to string) (*proxy, error) {
-	ln, err := net.Listen("tcp", freePort)
+// newProxy returns a proxy to an address, on a free port of the loopback. One that is to refuse
+// connections must be on an address that is the site's alone.
+func newProxy(on, to string) (*proxy, error) {
+	ln, err := net.Listen("tcp", net.JoinHostPort(on, "0"))
 	if err != nil {
 		return nil, Error.New("listen for a proxy: %w", err)
 	}
-	p := &proxy{to: to, ln: ln, conns: map[net.Conn]bool{}}
-	go p.serve()
+	p := &proxy{to: to, on: ln.Addr().String(), ln: ln, conns: map[net.Conn]bool{}}
+	go p.serve(ln)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.ln.Addr().String() }
+func (p *proxy) address() string { return p.on }
 
 // set puts a trouble in force in place of the one before.
 func (p *proxy) set(t Trouble) {
@@ -62,6 +64,38 @@
 	}
 }
 
+// refuse resets every connection and refuses new ones, as if the server had ended.
+func (p *proxy) refuse() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopListening() // first, so that no connection opens any more
+	p.resetAll()
+}
+
+// takeAgain ends refuse, at the address of before.
+func (p *proxy) takeAgain() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil
+	}
+	ln, err := net.Listen("tcp", p.on)
+	if err != nil {
+		return Error.New("listen again for a proxy: %w", err)
+	}
+	p.ln = ln
+	go p.serve(ln)
+	return nil
+}
+
+// stopListening refuses new connections. The lock is held.
+func (p *proxy) stopListening() {
+	if p.ln != nil {
+		_ = p.ln.Close() // its error would only say that it is closed
+		p.ln = nil
+	}
+}
+
 func (p *proxy) now() Trouble {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -84,16 +118,16 @@
 
 // close ends the proxy and what it carries.
 func (p *proxy) close() {
-	_ = p.ln.Close() // its error would only say that it is closed
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.stopListening()
 	p.closed = true
 	p.resetAll()
 }
 
-func (p *proxy) serve() {
+func (p *proxy) serve(ln net.Listener) {
 	for {
-		client, err := p.ln.Accept()
+		client, err := ln.Accept()
 		if err != nil {
 			return // closed
 		}
@@ -125,7 +159,7 @@
 func (p *proxy) keep(c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.ln == nil {
 		return false
 	}
 	p.conns[c] = true
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -7,24 +7,22 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
-	"rhubarbwood.example/rhubarbwood/internal/standin"
 	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
-	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
-	"rhubarbwood.example/rhubarbwood/internal/unit"
 	"rhubarbwood.example/rhubarbwood/platform"
 )
 
 // Sizes of the site.
 const (
-	hosts    = 3
+	domains  = 3
 	shards   = 4
-	replicas = 2  // targets of each service
-	slots    = 4  // of each target
-	records  = 8  // in each answer of a target
-	topK     = 5  // in a merged answer
-	versions = 12 // of the configuration, at most
+	replicas = 2 // targets of each service
+	slots    = 4 // of each target
+	records  = 8 // in each answer of a target
+	topK     = 5 // in a merged answer
+	seeds    = 5 // hosts that a starting host asks first
 )
 
 // Times of the site's routes, and of its targets.
@@ -32,6 +30,7 @@
 	routeTimeout  = time.Second
 	objective     = 200 * time.Millisecond
 	targetLatency = 15 * time.Millisecond
+	poisonDown    = 500 * time.Millisecond // how long a target is down that ran the poison
 )
 
 // Names of the site.
@@ -40,6 +39,7 @@
 	pathQuery   = "/lists/" // to all shards
 	pathReserve = "/gifts/" // not idempotent
 	pathVersion = "/desk/"  // to a service of its own in each version
+	pathPoison  = "/lists/poison"
 	serviceOnce = "gifts"
 )
 
@@ -49,6 +49,7 @@
 // site is the store, the targets and the hosts of one run, with proxies between.
 type site struct {
 	dir     string
+	ip      string // of the loopback, the site's alone
 	store   *objectstore.Store
 	stores  []*proxy // to the store, one for each host
 	hosts   []*process
@@ -57,20 +58,14 @@
 
 	servers []*http.Server
 	serving sync.WaitGroup
-
-	mu      sync.Mutex
-	version int
-	changes []change
-}
-
-// targetServer is a target with the proxy that hosts reach it by.
-type targetServer struct {
-	id      string
-	service string
-	domain  string
-	target  *platformtarget.Target
-	proxy   *proxy
-	drained time.Time // when its leaving was in the store; zero: it stays
+	// returning are the targets that have crashed and are to be back.
+	returning sync.WaitGroup
+
+	versions int // of the configuration, at most
+	mu       sync.Mutex
+	version  int
+	changes  []change
+	arrivals []arrival
 }
 
 // change is one version of the configuration and when it was in the store.
@@ -86,7 +81,7 @@
 	if err != nil {
 		return nil, Error.New("make a folder: %w", err)
 	}
-	s := &site{dir: dir, store: objectstore.New(objectstore.DefaultConfig())}
+	s := &site{dir: dir, ip: ownLoopback(), store: objectstore.New(objectstore.DefaultConfig()), versions: cfg.versions()}
 	if err := s.startTargets(); err != nil {
 		return s, err
 	}
@@ -94,14 +89,14 @@
 	return s, s.startHosts(cfg)
 }
 
-func (s *site) domain(i int) string { return fmt.Sprintf("domain-%d", i%hosts) }
+func (s *site) domain(i int) string { return fmt.Sprintf("domain-%d", i%domains) }
 
 func (s *site) startTargets() error {
 	names := []string{serviceOnce}
 	for i := range shards {
 		names = append(names, shardName(i))
 	}
-	for v := range versions {
+	for v := range s.versions {
 		names = append(names, versionName(v+1))
 	}
 	for _, name := range names {
@@ -115,20 +110,16 @@
 }
 
 func (s *site) startTarget(service string, i int) error {
-	t := &targetServer{id: fmt.Sprintf("%s-t%d", service, i), service: service, domain: s.domain(len(s.targets))}
-	t.target = platformtarget.New(platformtarget.Config{
-		ID: t.id, Service: service, Slots: slots, Queue: slots, Records: records, Seed: uint64(len(s.targets)),
-		Latency: standin.Latency{Mean: unit.Duration(targetLatency)},
-	})
-	address, err := s.serve(t.target)
+	t := newTargetServer(s, fmt.Sprintf("%s-t%d", service, i), service, len(s.targets))
+	address, err := s.serve(t)
 	if err != nil {
 		return err
 	}
-	if t.proxy, err = newProxy(address); err != nil {
+	if t.proxy, err = newProxy(s.ip, address); err != nil {
 		return err
 	}
 	s.targets = append(s.targets, t)
-	return s.register(t, platform.StateReady)
+	return t.register()
 }
 
 // serve serves a handler on a free port until stop.
@@ -143,12 +134,6 @@
 	return ln.Addr().String(), nil
 }
 
-func (s *site) register(t *targetServer, state string) error {
-	r := t.target.Registration(t.proxy.address(), t.domain)
-	r.State = state
-	return s.apply(platform.KindTargets, t.id, r)
-}
-
 func (s *site) apply(kind, name string, value any) error {
 	text, err := json.Marshal(value)
 	if err != nil {
@@ -158,20 +143,11 @@
 	return nil
 }
 
-// drain announces that a target leaves.
-func (s *site) drain(t *targetServer) error {
-	err := s.register(t, platform.StateDraining)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t.drained = time.Now()
-	return err
-}
-
 // configure writes the next version of the configuration.
 func (s *site) configure() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.version == versions {
+	if s.version == s.versions {
 		return
 	}
 	s.version++
@@ -211,25 +187,25 @@
 		return err
 	}
 	const addresses = 4
-	ports, err := freePorts(ownLoopback(), hosts*addresses)
+	ports, err := freePorts(s.ip, cfg.hosts()*addresses)
 	if err != nil {
 		return err
 	}
-	var seeds []string
-	for i := range hosts {
-		seeds = append(seeds, ports[i*addresses+addresses-1])
+	var first []string
+	for i := range min(cfg.hosts(), seeds) {
+		first = append(first, ports[i*addresses+addresses-1])
 	}
-	for i := range hosts {
-		toStore, err := newProxy(store)
+	for i := range cfg.hosts() {
+		toStore, err := newProxy(s.ip, store)
 		if err != nil {
 			return err
 		}
 		s.stores = append(s.stores, toStore)
-		p, err := newProcess(s.dir, cfg.Binary, fmt.Sprintf("host-%d", i), s.domain(i), toStore.address(), [4]string(ports[i*addresses:]), seeds, cfg.link(i))
+		p, err := newProcess(s.dir, cfg.Binary, fmt.Sprintf("host-%d", i), s.domain(i), toStore.address(), [4]string(ports[i*addresses:]), first, cfg.link(i))
 		if err != nil {
 			return err
 		}
-		front, err := newProxy(p.callers)
+		front, err := newProxy(s.ip, p.callers)
 		if err != nil {
 			return err
 		}
@@ -245,7 +221,10 @@
 // stop ends what newSite started. The folder with the logs stays if keep is set.
 func (s *site) stop(keep bool) {
 	for _, p := range s.hosts {
-		p.await(0)
+		p.signal(syscall.SIGKILL)
+	}
+	for _, p := range s.hosts {
+		p.await(stopGrace)
 	}
 	for _, p := range append(s.fronts, s.stores...) {
 		p.close()
@@ -257,6 +236,7 @@
 		_ = server.Close() // what runs for ever is cut
 	}
 	s.serving.Wait()
+	s.returning.Wait()
 	if !keep {
 		_ = os.RemoveAll(s.dir) // a folder that stays does no harm
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -22,11 +22,33 @@
 	Seed    uint64        // of everything that is drawn
 	Storm   time.Duration // of faults, before the calm
 	Callers int
+	// Hosts is the number of hosts; 0: three.
+	Hosts int
+	// AllFaults adds those that the first seeds knew nothing of: targets that crash, also by a
+	// request, and are back under their id; entries of other writers in the store; hosts that are
+	// suspended; signals and changes in series; callers that keep their connections until the
+	// host is gone. A seed without them plays what it always did.
+	AllFaults bool
 	// Helpers gives all hosts but the last a narrow link, so that it gathers their
 	// queries.
 	Helpers bool
 }
 
+func (c Config) hosts() int {
+	if c.Hosts == 0 {
+		return 3
+	}
+	return c.Hosts
+}
+
+// versions returns how many versions of the configuration there may be.
+func (c Config) versions() int {
+	if c.AllFaults {
+		return 36
+	}
+	return 12
+}
+
 // Link rates of hosts, in Mbit/s: the answers to a query occupy a narrow one for more
 // than the objective allows.
 const (
@@ -39,7 +61,7 @@
 	switch {
 	case !c.Helpers:
 		return 0
-	case host == hosts-1:
+	case host == c.hosts()-1:
 		return wideLink
 	}
 	return narrowLink
@@ -69,15 +91,16 @@
 		return r, err
 	}
 	time.Sleep(warmTime)
-	cs := startCallers(s, cfg.Callers, rng)
-	r.play(s, storm(rng, cfg.Storm))
+	cs := startCallers(s, cfg, rng)
+	r.play(s, cfg.storm(rng))
 	time.Sleep(settleTime)
 	calmFrom := time.Now()
-	r.play(s, calm(rng))
+	r.play(s, cfg.calm(rng))
 	time.Sleep(time.Until(calmFrom.Add(calmTime)))
 	exchanges := cs.end()
+	calmTo := time.Now()
 	time.Sleep(routeTimeout) // what runs late after a refusal is seen, too
-	r.Violations = gather(s, exchanges, calmFrom).check()
+	r.Violations = gather(s, exchanges, calmFrom, calmTo).check()
 	r.count(exchanges)
 	if len(r.Violations) > 0 {
 		r.Logs = s.dir
--- a/internal/standin/platformtarget/target.go
+++ b/internal/standin/platformtarget/target.go
@@ -35,6 +35,7 @@
 	Records int // in each answer
 	Latency standin.Latency
 	Seed    uint64
+	Born    time.Time // of this incarnation; zero: it does not say
 }
 
 // Faults are the failures in force. Probabilities are drawn for each request.
@@ -107,10 +108,14 @@
 
 // Registration returns what the target writes into the registry.
 func (t *Target) Registration(address, domain string) platform.Registration {
-	return platform.Registration{
+	r := platform.Registration{
 		Service: t.cfg.Service, Address: address, Zone: domain,
 		MaxConcurrency: t.cfg.Slots, State: platform.StateReady,
 	}
+	if !t.cfg.Born.IsZero() {
+		r.Born = t.cfg.Born.UnixMilli()
+	}
+	return r
 }
 
 // ServeHTTP answers one request.
--- a/tools/soak_twins.sh
+++ b/tools/soak_twins.sh
@@ -35,7 +35,7 @@
 }
 
 twin "reservations are repeated like any other request" "at most once" \
-  internal/gateway/single.go 's/if !r.route.Idempotent \&\& !r.outcomes.NotRun\(\) \{/if false {/'
+  internal/gateway/single.go 's/!\(r.route.Idempotent \&\& r.request.soleAsker\(\)\)/!r.request.soleAsker()/'
 twin "what may have run is told as not run" "refused as not run" \
   internal/gateway/single.go 's/case run.outcomes.NotRun\(\):/case run.outcomes.NotRun() || run.last.outcome == outcome.Unknown:/'
 twin "an answer that is cut is taken as whole" "whole and true answer" \
@@ -45,4 +45,9 @@
 twin "a leaving target is asked on" "a leaving target gets no new work" \
   internal/gateway/fleet.go 's/t.leaving = conf.Draining/t.leaving = false/'
 
+twin "a request that ends its targets is sent on" "a request that ends its targets is kept from them" \
+  internal/gateway/trial.go 's/return !g.requests.Empty\(\) \&\& /return false \&\& /'
+twin "one foreign entry fails the whole list, or watch" "a leaving target gets no new work" \
+  platform/registry.go 's/list.Unusable = append\(.*$/return discovery.TargetList{}, err/; s/gone := discovery.TargetChange\{.*$/return discovery.TargetChanges{}, err\n\t\t\tvar gone discovery.TargetChange/'
+
 exit $failed
