--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -167,12 +167,22 @@
 	work sync.WaitGroup
 }
 
+// usualCallers is how many callers send as fast as they may; more of them send as much together, as
+// the targets do not grow with them: 100 asked two targets of 4 slots for twice what they can run.
+const usualCallers = 12
+
+// pause returns the mean time between two requests of a caller.
+func (c Config) pause() time.Duration {
+	return max(callerPause, callerPause*time.Duration(c.Callers)/usualCallers)
+}
+
 // startCallers starts callers. With all faults every second one keeps its connections until the
 // host is gone, and one more sends copies of the poison.
 func startCallers(s *site, cfg Config, rng *rand.Rand) *callers {
 	cs := &callers{stop: make(chan struct{})}
 	for i := range cfg.Callers {
 		c := cs.add(s, rng, fmt.Sprintf("c%d", i))
+		c.pause = cfg.pause()
 		c.host, c.keeps = i%len(s.hosts), cfg.AllFaults && i%2 == 1
 	}
 	if cfg.AllFaults {
@@ -186,7 +196,7 @@
 }
 
 func (cs *callers) add(s *site, rng *rand.Rand, name string) *caller {
-	c := &caller{site: s, name: name, rng: rand.New(rand.NewPCG(rng.Uint64(), uint64(len(cs.all)))), sends: usual, pause: callerPause}
+	c := &caller{site: s, name: name, rng: rand.New(rand.NewPCG(rng.Uint64(), uint64(len(cs.all)))), sends: usual}
 	cs.all = append(cs.all, c)
 	return c
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -49,7 +49,7 @@
 // site is the store, the targets and the hosts of one run, with proxies between.
 type site struct {
 	dir     string
-	ip      string // of the loopback, the site's alone
+	ip      string // of the proxies, on the loopback and the site's alone
 	store   *objectstore.Store
 	stores  []*proxy // to the store, one for each host
 	hosts   []*process
@@ -187,7 +187,7 @@
 		return err
 	}
 	const addresses = 4
-	ports, err := freePorts(s.ip, cfg.hosts()*addresses)
+	ports, err := freePorts(ownLoopback(), cfg.hosts()*addresses) // where no proxy takes them before the hosts do
 	if err != nil {
 		return err
 	}
