--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -15,7 +15,7 @@
 	r.pace.observeBytes(got.PartBytes, len(got.Signatures))
 	r.attempts.Add(int32(got.Attempts))
 	w.asked, w.helper = got.Lacking, got.Helper
-	stance, until := g.stance(r)
+	stance, left := g.stance(r)
 	switch {
 	case r.ctx.Err() != nil:
 		w.gone()
@@ -27,7 +27,7 @@
 	case got.Outcome == outcome.NotSent && got.Reason == errNoTarget.Error():
 		w.refuse(refusalNoTarget)
 	case got.Outcome.NotRun() && stance == quarantine.Quarantined:
-		w.quarantined(until)
+		w.quarantined(left)
 	case got.Outcome.NotRun():
 		w.refuse(refusalBusy)
 	case r.over():
