Hosts log what a peer told of the registry, and what they read of it

Cause: the lines about targets do not say whether news were the whole registry or changes, since which revision, nor who told them, so that a host that was told too little cannot be told from one that was told nothing. Events 10008 and 10009, one line for each answer that holds targets.

--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -24,4 +24,9 @@
 		"Find who wrote it, by its name.", "registration", "problem", "revision")
 	evTargetGone = event.Define(10006, "target_gone", plog.InfoLevel,
 		"A target's registration is gone; it gets no new work.", "none", "target", "service", "revision", "from")
+	evRegistryTold = event.Define(10008, "registry_told", plog.InfoLevel,
+		"A peer told what is newer in the registry than a revision that the host held: all targets there are (whole), or changes.",
+		"none", "peer", "since", "revision", "whole", "targets")
+	evRegistryRead = event.Define(10009, "registry_read", plog.InfoLevel,
+		"The host has read the whole registry from the store.", "none", "since", "revision", "targets", "unusable")
 )
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -283,6 +283,8 @@
 		}
 		l.reached()
 		l.read()
+		f.log.Event(evRegistryRead).Uint64("since", f.state.Known().RegistryRevision).Uint64("revision", list.Revision).
+			Int("targets", len(list.Targets)).Int("unusable", len(list.Unusable)).Msg("")
 		f.logTargets(f.state.ApplyTargets(list, asked), "store")
 		return nil
 	}
@@ -321,13 +323,18 @@
 		}
 		wait, timeout := f.peerWait()
 		limited, cancel := context.WithTimeout(ctx, timeout)
-		news, err := f.peers.News(limited, f.state.Known(), wait)
+		known := f.state.Known()
+		news, err := f.peers.News(limited, known, wait)
 		cancel()
 		f.peerFailed.Store(err != nil || news.ConfigAsOf.IsZero() || news.RegistryAsOf.IsZero())
 		if err != nil {
 			await.Sleep(ctx, lookEvery) // the next one asked may be another
 			continue
 		}
+		if news.AllTargets || len(news.Changes) > 0 {
+			f.log.Event(evRegistryTold).Str("peer", news.From).Uint64("since", known.RegistryRevision).
+				Uint64("revision", news.RegistryRevision).Bool("whole", news.AllTargets).Int("targets", len(news.Changes)).Msg("")
+		}
 		changed, targets := f.state.ApplyNews(news)
 		if changed {
 			f.logConfig("peer")
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -61,6 +61,8 @@
 
 // News is what one host can tell another that holds older revisions.
 type News struct {
+	From string // the host that told it
+
 	Config         *routing.Config // nil: nothing newer
 	ConfigRevision uint64
 	ConfigAsOf     time.Time // zero: never known to be current
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -107,7 +107,9 @@
 		return News{}, Error.New("ask %s for news: %w", from.ID, err)
 	}
 	s.noteReply(from.ID, reply)
-	return readReply(reply, asked)
+	news, err := readReply(reply, asked)
+	news.From = from.ID
+	return news, err
 }
 
 // anyEvery is after how many questions in a row that brought nothing a host of the
