Test: targets removed before a host's first reading stay at its peers (fails)

What callers saw: requests reached a target 3.4 s after its registration had been removed. The tests replay it: the host that watches for all and two others are killed; eight registrations are removed and 23 targets say that they leave while they are away. The fleet of the tests lets a host that was killed tell nobody, so that a kill is not taken for a stop.

--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -86,7 +86,7 @@
 func call[In, Out proto.Message](ctx context.Context, name string, from *simHost, address string, in In, serve func(context.Context, *simHost, In) (Out, error)) (Out, error) {
 	var none Out
 	to := from.net.host(address)
-	if to == nil {
+	if to == nil || from.net.host(from.self.Peer) != from { // a host that was killed tells nobody
 		time.Sleep(hop)
 		return none, errNoHost
 	}
--- /dev/null
+++ b/internal/discovery/main_test.go
@@ -0,0 +1,18 @@
+package discovery
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// The histories are the same in every run.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/discovery/restart_test.go
@@ -0,0 +1,117 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// loggedStore is a store whose registry changes, with the configuration of a fakeStore.
+type loggedStore struct {
+	*fakeStore
+	mu       sync.Mutex
+	registry registryLog
+}
+
+func (s *loggedStore) write(changes ...TargetChange) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range changes {
+		s.registry.write(c)
+	}
+}
+
+func (s *loggedStore) Targets(context.Context) (TargetList, error) {
+	time.Sleep(storeAnswers)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := TargetList{Revision: s.registry.revision}
+	for _, t := range s.registry.at(s.registry.revision) {
+		list.Targets = append(list.Targets, t)
+	}
+	return list, nil
+}
+
+func (s *loggedStore) WatchTargets(ctx context.Context, after uint64, wait time.Duration) (TargetChanges, error) {
+	for began := time.Now(); ; time.Sleep(storeAnswers) {
+		s.mu.Lock()
+		changes, err := s.registry.watch(after)
+		s.mu.Unlock()
+		if err != nil || len(changes.Changes) > 0 || time.Since(began) >= wait || ctx.Err() != nil {
+			return changes, errors.Join(err, ctx.Err())
+		}
+	}
+}
+
+// kill ends the host without a word to the others.
+func (h *simHost) kill(t *testing.T) {
+	t.Helper()
+	h.net.mu.Lock()
+	if h.net.hosts[h.self.Peer] == h {
+		delete(h.net.hosts, h.self.Peer)
+	}
+	h.net.mu.Unlock()
+	if err := errors.Join(h.follow.Stop(context.Background()), h.members.Stop(context.Background())); err != nil {
+		t.Error(err)
+	}
+}
+
+// The same with whole hosts in virtual time: the host that watches for all and two others are killed and start again; in the half second in which
+// they are away some targets are removed, others say that they leave. Every host knows it within the time for a change, and no host
+// ever takes a removed target back.
+func TestTargetsThatLeaveWhileTheWatcherRestarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &loggedStore{fakeStore: newFakeStore()}
+		store.fakeStore.write(1)
+		const targets, removed, drained = 85, 8, 23
+		for i := range targets {
+			store.write(came(fmt.Sprintf("t%02d", i))...)
+		}
+		net := &simNet{hosts: map[string]*simHost{}, crossed: map[string]int{}}
+		all := startSimFleet(t, net, store, 7, 0)
+		defer func() {
+			for _, h := range all {
+				h.kill(t)
+			}
+		}()
+		time.Sleep(10 * time.Second)
+
+		watcher := all[0].spread.own().watchers()[0]
+		var away []int
+		for i, h := range all {
+			if h.self.ID == watcher.ID || len(away) < 2 {
+				away = append(away, i)
+			}
+		}
+		for _, i := range away {
+			all[i].kill(t)
+		}
+		for i := range removed {
+			store.write(went(fmt.Sprintf("t%02d", i))...)
+		}
+		for i := range drained {
+			store.write(TargetChange{Target: Target{ID: fmt.Sprintf("t%02d", removed+i), Service: "s", Draining: true}})
+		}
+		time.Sleep(300 * time.Millisecond)
+		for _, i := range away {
+			all[i] = startSimHost(t, net, store, i, 0)
+		}
+
+		time.Sleep(DefaultConfig().ApplyWithin.Std())
+		for _, h := range all {
+			leaving := 0
+			for _, target := range h.state.View().Targets {
+				if target.Draining {
+					leaving++
+				}
+			}
+			if known := len(h.state.View().Targets); known != targets-removed || leaving != drained {
+				t.Errorf("%s knows %d targets, %d of which leave; want %d and %d", h.self.ID, known, leaving, targets-removed, drained)
+			}
+		}
+	})
+}
