Registry: changes that are no news to a host are kept for its peers

A peer could keep a target that was removed, or that leaves, for good. Cause: a host kept a change for its peers only if it changed its own belief. A watch tells the last change of each target: one that came and went between two answers is told as a removal of a target never heard of. The last page of a long reading is newer than its revision, so the change that follows is known.

--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -24,13 +24,16 @@
 	change   TargetChange
 }
 
-func (h *history) add(revision uint64, c TargetChange) {
-	if len(h.changes) == mostHistory {
-		half := mostHistory / 2
-		h.from = h.changes[half-1].revision
-		h.changes = append(h.changes[:0], h.changes[half:]...)
+// add keeps changes that were known as of a revision.
+func (h *history) add(revision uint64, changes []TargetChange) {
+	for _, c := range changes {
+		if len(h.changes) == mostHistory {
+			half := mostHistory / 2
+			h.from = h.changes[half-1].revision
+			h.changes = append(h.changes[:0], h.changes[half:]...)
+		}
+		h.changes = append(h.changes, revisedChange{revision, c})
 	}
-	h.changes = append(h.changes, revisedChange{revision, c})
 }
 
 // begin forgets all changes: the registry was read as a whole at a revision. A reading does not tell
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -162,19 +162,21 @@
 			changes = append(changes, TargetChange{Target: Target{ID: id}, Gone: true})
 		}
 	}
-	made := s.apply(changes, l.Revision, asOf)
 	s.history.begin(l.Revision)
-	return made
+	return s.apply(changes, l.Revision, asOf)
 }
 
 // ApplyChanges takes the changes of the registry since a revision that this
-// host holds. It returns the targets that came, changed or went.
+// host holds. It returns the targets that came, changed or went. All are kept for
+// the peers: one that changes nothing here, as the removal of a target that came
+// and went between two answers, may be news to a peer at a revision in between.
 func (s *State) ApplyChanges(c TargetChanges, asOf time.Time) []TargetChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.Revision < s.registry.revision {
 		return nil
 	}
+	s.history.add(c.Revision, c.Changes)
 	return s.apply(c.Changes, c.Revision, asOf)
 }
 
@@ -222,7 +224,6 @@
 		if !s.differs(c) {
 			continue
 		}
-		s.history.add(s.registry.revision, c)
 		if c, ok := s.change(c, now); ok {
 			made = append(made, c)
 		}
