Test: a strike cleared before it was heard of is held (fails)

Looking for the cause of the incident elsewhere: what was taken back before a host heard of it is unknown to that host. Of what is held against requests, a clear of a request that nothing is known of is dropped, and the strikes are taken from the next host that still tells them.

--- a/internal/quarantine/record_test.go
+++ b/internal/quarantine/record_test.go
@@ -149,3 +149,27 @@
 		is.Equal(len(AllFromWire([]*peerpb.RequestRecord{bad, good}, time.Now())), 1)
 	}
 }
+
+// A host that starts hears that a strike was cleared before it hears of the strike, from a host that had not been
+// told yet. It must not hold the strike, nor hand it on to those that have forgotten that it was cleared.
+func TestStrikeClearedBeforeItWasHeardOfIsNotHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		request, started := testRequest("/a"), newTestTable()
+		started.Merge([]Record{{Key: request.OfCaller, Cleared: []uint64{1, 2, 3}}})
+		started.Merge([]Record{recordOf(request, strikeOf(1, "s"), strikeOf(2, "s"), strikeOf(3, "s"))})
+		stance, _ := started.Stance(request)
+		is.Equal(stance, Free)
+
+		other := newTestTable()
+		other.Merge([]Record{recordOf(request, strikeOf(1, "s"))})
+		news, _ := told(started, Mark{})
+		other.Merge(news)
+		stance, _ = other.Stance(request)
+		is.Equal(stance, Free)
+
+		time.Sleep(rememberCleared + time.Second)
+		started.Expire()
+		is.True(started.Empty()) // it costs nothing for longer
+	})
+}
