Quarantine: a clear is kept also where nothing is known of the request

What callers saw: nothing yet; found by looking for the incident's cause elsewhere. A request that had been cleared could be kept from targets again by hosts that had just started, until they read the store. Cause: a host dropped a clear of strikes that it had not heard of, and took the strikes from the next host that still told them. Why it holds: the ids of cleared strikes are kept for ten minutes whether the strikes are known or not, as they are on the hosts that did know them, and are handed on. They are the first that a full table forgets. Looked at and found sound: the product's own configuration (it has a floor under its deletions, and keeps deletions of what it never held), members (each host's own versions, and digests), findings (numbered by their host).

--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -61,7 +61,9 @@
 // lock.
 func (t *Table) merge(r Record, now time.Time) bool {
 	_, known := t.suspects[r.Key]
-	if !known && len(r.Strikes) == 0 {
+	// What was cleared is kept also if the strikes were never heard of: a host that was not told yet
+	// may tell them next, and the request would be kept from targets again.
+	if !known && len(r.Strikes) == 0 && len(r.Cleared) == 0 {
 		return false
 	}
 	e := t.entry(r.Key)
