Test: a target that leaves while the watcher alone is cut off is kept too long (fails)

Seven hosts, the one that watches is cut off from the store, a registration is removed: after 3 s (6 s where a change may take 6) four to six of the other six hosts still take the target for one to use.

--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -40,6 +41,7 @@
 	mu      sync.Mutex
 	hosts   map[string]*simHost // by address
 	crossed map[string]int      // bytes between failure domains, by call
+	within  time.Duration       // in which a change is to be in force; 0: that of the large site
 }
 
 // simHost is one host.
@@ -50,6 +52,7 @@
 	state   *State
 	spread  *Spread
 	follow  *Follower
+	cut     func() // cuts the host off from the store
 }
 
 func (n *simNet) host(address string) *simHost {
@@ -209,11 +212,13 @@
 	members.Seeds = []string{simAddress(0), simAddress(1), simAddress(2)}
 	members.RecordHolders = 8
 	cfg := DefaultConfig()
-	cfg.ApplyWithin = unit.Duration(6 * time.Second)
+	cfg.ApplyWithin = unit.Duration(cmp.Or(net.within, 6*time.Second))
 	cfg.Settle = unit.Duration(settle)
 	h.members = member.New(members, h.self, objstoretest.New().Client(), h, event.Discard(), nil)
 	h.spread = NewSpread(cfg, h.members, h, h.state)
-	h.follow = NewFollower(cfg, store, h.spread, h.state, event.Discard(), nil)
+	way, cut := cuttable(store)
+	h.cut = cut
+	h.follow = NewFollower(cfg, way, h.spread, h.state, event.Discard(), nil)
 	net.mu.Lock()
 	net.hosts[h.self.Peer] = h
 	net.mu.Unlock()
--- a/internal/discovery/restart_test.go
+++ b/internal/discovery/restart_test.go
@@ -17,6 +17,46 @@
 	registry registryLog
 }
 
+// cutSource is the way of one host to a store; nothing comes through it once it is cut.
+type cutSource struct {
+	Source
+	ctx context.Context
+}
+
+// cuttable returns the way of a host, and what cuts it.
+func cuttable(s Source) (cutSource, context.CancelFunc) {
+	ctx, cut := context.WithCancel(context.Background())
+	return cutSource{s, ctx}, cut
+}
+
+// through makes a call unless the way is cut before its answer.
+func through[T any](ctx context.Context, s cutSource, call func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.ctx, cancel)()
+	answer, err := call(ctx)
+	if s.ctx.Err() != nil {
+		return *new(T), errAway
+	}
+	return answer, err
+}
+
+func (s cutSource) Config(ctx context.Context) (ConfigRead, error) {
+	return through(ctx, s, s.Source.Config)
+}
+
+func (s cutSource) Targets(ctx context.Context) (TargetList, error) {
+	return through(ctx, s, s.Source.Targets)
+}
+
+func (s cutSource) WatchConfig(ctx context.Context, after uint64, wait time.Duration) (ConfigRead, error) {
+	return through(ctx, s, func(ctx context.Context) (ConfigRead, error) { return s.Source.WatchConfig(ctx, after, wait) })
+}
+
+func (s cutSource) WatchTargets(ctx context.Context, after uint64, wait time.Duration) (TargetChanges, error) {
+	return through(ctx, s, func(ctx context.Context) (TargetChanges, error) { return s.Source.WatchTargets(ctx, after, wait) })
+}
+
 func (s *loggedStore) write(changes ...TargetChange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -115,3 +155,36 @@
 		}
 	})
 }
+
+// The host that watches for all is cut off from the store, and hears the others. It says that the store could not be
+// read. A target whose registration is removed meanwhile is gone on every other host within the time for a change:
+// those have read the store all the while, or were told by hosts that had.
+func TestTargetThatLeavesWhileTheWatcherIsCutOff(t *testing.T) {
+	for _, within := range []time.Duration{3 * time.Second, 6 * time.Second} {
+		t.Run(within.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &loggedStore{fakeStore: newFakeStore()}
+				store.fakeStore.write(1)
+				store.write(came("leaves", "stays")...)
+				net := &simNet{hosts: map[string]*simHost{}, crossed: map[string]int{}, within: within}
+				all := startSimFleet(t, net, store, 7, 0)
+				defer func() {
+					for _, h := range all {
+						h.kill(t)
+					}
+				}()
+				time.Sleep(10 * time.Second)
+
+				watcher := all[0].spread.own().watchers()[0]
+				net.host(watcher.Peer).cut()
+				store.write(went("leaves")...)
+				time.Sleep(within)
+				for _, h := range all {
+					if h.self.ID != watcher.ID && len(h.state.View().Targets) != 1 {
+						t.Errorf("%s still knows the target that left", h.self.ID)
+					}
+				}
+			})
+		})
+	}
+}
