Test: the registry is followed too slowly where targets leave sooner than configurations come (fails)

Looking for the cause of the incident elsewhere: the bound on leaving targets is one of its own, and hosts follow the registry by that of the configuration alone. They are the same on the sites so far. The setting leave_within is there and not used yet.

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -12,6 +12,9 @@
 	// ApplyWithin is the time within which a change in the store must be in
 	// force on every host. The waits and timeouts follow from it.
 	ApplyWithin unit.Duration `json:"apply_within"`
+	// LeaveWithin is the time within which a target that has said that it leaves must
+	// get no new work from any host.
+	LeaveWithin unit.Duration `json:"leave_within"`
 	// RegistrationBeat is the time between two writes of a target's registration.
 	RegistrationBeat unit.Duration `json:"registration_beat"`
 	// HostsPerWatcher is how many hosts share one host that watches the store.
@@ -36,6 +39,7 @@
 // Defaults of the settings.
 const (
 	defaultApplyWithin     = 3 * time.Second
+	defaultLeaveWithin     = 3 * time.Second
 	defaultBeat            = 1200 * time.Millisecond
 	defaultHostsPerWatcher = 96 // about 100 long polls a second, under 1 % of a core
 	defaultRetryFirst      = 50 * time.Millisecond
@@ -50,6 +54,7 @@
 func DefaultConfig() Config {
 	return Config{
 		ApplyWithin:      unit.Duration(defaultApplyWithin),
+		LeaveWithin:      unit.Duration(defaultLeaveWithin),
 		RegistrationBeat: unit.Duration(defaultBeat),
 		HostsPerWatcher:  defaultHostsPerWatcher,
 		RetryFirst:       unit.Duration(defaultRetryFirst),
@@ -65,6 +70,9 @@
 	if w := c.ApplyWithin.Std(); w < leastApplyWithin || w > mostApplyWithin {
 		problems = append(problems, Error.New("apply_within %s: want %s to %s", w, leastApplyWithin, mostApplyWithin))
 	}
+	if w := c.LeaveWithin.Std(); w < leastApplyWithin || w > mostApplyWithin {
+		problems = append(problems, Error.New("leave_within %s: want %s to %s", w, leastApplyWithin, mostApplyWithin))
+	}
 	if c.RegistrationBeat <= 0 {
 		problems = append(problems, Error.New("registration_beat %s: want more than 0", c.RegistrationBeat))
 	}
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -41,7 +40,7 @@
 	mu      sync.Mutex
 	hosts   map[string]*simHost // by address
 	crossed map[string]int      // bytes between failure domains, by call
-	within  time.Duration       // in which a change is to be in force; 0: that of the large site
+	cfg     *Config             // of the hosts; nil: that of the large site
 }
 
 // simHost is one host.
@@ -197,6 +196,13 @@
 	return all
 }
 
+// largeSite returns the settings of hosts of the large site.
+func largeSite() Config {
+	cfg := DefaultConfig()
+	cfg.ApplyWithin, cfg.LeaveWithin = unit.Duration(6*time.Second), unit.Duration(6*time.Second)
+	return cfg
+}
+
 func simAddress(i int) string { return fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250) }
 
 func startSimHost(t *testing.T, net *simNet, store Source, i int, settle time.Duration) *simHost {
@@ -211,8 +217,10 @@
 	members := member.DefaultConfig()
 	members.Seeds = []string{simAddress(0), simAddress(1), simAddress(2)}
 	members.RecordHolders = 8
-	cfg := DefaultConfig()
-	cfg.ApplyWithin = unit.Duration(cmp.Or(net.within, 6*time.Second))
+	cfg := largeSite()
+	if net.cfg != nil {
+		cfg = *net.cfg
+	}
 	cfg.Settle = unit.Duration(settle)
 	h.members = member.New(members, h.self, objstoretest.New().Client(), h, event.Discard(), nil)
 	h.spread = NewSpread(cfg, h.members, h, h.state)
--- a/internal/discovery/restart_test.go
+++ b/internal/discovery/restart_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/unit"
 )
 
 // loggedStore is a store whose registry changes, with the configuration of a fakeStore.
@@ -184,33 +186,40 @@
 func TestTargetThatLeavesWhileTheWatcherIsCutOff(t *testing.T) {
 	for _, within := range []time.Duration{3 * time.Second, 6 * time.Second} {
 		t.Run(within.String(), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				store := &loggedStore{fakeStore: newFakeStore()}
-				store.fakeStore.write(1)
-				store.write(came("leaves", "stays")...)
-				net := &simNet{hosts: map[string]*simHost{}, crossed: map[string]int{}, within: within}
-				all := startSimFleet(t, net, store, 7, 0)
-				defer func() {
-					for _, h := range all {
-						h.kill(t)
-					}
-				}()
-				time.Sleep(10 * time.Second)
-
-				watcher := all[0].spread.own().watchers()[0]
-				net.host(watcher.Peer).cut()
-				store.write(went("leaves")...)
-				time.Sleep(within)
-				for _, h := range all {
-					if h.self.ID != watcher.ID && len(h.state.View().Targets) != 1 {
-						t.Errorf("%s still knows the target that left", h.self.ID)
-					}
-				}
-			})
+			cfg := DefaultConfig()
+			cfg.ApplyWithin, cfg.LeaveWithin = unit.Duration(within), unit.Duration(within)
+			leavesWhileTheWatcherIsCutOff(t, cfg)
 		})
 	}
 }
 
+func leavesWhileTheWatcherIsCutOff(t *testing.T, cfg Config) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := &loggedStore{fakeStore: newFakeStore()}
+		store.fakeStore.write(1)
+		store.write(came("leaves", "stays")...)
+		net := &simNet{hosts: map[string]*simHost{}, crossed: map[string]int{}, cfg: &cfg}
+		all := startSimFleet(t, net, store, 7, 0)
+		defer func() {
+			for _, h := range all {
+				h.kill(t)
+			}
+		}()
+		time.Sleep(10 * time.Second)
+
+		watcher := all[0].spread.own().watchers()[0]
+		net.host(watcher.Peer).cut()
+		store.write(went("leaves")...)
+		time.Sleep(cfg.LeaveWithin.Std())
+		for _, h := range all {
+			if h.self.ID != watcher.ID && len(h.state.View().Targets) != 1 {
+				t.Errorf("%s still knows the target that left", h.self.ID)
+			}
+		}
+	})
+}
+
 // The store is away for all hosts for some seconds. Half of the registrations lapse, and are written again 1.5 s after its return. No host
 // takes those targets for gone meanwhile; one that does not return is gone 3 s after.
 func TestTargetsThatLapseInAnOutageAreKept(t *testing.T) {
@@ -223,7 +232,8 @@
 				store := &loggedStore{fakeStore: newFakeStore()}
 				store.fakeStore.write(1)
 				store.write(came("a", "b", "lapses", "lost")...)
-				net := &simNet{hosts: map[string]*simHost{}, crossed: map[string]int{}, within: 3 * time.Second}
+				cfg := DefaultConfig()
+				net := &simNet{hosts: map[string]*simHost{}, crossed: map[string]int{}, cfg: &cfg}
 				all := startSimFleet(t, net, store, tc.hosts, 0)
 				defer func() {
 					for _, h := range all {
@@ -260,3 +270,11 @@
 		})
 	}
 }
+
+// Where targets that leave must get no new work sooner than a configuration must be in force, the registry is followed at the
+// pace of the former.
+func TestTargetLeavesInTimeWhereConfigurationsTakeLonger(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.ApplyWithin, cfg.LeaveWithin = unit.Duration(6*time.Second), unit.Duration(2*time.Second)
+	leavesWhileTheWatcherIsCutOff(t, cfg)
+}
