Registry: followed at the pace at which targets must leave

Cause: waits, timeouts and ages of all that hosts follow came from the time in which a configuration must be in force, also for the registry.

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -10,7 +10,7 @@
 // Config tells how the store is followed.
 type Config struct {
 	// ApplyWithin is the time within which a change in the store must be in
-	// force on every host. The waits and timeouts follow from it.
+	// force on every host. The waits and timeouts follow from it and LeaveWithin.
 	ApplyWithin unit.Duration `json:"apply_within"`
 	// LeaveWithin is the time within which a target that has said that it leaves must
 	// get no new work from any host.
@@ -94,6 +94,9 @@
 	return errors.Join(problems...)
 }
 
+// within is the time in which a host must know of any change.
+func (c Config) within() time.Duration { return min(c.ApplyWithin, c.LeaveWithin).Std() }
+
 // lapseAfter is the least time without the store after which a registration may have lapsed though
 // its target lives: it lapses after three beats of silence, and was written up to one beat before.
 func (c Config) lapseAfter() time.Duration { return 2 * c.RegistrationBeat.Std() }
@@ -101,7 +104,7 @@
 // watchWait is how long one watch waits for a change. A watch may be deaf to
 // changes, so this bounds for how long one is believed: a third of the time
 // in which a change must be in force.
-func (c Config) watchWait() time.Duration { return c.ApplyWithin.Std() / 3 }
+func (c Config) watchWait() time.Duration { return c.within() / 3 }
 
 // shortestWatch is the least wait of a watch that is cut short to prove an old
 // belief.
@@ -109,25 +112,25 @@
 
 // proveWithin is the age up to which a host that watches proves its beliefs anew:
 // staleAfter less the time for which a peer may hold a question, and a thirtieth
-// of ApplyWithin for the way.
-func (c Config) proveWithin() time.Duration { return c.ApplyWithin.Std() * 4 / 10 }
+// of within for the way.
+func (c Config) proveWithin() time.Duration { return c.within() * 4 / 10 }
 
 // peerWait is how long a peer holds a request for news. It bounds how late the
 // loss of that peer is noticed.
-func (c Config) peerWait() time.Duration { return c.ApplyWithin.Std() / 6 }
+func (c Config) peerWait() time.Duration { return c.within() / 6 }
 
 // peerTimeout bounds one call to a peer; half of the wait more than the wait.
-func (c Config) peerTimeout() time.Duration { return c.ApplyWithin.Std() / 4 }
+func (c Config) peerTimeout() time.Duration { return c.within() / 4 }
 
 // staleAfter is the age of the beliefs from which the host asks the store
 // itself: more than a watch's and a peer's wait together, by a tenth of
-// ApplyWithin for slow answers. The rest is left for its own calls.
-func (c Config) staleAfter() time.Duration { return c.ApplyWithin.Std() * 6 / 10 }
+// within for slow answers. The rest is left for its own calls.
+func (c Config) staleAfter() time.Duration { return c.within() * 6 / 10 }
 
 // staleStep is the time between two hosts of a group that turn to the store because
 // their beliefs are old: one that is answered tells the others. Where 295 hosts turned to it
 // at once, an outage of 4.5 s took 810 calls, counted in virtual time.
-func (c Config) staleStep() time.Duration { return c.ApplyWithin.Std() / 40 }
+func (c Config) staleStep() time.Duration { return c.within() / 40 }
 
 // hurryAfter is the age of the beliefs from which a peer is asked in short turns, so that
 // one that knows better is found before the store must be asked.
@@ -140,4 +143,4 @@
 // the next one. Targets that start or leave together are then read together: at
 // the start of 118 targets three watching hosts made 354 calls without it,
 // counted at the store.
-func (c Config) batchWait() time.Duration { return c.ApplyWithin.Std() / 12 }
+func (c Config) batchWait() time.Duration { return c.within() / 12 }
