Model of how hosts tell each other of the registry

Cause: the model of the spread has versions that only grow and nothing that is removed, so it could not show the incident's fault. Refuted: what a reading brought kept as all that changed; changes that are no news kept from peers; late answers taken.

--- a/model/check.sh
+++ b/model/check.sh
@@ -80,4 +80,11 @@
 done
 refuted spread BROKEN_WATCH -DTIME=3 -DPAUSES
 
+# What hosts tell each other of the registry: two targets over three revisions, one over four.
+holds registry -DREVISIONS=3
+holds registry -DREVISIONS=4 -DTARGETS=1
+refuted registry BROKEN_READ
+refuted registry BROKEN_QUIET
+refuted registry BROKEN_LATE
+
 exit $((failures > 0))
