Soak: a target leaves without a word while hosts start

Cause: the soak's targets left only by saying so, in calm times, so that no host could miss it. After the storm all hosts but one are now killed, and the registration of one target is removed before they start again.

--- a/internal/soak/further.go
+++ b/internal/soak/further.go
@@ -86,6 +86,30 @@
 	}
 }
 
+// Times of leaveUnseen.
+const (
+	unseenAfter  = 50 * time.Millisecond  // from the end of the hosts, in which no other one takes over
+	startedAfter = 300 * time.Millisecond // from the same until they start again
+)
+
+// leaveUnseen kills all hosts but one, and lets a target leave without a word before they start again: whoever reads the
+// registry then does not hear of it. It draws from a stream of its own, so that the other faults of a seed stay as they were.
+func (c Config) leaveUnseen() []step {
+	rng := rand.New(rand.NewPCG(c.Seed, 1))
+	stays, leaves := rng.IntN(c.hosts()), rng.IntN(replicas)
+	all := []step{{at: unseenAfter, name: fmt.Sprintf("target %d of reservations leaves without a word", leaves), do: func(s *site) { s.targets[leaves].vanish() }}}
+	for host := range c.hosts() {
+		if host == stays {
+			continue
+		}
+		all = append(all, step{
+			last: startedAfter, name: fmt.Sprintf("host %d is killed", host),
+			do: func(s *site) { s.hosts[host].signal(syscall.SIGKILL) }, undo: restart(host),
+		})
+	}
+	return all
+}
+
 // suspend lets a host's process stand still. When it goes on its clock tells that more time has
 // passed than its timers know of.
 func suspend(at time.Duration, host int, asleep time.Duration) step {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -93,6 +93,9 @@
 	time.Sleep(warmTime)
 	cs := startCallers(s, cfg, rng)
 	r.play(s, cfg.storm(rng))
+	if cfg.AllFaults {
+		r.play(s, cfg.leaveUnseen())
+	}
 	time.Sleep(settleTime)
 	calmFrom := time.Now()
 	r.play(s, cfg.calm(rng))
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -25,6 +25,7 @@
 	incarnations []*platformtarget.Target // the last one runs
 	down         bool
 	drained      time.Time // when its leaving was in the store; zero: it stays
+	vanished     bool      // its registration was removed, and is not written again
 }
 
 func newTargetServer(s *site, id, service string, number int) *targetServer {
@@ -66,10 +67,14 @@
 func (t *targetServer) register() error {
 	r := t.current().Registration(t.proxy.address(), t.domain)
 	t.mu.Lock()
+	vanished := t.vanished
 	if !t.drained.IsZero() {
 		r.State = platform.StateDraining
 	}
 	t.mu.Unlock()
+	if vanished {
+		return nil
+	}
 	return t.site.apply(platform.KindTargets, t.id, r)
 }
 
@@ -81,6 +86,14 @@
 	return t.register()
 }
 
+// vanish removes the target's registration. It goes on serving.
+func (t *targetServer) vanish() {
+	t.mu.Lock()
+	t.drained, t.vanished = time.Now(), true
+	t.mu.Unlock()
+	t.site.store.Remove(platform.KindTargets, t.id)
+}
+
 // leftAt returns when the target left; the zero time if it did not.
 func (t *targetServer) leftAt() time.Time {
 	t.mu.Lock()
