Test: a query of which nothing was sent is told as possibly run, and sent later (fails)

What callers saw: after the targets of most shards had ended, queries that had reached no target were answered 502, that they may have run. Cause, by reading: a query that too few shards can answer is given up at once; attempts that still wait for a connection count as running, go on, and send the query after its caller has been answered.

--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"testing"
@@ -77,6 +78,8 @@
 	without []gateway.Mechanism
 	// log takes the log lines; nil: they are dropped.
 	log io.Writer
+	// dial opens the connections to targets; nil: the network does at once.
+	dial func(s *site, ctx context.Context, network, address string) (net.Conn, error)
 	// domainOf returns the failure domain of a service's targets; nil: domain.
 	domainOf func(service int) string
 }
@@ -104,6 +107,11 @@
 	s.suspend = suspend
 	s.requests = quarantine.NewTable(quarantine.DefaultConfig(), s.log)
 	g := s.gateway(member.Host{ID: "h", FailureDomain: domain, LinkMbps: o.link}, o.without...)
+	if o.dial != nil {
+		g.DialWith(func(ctx context.Context, network, address string) (net.Conn, error) {
+			return o.dial(s, ctx, network, address)
+		})
+	}
 	if o.help != nil {
 		g.HelpWith(o.help(s), func() []member.Host { return o.hosts })
 	}
