--- a/internal/discovery/restart_test.go
+++ b/internal/discovery/restart_test.go
@@ -111,6 +111,25 @@
 	}
 }
 
+// withRegistry runs f with n hosts that follow a store with targets, 10 s after they have started.
+func withRegistry(t *testing.T, cfg *Config, n int, targets []TargetChange, f func(net *simNet, store *loggedStore, all []*simHost)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store := &loggedStore{fakeStore: newFakeStore()}
+		store.fakeStore.write(1)
+		store.write(targets...)
+		net := &simNet{hosts: map[string]*simHost{}, crossed: map[string]int{}, cfg: cfg}
+		all := startSimFleet(t, net, store, n, 0)
+		defer func() {
+			for _, h := range all {
+				h.kill(t)
+			}
+		}()
+		time.Sleep(10 * time.Second)
+		f(net, store, all)
+	})
+}
+
 // kill ends the host without a word to the others.
 func (h *simHost) kill(t *testing.T) {
 	t.Helper()
@@ -128,22 +147,12 @@
 // they are away some targets are removed, others say that they leave. Every host knows it within the time for a change, and no host
 // ever takes a removed target back.
 func TestTargetsThatLeaveWhileTheWatcherRestarts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		store := &loggedStore{fakeStore: newFakeStore()}
-		store.fakeStore.write(1)
-		const targets, removed, drained = 85, 8, 23
-		for i := range targets {
-			store.write(came(fmt.Sprintf("t%02d", i))...)
-		}
-		net := &simNet{hosts: map[string]*simHost{}, crossed: map[string]int{}}
-		all := startSimFleet(t, net, store, 7, 0)
-		defer func() {
-			for _, h := range all {
-				h.kill(t)
-			}
-		}()
-		time.Sleep(10 * time.Second)
-
+	const targets, removed, drained = 85, 8, 23
+	var ids []string
+	for i := range targets {
+		ids = append(ids, fmt.Sprintf("t%02d", i))
+	}
+	withRegistry(t, nil, 7, came(ids...), func(net *simNet, store *loggedStore, all []*simHost) {
 		watcher := all[0].spread.own().watchers()[0]
 		var away []int
 		for i, h := range all {
@@ -154,11 +163,11 @@
 		for _, i := range away {
 			all[i].kill(t)
 		}
-		for i := range removed {
-			store.write(went(fmt.Sprintf("t%02d", i))...)
+		for _, id := range ids[:removed] {
+			store.write(went(id)...)
 		}
-		for i := range drained {
-			store.write(TargetChange{Target: Target{ID: fmt.Sprintf("t%02d", removed+i), Service: "s", Draining: true}})
+		for _, id := range ids[removed : removed+drained] {
+			store.write(TargetChange{Target: Target{ID: id, Service: "s", Draining: true}})
 		}
 		time.Sleep(300 * time.Millisecond)
 		for _, i := range away {
@@ -195,19 +204,7 @@
 
 func leavesWhileTheWatcherIsCutOff(t *testing.T, cfg Config) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		store := &loggedStore{fakeStore: newFakeStore()}
-		store.fakeStore.write(1)
-		store.write(came("leaves", "stays")...)
-		net := &simNet{hosts: map[string]*simHost{}, crossed: map[string]int{}, cfg: &cfg}
-		all := startSimFleet(t, net, store, 7, 0)
-		defer func() {
-			for _, h := range all {
-				h.kill(t)
-			}
-		}()
-		time.Sleep(10 * time.Second)
-
+	withRegistry(t, &cfg, 7, came("leaves", "stays"), func(net *simNet, store *loggedStore, all []*simHost) {
 		watcher := all[0].spread.own().watchers()[0]
 		net.host(watcher.Peer).cut()
 		store.write(went("leaves")...)
@@ -228,49 +225,41 @@
 		away  time.Duration
 	}{{1, 5 * time.Second}, {7, 2600 * time.Millisecond}, {7, 5 * time.Second}, {100, 2600 * time.Millisecond}, {100, 4 * time.Second}, {100, 5 * time.Second}} {
 		t.Run(fmt.Sprintf("%d hosts, %s", tc.hosts, tc.away), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				store := &loggedStore{fakeStore: newFakeStore()}
-				store.fakeStore.write(1)
-				store.write(came("a", "b", "lapses", "lost")...)
-				cfg := DefaultConfig()
-				net := &simNet{hosts: map[string]*simHost{}, crossed: map[string]int{}, cfg: &cfg}
-				all := startSimFleet(t, net, store, tc.hosts, 0)
-				defer func() {
-					for _, h := range all {
-						h.kill(t)
-					}
-				}()
-				known := func(want int) {
-					t.Helper()
-					missing := 0
-					for _, h := range all {
-						if len(h.state.View().Targets) != want {
-							missing++
-						}
-					}
-					if missing > 0 {
-						t.Errorf("%d of %d hosts do not know %d targets", missing, tc.hosts, want)
-					}
-				}
-				time.Sleep(10 * time.Second)
+			cfg := DefaultConfig()
+			withRegistry(t, &cfg, tc.hosts, came("a", "b", "lapses", "lost"), func(_ *simNet, store *loggedStore, all []*simHost) {
+				const lastMoment = 200 * time.Millisecond // of the outage, in which registrations lapse
 				store.down.Store(true)
-				time.Sleep(tc.away - 200*time.Millisecond)
+				time.Sleep(tc.away - lastMoment)
 				store.write(went("lapses")...)
 				store.write(went("lost")...)
-				time.Sleep(200 * time.Millisecond)
+				time.Sleep(lastMoment)
 				store.down.Store(false)
 				for range 3 {
 					time.Sleep(500 * time.Millisecond)
-					known(4)
+					wantTargets(t, all, 4)
 				}
 				store.write(came("lapses")...)
 				time.Sleep(1500 * time.Millisecond)
-				known(3)
+				wantTargets(t, all, 3)
 			})
 		})
 	}
 }
 
+// wantTargets fails the test if not all hosts know a number of targets.
+func wantTargets(t *testing.T, all []*simHost, want int) {
+	t.Helper()
+	others := 0
+	for _, h := range all {
+		if len(h.state.View().Targets) != want {
+			others++
+		}
+	}
+	if others > 0 {
+		t.Errorf("%d of %d hosts do not know %d targets", others, len(all), want)
+	}
+}
+
 // Where targets that leave must get no new work sooner than a configuration must be in force, the registry is followed at the
 // pace of the former.
 func TestTargetLeavesInTimeWhereConfigurationsTakeLonger(t *testing.T) {
