Test: a store that comes back from an older copy leaves hosts with old beliefs (fails)

Nine whole hosts in virtual time, the store away for 0.4 s and back from a copy that lacks six versions, everything written again, then a version with a new route, the removal of a target and a new one. All three cases fail: with the new version at the revision that hosts held the route is 404 on all nine hosts 3 s later; below it the target that left gets 16 requests in 3 s. The stand-in learns to make a copy, to come back from it, and to tell its era.

--- a/internal/gatewayhost/fleet_test.go
+++ b/internal/gatewayhost/fleet_test.go
@@ -410,8 +410,13 @@
 	go func() { _ = server.Serve(ln) }()
 }
 
-// configure writes the configuration: a route over all shards, and two to one service.
+// configure writes the configuration.
 func (f *fleet) configure(version uint64) {
+	f.write(platform.KindConfig, platform.NameConfig, f.config(version))
+}
+
+// config is a configuration of a route over all shards, and two to one service.
+func (f *fleet) config(version uint64) platform.Config {
 	config := platform.Config{Version: version}
 	query := platform.Route{
 		Name: "lists", Hostname: fleetHost, PathPrefix: pathQuery, Type: platform.TypeIdempotent, TimeoutMs: 600,
@@ -430,7 +435,7 @@
 	once.Name, once.PathPrefix, once.Type = "claim", pathOnce, platform.TypeNonIdempotent
 	config.Services = append(config.Services, f.service(singleService))
 	config.Routes = []platform.Route{query, single, once}
-	f.write(platform.KindConfig, platform.NameConfig, config)
+	return config
 }
 
 func (f *fleet) service(name string) platform.Service {
@@ -445,21 +450,24 @@
 
 // startTargets starts three targets of each shard, and six of the single service.
 func (f *fleet) startTargets() {
-	add := func(service string, n int, domain string) {
-		name := fmt.Sprintf("%s-%s-%d", service, domain, n)
-		t := &fleetTarget{fleet: f, number: len(f.targets), name: name, service: service, domain: domain, address: name + ":80"}
-		f.targets = append(f.targets, t)
-		t.start()
-	}
 	for _, domain := range fleetDomains[:len(fleetDomains)-1] {
 		for i := range fleetShards {
-			add(shardName(i), 0, domain)
+			f.addTarget(shardName(i), 0, domain)
 		}
-		add(singleService, 0, domain)
-		add(singleService, 1, domain)
+		f.addTarget(singleService, 0, domain)
+		f.addTarget(singleService, 1, domain)
 	}
 }
 
+// addTarget starts a target of a service, the nth in its failure domain.
+func (f *fleet) addTarget(service string, n int, domain string) *fleetTarget {
+	name := fmt.Sprintf("%s-%s-%d", service, domain, n)
+	t := &fleetTarget{fleet: f, number: len(f.targets), name: name, service: service, domain: domain, address: name + ":80"}
+	f.targets = append(f.targets, t)
+	t.start()
+	return t
+}
+
 // Ports of the hosts.
 const (
 	portCallers = 80 + iota
--- a/internal/standin/objectstore/calls.go
+++ b/internal/standin/objectstore/calls.go
@@ -110,11 +110,14 @@
 	released := s.released()
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
-	for {
+	for era := s.Era(); ; {
 		a, faultsChanged, down := s.waitOutage(ctx, from)
 		if down {
 			return a
 		}
+		if s.Era() != era {
+			return cut // the store that this watch asked is gone
+		}
 		events, changed, ok := s.since(after, kind)
 		if !ok {
 			return refuse(http.StatusGone, "changes since that revision are gone")
--- a/internal/standin/objectstore/config.go
+++ b/internal/standin/objectstore/config.go
@@ -31,6 +31,7 @@
 	Page        int           `json:"page"`                     // objects in one answer to a list
 	ClockOffset unit.Duration `json:"clock_offset"`             // platform's clock less this machine's
 	NoClock     bool          `json:"no_clock,omitempty"`       // answers tell no time, as on the users' platform
+	NoEra       bool          `json:"no_era,omitempty"`         // answers tell no era
 	WriteRate   float64       `json:"write_rate,omitempty"`     // writes/s; 0: no limit
 	ReadRate    float64       `json:"read_rate,omitempty"`      // reads/s, watches included; 0: no limit
 	Faults      Faults        `json:"faults,omitempty"`         // in force from the start
--- a/internal/standin/objectstore/handler.go
+++ b/internal/standin/objectstore/handler.go
@@ -5,9 +5,12 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"rhubarbwood.example/rhubarbwood/platform"
 )
 
 // Paths of the stand-in itself. They are not counted and take no faults.
@@ -56,7 +59,7 @@
 	return s.timed(mux)
 }
 
-// timed puts the platform's clock on every answer.
+// timed puts the platform's clock and the era on every answer.
 func (s *Store) timed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.stamp(w)
@@ -69,6 +72,9 @@
 	if !s.cfg.NoClock {
 		w.Header().Set("Date", s.Now().Format(http.TimeFormat))
 	}
+	if !s.cfg.NoEra {
+		w.Header().Set(platform.HeaderStoreEra, strconv.FormatUint(s.Era(), 10))
+	}
 }
 
 // choice tells which verb a request is and who serves it.
--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -36,6 +36,7 @@
 	history       []change // by ascending revision
 	compacted     uint64   // changes up to this revision are gone
 	revision      uint64
+	era           uint64
 	changed       chan struct{} // closes at the next change
 	faults        Faults
 	faultsChanged chan struct{} // closes when the faults change
@@ -51,6 +52,7 @@
 		writes:        limiter(cfg.WriteRate),
 		reads:         limiter(cfg.ReadRate),
 		objects:       map[key]platform.Object{},
+		era:           firstEra,
 		changed:       make(chan struct{}),
 		faults:        cfg.Faults,
 		faultsChanged: make(chan struct{}),
