--- a/internal/discovery/cold_test.go
+++ b/internal/discovery/cold_test.go
@@ -22,7 +22,7 @@
 }
 
 func registered(warmup time.Duration, revision uint64) TargetChanges {
-	return TargetChanges{Changes: []TargetChange{{Target: Target{ID: "a", Warmup: warmup}}}, Revision: revision}
+	return TargetChanges{Changes: []TargetChange{{Target: Target{ID: "a", Warmup: warmup}}}, Revision: at(revision)}
 }
 
 // A target is cold until the time of its registration is over. It says how long at each beat; that is no news, but that it is warm
@@ -59,7 +59,7 @@
 		s.ApplyChanges(registered(0, 1), time.Now())
 		s.ApplyChanges(registered(3*time.Second, 5), time.Now())
 		s.ApplyChanges(registered(0, 4), time.Now())
-		s.ApplyTargets(TargetList{Targets: []Target{{ID: "a"}}, Revision: 3}, time.Now())
+		s.ApplyTargets(TargetList{Targets: []Target{{ID: "a"}}, Revision: at(3)}, time.Now())
 		is.Equal(coldFor(s, "a"), 3*time.Second)
 	})
 }
@@ -90,8 +90,8 @@
 		is := is.New(t)
 		for _, listed := range []bool{true, false} {
 			first, second := NewState(), NewState()
-			first.ApplyTargets(TargetList{Revision: 1}, time.Now())
-			second.ApplyTargets(TargetList{Revision: 1}, time.Now())
+			first.ApplyTargets(TargetList{Revision: at(1)}, time.Now())
+			second.ApplyTargets(TargetList{Revision: at(1)}, time.Now())
 			first.ApplyChanges(registered(3*time.Second, 5), time.Now())
 			if listed {
 				second = NewState() // is told everything
@@ -111,7 +111,7 @@
 func TestPermitsAreToldAndStay(t *testing.T) {
 	is := is.New(t)
 	first, second := NewState(), NewState()
-	first.ApplyTargets(TargetList{Revision: 1}, time.Now())
+	first.ApplyTargets(TargetList{Revision: at(1)}, time.Now())
 	first.ApplyPermits([]Permit{{Target: "a", Hosts: []string{"x", "y"}, Each: 3}})
 	exchange(t, first, second)
 	is.Equal(second.View().Permits["a"].Of("x"), 3)
@@ -129,8 +129,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		first, second := NewState(), NewState()
-		first.ApplyEvacuations(EvacuationRead{Domains: []string{"d"}, Revision: 1}, time.Now())
-		first.ApplyEvacuations(EvacuationRead{Revision: 2}, time.Now())
+		first.ApplyEvacuations(EvacuationRead{Domains: []string{"d"}, Revision: at(1)}, time.Now())
+		first.ApplyEvacuations(EvacuationRead{Revision: at(2)}, time.Now())
 		time.Sleep(time.Second)
 		exchange(t, first, second)
 		is.Equal(time.Since(second.View().EvacuationEnds["d"]), time.Second)
--- a/internal/discovery/evacuation.go
+++ b/internal/discovery/evacuation.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // An evacuated failure domain is one to whose targets nothing more may be sent, by an operator's
@@ -13,8 +15,8 @@
 // EvacuationRead is all failure domains that are evacuated.
 type EvacuationRead struct {
 	Domains  []string
-	Problems []string // of entries whose failure domain can't be read
-	Revision uint64   // of the store, at which this was read
+	Problems []string          // of entries whose failure domain can't be read
+	Revision revision.Revision // of the store, at which this was read
 }
 
 // EvacuationChange is the beginning or the end of an evacuation.
@@ -26,8 +28,8 @@
 // EvacuationChanges is what changed since a revision.
 type EvacuationChanges struct {
 	Changes  []EvacuationChange
-	Problems []string // of entries whose failure domain can't be read
-	Revision uint64   // to watch from next
+	Problems []string          // of entries whose failure domain can't be read
+	Revision revision.Revision // to watch from next
 }
 
 // evacuations is what a host believes of them.
@@ -37,7 +39,7 @@
 	domains  map[string]bool
 	// since is the revision from which on the host knows every change. Peers that hold an older one are
 	// told all domains: a reading does not tell what had ended before it.
-	since uint64
+	since revision.Revision
 	// ends tells when evacuations were found to have ended, by domain; the targets there may have become
 	// cold meanwhile. It is replaced with each change, as views hold it.
 	ends map[string]time.Time
@@ -60,7 +62,7 @@
 }
 
 // set takes the domains that are evacuated at a revision. It returns what has changed.
-func (e *evacuations) set(domains map[string]bool, revision uint64, asOf time.Time) []EvacuationChange {
+func (e *evacuations) set(domains map[string]bool, at revision.Revision, asOf time.Time) []EvacuationChange {
 	var changes []EvacuationChange
 	for domain := range e.domains {
 		if !domains[domain] {
@@ -75,7 +77,7 @@
 	if len(changes) > 0 {
 		e.domains = domains
 	}
-	e.belief.revision = max(e.belief.revision, revision)
+	e.belief.revision = revision.Later(e.belief.revision, at)
 	if asOf.After(e.belief.asOf) {
 		e.belief.asOf = asOf
 	}
@@ -90,7 +92,7 @@
 func (s *State) ApplyEvacuations(r EvacuationRead, asOf time.Time) []EvacuationChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if r.Revision < s.evacuations.belief.revision {
+	if r.Revision.Before(s.evacuations.belief.revision) {
 		return nil
 	}
 	domains := map[string]bool{}
@@ -106,7 +108,7 @@
 func (s *State) ApplyEvacuationChanges(c EvacuationChanges, asOf time.Time) []EvacuationChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.Revision < s.evacuations.belief.revision {
+	if !s.evacuations.belief.goesOnTo(c.Revision) {
 		return nil
 	}
 	domains := maps.Clone(s.evacuations.domains)
@@ -125,9 +127,9 @@
 }
 
 // setEvacuations tells the followers if something has changed, or became known. The caller holds the lock.
-func (s *State) setEvacuations(domains map[string]bool, revision uint64, asOf time.Time) []EvacuationChange {
+func (s *State) setEvacuations(domains map[string]bool, at revision.Revision, asOf time.Time) []EvacuationChange {
 	before := s.evacuations.known()
-	changes := s.evacuations.set(domains, revision, asOf)
+	changes := s.evacuations.set(domains, at, asOf)
 	for _, c := range changes {
 		if c.Ended {
 			s.evacuations.noteEnd(c.Domain, s.clock.Now())
@@ -200,8 +202,9 @@
 
 func (f *Follower) logEvacuations(changes []EvacuationChange, from string) {
 	for _, c := range changes {
+		at := f.state.Known().EvacuationRevision
 		f.log.Event(evEvacuation).Str("failure_domain", c.Domain).Bool("ended", c.Ended).
-			Uint64("revision", f.state.Known().EvacuationRevision).Str("from", from).Msg("")
+			Uint64("era", at.Era).Uint64("revision", at.Number).Str("from", from).Msg("")
 		value := 1.0
 		if c.Ended {
 			value = 0
--- a/internal/discovery/evacuation_test.go
+++ b/internal/discovery/evacuation_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 	"rhubarbwood.example/rhubarbwood/internal/unit"
 )
 
@@ -50,7 +51,7 @@
 
 // since returns what changed after a revision, up to another.
 func (l *evacuationLog) since(after, to uint64) EvacuationChanges {
-	changes := EvacuationChanges{Revision: to}
+	changes := EvacuationChanges{Revision: at(to)}
 	for _, e := range l.events {
 		if e.revision > after && e.revision <= to {
 			changes.Changes = append(changes.Changes, e.change)
@@ -71,14 +72,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	err := f.begin()
-	return EvacuationRead{Domains: f.evacuations.at(f.revision), Revision: f.revision}, err
+	return EvacuationRead{Domains: f.evacuations.at(f.revision), Revision: at(f.revision)}, err
 }
 
-func (f *fakeStore) WatchEvacuations(ctx context.Context, after uint64, wait time.Duration) (EvacuationChanges, error) {
-	revision, err := f.wait(ctx, after, wait)
+func (f *fakeStore) WatchEvacuations(ctx context.Context, since revision.Revision, wait time.Duration) (EvacuationChanges, error) {
+	reached, err := f.wait(ctx, since.Number, wait)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.evacuations.since(after, revision), err
+	return f.evacuations.since(since.Number, reached), err
 }
 
 // evacuating is the settings of a host that follows evacuations.
@@ -124,13 +125,13 @@
 		s := NewState()
 		s.evacuations.followed = true
 		now := time.Now()
-		s.ApplyConfig(ConfigRead{Config: version(1), Found: true, Revision: 1}, now)
-		s.ApplyTargets(TargetList{Revision: 1}, now)
+		s.ApplyConfig(ConfigRead{Config: version(1), Found: true, Revision: at(1)}, now)
+		s.ApplyTargets(TargetList{Revision: at(1)}, now)
 		is.True(s.View().EvacuationsUnknown)
 		is.True(s.Freshness().IsZero())
 		var told []View
 		s.Follow(func(v View) { told = append(told, v) })
-		s.ApplyEvacuations(EvacuationRead{Revision: 1}, now)
+		s.ApplyEvacuations(EvacuationRead{Revision: at(1)}, now)
 		is.Equal(len(told), 1) // though none is evacuated
 		is.True(!told[0].EvacuationsUnknown)
 		is.True(!s.Freshness().IsZero())
@@ -177,7 +178,7 @@
 		}
 		watch := func(t *rapid.T) int {
 			i := draw(t, "host")
-			if after := hosts[i].Known().EvacuationRevision; after > 0 {
+			if after := hosts[i].Known().EvacuationRevision.Number; after > 0 {
 				watched[i] = log.since(after, revision)
 			}
 			return i
@@ -193,7 +194,7 @@
 				hosts[i], late[i], watched[i] = NewState(), News{}, EvacuationChanges{}
 			},
 			"read": func(t *rapid.T) {
-				read := EvacuationRead{Domains: log.at(revision), Revision: revision}
+				read := EvacuationRead{Domains: log.at(revision), Revision: at(revision)}
 				hosts[draw(t, "host")].ApplyEvacuations(read, time.Now())
 			},
 			"ask":  func(t *rapid.T) { ask(t) },
@@ -201,18 +202,18 @@
 			"told": func(t *rapid.T) { hear(ask(t)) },
 			"wait": func(t *rapid.T) { watch(t) },
 			"watched": func(t *rapid.T) {
-				if i := watch(t); watched[i].Revision > 0 {
+				if i := watch(t); watched[i].Revision.Number > 0 {
 					hosts[i].ApplyEvacuationChanges(watched[i], time.Now())
 				}
 			},
 			"watched late": func(t *rapid.T) {
-				if i := draw(t, "host"); watched[i].Revision > 0 {
+				if i := draw(t, "host"); watched[i].Revision.Number > 0 {
 					hosts[i].ApplyEvacuationChanges(watched[i], time.Now())
 				}
 			},
 			"": func(t *rapid.T) {
 				for i, host := range hosts {
-					held := host.Known().EvacuationRevision
+					held := host.Known().EvacuationRevision.Number
 					if held == 0 {
 						continue
 					}
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -15,6 +15,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/quarantine"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // Peers is the other hosts, as far as news come from them.
@@ -202,23 +203,25 @@
 	what     string
 	pause    *backoff.ExponentialBackOff
 	up       bool
-	listed   bool   // everything was read, so that a watch may follow
-	held     uint64 // revision that this host held at the last call, for the log
+	listed   bool // everything was read, so that a watch may follow
 	readAt   time.Time
-	gone     bool // the store has dropped the changes since: nothing but a reading helps
+	// held is the revision that this host held at the last call, and gone the one since which the store does not have the
+	// changes: nothing but a reading, or what a peer knows, goes on from there.
+	held, gone revision.Revision
 }
 
 // mustList reports whether everything has to be read before a watch from a revision that
 // this host holds, 0 if none. What a peer told is the store's, too, so a watch may go on from
 // there, however old: a host that took the place of a watcher read 280 targets anew, in six
 // calls.
-func (l *link) mustList(revision uint64) bool {
-	l.held = revision
-	return l.gone || !l.listed && revision == 0
+func (l *link) mustList(held revision.Revision) bool {
+	l.held = held
+	isGone := !l.gone.IsZero() && l.gone == held
+	return isGone || !l.listed && held.Number == 0
 }
 
 // read notes that everything was read.
-func (l *link) read() { l.listed, l.gone, l.readAt = true, false, time.Now() }
+func (l *link) read() { l.listed, l.gone, l.readAt = true, revision.Revision{}, time.Now() }
 
 // reached notes an answer.
 func (l *link) reached() {
@@ -232,8 +235,8 @@
 // failed notes a call that brought nothing.
 func (l *link) failed(err error) {
 	if errors.Is(err, ErrHistoryGone) {
-		l.gone = true
-		l.follower.log.Event(evHistoryGone).Str("what", l.what).Uint64("revision", l.held).Msg("")
+		l.gone = l.held
+		l.follower.log.Event(evHistoryGone).Str("what", l.what).Uint64("era", l.held.Era).Uint64("revision", l.held.Number).Msg("")
 		return
 	}
 	if l.up {
@@ -275,7 +278,8 @@
 
 func (f *Follower) logConfig(from string) {
 	v := f.state.View()
-	f.log.Event(evConfigInForce).Uint64("version", v.Table.Config.Version).Uint64("revision", v.ConfigRevision).
+	f.log.Event(evConfigInForce).Uint64("version", v.Table.Config.Version).
+		Uint64("era", v.ConfigRevision.Era).Uint64("revision", v.ConfigRevision.Number).
 		Int("routes", len(v.Table.Config.Routes)).Int("services", len(v.Table.Config.Services)).
 		Str("from", from).Dur("age", f.state.clock.Since(v.ConfigAsOf)).Msg("")
 }
@@ -291,7 +295,9 @@
 		l.reached()
 		l.read()
 		f.state.ReadAgain()
-		f.log.Event(evRegistryRead).Uint64("since", f.state.Known().RegistryRevision).Uint64("revision", list.Revision).
+		since := f.state.Known().RegistryRevision
+		f.log.Event(evRegistryRead).Uint64("since_era", since.Era).Uint64("since", since.Number).
+			Uint64("era", list.Revision.Era).Uint64("revision", list.Revision.Number).
 			Int("targets", len(list.Targets)).Int("unusable", len(list.Unusable)).Msg("")
 		f.logTargets(f.state.ApplyTargets(list, asked), "store")
 		return nil
@@ -349,8 +355,8 @@
 			continue
 		}
 		if news.AllTargets || len(news.Changes) > 0 {
-			f.log.Event(evRegistryTold).Str("peer", news.From).Uint64("since", known.RegistryRevision).
-				Uint64("revision", news.RegistryRevision).Bool("whole", news.AllTargets).Int("targets", len(news.Changes)).Msg("")
+			f.log.Event(evRegistryTold).Str("peer", news.From).Uint64("since_era", known.RegistryRevision.Era).Uint64("since", known.RegistryRevision.Number).
+				Uint64("era", news.RegistryRevision.Era).Uint64("revision", news.RegistryRevision.Number).Bool("whole", news.AllTargets).Int("targets", len(news.Changes)).Msg("")
 		}
 		changed := f.state.ApplyNews(news)
 		if changed.Config {
@@ -392,20 +398,20 @@
 }
 
 func (f *Follower) logTargets(changes []TargetChange, from string) {
-	revision := f.state.Known().RegistryRevision
+	at := f.state.Known().RegistryRevision
 	for _, c := range changes {
 		if c.Problem != "" {
-			f.noteUnusable(c, revision)
+			f.noteUnusable(c, at)
 			continue
 		}
 		if c.Gone {
 			f.log.Event(evTargetGone).Str("target", c.Target.ID).Str("service", c.Target.Service).
-				Uint64("revision", revision).Str("from", from).Msg("")
+				Uint64("era", at.Era).Uint64("revision", at.Number).Str("from", from).Msg("")
 			continue
 		}
 		f.log.Event(evTargetKnown).Str("target", c.Target.ID).Str("service", c.Target.Service).
 			Str("address", c.Target.Address).Str("failure_domain", c.Target.Domain).
-			Bool("draining", c.Target.Draining).Uint64("revision", revision).Str("from", from).Msg("")
+			Bool("draining", c.Target.Draining).Uint64("era", at.Era).Uint64("revision", at.Number).Str("from", from).Msg("")
 	}
 }
 
@@ -416,10 +422,11 @@
 	unusableBurst = 50
 )
 
-func (f *Follower) noteUnusable(c TargetChange, revision uint64) {
+func (f *Follower) noteUnusable(c TargetChange, at revision.Revision) {
 	f.metrics.unusable.Inc()
 	if f.unusableLines.Allow() {
-		f.log.Event(evUnusable).Str("registration", c.Target.ID).Str("problem", c.Problem).Uint64("revision", revision).Msg("")
+		f.log.Event(evUnusable).Str("registration", c.Target.ID).Str("problem", c.Problem).
+			Uint64("era", at.Era).Uint64("revision", at.Number).Msg("")
 	}
 }
 
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -12,6 +12,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/quarantine"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
@@ -76,7 +77,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	err := f.begin()
-	return ConfigRead{Config: f.config, Found: f.written > 0, Revision: f.revision}, err
+	return ConfigRead{Config: f.config, Found: f.written > 0, Revision: at(f.revision)}, err
 }
 
 // wait returns when something changes, or after the wait.
@@ -111,25 +112,26 @@
 	}
 }
 
-func (f *fakeStore) WatchConfig(ctx context.Context, after uint64, wait time.Duration) (ConfigRead, error) {
-	revision, err := f.wait(ctx, after, wait)
+func (f *fakeStore) WatchConfig(ctx context.Context, since revision.Revision, wait time.Duration) (ConfigRead, error) {
+	after := since.Number
+	reached, err := f.wait(ctx, after, wait)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err != nil || revision <= after || f.written <= after {
-		return ConfigRead{Revision: revision}, err
+	if err != nil || reached <= after || f.written <= after {
+		return ConfigRead{Revision: at(reached)}, err
 	}
-	return ConfigRead{Config: f.config, Found: true, Revision: revision}, nil
+	return ConfigRead{Config: f.config, Found: true, Revision: at(reached)}, nil
 }
 
 func (f *fakeStore) Targets(context.Context) (TargetList, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return TargetList{Revision: f.revision}, f.begin()
+	return TargetList{Revision: at(f.revision)}, f.begin()
 }
 
-func (f *fakeStore) WatchTargets(ctx context.Context, after uint64, wait time.Duration) (TargetChanges, error) {
-	revision, err := f.wait(ctx, after, wait)
-	return TargetChanges{Revision: revision}, err
+func (f *fakeStore) WatchTargets(ctx context.Context, since revision.Revision, wait time.Duration) (TargetChanges, error) {
+	reached, err := f.wait(ctx, since.Number, wait)
+	return TargetChanges{Revision: at(reached)}, err
 }
 
 // fakePeers is a host's way to one that watches.
--- a/internal/discovery/fuzz_test.go
+++ b/internal/discovery/fuzz_test.go
@@ -44,7 +44,7 @@
 		s.spreadFindings(news.Findings)
 		view := s.View()
 		for _, target := range view.Targets {
-			if view.RegistryRevision < news.RegistryRevision {
+			if view.RegistryRevision.Before(news.RegistryRevision) {
 				t.Fatalf("target %+v of a revision that is not known", target)
 			}
 		}
--- a/internal/discovery/history_test.go
+++ b/internal/discovery/history_test.go
@@ -19,7 +19,7 @@
 
 func (r *registryLog) write(c TargetChange) {
 	r.revision++
-	r.events = append(r.events, revisedChange{r.revision, c})
+	r.events = append(r.events, revisedChange{at(r.revision), c})
 }
 
 // at returns the registered targets as of a revision.
@@ -27,7 +27,7 @@
 	held := map[string]Target{}
 	for _, e := range r.events {
 		switch {
-		case e.revision > revision:
+		case e.revision.Number > revision:
 		case e.change.Gone:
 			delete(held, e.change.Target.ID)
 		default:
@@ -39,7 +39,7 @@
 
 // list is the answer to a reading that began at a revision: what a later page holds may be newer.
 func (r *registryLog) list(began uint64, lastPageFrom string) TargetList {
-	l := TargetList{Revision: began}
+	l := TargetList{Revision: at(began)}
 	first, last := r.at(began), r.at(r.revision)
 	for _, id := range targetNames {
 		held := first
@@ -60,11 +60,11 @@
 	}
 	newest := map[string]TargetChange{}
 	for _, e := range r.events {
-		if e.revision > after {
+		if e.revision.Number > after {
 			newest[e.change.Target.ID] = e.change
 		}
 	}
-	changes := TargetChanges{Revision: r.revision}
+	changes := TargetChanges{Revision: at(r.revision)}
 	for _, id := range slices.Sorted(maps.Keys(newest)) {
 		changes.Changes = append(changes.Changes, newest[id])
 	}
@@ -92,10 +92,10 @@
 func TestRemovalsBeforeAHostsFirstReadingReachItsPeers(t *testing.T) {
 	is := is.New(t)
 	before := NewState()
-	before.ApplyTargets(TargetList{Targets: []Target{{ID: "left"}, {ID: "drained"}, {ID: "stays"}}, Revision: 315}, time.Now())
+	before.ApplyTargets(TargetList{Targets: []Target{{ID: "left"}, {ID: "drained"}, {ID: "stays"}}, Revision: at(315)}, time.Now())
 
 	started := NewState()
-	started.ApplyTargets(TargetList{Targets: []Target{{ID: "drained", Draining: true}, {ID: "stays"}}, Revision: 322}, time.Now())
+	started.ApplyTargets(TargetList{Targets: []Target{{ID: "drained", Draining: true}, {ID: "stays"}}, Revision: at(322)}, time.Now())
 	news, _ := started.newsSince(before.Known())
 	changes := before.ApplyNews(news).Targets
 
@@ -109,10 +109,10 @@
 	is := is.New(t)
 	reader, peer := NewState(), NewState()
 	for _, s := range []*State{reader, peer} {
-		s.ApplyTargets(TargetList{Targets: []Target{{ID: "stays"}}, Revision: 100}, time.Now())
+		s.ApplyTargets(TargetList{Targets: []Target{{ID: "stays"}}, Revision: at(100)}, time.Now())
 	}
-	peer.ApplyChanges(TargetChanges{Changes: came("short"), Revision: 120}, time.Now())
-	reader.ApplyTargets(TargetList{Targets: []Target{{ID: "stays"}}, Revision: 140}, time.Now())
+	peer.ApplyChanges(TargetChanges{Changes: came("short"), Revision: at(120)}, time.Now())
+	reader.ApplyTargets(TargetList{Targets: []Target{{ID: "stays"}}, Revision: at(140)}, time.Now())
 	news, _ := reader.newsSince(peer.Known())
 	peer.ApplyNews(news)
 	is.Equal(ids(peer), []string{"stays"})
@@ -124,10 +124,10 @@
 	is := is.New(t)
 	watcher, peer := NewState(), NewState()
 	for _, s := range []*State{watcher, peer} {
-		s.ApplyTargets(TargetList{Targets: []Target{{ID: "stays"}}, Revision: 100}, time.Now())
+		s.ApplyTargets(TargetList{Targets: []Target{{ID: "stays"}}, Revision: at(100)}, time.Now())
 	}
-	peer.ApplyChanges(TargetChanges{Changes: came("short"), Revision: 120}, time.Now())
-	watcher.ApplyChanges(TargetChanges{Changes: went("short"), Revision: 140}, time.Now())
+	peer.ApplyChanges(TargetChanges{Changes: came("short"), Revision: at(120)}, time.Now())
+	watcher.ApplyChanges(TargetChanges{Changes: went("short"), Revision: at(140)}, time.Now())
 	news, _ := watcher.newsSince(peer.Known())
 	peer.ApplyNews(news)
 	is.Equal(ids(peer), []string{"stays"})
@@ -138,9 +138,9 @@
 func TestChangeSeenEarlyInALaterPageIsPassedOn(t *testing.T) {
 	is := is.New(t)
 	reader, peer := NewState(), NewState()
-	reader.ApplyTargets(TargetList{Targets: []Target{{ID: "a"}, {ID: "z", Draining: true}}, Revision: 100}, time.Now())
-	peer.ApplyTargets(TargetList{Targets: []Target{{ID: "a"}, {ID: "z"}}, Revision: 102}, time.Now())
-	reader.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: Target{ID: "z", Draining: true}}}, Revision: 105}, time.Now())
+	reader.ApplyTargets(TargetList{Targets: []Target{{ID: "a"}, {ID: "z", Draining: true}}, Revision: at(100)}, time.Now())
+	peer.ApplyTargets(TargetList{Targets: []Target{{ID: "a"}, {ID: "z"}}, Revision: at(102)}, time.Now())
+	reader.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: Target{ID: "z", Draining: true}}}, Revision: at(105)}, time.Now())
 	news, _ := reader.newsSince(peer.Known())
 	peer.ApplyNews(news)
 	is.Equal(ids(peer), []string{"a", "z"})
@@ -201,7 +201,7 @@
 
 func (s *simRegistrySite) watch(t *rapid.T) {
 	host := s.hosts[s.draw(t, "host")]
-	after := host.Known().RegistryRevision
+	after := host.Known().RegistryRevision.Number
 	if after == 0 {
 		return // it has to read everything first
 	}
@@ -224,7 +224,7 @@
 func (s *simRegistrySite) check(t *rapid.T) {
 	for i, host := range s.hosts {
 		v := host.View()
-		if v.RegistryRevision == 0 {
+		if v.RegistryRevision.IsZero() {
 			continue
 		}
 		known := map[string]Target{}
@@ -233,8 +233,8 @@
 		}
 		for _, id := range targetNames {
 			believed, ok := known[id]
-			if !s.registry.heldSince(v.RegistryRevision, id, believed, ok) {
-				t.Fatalf("host %d at revision %d of %d believes of %s: %+v, registered %v", i, v.RegistryRevision, s.registry.revision, id, believed, ok)
+			if !s.registry.heldSince(v.RegistryRevision.Number, id, believed, ok) {
+				t.Fatalf("host %d at revision %s of %d believes of %s: %+v, registered %v", i, v.RegistryRevision, s.registry.revision, id, believed, ok)
 			}
 		}
 	}
--- a/internal/discovery/main_test.go
+++ b/internal/discovery/main_test.go
@@ -4,8 +4,13 @@
 	"flag"
 	"os"
 	"testing"
+
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
+// at returns a revision of the first era.
+func at(number uint64) revision.Revision { return revision.Revision{Era: 1, Number: number} }
+
 // The histories are the same in every run.
 func TestMain(m *testing.M) {
 	flag.Parse()
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/quarantine"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
@@ -16,41 +17,41 @@
 // history is the newest changes of the registry, in order.
 type history struct {
 	changes []revisedChange
-	from    uint64 // every change after this revision is kept, none up to it is answered for
+	from    revision.Revision // every change after this revision is kept, none up to it is answered for
 }
 
 type revisedChange struct {
-	revision uint64 // of the store, at which the change was known
+	revision revision.Revision // of the store, at which the change was known
 	change   TargetChange
 }
 
 // add keeps changes that were known as of a revision.
-func (h *history) add(revision uint64, changes []TargetChange) {
+func (h *history) add(at revision.Revision, changes []TargetChange) {
 	for _, c := range changes {
 		if len(h.changes) == mostHistory {
 			half := mostHistory / 2
 			h.from = h.changes[half-1].revision
 			h.changes = append(h.changes[:0], h.changes[half:]...)
 		}
-		h.changes = append(h.changes, revisedChange{revision, c})
+		h.changes = append(h.changes, revisedChange{at, c})
 	}
 }
 
 // begin forgets all changes: the registry was read as a whole at a revision. A reading does not tell
 // what was removed before it. Answered from the revisions before, four of seven hosts kept eight targets
 // whose registrations were removed while the host that watches restarted, and sent them requests.
-func (h *history) begin(revision uint64) {
-	h.changes, h.from = nil, revision
+func (h *history) begin(at revision.Revision) {
+	h.changes, h.from = nil, at
 }
 
 // since returns the changes after a revision, and false if some are not kept.
-func (h *history) since(revision uint64) ([]TargetChange, bool) {
-	if revision == 0 || revision < h.from {
+func (h *history) since(at revision.Revision) ([]TargetChange, bool) {
+	if at.IsZero() || at.Before(h.from) {
 		return nil, false
 	}
 	var changes []TargetChange
 	for _, c := range h.changes {
-		if c.revision > revision {
+		if at.Before(c.revision) {
 			changes = append(changes, c.change)
 		}
 	}
@@ -59,10 +60,10 @@
 
 // Known is the revisions that a host holds.
 type Known struct {
-	ConfigRevision   uint64
-	RegistryRevision uint64
+	ConfigRevision   revision.Revision
+	RegistryRevision revision.Revision
 	// EvacuationRevision is that of the evacuations.
-	EvacuationRevision uint64
+	EvacuationRevision revision.Revision
 	// PermitNumber names the last permit that the host got from the one it asks, in the epoch of
 	// the findings.
 	PermitNumber uint64
@@ -79,16 +80,16 @@
 	From string // the host that told it
 
 	Config         *routing.Config // nil: nothing newer
-	ConfigRevision uint64
+	ConfigRevision revision.Revision
 	ConfigAsOf     time.Time // zero: never known to be current
 
 	AllTargets       bool // Changes are all targets there are
 	Changes          []TargetChange
-	RegistryRevision uint64
+	RegistryRevision revision.Revision
 	RegistryAsOf     time.Time
 
 	Evacuated          *EvacuationRead // nil: nothing newer
-	EvacuationRevision uint64
+	EvacuationRevision revision.Revision
 	EvacuationsAsOf    time.Time
 	EvacuationEnds     map[string]time.Time // told with all evacuations
 
@@ -160,14 +161,14 @@
 		heard = 0
 	}
 	n.Permits = s.permits.since(heard)
-	if s.table != nil && than.ConfigRevision < s.config.revision {
+	if s.table != nil && than.ConfigRevision.Before(s.config.revision) {
 		n.Config = s.newerConfig(than.ConfigRevision)
 	}
-	if than.EvacuationRevision < s.evacuations.since {
+	if than.EvacuationRevision.Before(s.evacuations.since) {
 		n.Evacuated = &EvacuationRead{Domains: s.evacuations.list(), Revision: s.evacuations.belief.revision}
 		n.EvacuationEnds = s.evacuations.ends
 	}
-	if than.RegistryRevision >= s.registry.revision {
+	if !than.RegistryRevision.Before(s.registry.revision) {
 		return n, s.news
 	}
 	changes, complete := s.history.since(than.RegistryRevision)
@@ -185,8 +186,8 @@
 }
 
 // newerConfig returns the configuration if it was written after a revision.
-func (s *State) newerConfig(revision uint64) *routing.Config {
-	if s.configWritten <= revision {
+func (s *State) newerConfig(than revision.Revision) *routing.Config {
+	if !than.Before(s.configWritten) {
 		return nil
 	}
 	return &s.table.Config
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -114,12 +114,13 @@
 		return News{}, err
 	}
 	asked := s.state.clock.Now()
-	reply, err := peerpb.NewDRPCDiscoveryClient(s.dialer.Conn(ctx, from.Peer)).Follow(ctx, &peerpb.FollowRequest{
-		ConfigRevision: than.ConfigRevision, RegistryRevision: than.RegistryRevision, WaitUs: wait.Microseconds(),
-		EvacuationRevision: than.EvacuationRevision, PermitNumber: heard.permits,
+	req := &peerpb.FollowRequest{
+		WaitUs: wait.Microseconds(), PermitNumber: heard.permits,
 		FindingEpoch: heard.epoch, FindingNumber: heard.number,
 		RequestEpoch: heard.requests.Epoch, RequestNumber: heard.requests.Number,
-	})
+	}
+	writeKnown(than, req)
+	reply, err := peerpb.NewDRPCDiscoveryClient(s.dialer.Conn(ctx, from.Peer)).Follow(ctx, req)
 	if err != nil {
 		s.noteReply(from.ID, nil)
 		return News{}, Error.New("ask %s for news: %w", from.ID, err)
@@ -273,11 +274,10 @@
 func (s *Spread) Follow(ctx context.Context, in *peerpb.FollowRequest) (*peerpb.FollowReply, error) {
 	began := s.state.clock.Now()
 	wait := min(time.Duration(in.WaitUs)*time.Microsecond, longestHold)
-	news := s.state.AwaitNews(ctx, Known{
-		ConfigRevision: in.ConfigRevision, RegistryRevision: in.RegistryRevision, EvacuationRevision: in.EvacuationRevision,
-		FindingEpoch: in.FindingEpoch, FindingNumber: in.FindingNumber, PermitNumber: in.PermitNumber,
-		Requests: quarantine.Mark{Epoch: in.RequestEpoch, Number: in.RequestNumber},
-	}, wait)
+	than := readKnown(in)
+	than.FindingEpoch, than.FindingNumber, than.PermitNumber = in.FindingEpoch, in.FindingNumber, in.PermitNumber
+	than.Requests = quarantine.Mark{Epoch: in.RequestEpoch, Number: in.RequestNumber}
+	news := s.state.AwaitNews(ctx, than, wait)
 	reply := writeReply(news, began, s.state.clock.Now())
 	if news.Config != nil {
 		text, err := s.encodeConfig(news.Config)
@@ -298,14 +298,13 @@
 // configuration.
 func writeReply(n News, began, now time.Time) *peerpb.FollowReply {
 	out := &peerpb.FollowReply{
-		HeldUs:         now.Sub(began).Microseconds(),
-		ConfigRevision: n.ConfigRevision, ConfigAgeUs: age(now, n.ConfigAsOf),
-		RegistryRevision: n.RegistryRevision, RegistryAgeUs: age(now, n.RegistryAsOf),
+		HeldUs:      now.Sub(began).Microseconds(),
+		ConfigAgeUs: age(now, n.ConfigAsOf), RegistryAgeUs: age(now, n.RegistryAsOf), EvacuationsAgeUs: age(now, n.EvacuationsAsOf),
 		AllTargets: n.AllTargets, OutageAgeUs: age(now, n.Outage),
-		EvacuationRevision: n.EvacuationRevision, EvacuationsAgeUs: age(now, n.EvacuationsAsOf),
 		Findings: writeFindings(n.Findings), FindingEpoch: n.FindingEpoch, FindingNumber: n.FindingNumber,
 		Requests: quarantine.AllToWire(n.Requests, now), RequestEpoch: n.RequestsMark.Epoch, RequestNumber: n.RequestsMark.Number,
 	}
+	writeRevisions(n, out)
 	if n.Evacuated != nil {
 		out.Evacuations = &peerpb.Evacuations{FailureDomains: n.Evacuated.Domains}
 		for domain, at := range n.EvacuationEnds {
@@ -329,13 +328,12 @@
 func readReply(r *peerpb.FollowReply, asked time.Time) (News, error) {
 	sent := asked.Add(time.Duration(r.HeldUs) * time.Microsecond)
 	n := News{
-		ConfigRevision: r.ConfigRevision, ConfigAsOf: before(sent, r.ConfigAgeUs),
-		RegistryRevision: r.RegistryRevision, RegistryAsOf: before(sent, r.RegistryAgeUs),
+		ConfigAsOf: before(sent, r.ConfigAgeUs), RegistryAsOf: before(sent, r.RegistryAgeUs),
 		AllTargets: r.AllTargets, Outage: before(sent, r.OutageAgeUs),
-		EvacuationRevision: r.EvacuationRevision,
-		Findings:           readFindings(r.Findings), FindingEpoch: r.FindingEpoch, FindingNumber: r.FindingNumber,
+		Findings: readFindings(r.Findings), FindingEpoch: r.FindingEpoch, FindingNumber: r.FindingNumber,
 		Requests: quarantine.AllFromWire(r.Requests, sent),
 	}
+	readRevisions(r, &n)
 	if len(r.Config) > 0 {
 		config, err := decodeConfig(r.Config)
 		if err != nil {
@@ -347,7 +345,7 @@
 		n.EvacuationsAsOf = before(sent, r.EvacuationsAgeUs)
 	}
 	if r.Evacuations != nil {
-		n.Evacuated = &EvacuationRead{Domains: r.Evacuations.FailureDomains, Revision: r.EvacuationRevision}
+		n.Evacuated = &EvacuationRead{Domains: r.Evacuations.FailureDomains, Revision: n.EvacuationRevision}
 		n.EvacuationEnds = readEnds(r.Evacuations.Ended, sent)
 	}
 	n.Permits = readPermits(r.Permits)
--- a/internal/discovery/restart_test.go
+++ b/internal/discovery/restart_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 	"rhubarbwood.example/rhubarbwood/internal/unit"
 )
 
@@ -53,11 +54,11 @@
 	return through(ctx, s, s.Source.Targets)
 }
 
-func (s cutSource) WatchConfig(ctx context.Context, after uint64, wait time.Duration) (ConfigRead, error) {
+func (s cutSource) WatchConfig(ctx context.Context, after revision.Revision, wait time.Duration) (ConfigRead, error) {
 	return through(ctx, s, func(ctx context.Context) (ConfigRead, error) { return s.Source.WatchConfig(ctx, after, wait) })
 }
 
-func (s cutSource) WatchTargets(ctx context.Context, after uint64, wait time.Duration) (TargetChanges, error) {
+func (s cutSource) WatchTargets(ctx context.Context, after revision.Revision, wait time.Duration) (TargetChanges, error) {
 	return through(ctx, s, func(ctx context.Context) (TargetChanges, error) { return s.Source.WatchTargets(ctx, after, wait) })
 }
 
@@ -76,7 +77,7 @@
 	return s.fakeStore.Config(ctx)
 }
 
-func (s *loggedStore) WatchConfig(ctx context.Context, after uint64, wait time.Duration) (ConfigRead, error) {
+func (s *loggedStore) WatchConfig(ctx context.Context, after revision.Revision, wait time.Duration) (ConfigRead, error) {
 	if s.down.Load() {
 		return ConfigRead{}, errAway
 	}
@@ -90,20 +91,20 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := TargetList{Revision: s.registry.revision}
+	list := TargetList{Revision: at(s.registry.revision)}
 	for _, t := range s.registry.at(s.registry.revision) {
 		list.Targets = append(list.Targets, t)
 	}
 	return list, nil
 }
 
-func (s *loggedStore) WatchTargets(ctx context.Context, after uint64, wait time.Duration) (TargetChanges, error) {
+func (s *loggedStore) WatchTargets(ctx context.Context, after revision.Revision, wait time.Duration) (TargetChanges, error) {
 	for began := time.Now(); ; time.Sleep(storeAnswers) {
 		if s.down.Load() {
 			return TargetChanges{}, errAway
 		}
 		s.mu.Lock()
-		changes, err := s.registry.watch(after)
+		changes, err := s.registry.watch(after.Number)
 		s.mu.Unlock()
 		if err != nil || len(changes.Changes) > 0 || time.Since(began) >= wait || ctx.Err() != nil {
 			return changes, errors.Join(err, ctx.Err())
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -10,15 +10,17 @@
 
 	"github.com/zeebo/errs"
 
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
 // Error is the class of this package's errors.
 var Error = errs.Class("discovery")
 
-// ErrHistoryGone means that the store no longer knows what changed since a
-// revision: everything has to be read again.
-var ErrHistoryGone = errors.New("the store has dropped the changes since that revision")
+// ErrHistoryGone means that the store does not know what changed since a
+// revision: everything has to be read again. It has dropped it, or has come back from
+// an older copy.
+var ErrHistoryGone = errors.New("the store does not have the changes since that revision")
 
 // Target is one incarnation of a server of a service, as it registered itself. An incarnation is its
 // id and when it started: a target may come back under the id that it had.
@@ -40,15 +42,15 @@
 // ConfigRead is the configuration as the store holds it.
 type ConfigRead struct {
 	Config   routing.Config
-	Found    bool   // false: the store holds none, or a watch saw no change
-	Revision uint64 // of the store, at which this was read
+	Found    bool              // false: the store holds none, or a watch saw no change
+	Revision revision.Revision // of the store, at which this was read
 }
 
 // TargetList is all registered targets.
 type TargetList struct {
 	Targets  []Target
-	Unusable []Unusable // registrations that name no target
-	Revision uint64     // of the store, at which this was read
+	Unusable []Unusable        // registrations that name no target
+	Revision revision.Revision // of the store, at which this was read
 }
 
 // Unusable is a registration that names no target to use, as another writer may leave one.
@@ -68,7 +70,7 @@
 // TargetChanges is what changed since a revision.
 type TargetChanges struct {
 	Changes  []TargetChange
-	Revision uint64 // to watch from next
+	Revision revision.Revision // to watch from next
 }
 
 // Source reads configuration, registry and evacuations. A watch returns as soon as there is
@@ -76,9 +78,9 @@
 // with ErrHistoryGone when everything has to be read again.
 type Source interface {
 	Config(ctx context.Context) (ConfigRead, error)
-	WatchConfig(ctx context.Context, after uint64, wait time.Duration) (ConfigRead, error)
+	WatchConfig(ctx context.Context, after revision.Revision, wait time.Duration) (ConfigRead, error)
 	Targets(ctx context.Context) (TargetList, error)
-	WatchTargets(ctx context.Context, after uint64, wait time.Duration) (TargetChanges, error)
+	WatchTargets(ctx context.Context, after revision.Revision, wait time.Duration) (TargetChanges, error)
 	Evacuations(ctx context.Context) (EvacuationRead, error)
-	WatchEvacuations(ctx context.Context, after uint64, wait time.Duration) (EvacuationChanges, error)
+	WatchEvacuations(ctx context.Context, after revision.Revision, wait time.Duration) (EvacuationChanges, error)
 }
--- a/internal/discovery/spread_test.go
+++ b/internal/discovery/spread_test.go
@@ -90,7 +90,7 @@
 	watcher.state.ApplyConfig(read(7, 3), now.Add(-time.Second))
 	watcher.state.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: Target{
 		ID: "i-1", Service: "s", Address: "10.1.0.1:80", Domain: "salt-lake", Slots: 2, Draining: true, Warmup: time.Second,
-	}}}, Revision: 4}, now)
+	}}}, Revision: at(4)}, now)
 	f := followers[0]
 	news, err := f.spread.News(t.Context(), f.state.Known(), time.Minute)
 	is.NoErr(err)
@@ -133,7 +133,7 @@
 	_, followers := split(t, startHosts(t, 3))
 	knows, asks := followers[0], followers[1]
 	knows.state.ApplyConfig(read(7, 3), time.Now())
-	knows.state.ApplyTargets(TargetList{Revision: 3}, time.Now())
+	knows.state.ApplyTargets(TargetList{Revision: at(3)}, time.Now())
 	for range 2 {
 		news, err := asks.spread.News(t.Context(), asks.state.Known(), time.Millisecond)
 		is.NoErr(err)
@@ -148,7 +148,7 @@
 	is := is.New(t)
 	watcher, followers := split(t, startHosts(t, 2))
 	followers[0].state.ApplyConfig(read(7, 3), time.Now())
-	followers[0].state.ApplyTargets(TargetList{Revision: 3}, time.Now())
+	followers[0].state.ApplyTargets(TargetList{Revision: at(3)}, time.Now())
 	store := newFakeStore()
 	store.set(func() { store.away = true })
 	f := NewFollower(DefaultConfig(), store, watcher.spread, watcher.state, event.Discard(), nil)
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -9,6 +9,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/quarantine"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
@@ -31,7 +32,7 @@
 	config belief
 	// configWritten is the store's revision at which the configuration in
 	// force was written; the belief's grows also when nothing changes.
-	configWritten uint64
+	configWritten revision.Revision
 	evacuations   evacuations
 	permits       permits
 	registry      belief
@@ -55,16 +56,22 @@
 
 // belief tells how new a belief is.
 type belief struct {
-	revision uint64
+	revision revision.Revision
 	asOf     time.Time // when it was last known to be current
 }
 
+// goesOnTo reports whether changes up to a revision may go on from what is believed: they are of the same era, and not
+// older. What is known of an earlier era says nothing of where those of another one begin.
+func (b belief) goesOnTo(at revision.Revision) bool {
+	return !at.Before(b.revision) && (b.revision.IsZero() || at.Era == b.revision.Era)
+}
+
 // View is what is believed at one moment. It must not be changed.
 type View struct {
 	Table            *routing.Table // nil: no configuration yet
-	ConfigRevision   uint64
+	ConfigRevision   revision.Revision
 	ConfigAsOf       time.Time
-	RegistryRevision uint64
+	RegistryRevision revision.Revision
 	RegistryAsOf     time.Time
 	Targets          []Target // sorted by ID
 	// Evacuated are the failure domains to whose targets nothing more may be sent.
@@ -121,13 +128,16 @@
 }
 
 // ApplyConfig takes what was read of the configuration at a time. It reports
-// whether the configuration changed. An older version never replaces a newer.
+// whether the configuration changed. An older version never replaces a newer, whatever their revisions. What is of an
+// earlier era than the belief proves nothing of its age.
 func (s *State) ApplyConfig(r ConfigRead, asOf time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.config.revision = max(s.config.revision, r.Revision)
-	if asOf.After(s.config.asOf) {
-		s.config.asOf = asOf
+	if r.Revision.Era >= s.config.revision.Era {
+		s.config.revision = revision.Later(s.config.revision, r.Revision)
+		if asOf.After(s.config.asOf) {
+			s.config.asOf = asOf
+		}
 	}
 	if !r.Found || (s.table != nil && r.Config.Version <= s.table.Config.Version) {
 		return false
@@ -168,9 +178,12 @@
 func (s *State) ApplyTargets(l TargetList, asOf time.Time) []TargetChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l.Revision < s.registry.revision {
+	if l.Revision.Before(s.registry.revision) {
 		return nil
 	}
+	if !s.registry.revision.IsZero() && s.registry.revision.Era < l.Revision.Era {
+		s.restored(s.clock.Now())
+	}
 	listed := map[string]bool{}
 	var changes []TargetChange
 	for _, t := range l.Targets {
@@ -198,7 +211,7 @@
 func (s *State) ApplyChanges(c TargetChanges, asOf time.Time) []TargetChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.Revision < s.registry.revision {
+	if !s.registry.goesOnTo(c.Revision) {
 		return nil
 	}
 	changes := slices.Clone(c.Changes)
@@ -243,7 +256,18 @@
 // host the others kept a target that had left for 2.2 s more, 4 s in all. The caller holds the lock.
 func (s *State) noteOutage(end time.Time) {
 	inDoubt := s.clock.Now().Before(s.resumed.Add(doubtHold))
-	if !end.After(s.outage) || !inDoubt && end.Sub(s.registry.asOf) < s.lapseAfter {
+	if inDoubt || end.Sub(s.registry.asOf) >= s.lapseAfter {
+		s.endOutage(end)
+	}
+}
+
+// restored takes the first sight of a new era at a time: the copy that the store came back from lacks the newest registrations,
+// which are written again as after an outage. The caller holds the lock.
+func (s *State) restored(at time.Time) { s.endOutage(at) }
+
+// endOutage keeps what goes missing for a while after the end of an outage. The caller holds the lock.
+func (s *State) endOutage(end time.Time) {
+	if !end.After(s.outage) {
 		return
 	}
 	s.outage = end
@@ -287,9 +311,9 @@
 }
 
 // apply changes the targets and tells the followers if anything differs.
-func (s *State) apply(changes []TargetChange, revision uint64, asOf time.Time) []TargetChange {
+func (s *State) apply(changes []TargetChange, at revision.Revision, asOf time.Time) []TargetChange {
 	now := s.clock.Now()
-	s.registry.revision = max(s.registry.revision, revision)
+	s.registry.revision = revision.Later(s.registry.revision, at)
 	if asOf.After(s.registry.asOf) {
 		if before := s.registry.asOf; !before.IsZero() && asOf.Sub(before) >= s.lapseAfter {
 			s.resumed = now
--- a/internal/discovery/state_test.go
+++ b/internal/discovery/state_test.go
@@ -16,7 +16,7 @@
 func version(v uint64) routing.Config { return routing.Config{Version: v} }
 
 func read(v, revision uint64) ConfigRead {
-	return ConfigRead{Config: version(v), Found: true, Revision: revision}
+	return ConfigRead{Config: version(v), Found: true, Revision: at(revision)}
 }
 
 func came(ids ...string) []TargetChange {
@@ -56,12 +56,12 @@
 func TestAnOldListChangesNothing(t *testing.T) {
 	is := is.New(t)
 	s := NewState()
-	s.ApplyChanges(TargetChanges{Changes: came("a", "b"), Revision: 9}, time.Now())
-	s.ApplyTargets(TargetList{Targets: []Target{{ID: "c"}}, Revision: 8}, time.Now())
+	s.ApplyChanges(TargetChanges{Changes: came("a", "b"), Revision: at(9)}, time.Now())
+	s.ApplyTargets(TargetList{Targets: []Target{{ID: "c"}}, Revision: at(8)}, time.Now())
 	is.Equal(ids(s), []string{"a", "b"})
-	s.ApplyChanges(TargetChanges{Changes: went("a"), Revision: 8}, time.Now())
+	s.ApplyChanges(TargetChanges{Changes: went("a"), Revision: at(8)}, time.Now())
 	is.Equal(ids(s), []string{"a", "b"})
-	s.ApplyTargets(TargetList{Targets: []Target{{ID: "b", Service: "s"}}, Revision: 10}, time.Now())
+	s.ApplyTargets(TargetList{Targets: []Target{{ID: "b", Service: "s"}}, Revision: at(10)}, time.Now())
 	is.Equal(ids(s), []string{"b"})
 }
 
@@ -71,13 +71,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := NewState()
-		s.ApplyChanges(TargetChanges{Changes: came("a", "b"), Revision: 1}, time.Now())
+		s.ApplyChanges(TargetChanges{Changes: came("a", "b"), Revision: at(1)}, time.Now())
 		s.ReadFailed()
 		time.Sleep(s.lapseAfter)
 		s.ReadAgain()
-		s.ApplyTargets(TargetList{Revision: 5}, time.Now())
+		s.ApplyTargets(TargetList{Revision: at(5)}, time.Now())
 		is.Equal(ids(s), []string{"a", "b"})
-		s.ApplyChanges(TargetChanges{Changes: came("a"), Revision: 6}, time.Now()) // written again
+		s.ApplyChanges(TargetChanges{Changes: came("a"), Revision: at(6)}, time.Now()) // written again
 		time.Sleep(lapseHold - time.Millisecond)
 		is.Equal(len(s.Expire(time.Now())), 0)
 		time.Sleep(time.Millisecond)
@@ -92,13 +92,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := NewState()
-		s.ApplyChanges(TargetChanges{Changes: came("a"), Revision: 1}, time.Now())
+		s.ApplyChanges(TargetChanges{Changes: came("a"), Revision: at(1)}, time.Now())
 		s.ReadFailed()
 		time.Sleep(s.lapseAfter)
 		s.ReadAgain()
-		s.ApplyChanges(TargetChanges{Revision: 1}, time.Now())
+		s.ApplyChanges(TargetChanges{Revision: at(1)}, time.Now())
 		time.Sleep(lapseHold)
-		s.ApplyChanges(TargetChanges{Changes: went("a"), Revision: 2}, time.Now())
+		s.ApplyChanges(TargetChanges{Changes: went("a"), Revision: at(2)}, time.Now())
 		is.Equal(ids(s), []string{})
 	})
 }
@@ -108,7 +108,7 @@
 		is := is.New(t)
 		s := NewState()
 		s.ApplyConfig(read(1, 3), time.Now())
-		s.ApplyChanges(TargetChanges{Changes: came("a"), Revision: 3}, time.Now())
+		s.ApplyChanges(TargetChanges{Changes: came("a"), Revision: at(3)}, time.Now())
 		got := make(chan News, 1)
 		go func() { got <- s.AwaitNews(context.Background(), s.Known(), time.Minute) }()
 		synctest.Wait()
@@ -137,9 +137,9 @@
 			id := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "target")
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
-				first.ApplyChanges(TargetChanges{Changes: came(id), Revision: revision}, time.Now())
+				first.ApplyChanges(TargetChanges{Changes: came(id), Revision: at(revision)}, time.Now())
 			case 1:
-				first.ApplyChanges(TargetChanges{Changes: went(id), Revision: revision}, time.Now())
+				first.ApplyChanges(TargetChanges{Changes: went(id), Revision: at(revision)}, time.Now())
 			case 2:
 				first.ApplyConfig(read(revision, revision), time.Now())
 			case 3:
@@ -163,15 +163,15 @@
 func TestHistoryThatIsNotKeptBringsTheWholeList(t *testing.T) {
 	is := is.New(t)
 	s := NewState()
-	s.ApplyChanges(TargetChanges{Changes: came("a"), Revision: 1}, time.Now())
+	s.ApplyChanges(TargetChanges{Changes: came("a"), Revision: at(1)}, time.Now())
 	for r := uint64(2); r < mostHistory+10; r += 2 {
-		s.ApplyChanges(TargetChanges{Changes: came("b"), Revision: r}, time.Now())
-		s.ApplyChanges(TargetChanges{Changes: went("b"), Revision: r + 1}, time.Now())
+		s.ApplyChanges(TargetChanges{Changes: came("b"), Revision: at(r)}, time.Now())
+		s.ApplyChanges(TargetChanges{Changes: went("b"), Revision: at(r + 1)}, time.Now())
 	}
-	n, _ := s.newsSince(Known{RegistryRevision: 2})
+	n, _ := s.newsSince(Known{RegistryRevision: at(2)})
 	is.True(n.AllTargets)
 	is.Equal(len(n.Changes), 1)
-	n, _ = s.newsSince(Known{RegistryRevision: s.Known().RegistryRevision - 2})
+	n, _ = s.newsSince(Known{RegistryRevision: at(s.Known().RegistryRevision.Number - 2)})
 	is.True(!n.AllTargets)
 	is.Equal(len(n.Changes), 2)
 }
@@ -184,19 +184,19 @@
 	good := Target{ID: "a", Service: "s", Address: "h:1", Slots: 1}
 	other := Target{ID: "b", Service: "s", Address: "h:2", Slots: 1}
 	now := time.Now()
-	is.Equal(len(s.ApplyTargets(TargetList{Targets: []Target{good, other}, Revision: 1}, now.Add(-s.lapseAfter))), 2)
+	is.Equal(len(s.ApplyTargets(TargetList{Targets: []Target{good, other}, Revision: at(1)}, now.Add(-s.lapseAfter))), 2)
 	s.ReadFailed()
 	s.ReadAgain()
 	spoilt := TargetChange{Target: Target{ID: "a"}, Gone: true, Problem: "service: want the name of a service"}
-	told := s.ApplyChanges(TargetChanges{Changes: []TargetChange{spoilt}, Revision: 2}, now)
+	told := s.ApplyChanges(TargetChanges{Changes: []TargetChange{spoilt}, Revision: at(2)}, now)
 	is.Equal(len(told), 2) // the target is gone, and why
 	is.Equal(s.View().Targets, []Target{other})
-	is.Equal(len(s.ApplyChanges(TargetChanges{Changes: []TargetChange{spoilt}, Revision: 3}, now)), 0)
-	list := TargetList{Targets: []Target{other}, Unusable: []Unusable{{ID: "a", Problem: spoilt.Problem}}, Revision: 4}
+	is.Equal(len(s.ApplyChanges(TargetChanges{Changes: []TargetChange{spoilt}, Revision: at(3)}, now)), 0)
+	list := TargetList{Targets: []Target{other}, Unusable: []Unusable{{ID: "a", Problem: spoilt.Problem}}, Revision: at(4)}
 	is.Equal(len(s.ApplyTargets(list, now)), 0)
-	is.Equal(len(s.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: good}}, Revision: 5}, now)), 1)
+	is.Equal(len(s.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: good}}, Revision: at(5)}, now)), 1)
 	is.Equal(len(s.View().Targets), 2)
-	is.Equal(len(s.ApplyChanges(TargetChanges{Changes: []TargetChange{spoilt}, Revision: 6}, now)), 2) // told again
+	is.Equal(len(s.ApplyChanges(TargetChanges{Changes: []TargetChange{spoilt}, Revision: at(6)}, now)), 2) // told again
 }
 
 // Registrations of other writers do not grow what a host remembers without bound.
@@ -205,7 +205,7 @@
 	s := NewState()
 	for i := range 4 * mostUnusable {
 		c := TargetChange{Target: Target{ID: fmt.Sprint(i)}, Gone: true, Problem: "p"}
-		s.ApplyChanges(TargetChanges{Changes: []TargetChange{c}, Revision: uint64(i + 1)}, time.Now())
+		s.ApplyChanges(TargetChanges{Changes: []TargetChange{c}, Revision: at(uint64(i + 1))}, time.Now())
 	}
 	is.True(len(s.unusable) <= mostUnusable)
 }
@@ -219,11 +219,11 @@
 	again := first
 	again.Born = 2000
 	now := time.Now()
-	s.ApplyTargets(TargetList{Targets: []Target{first}, Revision: 5}, now)
-	s.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: again}}, Revision: 9}, now)
+	s.ApplyTargets(TargetList{Targets: []Target{first}, Revision: at(5)}, now)
+	s.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: again}}, Revision: at(9)}, now)
 	is.Equal(s.View().Targets, []Target{again})
-	s.ApplyTargets(TargetList{Targets: []Target{first}, Revision: 8}, now)
-	s.ApplyNews(News{Changes: []TargetChange{{Target: first}}, RegistryRevision: 7, RegistryAsOf: now})
-	s.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: Target{ID: "a"}, Gone: true}}, Revision: 8}, now)
+	s.ApplyTargets(TargetList{Targets: []Target{first}, Revision: at(8)}, now)
+	s.ApplyNews(News{Changes: []TargetChange{{Target: first}}, RegistryRevision: at(7), RegistryAsOf: now})
+	s.ApplyChanges(TargetChanges{Changes: []TargetChange{{Target: Target{ID: "a"}, Gone: true}}, Revision: at(8)}, now)
 	is.Equal(s.View().Targets, []Target{again})
 }
--- a/internal/discovery/suspend_test.go
+++ b/internal/discovery/suspend_test.go
@@ -67,7 +67,7 @@
 		machine, suspend := clock.Virtual()
 		state := NewState()
 		state.GoBy(machine)
-		state.ApplyConfig(ConfigRead{Config: version(1), Found: true, Revision: 1}, machine.Now())
+		state.ApplyConfig(ConfigRead{Config: version(1), Found: true, Revision: at(1)}, machine.Now())
 		suspend(time.Minute)
 		reply := writeReply(state.AwaitNews(t.Context(), Known{}, time.Second), machine.Now(), machine.Now())
 		news, err := readReply(reply, time.Now())
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // lateSource is a store whose answers to watches are under way for a time, as to a
@@ -19,7 +20,7 @@
 }
 
 // WatchConfig implements Source.
-func (l lateSource) WatchConfig(ctx context.Context, after uint64, wait time.Duration) (ConfigRead, error) {
+func (l lateSource) WatchConfig(ctx context.Context, after revision.Revision, wait time.Duration) (ConfigRead, error) {
 	read, err := l.fakeStore.WatchConfig(ctx, after, wait)
 	time.Sleep(l.late)
 	return read, err
--- a/internal/gateway/away_test.go
+++ b/internal/gateway/away_test.go
@@ -74,7 +74,7 @@
 			return s.network.Dial(ctx, network, address)
 		})
 		time.AfterFunc(10*time.Millisecond, func() {
-			s.state.ApplyEvacuations(discovery.EvacuationRead{Domains: []string{domain}, Revision: 100}, time.Now())
+			s.state.ApplyEvacuations(discovery.EvacuationRead{Domains: []string{domain}, Revision: at(100)}, time.Now())
 		})
 		got := s.get("/once/x", "q") // it is not idempotent, and has not been sent yet
 		is.Equal(got.status, http.StatusOK)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
 	"rhubarbwood.example/rhubarbwood/platform"
@@ -378,8 +379,11 @@
 	life.Advance(kernel.Ready)
 	g := gateway.New(gateway.DefaultConfig(), member.Host{ID: "h"}, func() int { return 1 }, state, noRequests(), platform.Messages{}, &recorder{}, life, event.Discard(), prometheus.NewRegistry())
 	is.True(g.Ready() != nil)
-	state.ApplyConfig(discovery.ConfigRead{Config: routing.Config{Version: 1}, Found: true, Revision: 1}, time.Now())
+	state.ApplyConfig(discovery.ConfigRead{Config: routing.Config{Version: 1}, Found: true, Revision: at(1)}, time.Now())
 	is.True(g.Ready() != nil)
-	state.ApplyTargets(discovery.TargetList{Revision: 1}, time.Now()) // also if there are none
+	state.ApplyTargets(discovery.TargetList{Revision: at(1)}, time.Now()) // also if there are none
 	is.NoErr(g.Ready())
 }
+
+// at returns a revision of the first era.
+func at(number uint64) revision.Revision { return revision.Revision{Era: 1, Number: number} }
--- a/internal/gateway/gather_bench_test.go
+++ b/internal/gateway/gather_bench_test.go
@@ -80,8 +80,8 @@
 		}})
 	}
 	config.Routes = []routing.Route{route}
-	state.ApplyConfig(discovery.ConfigRead{Config: config, Found: true, Revision: 1}, time.Now())
-	state.ApplyChanges(discovery.TargetChanges{Changes: changes, Revision: 2}, time.Now())
+	state.ApplyConfig(discovery.ConfigRead{Config: config, Found: true, Revision: at(1)}, time.Now())
+	state.ApplyChanges(discovery.TargetChanges{Changes: changes, Revision: at(2)}, time.Now())
 	life.Advance(kernel.Ready)
 	ask := func() int {
 		r := httptest.NewRequest(http.MethodGet, "/all/x", nil)
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -211,7 +211,7 @@
 
 func (s *site) register(t discovery.Target) {
 	s.revision++
-	change := discovery.TargetChanges{Changes: []discovery.TargetChange{{Target: t}}, Revision: s.revision}
+	change := discovery.TargetChanges{Changes: []discovery.TargetChange{{Target: t}}, Revision: at(s.revision)}
 	s.state.ApplyChanges(change, time.Now())
 }
 
@@ -247,7 +247,7 @@
 		c.Services = append(c.Services, service)
 	}
 	s.revision++
-	s.state.ApplyConfig(discovery.ConfigRead{Config: c, Found: true, Revision: s.revision}, time.Now())
+	s.state.ApplyConfig(discovery.ConfigRead{Config: c, Found: true, Revision: at(s.revision)}, time.Now())
 }
 
 // answer is what a caller got.
--- a/internal/gatewayhost/restore_test.go
+++ b/internal/gatewayhost/restore_test.go
@@ -14,7 +14,7 @@
 
 const (
 	awayFor     = 400 * time.Millisecond // that the store is away before it comes back from its copy
-	pathNew     = "/new/"                // of a route that a later version adds
+	pathNew     = "/new/"                // of a route that a later version adds, to a service of one new target
 	lostChanges = 6                      // writes since the copy
 )
 
@@ -37,60 +37,84 @@
 	}
 }
 
-// comeBackOlder takes the store away and back from a copy that lacks the last writes. It returns the revision
-// that the store had reached before.
-func (f *fleet) comeBackOlder() (reached uint64) {
+// loseLastWrites writes versions, and returns what takes the store back to before them, and the revision that it had reached.
+func (f *fleet) loseLastWrites() (restore func(), reached uint64) {
 	older := f.store.Copy()
 	for v := range uint64(lostChanges) {
 		f.configure(2 + v)
 		time.Sleep(100 * time.Millisecond)
 	}
 	time.Sleep(time.Second) // all hosts know them
-	reached = f.store.Revision()
 	f.store.SetFaults(objectstore.Faults{Outage: objectstore.OutageCut})
 	time.Sleep(awayFor)
-	f.store.Restore(older)
-	f.store.SetFaults(objectstore.Faults{})
-	f.rewrite(1 + lostChanges)
-	return reached
+	return func() {
+		f.store.Restore(older)
+		f.rewrite(1 + lostChanges)
+	}, f.store.Revision()
 }
 
-// The store came back from an older copy, and gave revisions out again. A version that got the revision which hosts
+// change adds a route to a service of one new target, and removes a target.
+func (f *fleet) change() (left *fleetTarget) {
+	next := f.config(20)
+	added := next.Routes[1]
+	added.Name, added.PathPrefix, added.Service = "new", pathNew, "new"
+	next.Routes, next.Services = append(next.Routes, added), append(next.Services, f.service("new"))
+	f.write(platform.KindConfig, platform.NameConfig, next)
+	left = f.targets[len(f.targets)-1]
+	f.store.Remove(platform.KindTargets, left.id)
+	f.addTarget("new", 0, left.domain)
+	return left
+}
+
+// The store comes back from an older copy, and gives revisions out again. A version that got the revision which hosts
 // held was in force on seven of nine hosts only with the next one.
 func TestChangesAfterTheStoreCameBackOlderAreInForce(t *testing.T) {
 	const bound = 3 * time.Second
-	for name, revision := range map[string]func(held uint64) uint64{
-		"a revision below the one held": func(uint64) uint64 { return 0 },
-		"the revision held":             func(held uint64) uint64 { return held - 1 },
-		"a revision above the one held": func(held uint64) uint64 { return held + 3 },
+	reachable := func(f *fleet) { f.store.SetFaults(objectstore.Faults{}) }
+	for name, comeBack := range map[string]func(f *fleet, held uint64) (left *fleetTarget){
+		"hosts find fewer revisions than they hold": func(f *fleet, _ uint64) *fleetTarget {
+			left := f.change()
+			reachable(f)
+			return left
+		},
+		"hosts find as many": func(f *fleet, held uint64) *fleetTarget {
+			left := f.change()
+			f.padTo(held)
+			reachable(f)
+			return left
+		},
+		"hosts find more": func(f *fleet, held uint64) *fleetTarget {
+			left := f.change()
+			f.padTo(held + 3)
+			reachable(f)
+			return left
+		},
+		"a version gets the revision held later": func(f *fleet, held uint64) *fleetTarget {
+			f.padTo(held - 1)
+			reachable(f)
+			time.Sleep(time.Second)
+			return f.change()
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, &fleet{}, func(t *testing.T, f *fleet) {
 				is := is.New(t)
 				f.padTo(150)
 				time.Sleep(3 * time.Second)
-				held := f.comeBackOlder()
-				f.padTo(revision(held))
-				next := f.config(20)
-				added := next.Routes[1]
-				added.Name, added.PathPrefix = "new", pathNew
-				next.Routes = append(next.Routes, added)
-				f.write(platform.KindConfig, platform.NameConfig, next)
-				left := f.targets[len(f.targets)-1]
-				f.store.Remove(platform.KindTargets, left.id)
-				came := f.addTarget(singleService, 7, left.domain)
+				restore, held := f.loseLastWrites()
+				restore()
+				left := comeBack(f, held)
 
 				time.Sleep(bound)
 				callers := f.keepAsking()
 				defer callers.stop()
 				for i := range f.hosts {
 					if status := f.ask(i, http.MethodGet, pathNew+"x", fmt.Sprintf("n%d", i)); status != http.StatusOK {
-						t.Errorf("host %d: the route that was added: status %d", i, status)
+						t.Errorf("host %d: the route and the target that came: status %d", i, status)
 					}
 				}
 				time.Sleep(3 * time.Second)
 				is.Equal(f.workAt(left, time.Now().Add(-3*time.Second)), 0) // the target that left gets nothing
-				is.True(f.workAt(came, time.Now().Add(-3*time.Second)) > 0) // the one that came is used
 			})
 		})
 	}
--- a/internal/objstore/client.go
+++ b/internal/objstore/client.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // Client is the Store of a host, on the platform's records. It never repeats a
@@ -64,25 +66,14 @@
 	return l, nil
 }
 
-// listKind adds all objects of a kind and returns the revision of the first page.
+// listKind adds all objects of a kind and returns the revision of the list.
 func (c *Client) listKind(ctx context.Context, kind string, l *Listing) (uint64, error) {
-	var revision uint64
-	after := ""
-	for page := 0; ; page++ {
-		p, err := c.records.List(ctx, kind, after)
-		if err != nil {
-			return 0, err
-		}
-		if page == 0 {
-			revision = p.Revision
-		}
-		c.openAll(kind, p.Records, l)
-		next := p.After()
-		if !p.More || next <= after {
-			return revision, nil
-		}
-		after = next
+	all, err := ListAll(ctx, c.records, kind)
+	if err != nil {
+		return 0, err
 	}
+	c.openAll(kind, all.Records, l)
+	return all.Revision.Number, nil
 }
 
 // Watch implements Store. Each kind is watched by a call of its own; once one
@@ -96,18 +87,23 @@
 	}
 	l := Listing{Objects: []Object{}}
 	for i, kind := range kinds {
-		p, err := c.records.Watch(ctx, kind, after, wait)
+		p, err := c.records.Watch(ctx, kind, c.point(after), wait)
 		if err != nil {
 			return Listing{}, err
 		}
 		c.openAll(kind, p.Records, &l)
-		if i == 0 || p.Revision < l.Revision {
-			l.Revision = p.Revision
+		if i == 0 || p.Revision.Number < l.Revision {
+			l.Revision = p.Revision.Number
 		}
 	}
 	return l, nil
 }
 
+// point returns the revision of a number in the platform's present era.
+func (c *Client) point(number uint64) revision.Revision {
+	return revision.Revision{Era: c.records.Era(), Number: number}
+}
+
 // awaitAny returns when one of the kinds has changed after the revision, or
 // wait has passed.
 func (c *Client) awaitAny(ctx context.Context, after uint64, wait time.Duration, kinds []string) error {
@@ -120,7 +116,7 @@
 	results := make(chan found, len(kinds))
 	for _, kind := range kinds {
 		go func() {
-			p, err := c.records.Watch(ctx, kind, after, wait)
+			p, err := c.records.Watch(ctx, kind, c.point(after), wait)
 			results <- found{len(p.Records) > 0, err}
 		}()
 	}
@@ -216,7 +212,7 @@
 	if !errors.As(err, &refused) {
 		return err
 	}
-	if refused.Current.Revision == 0 {
+	if refused.Current.Revision.Number == 0 {
 		return &Conflict{Current: Object{Kind: kind, Name: name}}
 	}
 	o, err := c.open(kind, refused.Current)
--- a/internal/objstore/events.go
+++ b/internal/objstore/events.go
@@ -20,5 +20,5 @@
 		"The platform came back from an older copy: its era has risen. What it acknowledged since that copy is lost, and its revisions are given out again.",
 		"Look at what operators wrote shortly before; follow the page on a store that came back from an older copy.", "before", "era", "verb")
 	evEraKnown = event.Define(1005, "platform_era", plog.InfoLevel,
-		"The platform has told its era for the first time since this host started.", "none", "era")
+		"The platform has answered for the first time since this host started: the era that it tells, 0 if none.", "none", "era")
 )
--- a/internal/objstore/governed.go
+++ b/internal/objstore/governed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // Verbs, as the metrics name them.
@@ -32,7 +34,9 @@
 	bucket     *rate.Limiter
 	unreadable *rate.Limiter // lines about records that can't be read
 	up         atomic.Bool
-	era        atomic.Uint64 // newest that was logged
+	eraMu      sync.Mutex
+	eraTold    bool   // an answer has come, so that a rise of the era is a restore
+	era        uint64 // newest that was logged
 	// answered is set by the first answer. started is this host's clock when
 	// the records were opened; see Now.
 	answered atomic.Bool
@@ -97,7 +101,7 @@
 }
 
 // Watch implements Records. The timeout comes on top of the wait.
-func (g *Governed) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (p RecordPage, err error) {
+func (g *Governed) Watch(ctx context.Context, kind string, after revision.Revision, wait time.Duration) (p RecordPage, err error) {
 	err = g.call(ctx, verbWatch, wait, func(ctx context.Context) (err error) {
 		p, err = g.records.Watch(ctx, kind, after, wait)
 		return err
@@ -200,16 +204,23 @@
 	}
 }
 
-// logEra logs the era of the platform when it is first told, and when it has risen.
+// logEra logs the era of the platform as of the first answer, and when it has risen. The first may be
+// 0, or be told by none.
 func (g *Governed) logEra(verb string) {
-	era, before := g.records.Era(), g.era.Load()
-	if era <= before || !g.era.CompareAndSwap(before, era) {
+	if !g.answered.Load() {
+		return
+	}
+	g.eraMu.Lock()
+	defer g.eraMu.Unlock()
+	era, before := g.records.Era(), g.era
+	if g.eraTold && era == before {
 		return
 	}
 	g.metrics.era.Set(float64(era))
-	if before == 0 {
+	if g.eraTold {
+		g.log.Event(evRestored).Uint64("before", before).Uint64("era", era).Str("verb", verb).Msg("")
+	} else {
 		g.log.Event(evEraKnown).Uint64("era", era).Msg("")
-		return
 	}
-	g.log.Event(evRestored).Uint64("before", before).Uint64("era", era).Str("verb", verb).Msg("")
+	g.era, g.eraTold = era, true
 }
--- a/internal/objstore/governed_test.go
+++ b/internal/objstore/governed_test.go
@@ -17,6 +17,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/clock"
 	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // fakeRecords is a platform in memory. Its next write fails with err if that is
@@ -39,6 +40,10 @@
 
 func newFake() *fakeRecords { return &fakeRecords{records: map[objectKey]Record{}} }
 
+func (f *fakeRecords) at() revision.Revision {
+	return revision.Revision{Era: f.era, Number: f.revision}
+}
+
 func (f *fakeRecords) fail(call string) error {
 	f.calls = append(f.calls, call)
 	err := f.err
@@ -58,7 +63,7 @@
 }
 
 func (f *fakeRecords) List(_ context.Context, kind, after string) (RecordPage, error) {
-	p := RecordPage{Revision: f.revision}
+	p := RecordPage{Revision: f.at()}
 	if err := f.fail("list"); err != nil {
 		return p, err
 	}
@@ -76,10 +81,10 @@
 	return p, nil
 }
 
-func (f *fakeRecords) Watch(_ context.Context, kind string, after uint64, _ time.Duration) (RecordPage, error) {
-	p := RecordPage{Revision: f.revision}
+func (f *fakeRecords) Watch(_ context.Context, kind string, after revision.Revision, _ time.Duration) (RecordPage, error) {
+	p := RecordPage{Revision: f.at()}
 	for _, c := range f.changes {
-		if c.kind == kind && c.record.Revision > after {
+		if c.kind == kind && after.Before(c.record.Revision) {
 			p.Records = append(p.Records, c.record)
 		}
 	}
@@ -100,7 +105,7 @@
 	if err := f.fail("replace"); err != nil {
 		return Record{}, err
 	}
-	if r := f.records[objectKey{kind, name}]; r.Revision != revision {
+	if r := f.records[objectKey{kind, name}]; r.Revision.Number != revision {
 		return Record{}, &RecordConflict{Current: r}
 	}
 	return f.set(kind, name, spec), nil
@@ -111,11 +116,11 @@
 		return err
 	}
 	r := f.records[objectKey{kind, name}]
-	if r.Revision != revision {
+	if r.Revision.Number != revision {
 		return &RecordConflict{Current: r}
 	}
 	f.revision++
-	r.Revision, r.Deleted = f.revision, true
+	r.Revision, r.Deleted = f.at(), true
 	f.changes = append(f.changes, keyedRecord{kind, r})
 	delete(f.records, objectKey{kind, name})
 	return nil
@@ -123,7 +128,7 @@
 
 func (f *fakeRecords) set(kind, name string, spec json.RawMessage) Record {
 	f.revision++
-	r := Record{Name: name, Revision: f.revision, Spec: spec}
+	r := Record{Name: name, Revision: f.at(), Spec: spec}
 	f.records[objectKey{kind, name}] = r
 	f.changes = append(f.changes, keyedRecord{kind, r})
 	return r
@@ -238,10 +243,11 @@
 		f.era = era
 		_, _ = g.Get(t.Context(), "k", "n")
 	}
-	for _, era := range []uint64{0, 1, 1, 2, 2, 4} {
+	for _, era := range []uint64{0, 0, 1, 1, 2, 2, 4} {
 		read(era)
 	}
 	is.Equal(strings.Count(out.String(), `"name":"platform_era"`), 1)
-	is.Equal(strings.Count(out.String(), `"name":"platform_restored"`), 2)
+	is.Equal(strings.Count(out.String(), `"name":"platform_restored"`), 3)
+	is.True(strings.Contains(out.String(), `"before":0,"era":1`)) // eras may begin with 0
 	is.True(strings.Contains(out.String(), `"before":2,"era":4,"verb":"get"`))
 }
--- a/internal/objstore/records.go
+++ b/internal/objstore/records.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // Record is one object as the platform keeps it.
 type Record struct {
 	Name     string
-	Revision uint64 // of the store, at the record's last change; 0: there is none
+	Revision revision.Revision // of the store, at the record's last change; Number 0: there is none
 	Spec     json.RawMessage
 	Deleted  bool // in the answer to a watch: the record is gone
 	Deleting bool // the record goes once its finalizers are gone
@@ -24,8 +26,8 @@
 // have left records in it that can't be read; they cost none of the others.
 type RecordPage struct {
 	Records  []Record
-	Revision uint64 // of the store, to watch from next
-	More     bool   // further records follow, after the name of the last one
+	Revision revision.Revision // of the store, to watch from next
+	More     bool              // further records follow, after the name of the last one
 }
 
 // After returns the name after which the next page begins: the last one that can be read.
@@ -46,8 +48,9 @@
 	// List returns the records of a kind, by name, that follow the name after.
 	List(ctx context.Context, kind, after string) (RecordPage, error)
 	// Watch waits for changes of a kind after the revision, until wait has
-	// passed; then it returns none.
-	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) (RecordPage, error)
+	// passed; then it returns none. It fails with ErrCompacted after a revision of
+	// another era than the platform's, too.
+	Watch(ctx context.Context, kind string, after revision.Revision, wait time.Duration) (RecordPage, error)
 	// Create writes a record that must not exist.
 	Create(ctx context.Context, kind, name string, spec json.RawMessage) (Record, error)
 	// Replace writes a record that must stand at the revision.
@@ -74,3 +77,29 @@
 func (c *RecordConflict) Error() string {
 	return fmt.Sprintf("record %s stands at revision %d", c.Current.Name, c.Current.Revision)
 }
+
+// ListAll returns all records of a kind, page by page. The revision is that of the first page:
+// what changed while the others were read is found by a watch. It fails with ErrCompacted if the
+// platform came back from an older copy meanwhile: pages of two copies make no list.
+func ListAll(ctx context.Context, records Records, kind string) (RecordPage, error) {
+	var all RecordPage
+	after := ""
+	for first := true; ; first = false {
+		page, err := records.List(ctx, kind, after)
+		if err != nil {
+			return RecordPage{}, err
+		}
+		if first {
+			all.Revision = page.Revision
+		}
+		if page.Revision.Era != all.Revision.Era {
+			return RecordPage{}, ErrCompacted
+		}
+		all.Records = append(all.Records, page.Records...)
+		next := page.After()
+		if !page.More || next <= after {
+			return all, nil
+		}
+		after = next
+	}
+}
--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -11,6 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 	"rhubarbwood.example/rhubarbwood/internal/standin"
 	"rhubarbwood.example/rhubarbwood/platform"
 )
@@ -123,7 +124,7 @@
 // open returns the product's object in a record; one that can't be read has
 // no value.
 func open(kind string, o platform.Object) objstore.Object {
-	opened, err := objstore.Open(kind, objstore.Record{Name: o.Meta.Name, Revision: o.Meta.Revision, Spec: o.Spec})
+	opened, err := objstore.Open(kind, objstore.Record{Name: o.Meta.Name, Revision: revision.Revision{Number: o.Meta.Revision}, Spec: o.Spec})
 	if err != nil {
 		return objstore.Object{Kind: kind, Name: o.Meta.Name}
 	}
--- a/internal/warmup/keeper_test.go
+++ b/internal/warmup/keeper_test.go
@@ -15,6 +15,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/objstore/objstoretest"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // fakeTargets are cold targets until they have a permit.
@@ -163,10 +164,10 @@
 		is := is.New(t)
 		k := startKeepers(t, []gateway.ColdTarget{coldTarget("gone", "a"), coldTarget("there", "a")}, 0)
 		state := k.states[0]
-		state.ApplyTargets(discovery.TargetList{Targets: []discovery.Target{{ID: "gone"}, {ID: "there"}}, Revision: 1}, time.Now())
+		state.ApplyTargets(discovery.TargetList{Targets: []discovery.Target{{ID: "gone"}, {ID: "there"}}, Revision: at(1)}, time.Now())
 		time.Sleep(time.Second)
 		is.Equal(len(k.platform.Objects(objstore.KindPermit)), 2)
-		state.ApplyTargets(discovery.TargetList{Targets: []discovery.Target{{ID: "there"}}, Revision: 2}, time.Now())
+		state.ApplyTargets(discovery.TargetList{Targets: []discovery.Target{{ID: "there"}}, Revision: at(2)}, time.Now())
 		expire := time.NewTicker(time.Minute)
 		defer expire.Stop()
 		for range 29 {
@@ -202,3 +203,6 @@
 		}
 	})
 }
+
+// at returns a revision of the first era.
+func at(number uint64) revision.Revision { return revision.Revision{Era: 1, Number: number} }
