Targets that left are not brought back by an older copy of the store

What callers' targets would see: requests at a target that had said that it leaves, or had removed its registration, in the seconds that the copy lacks. The copy holds it as it was before, until it writes again or its registration lapses.

Hosts now keep a tombstone of each incarnation that leaves or is gone, for a minute. After a restore those of earlier eras overrule what lists say, for five beats of a registration: one that nobody writes lapses after three, so that what still stands then lives. A change that a watch tells was written anew and is believed at once. Hosts that start are told the tombstones in force; one that reads the store itself asks a peer once all the same, as the store may lack what peers know.

Ruled out: going by the sequence of registrations: one that changes nothing else is not told by watches, so that a host can't compare it; going by the last beliefs alone: a host that starts has none.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -73,6 +73,7 @@
 	started    time.Time
 	draw       float64     // random part of the times of a host that knows nothing
 	peerFailed atomic.Bool // the last question to a peer brought nothing
+	toldOnce   bool        // a peer has told all that it knows, since the start; of followPeers
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -85,6 +86,7 @@
 		peers = alone{}
 	}
 	state.lapseAfter = cfg.lapseAfter()
+	state.tombstones = newTombstones(cfg.RegistrationBeat.Std())
 	state.evacuations.followed = cfg.followsEvacuations()
 	return &Follower{cfg: cfg, source: source, peers: peers, state: state, log: log, metrics: newMetrics(reg),
 		unusableLines: rate.NewLimiter(unusableLines, unusableBurst), back: make(chan struct{})}
@@ -340,7 +342,8 @@
 	for ctx.Err() == nil {
 		// A host that watches for all asks the others, too, when the store
 		// turns it away: it may serve them.
-		if f.peers.Watches() && f.state.clock.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
+		// Nor does it rely on the store alone once it has started: that may have lost what the others know.
+		if f.toldOnce && f.peers.Watches() && f.state.clock.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
 			await.Sleep(ctx, lookEvery)
 			continue
 		}
@@ -354,6 +357,7 @@
 			await.Sleep(ctx, lookEvery) // the next one asked may be another
 			continue
 		}
+		f.toldOnce = f.toldOnce || f.complete(news)
 		if news.AllTargets || len(news.Changes) > 0 {
 			f.log.Event(evRegistryTold).Str("peer", news.From).Uint64("since_era", known.RegistryRevision.Era).Uint64("since", known.RegistryRevision.Number).
 				Uint64("era", news.RegistryRevision.Era).Uint64("revision", news.RegistryRevision.Number).Bool("whole", news.AllTargets).Int("targets", len(news.Changes)).Msg("")
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -67,6 +67,9 @@
 	// PermitNumber names the last permit that the host got from the one it asks, in the epoch of
 	// the findings.
 	PermitNumber uint64
+	// TombstoneNumber names the last tombstone that the host got from the one it asks, in the epoch of
+	// the findings.
+	TombstoneNumber uint64
 	// FindingEpoch and FindingNumber name the last finding that the host got
 	// from the one it asks.
 	FindingEpoch  uint64
@@ -96,6 +99,9 @@
 	Permits      []Permit // to send to cold targets
 	PermitNumber uint64   // of the newest one
 
+	Tombstones      []Tombstone // of targets that left before the store came back from an older copy
+	TombstoneNumber uint64      // of the newest one
+
 	Outage time.Time // when the registry could last be read again after an outage; zero: never
 
 	Findings      []Finding
@@ -121,7 +127,7 @@
 	var outage time.Time // that was known when the wait began
 	for waited := false; ; waited = true {
 		n, changed := s.newsSince(than)
-		if n.Config != nil || n.Evacuated != nil || n.AllTargets || len(n.Changes) > 0 || len(n.Findings) > 0 || len(n.Permits) > 0 || len(n.Requests) > 0 {
+		if n.Config != nil || n.Evacuated != nil || n.AllTargets || len(n.Changes) > 0 || len(n.Findings) > 0 || len(n.Permits) > 0 || len(n.Tombstones) > 0 || len(n.Requests) > 0 {
 			return n
 		}
 		if !waited {
@@ -155,12 +161,11 @@
 		FindingEpoch: s.findings.epoch, FindingNumber: s.findings.next,
 	}
 	n.Requests, n.RequestsMark = s.requests.Since(than.Requests)
-	n.PermitNumber = s.permits.next
-	heard := than.PermitNumber
 	if than.FindingEpoch != s.findings.epoch {
-		heard = 0
+		than.PermitNumber, than.TombstoneNumber = 0, 0
 	}
-	n.Permits = s.permits.since(heard)
+	n.PermitNumber, n.TombstoneNumber = s.permits.next, s.tombstones.next
+	n.Permits, n.Tombstones = s.permits.since(than.PermitNumber), s.tombstones.since(than.TombstoneNumber)
 	if s.table != nil && than.ConfigRevision.Before(s.config.revision) {
 		n.Config = s.newerConfig(than.ConfigRevision)
 	}
@@ -175,12 +180,7 @@
 	n.Changes = changes
 	if !complete {
 		n.AllTargets = true
-		n.Changes = nil
-		for _, t := range s.targets {
-			if _, missing := s.lapsed[t.ID]; !missing {
-				n.Changes = append(n.Changes, TargetChange{Target: t})
-			}
-		}
+		n.Changes = changed(s.registered())
 	}
 	return n, s.news
 }
@@ -215,15 +215,17 @@
 		s.mu.Unlock()
 	}
 	changed.Config = s.ApplyConfig(read, n.ConfigAsOf)
+	tombstones := s.ApplyTombstones(n.Tombstones) // first: no target that left is used for a moment
 	if n.AllTargets {
 		list := TargetList{Revision: n.RegistryRevision}
 		for _, c := range n.Changes {
 			list.Targets = append(list.Targets, c.Target)
 		}
 		changed.Targets = s.ApplyTargets(list, n.RegistryAsOf)
-		return changed
+	} else {
+		changed.Targets = s.ApplyChanges(TargetChanges{Changes: n.Changes, Revision: n.RegistryRevision}, n.RegistryAsOf)
 	}
-	changed.Targets = s.ApplyChanges(TargetChanges{Changes: n.Changes, Revision: n.RegistryRevision}, n.RegistryAsOf)
+	changed.Targets = append(tombstones, changed.Targets...)
 	return changed
 }
 
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -45,6 +45,7 @@
 type heardMark struct {
 	epoch, number uint64
 	permits       uint64
+	tombstones    uint64
 	requests      quarantine.Mark
 }
 
@@ -115,7 +116,7 @@
 	}
 	asked := s.state.clock.Now()
 	req := &peerpb.FollowRequest{
-		WaitUs: wait.Microseconds(), PermitNumber: heard.permits,
+		WaitUs: wait.Microseconds(), PermitNumber: heard.permits, TombstoneNumber: heard.tombstones,
 		FindingEpoch: heard.epoch, FindingNumber: heard.number,
 		RequestEpoch: heard.requests.Epoch, RequestNumber: heard.requests.Number,
 	}
@@ -208,7 +209,7 @@
 	defer s.mu.Unlock()
 	if r != nil {
 		s.heard[from] = heardMark{
-			epoch: r.FindingEpoch, number: r.FindingNumber, permits: r.PermitNumber,
+			epoch: r.FindingEpoch, number: r.FindingNumber, permits: r.PermitNumber, tombstones: r.TombstoneNumber,
 			requests: quarantine.Mark{Epoch: r.RequestEpoch, Number: r.RequestNumber},
 		}
 	}
@@ -275,7 +276,8 @@
 	began := s.state.clock.Now()
 	wait := min(time.Duration(in.WaitUs)*time.Microsecond, longestHold)
 	than := readKnown(in)
-	than.FindingEpoch, than.FindingNumber, than.PermitNumber = in.FindingEpoch, in.FindingNumber, in.PermitNumber
+	than.FindingEpoch, than.FindingNumber = in.FindingEpoch, in.FindingNumber
+	than.PermitNumber, than.TombstoneNumber = in.PermitNumber, in.TombstoneNumber
 	than.Requests = quarantine.Mark{Epoch: in.RequestEpoch, Number: in.RequestNumber}
 	news := s.state.AwaitNews(ctx, than, wait)
 	reply := writeReply(news, began, s.state.clock.Now())
@@ -312,6 +314,7 @@
 		}
 	}
 	out.PermitNumber, out.Permits = n.PermitNumber, writePermits(n.Permits)
+	out.TombstoneNumber, out.Tombstones = n.TombstoneNumber, writeTombstones(n.Tombstones)
 	for _, c := range n.Changes {
 		out.Targets = append(out.Targets, &peerpb.TargetInfo{
 			Id: c.Target.ID, Gone: c.Gone, Service: c.Target.Service, Address: c.Target.Address,
@@ -348,7 +351,7 @@
 		n.Evacuated = &EvacuationRead{Domains: r.Evacuations.FailureDomains, Revision: n.EvacuationRevision}
 		n.EvacuationEnds = readEnds(r.Evacuations.Ended, sent)
 	}
-	n.Permits = readPermits(r.Permits)
+	n.Permits, n.Tombstones = readPermits(r.Permits), readTombstones(r.Tombstones)
 	for _, t := range r.Targets {
 		n.Changes = append(n.Changes, TargetChange{Gone: t.Gone, Target: Target{
 			ID: t.Id, Service: t.Service, Address: t.Address, Domain: t.FailureDomain,
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -44,6 +44,7 @@
 	failing       bool                 // the last reading of the registry by this host failed
 	lapseAfter    time.Duration        // of an outage, from which on registrations may lapse in it
 	history       history
+	tombstones    tombstones
 	news          chan struct{} // closes at the next change
 	follow        []func(View)
 	findings      findings
@@ -88,7 +89,7 @@
 // NewState returns a state that knows nothing.
 func NewState() *State {
 	return &State{evacuations: evacuations{domains: map[string]bool{}}, targets: map[string]Target{}, lapsed: map[string]time.Time{}, unusable: map[string]string{}, news: make(chan struct{}),
-		findings: newFindings(), reports: make(chan Finding, mostReports), lapseAfter: DefaultConfig().lapseAfter()}
+		findings: newFindings(), reports: make(chan Finding, mostReports), lapseAfter: DefaultConfig().lapseAfter(), tombstones: newTombstones(defaultBeat)}
 }
 
 // GoBy makes the ages of what is believed go by a clock that counts the time in which the machine is
@@ -182,14 +183,18 @@
 		return nil
 	}
 	if !s.registry.revision.IsZero() && s.registry.revision.Era < l.Revision.Era {
-		s.restored(s.clock.Now())
+		s.restored(l.Revision.Era, s.clock.Now())
 	}
+	now := s.clock.Now()
+	clear(s.tombstones.overruled)
 	listed := map[string]bool{}
 	var changes []TargetChange
 	for _, t := range l.Targets {
 		listed[t.ID] = true
-		t = s.stamp(t)
-		changes = append(changes, TargetChange{Target: t})
+		t, gone := s.overrule(s.stamp(t), l.Revision, now)
+		if !gone {
+			changes = append(changes, TargetChange{Target: t})
+		}
 	}
 	for _, u := range l.Unusable {
 		listed[u.ID] = true
@@ -217,6 +222,7 @@
 	changes := slices.Clone(c.Changes)
 	for i := range changes {
 		changes[i].Target = s.stamp(changes[i].Target)
+		s.tombstones.exhume(changes[i].Target.ID)
 	}
 	s.history.add(c.Revision, changes)
 	made := s.apply(changes, c.Revision, asOf)
@@ -262,8 +268,11 @@
 }
 
 // restored takes the first sight of a new era at a time: the copy that the store came back from lacks the newest registrations,
-// which are written again as after an outage. The caller holds the lock.
-func (s *State) restored(at time.Time) { s.endOutage(at) }
+// which are written again as after an outage, and what has left since is in it. The caller holds the lock.
+func (s *State) restored(era uint64, at time.Time) {
+	s.endOutage(at)
+	s.tombstones.restored(era, at)
+}
 
 // endOutage keeps what goes missing for a while after the end of an outage. The caller holds the lock.
 func (s *State) endOutage(end time.Time) {
@@ -290,17 +299,23 @@
 }
 
 // Expire removes the targets that went missing around an outage and did not
-// come back, and permits of targets that are long gone. It returns the targets.
+// come back, and permits of targets that are long gone, and believes registrations that an older copy of the store
+// brought back and that still stand. It returns the targets.
 func (s *State) Expire(now time.Time) []TargetChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.permits.forget(now, s.targets)
-	var gone []TargetChange
+	revived := s.tombstones.sweep(now)
+	for _, t := range revived {
+		s.targets[t.ID] = t
+	}
+	gone := changed(revived)
 	for id, until := range s.lapsed {
 		if now.Before(until) {
 			continue
 		}
 		gone = append(gone, TargetChange{Target: s.targets[id], Gone: true})
+		s.bury(id, s.targets[id].Born, true, s.registry.revision)
 		delete(s.lapsed, id)
 		delete(s.targets, id)
 	}
@@ -310,6 +325,15 @@
 	return gone
 }
 
+// changed returns the changes that make targets known.
+func changed(all []Target) []TargetChange {
+	var changes []TargetChange
+	for _, t := range all {
+		changes = append(changes, TargetChange{Target: t})
+	}
+	return changes
+}
+
 // apply changes the targets and tells the followers if anything differs.
 func (s *State) apply(changes []TargetChange, at revision.Revision, asOf time.Time) []TargetChange {
 	now := s.clock.Now()
@@ -326,6 +350,7 @@
 			unusable = append(unusable, c)
 		}
 		if !s.differs(c, now) {
+			s.noteUnheard(c)
 			continue
 		}
 		if c, ok := s.change(c, now); ok {
@@ -378,6 +403,7 @@
 	if !c.Gone {
 		delete(s.lapsed, id)
 		s.targets[id] = c.Target
+		s.noteLeaving(c.Target)
 		return c, true
 	}
 	if until := s.holdLapsed(); now.Before(until) && c.Problem == "" {
@@ -386,6 +412,9 @@
 	}
 	delete(s.targets, id)
 	delete(s.lapsed, id)
+	if c.Problem == "" { // that a registration is spoilt says nothing of its target
+		s.bury(id, known.Born, true, s.registry.revision)
+	}
 	return TargetChange{Target: known, Gone: true}, true
 }
 
--- a/internal/gatewayhost/restore_test.go
+++ b/internal/gatewayhost/restore_test.go
@@ -132,3 +132,74 @@
 	}
 	return n
 }
+
+// Targets that left in the seconds that the copy lacks are in it as they were before. They get nothing: not until the one
+// that lives says again that it leaves, nor until the registration of the other one has lapsed; nor from hosts that start
+// in that gap.
+func TestTargetsThatLeftBeforeTheStoreCameBackOlderGetNothing(t *testing.T) {
+	for name, restart := range map[string]int{"all hosts go on": 0, "three hosts start in the gap": 3} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, &fleet{}, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				callers := f.keepAsking()
+				defer callers.stop()
+				time.Sleep(3 * time.Second)
+				older := f.store.Copy()
+				drains, removed := f.targets[len(f.targets)-1], f.targets[len(f.targets)-3]
+				registration := drains.target.Registration(drains.address, drains.domain)
+				registration.State = platform.StateDraining
+				f.register(drains.id, registration)
+				f.store.Remove(platform.KindTargets, removed.id)
+				time.Sleep(time.Second)
+				left := time.Now()
+
+				f.store.SetFaults(objectstore.Faults{Outage: objectstore.OutageCut})
+				time.Sleep(awayFor)
+				f.store.Restore(older)
+				f.store.SetFaults(objectstore.Faults{})
+				f.restart(restart)
+				time.Sleep(beat)
+				f.register(drains.id, registration) // its next registration
+				time.Sleep(lapseAfter - beat)
+				f.store.Remove(platform.KindTargets, removed.id) // it has lapsed
+				time.Sleep(3 * time.Second)
+				is.Equal(f.workAt(drains, left), 0)
+				is.Equal(f.workAt(removed, left), 0)
+				callers.stop()
+				is.True(callers.lost() <= callers.asked()/50)
+			})
+		})
+	}
+}
+
+// restart kills the first hosts and starts each anew.
+func (f *fleet) restart(n int) {
+	for i, h := range f.hosts[:n] {
+		h.network.kill()
+		f.old = append(f.old, h)
+		f.hosts[i] = f.startHost(i)
+	}
+}
+
+// A target that the copy brings back, and that lives, is used again, though it has nothing new to say: its registration
+// had lapsed while it could not reach the store.
+func TestTargetThatLivesIsBackThoughItHadLapsed(t *testing.T) {
+	runFleet(t, &fleet{}, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		lapsed := f.addTarget(singleService, 7, fleetDomains[0])
+		time.Sleep(3 * time.Second)
+		older := f.store.Copy()
+		f.store.Remove(platform.KindTargets, lapsed.id)
+		time.Sleep(time.Second)
+		f.store.Restore(older)
+		for _, t := range f.targets { // the only one left of its service
+			if t.service == singleService && t != lapsed {
+				f.store.Remove(platform.KindTargets, t.id)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		for i := range f.hosts {
+			is.Equal(f.ask(i, http.MethodGet, pathSingle+"x", fmt.Sprintf("b%d", i)), http.StatusOK)
+		}
+	})
+}
