Evacuations outlive an older copy of the store

What would be seen: requests to an evacuated failure domain from the moment at which the store is back from a copy that lacks the evacuation until the operator has written it again.

Weighed: to wait for the operator's taking back alone would leave a domain without work for good where it was taken back while hosts could not hear of it; a bound alone sends there if the operator is late. Both now: what a list of a new era lacks is kept until its end is told after the restore, or for twice the operator's bound. Peers that start are told what is kept, also if they have read the store themselves.

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -112,6 +112,10 @@
 // followsEvacuations reports whether evacuations are asked for.
 func (c Config) followsEvacuations() bool { return c.EvacuateWithin > 0 }
 
+// keepEvacuations is for how long an evacuation that an older copy of the store lacks is kept. The operator writes it
+// again well before.
+func (c Config) keepEvacuations() time.Duration { return 2 * c.EvacuateWithin.Std() }
+
 // lapseAfter is the least time without the store after which a registration may have lapsed though
 // its target lives: it lapses after three beats of silence, and was written up to one beat before.
 func (c Config) lapseAfter() time.Duration { return 2 * c.RegistrationBeat.Std() }
--- a/internal/discovery/evacuation.go
+++ b/internal/discovery/evacuation.go
@@ -36,7 +36,13 @@
 type evacuations struct {
 	followed bool // they are asked for
 	belief   belief
-	domains  map[string]bool
+	domains  map[string]bool // as the store tells
+	kept     map[string]keptEvacuation
+	// keepFor is for how long an evacuation that an older copy of the store lacks is kept.
+	keepFor    time.Duration
+	keptNumber uint64 // of the newest one that is kept
+	// inForce are both together. It is replaced with each change, as views hold it.
+	inForce map[string]bool
 	// since is the revision from which on the host knows every change. Peers that hold an older one are
 	// told all domains: a reading does not tell what had ended before it.
 	since revision.Revision
@@ -61,30 +67,34 @@
 	e.ends = ends
 }
 
-// set takes the domains that are evacuated at a revision. It returns what has changed.
-func (e *evacuations) set(domains map[string]bool, at revision.Revision, asOf time.Time) []EvacuationChange {
+// refresh puts in force what the store tells and what is kept. It returns what has changed.
+func (e *evacuations) refresh() []EvacuationChange {
+	next := e.believed()
 	var changes []EvacuationChange
-	for domain := range e.domains {
-		if !domains[domain] {
+	for domain := range e.inForce {
+		if !next[domain] {
 			changes = append(changes, EvacuationChange{Domain: domain, Ended: true})
 		}
 	}
-	for domain := range domains {
-		if !e.domains[domain] {
+	for domain := range next {
+		if !e.inForce[domain] {
 			changes = append(changes, EvacuationChange{Domain: domain})
 		}
 	}
-	if len(changes) > 0 {
-		e.domains = domains
-	}
+	e.inForce = next
+	return changes
+}
+
+// set takes the domains that the store tells at a revision.
+func (e *evacuations) set(domains map[string]bool, at revision.Revision, asOf time.Time) {
+	e.domains = domains
 	e.belief.revision = revision.Later(e.belief.revision, at)
 	if asOf.After(e.belief.asOf) {
 		e.belief.asOf = asOf
 	}
-	return changes
 }
 
-// list returns the domains in order.
+// list returns the domains that the store tells, in order.
 func (e *evacuations) list() []string { return slices.Sorted(maps.Keys(e.domains)) }
 
 // ApplyEvacuations takes all evacuations, as they were at a time. It returns what has changed. Old ones
@@ -99,6 +109,10 @@
 	for _, domain := range r.Domains {
 		domains[domain] = true
 	}
+	if e := &s.evacuations; !e.belief.revision.IsZero() && e.belief.revision.Era < r.Revision.Era {
+		e.keepLost(domains, s.clock.Now())
+	}
+	maps.DeleteFunc(s.evacuations.kept, func(domain string, _ keptEvacuation) bool { return domains[domain] })
 	s.evacuations.since = r.Revision
 	return s.setEvacuations(domains, r.Revision, asOf)
 }
@@ -113,6 +127,7 @@
 	}
 	domains := maps.Clone(s.evacuations.domains)
 	for _, change := range c.Changes {
+		delete(s.evacuations.kept, change.Domain)
 		if change.Ended {
 			delete(domains, change.Domain)
 			continue
@@ -126,16 +141,22 @@
 	return s.setEvacuations(domains, c.Revision, asOf)
 }
 
-// setEvacuations tells the followers if something has changed, or became known. The caller holds the lock.
+// setEvacuations takes what the store tells, and returns what that changes. The caller holds the lock.
 func (s *State) setEvacuations(domains map[string]bool, at revision.Revision, asOf time.Time) []EvacuationChange {
 	before := s.evacuations.known()
-	changes := s.evacuations.set(domains, at, asOf)
+	s.evacuations.set(domains, at, asOf)
+	return s.refreshEvacuations(!before && s.evacuations.known())
+}
+
+// refreshEvacuations tells the followers if something has changed, or became known. The caller holds the lock.
+func (s *State) refreshEvacuations(becameKnown bool) []EvacuationChange {
+	changes := s.evacuations.refresh()
 	for _, c := range changes {
 		if c.Ended {
 			s.evacuations.noteEnd(c.Domain, s.clock.Now())
 		}
 	}
-	if len(changes) > 0 || !before && s.evacuations.known() {
+	if len(changes) > 0 || becameKnown {
 		s.tell()
 	}
 	return changes
@@ -154,7 +175,7 @@
 func (s *State) Evacuations() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.evacuations.list()
+	return slices.Sorted(maps.Keys(s.evacuations.inForce))
 }
 
 // followEvacuations makes one call about the evacuations.
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -87,7 +87,7 @@
 	}
 	state.lapseAfter = cfg.lapseAfter()
 	state.tombstones = newTombstones(cfg.RegistrationBeat.Std())
-	state.evacuations.followed = cfg.followsEvacuations()
+	state.evacuations.followed, state.evacuations.keepFor = cfg.followsEvacuations(), cfg.keepEvacuations()
 	return &Follower{cfg: cfg, source: source, peers: peers, state: state, log: log, metrics: newMetrics(reg),
 		unusableLines: rate.NewLimiter(unusableLines, unusableBurst), back: make(chan struct{})}
 }
@@ -439,6 +439,8 @@
 
 func (f *Follower) expire(ctx context.Context) {
 	for await.Sleep(ctx, expireEvery) {
-		f.logTargets(f.state.Expire(f.state.clock.Now()), "outage over")
+		now := f.state.clock.Now()
+		f.logTargets(f.state.Expire(now), "outage over")
+		f.logEvacuations(f.state.ExpireEvacuations(now), "restore over")
 	}
 }
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -70,6 +70,8 @@
 	// TombstoneNumber names the last tombstone that the host got from the one it asks, in the epoch of
 	// the findings.
 	TombstoneNumber uint64
+	// KeptEvacuationNumber names the last one in the same way.
+	KeptEvacuationNumber uint64
 	// FindingEpoch and FindingNumber name the last finding that the host got
 	// from the one it asks.
 	FindingEpoch  uint64
@@ -102,6 +104,9 @@
 	Tombstones      []Tombstone // of targets that left before the store came back from an older copy
 	TombstoneNumber uint64      // of the newest one
 
+	KeptEvacuations      []KeptEvacuation // that an older copy of the store lacks
+	KeptEvacuationNumber uint64           // of the newest one
+
 	Outage time.Time // when the registry could last be read again after an outage; zero: never
 
 	Findings      []Finding
@@ -127,7 +132,7 @@
 	var outage time.Time // that was known when the wait began
 	for waited := false; ; waited = true {
 		n, changed := s.newsSince(than)
-		if n.Config != nil || n.Evacuated != nil || n.AllTargets || len(n.Changes) > 0 || len(n.Findings) > 0 || len(n.Permits) > 0 || len(n.Tombstones) > 0 || len(n.Requests) > 0 {
+		if n.Config != nil || n.Evacuated != nil || n.AllTargets || len(n.Changes) > 0 || len(n.Findings) > 0 || len(n.Permits) > 0 || len(n.Tombstones) > 0 || len(n.KeptEvacuations) > 0 || len(n.Requests) > 0 {
 			return n
 		}
 		if !waited {
@@ -162,8 +167,9 @@
 	}
 	n.Requests, n.RequestsMark = s.requests.Since(than.Requests)
 	if than.FindingEpoch != s.findings.epoch {
-		than.PermitNumber, than.TombstoneNumber = 0, 0
+		than.PermitNumber, than.TombstoneNumber, than.KeptEvacuationNumber = 0, 0, 0
 	}
+	n.KeptEvacuationNumber, n.KeptEvacuations = s.evacuations.keptNumber, s.evacuations.keptSince(than.KeptEvacuationNumber)
 	n.PermitNumber, n.TombstoneNumber = s.permits.next, s.tombstones.next
 	n.Permits, n.Tombstones = s.permits.since(than.PermitNumber), s.tombstones.since(than.TombstoneNumber)
 	if s.table != nil && than.ConfigRevision.Before(s.config.revision) {
@@ -203,7 +209,8 @@
 // ApplyNews takes what a peer told, and returns what that has changed.
 func (s *State) ApplyNews(n News) Changed {
 	var changed Changed
-	changed.Evacuations = s.applyEvacuationNews(n)
+	kept := s.keepTold(n.KeptEvacuations) // first: nothing is sent there for a moment
+	changed.Evacuations = append(kept, s.applyEvacuationNews(n)...)
 	s.ApplyPermits(n.Permits)
 	read := ConfigRead{Revision: n.ConfigRevision}
 	if n.Config != nil {
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -40,13 +40,14 @@
 	encoded    encodedConfig
 }
 
-// heardMark names the last finding of one process, its last permit, and its last change of what
-// is held against requests.
+// heardMark names the last finding of one process, its last permit, what it kept last over a restore, and its last change
+// of what is held against requests.
 type heardMark struct {
-	epoch, number uint64
-	permits       uint64
-	tombstones    uint64
-	requests      quarantine.Mark
+	epoch, number   uint64
+	permits         uint64
+	tombstones      uint64
+	keptEvacuations uint64
+	requests        quarantine.Mark
 }
 
 var _ Peers = (*Spread)(nil)
@@ -117,7 +118,8 @@
 	asked := s.state.clock.Now()
 	req := &peerpb.FollowRequest{
 		WaitUs: wait.Microseconds(), PermitNumber: heard.permits, TombstoneNumber: heard.tombstones,
-		FindingEpoch: heard.epoch, FindingNumber: heard.number,
+		KeptEvacuationNumber: heard.keptEvacuations,
+		FindingEpoch:         heard.epoch, FindingNumber: heard.number,
 		RequestEpoch: heard.requests.Epoch, RequestNumber: heard.requests.Number,
 	}
 	writeKnown(than, req)
@@ -209,7 +211,7 @@
 	defer s.mu.Unlock()
 	if r != nil {
 		s.heard[from] = heardMark{
-			epoch: r.FindingEpoch, number: r.FindingNumber, permits: r.PermitNumber, tombstones: r.TombstoneNumber,
+			epoch: r.FindingEpoch, number: r.FindingNumber, permits: r.PermitNumber, tombstones: r.TombstoneNumber, keptEvacuations: r.KeptEvacuationNumber,
 			requests: quarantine.Mark{Epoch: r.RequestEpoch, Number: r.RequestNumber},
 		}
 	}
@@ -277,7 +279,7 @@
 	wait := min(time.Duration(in.WaitUs)*time.Microsecond, longestHold)
 	than := readKnown(in)
 	than.FindingEpoch, than.FindingNumber = in.FindingEpoch, in.FindingNumber
-	than.PermitNumber, than.TombstoneNumber = in.PermitNumber, in.TombstoneNumber
+	than.PermitNumber, than.TombstoneNumber, than.KeptEvacuationNumber = in.PermitNumber, in.TombstoneNumber, in.KeptEvacuationNumber
 	than.Requests = quarantine.Mark{Epoch: in.RequestEpoch, Number: in.RequestNumber}
 	news := s.state.AwaitNews(ctx, than, wait)
 	reply := writeReply(news, began, s.state.clock.Now())
@@ -315,6 +317,7 @@
 	}
 	out.PermitNumber, out.Permits = n.PermitNumber, writePermits(n.Permits)
 	out.TombstoneNumber, out.Tombstones = n.TombstoneNumber, writeTombstones(n.Tombstones)
+	out.KeptEvacuationNumber, out.KeptEvacuations = n.KeptEvacuationNumber, writeKept(n.KeptEvacuations)
 	for _, c := range n.Changes {
 		out.Targets = append(out.Targets, &peerpb.TargetInfo{
 			Id: c.Target.ID, Gone: c.Gone, Service: c.Target.Service, Address: c.Target.Address,
@@ -352,6 +355,7 @@
 		n.EvacuationEnds = readEnds(r.Evacuations.Ended, sent)
 	}
 	n.Permits, n.Tombstones = readPermits(r.Permits), readTombstones(r.Tombstones)
+	n.KeptEvacuations = readKept(r.KeptEvacuations)
 	for _, t := range r.Targets {
 		n.Changes = append(n.Changes, TargetChange{Gone: t.Gone, Target: Target{
 			ID: t.Id, Service: t.Service, Address: t.Address, Domain: t.FailureDomain,
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -88,7 +88,7 @@
 
 // NewState returns a state that knows nothing.
 func NewState() *State {
-	return &State{evacuations: evacuations{domains: map[string]bool{}}, targets: map[string]Target{}, lapsed: map[string]time.Time{}, unusable: map[string]string{}, news: make(chan struct{}),
+	return &State{evacuations: evacuations{domains: map[string]bool{}, inForce: map[string]bool{}}, targets: map[string]Target{}, lapsed: map[string]time.Time{}, unusable: map[string]string{}, news: make(chan struct{}),
 		findings: newFindings(), reports: make(chan Finding, mostReports), lapseAfter: DefaultConfig().lapseAfter(), tombstones: newTombstones(defaultBeat)}
 }
 
@@ -466,7 +466,7 @@
 		RegistryAsOf:     s.registry.asOf,
 		Targets:          targets,
 
-		Evacuated: s.evacuations.domains, EvacuationsUnknown: !s.evacuations.known(), EvacuationEnds: s.evacuations.ends,
+		Evacuated: s.evacuations.inForce, EvacuationsUnknown: !s.evacuations.known(), EvacuationEnds: s.evacuations.ends,
 		Permits: s.permits.byTarget, Now: s.clock.Now(),
 	}
 }
--- a/internal/gatewayhost/restore_test.go
+++ b/internal/gatewayhost/restore_test.go
@@ -203,3 +203,58 @@
 		}
 	})
 }
+
+// An evacuation that the copy lacks is in force until the operator, who has written it again, takes it back; also on hosts
+// that start in that gap.
+func TestEvacuationOutlivesAnOlderCopy(t *testing.T) {
+	for name, restart := range map[string]int{"all hosts go on": 0, "three hosts start in the gap": 3} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, &fleet{settings: evacuates}, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				callers := f.keepAsking()
+				defer callers.stop()
+				domain := fleetDomains[0]
+				time.Sleep(2 * time.Second)
+				older := f.store.Copy()
+				f.write(platform.KindEvacuations, domain, struct{}{})
+				acknowledged := time.Now()
+				time.Sleep(time.Second)
+
+				f.store.SetFaults(objectstore.Faults{Outage: objectstore.OutageCut})
+				time.Sleep(awayFor)
+				f.store.Restore(older)
+				f.store.SetFaults(objectstore.Faults{})
+				f.restart(restart)
+				time.Sleep(2 * time.Second)
+				f.write(platform.KindEvacuations, domain, struct{}{})
+				time.Sleep(time.Second)
+				f.store.Remove(platform.KindEvacuations, domain)
+				ended := time.Now()
+				is.Equal(f.workIn(domain, acknowledged.Add(quietWithin), ended), 0)
+				time.Sleep(3 * time.Second)
+				is.True(f.workIn(domain, ended.Add(time.Second), time.Now()) > 50) // it is used again
+			})
+		})
+	}
+}
+
+// One that is taken back while hosts can't hear of it is over some seconds after the restore.
+func TestEvacuationThatIsNotWrittenAgainEnds(t *testing.T) {
+	runFleet(t, &fleet{settings: evacuates}, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		callers := f.keepAsking()
+		defer callers.stop()
+		domain := fleetDomains[0]
+		older := f.store.Copy()
+		f.write(platform.KindEvacuations, domain, struct{}{})
+		time.Sleep(time.Second)
+		f.store.Restore(older)
+		time.Sleep(2*evacuateWithin + time.Second)
+		ended := time.Now()
+		time.Sleep(2 * time.Second)
+		is.True(f.workIn(domain, ended, time.Now()) > 20)
+		f.restart(3)
+		time.Sleep(4 * time.Second)
+		is.True(f.workIn(domain, ended.Add(3*time.Second), time.Now()) > 20)
+	})
+}
