An older copy's configuration neither replaces the version in force nor proves it

What callers would get: 404 for a route that the operator has added, from any host that took the copy, which lacks that version, for proof that its own is current.

The version in force already outlived a copy. Hosts now know which version the store holds; while it is an older one or none, a request without a route is refused as not run (503) in place of 404, and the version in force is told to hosts that have read the copy, once each. After a restore peers tell the version that the store holds, too, so that the hosts that follow them know when the operator has written again. What is kept over a restore (tombstones, evacuations, the version) has one numbering.

--- a/internal/discovery/evacuation.go
+++ b/internal/discovery/evacuation.go
@@ -39,8 +39,8 @@
 	domains  map[string]bool // as the store tells
 	kept     map[string]keptEvacuation
 	// keepFor is for how long an evacuation that an older copy of the store lacks is kept.
-	keepFor    time.Duration
-	keptNumber uint64 // of the newest one that is kept
+	keepFor time.Duration
+	numbers *keptNumbers
 	// inForce are both together. It is replaced with each change, as views hold it.
 	inForce map[string]bool
 	// since is the revision from which on the host knows every change. Peers that hold an older one are
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -86,7 +86,7 @@
 		peers = alone{}
 	}
 	state.lapseAfter = cfg.lapseAfter()
-	state.tombstones = newTombstones(cfg.RegistrationBeat.Std())
+	state.tombstones = newTombstones(cfg.RegistrationBeat.Std(), state.numbers)
 	state.evacuations.followed, state.evacuations.keepFor = cfg.followsEvacuations(), cfg.keepEvacuations()
 	return &Follower{cfg: cfg, source: source, peers: peers, state: state, log: log, metrics: newMetrics(reg),
 		unusableLines: rate.NewLimiter(unusableLines, unusableBurst), back: make(chan struct{})}
--- a/internal/discovery/keptevacuation.go
+++ b/internal/discovery/keptevacuation.go
@@ -30,8 +30,7 @@
 	if e.kept == nil {
 		e.kept = map[string]keptEvacuation{}
 	}
-	e.keptNumber++
-	e.kept[domain] = keptEvacuation{at: at, number: e.keptNumber, until: now.Add(e.keepFor)}
+	e.kept[domain] = keptEvacuation{at: at, number: e.numbers.next(), until: now.Add(e.keepFor)}
 }
 
 // keepLost keeps the evacuations that a list of a new era lacks.
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -67,11 +67,9 @@
 	// PermitNumber names the last permit that the host got from the one it asks, in the epoch of
 	// the findings.
 	PermitNumber uint64
-	// TombstoneNumber names the last tombstone that the host got from the one it asks, in the epoch of
+	// KeptNumber names what the host got last from the one it asks of what that keeps over a restore, in the epoch of
 	// the findings.
-	TombstoneNumber uint64
-	// KeptEvacuationNumber names the last one in the same way.
-	KeptEvacuationNumber uint64
+	KeptNumber uint64
 	// FindingEpoch and FindingNumber name the last finding that the host got
 	// from the one it asks.
 	FindingEpoch  uint64
@@ -101,11 +99,9 @@
 	Permits      []Permit // to send to cold targets
 	PermitNumber uint64   // of the newest one
 
-	Tombstones      []Tombstone // of targets that left before the store came back from an older copy
-	TombstoneNumber uint64      // of the newest one
-
-	KeptEvacuations      []KeptEvacuation // that an older copy of the store lacks
-	KeptEvacuationNumber uint64           // of the newest one
+	Kept Kept // over a restore of the store
+	// StoredVersion is that of the configuration that the store holds, 0 if it holds none; nil: no restore was seen.
+	StoredVersion *uint64
 
 	Outage time.Time // when the registry could last be read again after an outage; zero: never
 
@@ -132,7 +128,7 @@
 	var outage time.Time // that was known when the wait began
 	for waited := false; ; waited = true {
 		n, changed := s.newsSince(than)
-		if n.Config != nil || n.Evacuated != nil || n.AllTargets || len(n.Changes) > 0 || len(n.Findings) > 0 || len(n.Permits) > 0 || len(n.Tombstones) > 0 || len(n.KeptEvacuations) > 0 || len(n.Requests) > 0 {
+		if n.Config != nil || n.Evacuated != nil || n.AllTargets || len(n.Changes) > 0 || len(n.Findings) > 0 || len(n.Permits) > 0 || !n.Kept.isEmpty() || len(n.Requests) > 0 {
 			return n
 		}
 		if !waited {
@@ -167,11 +163,14 @@
 	}
 	n.Requests, n.RequestsMark = s.requests.Since(than.Requests)
 	if than.FindingEpoch != s.findings.epoch {
-		than.PermitNumber, than.TombstoneNumber, than.KeptEvacuationNumber = 0, 0, 0
+		than.PermitNumber, than.KeptNumber = 0, 0
+	}
+	n.PermitNumber, n.Permits = s.permits.next, s.permits.since(than.PermitNumber)
+	n.Kept = s.keptSince(than.KeptNumber)
+	if s.stored.told {
+		version := s.stored.version
+		n.StoredVersion = &version
 	}
-	n.KeptEvacuationNumber, n.KeptEvacuations = s.evacuations.keptNumber, s.evacuations.keptSince(than.KeptEvacuationNumber)
-	n.PermitNumber, n.TombstoneNumber = s.permits.next, s.tombstones.next
-	n.Permits, n.Tombstones = s.permits.since(than.PermitNumber), s.tombstones.since(than.TombstoneNumber)
 	if s.table != nil && than.ConfigRevision.Before(s.config.revision) {
 		n.Config = s.newerConfig(than.ConfigRevision)
 	}
@@ -209,20 +208,16 @@
 // ApplyNews takes what a peer told, and returns what that has changed.
 func (s *State) ApplyNews(n News) Changed {
 	var changed Changed
-	kept := s.keepTold(n.KeptEvacuations) // first: nothing is sent there for a moment
+	kept := s.keepTold(n.Kept.Evacuations) // first: nothing is sent there for a moment
 	changed.Evacuations = append(kept, s.applyEvacuationNews(n)...)
 	s.ApplyPermits(n.Permits)
-	read := ConfigRead{Revision: n.ConfigRevision}
-	if n.Config != nil {
-		read.Config, read.Found = *n.Config, true
-	}
 	if !n.Outage.IsZero() {
 		s.mu.Lock()
 		s.noteOutage(n.Outage)
 		s.mu.Unlock()
 	}
-	changed.Config = s.ApplyConfig(read, n.ConfigAsOf)
-	tombstones := s.ApplyTombstones(n.Tombstones) // first: no target that left is used for a moment
+	changed.Config = s.applyConfigNews(n)
+	tombstones := s.ApplyTombstones(n.Kept.Tombstones) // first: no target that left is used for a moment
 	if n.AllTargets {
 		list := TargetList{Revision: n.RegistryRevision}
 		for _, c := range n.Changes {
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -1,6 +1,7 @@
 package discovery
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -43,11 +44,10 @@
 // heardMark names the last finding of one process, its last permit, what it kept last over a restore, and its last change
 // of what is held against requests.
 type heardMark struct {
-	epoch, number   uint64
-	permits         uint64
-	tombstones      uint64
-	keptEvacuations uint64
-	requests        quarantine.Mark
+	epoch, number uint64
+	permits       uint64
+	kept          uint64
+	requests      quarantine.Mark
 }
 
 var _ Peers = (*Spread)(nil)
@@ -117,9 +117,8 @@
 	}
 	asked := s.state.clock.Now()
 	req := &peerpb.FollowRequest{
-		WaitUs: wait.Microseconds(), PermitNumber: heard.permits, TombstoneNumber: heard.tombstones,
-		KeptEvacuationNumber: heard.keptEvacuations,
-		FindingEpoch:         heard.epoch, FindingNumber: heard.number,
+		WaitUs: wait.Microseconds(), PermitNumber: heard.permits, KeptNumber: heard.kept,
+		FindingEpoch: heard.epoch, FindingNumber: heard.number,
 		RequestEpoch: heard.requests.Epoch, RequestNumber: heard.requests.Number,
 	}
 	writeKnown(than, req)
@@ -211,7 +210,7 @@
 	defer s.mu.Unlock()
 	if r != nil {
 		s.heard[from] = heardMark{
-			epoch: r.FindingEpoch, number: r.FindingNumber, permits: r.PermitNumber, tombstones: r.TombstoneNumber, keptEvacuations: r.KeptEvacuationNumber,
+			epoch: r.FindingEpoch, number: r.FindingNumber, permits: r.PermitNumber, kept: r.KeptNumber,
 			requests: quarantine.Mark{Epoch: r.RequestEpoch, Number: r.RequestNumber},
 		}
 	}
@@ -279,12 +278,12 @@
 	wait := min(time.Duration(in.WaitUs)*time.Microsecond, longestHold)
 	than := readKnown(in)
 	than.FindingEpoch, than.FindingNumber = in.FindingEpoch, in.FindingNumber
-	than.PermitNumber, than.TombstoneNumber, than.KeptEvacuationNumber = in.PermitNumber, in.TombstoneNumber, in.KeptEvacuationNumber
+	than.PermitNumber, than.KeptNumber = in.PermitNumber, in.KeptNumber
 	than.Requests = quarantine.Mark{Epoch: in.RequestEpoch, Number: in.RequestNumber}
 	news := s.state.AwaitNews(ctx, than, wait)
 	reply := writeReply(news, began, s.state.clock.Now())
-	if news.Config != nil {
-		text, err := s.encodeConfig(news.Config)
+	if told := cmp.Or(news.Config, news.Kept.Config); told != nil {
+		text, err := s.encodeConfig(told)
 		if err != nil {
 			return nil, err
 		}
@@ -316,8 +315,8 @@
 		}
 	}
 	out.PermitNumber, out.Permits = n.PermitNumber, writePermits(n.Permits)
-	out.TombstoneNumber, out.Tombstones = n.TombstoneNumber, writeTombstones(n.Tombstones)
-	out.KeptEvacuationNumber, out.KeptEvacuations = n.KeptEvacuationNumber, writeKept(n.KeptEvacuations)
+	out.KeptNumber, out.StoredVersion = n.Kept.Number, n.StoredVersion
+	out.Tombstones, out.KeptEvacuations = writeTombstones(n.Kept.Tombstones), writeKept(n.Kept.Evacuations)
 	for _, c := range n.Changes {
 		out.Targets = append(out.Targets, &peerpb.TargetInfo{
 			Id: c.Target.ID, Gone: c.Gone, Service: c.Target.Service, Address: c.Target.Address,
@@ -345,7 +344,7 @@
 		if err != nil {
 			return News{}, err
 		}
-		n.Config = config
+		n.Config = config // one that is kept is taken like any newer one
 	}
 	if r.EvacuationRevision > 0 { // else the host does not know them
 		n.EvacuationsAsOf = before(sent, r.EvacuationsAgeUs)
@@ -354,8 +353,8 @@
 		n.Evacuated = &EvacuationRead{Domains: r.Evacuations.FailureDomains, Revision: n.EvacuationRevision}
 		n.EvacuationEnds = readEnds(r.Evacuations.Ended, sent)
 	}
-	n.Permits, n.Tombstones = readPermits(r.Permits), readTombstones(r.Tombstones)
-	n.KeptEvacuations = readKept(r.KeptEvacuations)
+	n.Permits, n.StoredVersion = readPermits(r.Permits), r.StoredVersion
+	n.Kept = Kept{Number: r.KeptNumber, Tombstones: readTombstones(r.Tombstones), Evacuations: readKept(r.KeptEvacuations)}
 	for _, t := range r.Targets {
 		n.Changes = append(n.Changes, TargetChange{Gone: t.Gone, Target: Target{
 			ID: t.Id, Service: t.Service, Address: t.Address, Domain: t.FailureDomain,
--- a/internal/discovery/source.go
+++ b/internal/discovery/source.go
@@ -42,6 +42,7 @@
 // ConfigRead is the configuration as the store holds it.
 type ConfigRead struct {
 	Config   routing.Config
+	Listed   bool              // all that the store holds was read: what is not found is not there
 	Found    bool              // false: the store holds none, or a watch saw no change
 	Revision revision.Revision // of the store, at which this was read
 }
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -33,6 +33,8 @@
 	// configWritten is the store's revision at which the configuration in
 	// force was written; the belief's grows also when nothing changes.
 	configWritten revision.Revision
+	stored        storedConfig
+	numbers       *keptNumbers
 	evacuations   evacuations
 	permits       permits
 	registry      belief
@@ -88,8 +90,14 @@
 
 // NewState returns a state that knows nothing.
 func NewState() *State {
-	return &State{evacuations: evacuations{domains: map[string]bool{}, inForce: map[string]bool{}}, targets: map[string]Target{}, lapsed: map[string]time.Time{}, unusable: map[string]string{}, news: make(chan struct{}),
-		findings: newFindings(), reports: make(chan Finding, mostReports), lapseAfter: DefaultConfig().lapseAfter(), tombstones: newTombstones(defaultBeat)}
+	numbers := &keptNumbers{}
+	return &State{
+		numbers:     numbers,
+		evacuations: evacuations{domains: map[string]bool{}, inForce: map[string]bool{}, numbers: numbers},
+		tombstones:  newTombstones(defaultBeat, numbers),
+		targets:     map[string]Target{}, lapsed: map[string]time.Time{}, unusable: map[string]string{}, lapseAfter: DefaultConfig().lapseAfter(),
+		news: make(chan struct{}), findings: newFindings(), reports: make(chan Finding, mostReports),
+	}
 }
 
 // GoBy makes the ages of what is believed go by a clock that counts the time in which the machine is
@@ -111,10 +119,13 @@
 }
 
 // Table returns the configuration in force, nil if none is known, and when it
-// was last known to be current.
+// was last known to be current; the zero time while the store holds an older one.
 func (s *State) Table() (*routing.Table, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.isBehind() {
+		return s.table, time.Time{}
+	}
 	return s.table, s.config.asOf
 }
 
@@ -134,19 +145,35 @@
 func (s *State) ApplyConfig(r ConfigRead, asOf time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if r.Found || r.Listed {
+		return s.applyConfig(r, asOf, &r.Config.Version)
+	}
+	return s.applyConfig(r, asOf, nil)
+}
+
+// applyConfig is ApplyConfig with the version that the store holds at the revision, nil if that is not told. The caller holds
+// the lock.
+func (s *State) applyConfig(r ConfigRead, asOf time.Time, stored *uint64) bool {
 	if r.Revision.Era >= s.config.revision.Era {
+		s.stored.told = s.stored.told || !s.config.revision.IsZero() && s.config.revision.Era < r.Revision.Era
 		s.config.revision = revision.Later(s.config.revision, r.Revision)
 		if asOf.After(s.config.asOf) {
 			s.config.asOf = asOf
 		}
+		if stored != nil {
+			s.stored.known, s.stored.version = true, *stored
+		}
 	}
-	if !r.Found || (s.table != nil && r.Config.Version <= s.table.Config.Version) {
-		return false
+	isNewer := r.Found && (s.table == nil || s.table.Config.Version < r.Config.Version)
+	if isNewer {
+		s.table = routing.NewTable(r.Config)
+		s.configWritten = r.Revision
 	}
-	s.table = routing.NewTable(r.Config)
-	s.configWritten = r.Revision
-	s.tell()
-	return true
+	s.refreshKeptConfig()
+	if isNewer {
+		s.tell()
+	}
+	return isNewer
 }
 
 // Freshness returns when the oldest of the beliefs was last known to be current; the
--- a/internal/discovery/tombstone.go
+++ b/internal/discovery/tombstone.go
@@ -34,16 +34,16 @@
 
 // tombstones are those of a host, and the registrations that they concern.
 type tombstones struct {
-	byID map[string]tombstone
-	next uint64 // number of the newest one that peers are told
+	byID    map[string]tombstone
+	numbers *keptNumbers
 	// overruled are registrations as the store tells them, whose targets are believed to leave or to be gone.
 	overruled map[string]Target
 	// hold is how long a tombstone counts after a restore.
 	hold time.Duration
 }
 
-func newTombstones(beat time.Duration) tombstones {
-	return tombstones{byID: map[string]tombstone{}, overruled: map[string]Target{}, hold: revivalBeats * beat}
+func newTombstones(beat time.Duration, numbers *keptNumbers) tombstones {
+	return tombstones{byID: map[string]tombstone{}, numbers: numbers, overruled: map[string]Target{}, hold: revivalBeats * beat}
 }
 
 // bury remembers that an incarnation leaves or is gone.
@@ -80,8 +80,7 @@
 
 // inForce returns a tombstone that counts from now on, and that peers are told.
 func (t *tombstones) inForce(one tombstone, now time.Time) tombstone {
-	t.next++
-	one.number, one.until = t.next, now.Add(t.hold)
+	one.number, one.until = t.numbers.next(), now.Add(t.hold)
 	return one
 }
 
@@ -111,7 +110,7 @@
 
 // since returns those in force after a number.
 func (t *tombstones) since(number uint64) []Tombstone {
-	if number >= t.next {
+	if number >= t.numbers.newest {
 		return nil
 	}
 	var all []Tombstone
--- a/internal/gatewayhost/restore_test.go
+++ b/internal/gatewayhost/restore_test.go
@@ -258,3 +258,40 @@
 		is.True(f.workIn(domain, ended.Add(3*time.Second), time.Now()) > 20)
 	})
 }
+
+// A version that was in force stays so though the copy holds an older one, and hosts that start before the operator has
+// written it again are told it. Nothing proves meanwhile that a route is not there.
+func TestVersionInForceOutlivesAnOlderCopy(t *testing.T) {
+	runFleet(t, &fleet{}, func(t *testing.T, f *fleet) {
+		is := is.New(t)
+		time.Sleep(2 * time.Second)
+		older := f.store.Copy()
+		f.change()
+		time.Sleep(time.Second)
+		f.store.SetFaults(objectstore.Faults{Outage: objectstore.OutageCut})
+		time.Sleep(awayFor)
+		f.store.Restore(older)
+		for _, target := range f.targets {
+			f.register(target.id, target.target.Registration(target.address, target.domain))
+		}
+		f.store.SetFaults(objectstore.Faults{})
+		f.restart(3)
+		time.Sleep(200 * time.Millisecond)
+		all := func(path string) (statuses map[int]int) {
+			statuses = map[int]int{}
+			for i := range f.hosts {
+				statuses[f.ask(i, http.MethodGet, path, fmt.Sprintf("v%d%s", i, path))]++
+			}
+			return statuses
+		}
+		for range 4 {
+			is.Equal(all(pathNew+"x"), map[int]int{http.StatusOK: fleetHosts})
+			time.Sleep(time.Second) // all hosts know by then that the store came back
+			is.Equal(all("/none/"), map[int]int{http.StatusServiceUnavailable: fleetHosts})
+		}
+		f.configure(21) // the operator's newest
+		time.Sleep(time.Second)
+		is.Equal(all(pathNew+"x"), map[int]int{http.StatusNotFound: fleetHosts})
+		is.Equal(all("/none/"), map[int]int{http.StatusNotFound: fleetHosts})
+	})
+}
