Conditional writes do not go by revisions of an earlier era

A host remembers the revision of what it wrote, so that its next write need not read first. After the store came back from an older copy that number may stand for another state of the object: the write overwrote it, without a conflict. What is remembered now has its era, and is read anew in a later one.

TestConditionalWriteDoesNotGoByARevisionOfAnEarlierEra fails without it.

--- a/internal/objstore/client.go
+++ b/internal/objstore/client.go
@@ -15,7 +15,13 @@
 	records Records
 
 	mu    sync.Mutex
-	stand map[objectKey]Object // newest object seen under each key; bounded
+	stand map[objectKey]standing // newest object seen under each key; bounded
+}
+
+// standing is an object without its value, and where in the history of the platform it was seen.
+type standing struct {
+	object Object
+	at     revision.Revision
 }
 
 type objectKey struct{ kind, name string }
@@ -28,7 +34,7 @@
 
 // New returns a client of the records. Nothing is sent before the first call.
 func New(records Records) *Client {
-	return &Client{records: records, stand: map[objectKey]Object{}}
+	return &Client{records: records, stand: map[objectKey]standing{}}
 }
 
 // Start does nothing: a host starts while the platform is down, too.
@@ -176,17 +182,18 @@
 }
 
 // standing returns the object that stands at a version: the one remembered, or
-// else the one that the platform has. It fails with *Conflict if another
+// else the one that the platform has. What is of an earlier era is not gone by: its revision may be
+// given out again, to another state of the object. It fails with *Conflict if another
 // version stands; version 0 is not looked up.
 func (c *Client) standing(ctx context.Context, kind, name string, version uint64) (Object, error) {
 	if version == 0 {
 		return Object{}, nil
 	}
 	c.mu.Lock()
-	o, ok := c.stand[objectKey{kind, name}]
+	known, ok := c.stand[objectKey{kind, name}]
 	c.mu.Unlock()
-	if ok && o.Version == version {
-		return o, nil
+	if ok && known.object.Version == version && known.at.Era == c.records.Era() {
+		return known.object, nil
 	}
 	o, err := c.Get(ctx, kind, name)
 	if errors.Is(err, ErrNotFound) {
@@ -259,7 +266,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	key := objectKey{kind, r.Name}
-	if known, ok := c.stand[key]; ok && known.Revision >= o.Revision {
+	if known, ok := c.stand[key]; ok && !known.at.Before(r.Revision) {
 		return o, nil
 	}
 	if len(c.stand) >= mostRemembered {
@@ -267,7 +274,7 @@
 	}
 	kept := o
 	kept.Value = nil
-	c.stand[key] = kept
+	c.stand[key] = standing{kept, r.Revision}
 	return o, nil
 }
 
--- a/internal/objstore/client_test.go
+++ b/internal/objstore/client_test.go
@@ -123,3 +123,32 @@
 	is.Equal(resultOf(err), resultUnavailable)
 	is.Equal(len(f.calls), 0)
 }
+
+// A revision of an earlier era may have been given out again, to another state of the object: a write that went by it
+// would overwrite that unseen.
+func TestConditionalWriteDoesNotGoByARevisionOfAnEarlierEra(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	f.era = 1
+	c, other := New(f), New(f)
+	o, err := c.Put(t.Context(), "k", "a", 0, []byte(`"first"`))
+	is.NoErr(err)
+
+	*f = *newFake() // the platform came back from a copy without the object
+	f.era = 2
+	_, err = other.Put(t.Context(), "k", "a", 0, []byte(`"other"`)) // the same version at the same number
+	is.NoErr(err)
+	_, err = other.Put(t.Context(), "k", "a", 1, []byte(`"newer"`))
+	is.NoErr(err)
+	f.records[objectKey{"k", "a"}] = withNumber(f.records[objectKey{"k", "a"}], o.Revision)
+
+	_, err = c.Put(t.Context(), "k", "a", o.Version, []byte(`"late"`))
+	var conflict *Conflict
+	is.True(errors.As(err, &conflict))
+	is.Equal(string(conflict.Current.Value), `"newer"`)
+}
+
+func withNumber(r Record, number uint64) Record {
+	r.Revision.Number = number
+	return r
+}
