Permits of cold targets count only in the era in which they stand

What a target would see: a cold target that bears 23 requests a second got up to 42, as two permits for it stood at once. The store had come back from a copy without the first one; a host that had started since did not know it and wrote another.

A permit now has its era. Hosts go by those of the era of their registry, and only while they have read it within the time for a change; a new one is written when the era has been known for that long and a second more, so that whatever the older ones let through is over. A host that starts is told by a peer for how long the era has been known.

Weighed: writing permits again from hosts' memory leaves the window in which a host that does not know them writes first; the smaller part of two leaves both sides with their own until they meet. It costs cold targets four seconds without work after a restore, and after a start of all hosts at once; hosts without news for the time of a change send them nothing.

Tests of permits now give the registry first.

--- a/internal/discovery/cold_test.go
+++ b/internal/discovery/cold_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // coldFor returns how long a host takes a target to stay cold.
@@ -107,17 +108,23 @@
 	})
 }
 
-// Permits reach peers, each once, and never change.
+// Permits reach peers, each once, and never change in an era. In another one they do not count.
 func TestPermitsAreToldAndStay(t *testing.T) {
 	is := is.New(t)
 	first, second := NewState(), NewState()
 	first.ApplyTargets(TargetList{Revision: at(1)}, time.Now())
-	first.ApplyPermits([]Permit{{Target: "a", Hosts: []string{"x", "y"}, Each: 3}})
+	first.ApplyPermits([]Permit{{Target: "a", Hosts: []string{"x", "y"}, Each: 3, Era: 1}})
 	exchange(t, first, second)
 	is.Equal(second.View().Permits["a"].Of("x"), 3)
 	is.Equal(second.View().Permits["a"].Of("z"), 0)
-	second.ApplyPermits([]Permit{{Target: "a", Hosts: []string{"z"}, Each: 5}})
+	second.ApplyPermits([]Permit{{Target: "a", Hosts: []string{"z"}, Each: 5, Era: 1}})
 	is.Equal(second.View().Permits["a"].Of("z"), 0)
+	third := NewState()
+	third.ApplyTargets(TargetList{Revision: revision.Revision{Era: 2, Number: 1}}, time.Now())
+	third.ApplyPermits([]Permit{{Target: "a", Hosts: []string{"x", "y"}, Each: 3, Era: 1}})
+	is.Equal(len(third.View().Permits), 0)
+	third.ApplyPermits([]Permit{{Target: "a", Hosts: []string{"z"}, Each: 5, Era: 2}})
+	is.Equal(third.View().Permits["a"].Of("z"), 5)
 	news, _ := first.newsSince(Known{FindingEpoch: first.findings.epoch, PermitNumber: 1})
 	is.Equal(len(news.Permits), 0)
 	news, _ = first.newsSince(Known{FindingEpoch: first.findings.epoch + 1, PermitNumber: 1}) // of an earlier process
--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -116,6 +116,10 @@
 // again well before.
 func (c Config) keepEvacuations() time.Duration { return 2 * c.EvacuateWithin.Std() }
 
+// permitsFor is for how long a host without news of the registry goes by permits to send to cold targets: the time in which
+// it must know of any change.
+func (c Config) permitsFor() time.Duration { return c.within() }
+
 // lapseAfter is the least time without the store after which a registration may have lapsed though
 // its target lives: it lapses after three beats of silence, and was written up to one beat before.
 func (c Config) lapseAfter() time.Duration { return 2 * c.RegistrationBeat.Std() }
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -85,7 +85,7 @@
 	if peers == nil {
 		peers = alone{}
 	}
-	state.lapseAfter = cfg.lapseAfter()
+	state.lapseAfter, state.permitsFor = cfg.lapseAfter(), cfg.permitsFor()
 	state.tombstones = newTombstones(cfg.RegistrationBeat.Std(), state.numbers)
 	state.evacuations.followed, state.evacuations.keepFor = cfg.followsEvacuations(), cfg.keepEvacuations()
 	return &Follower{cfg: cfg, source: source, peers: peers, state: state, log: log, metrics: newMetrics(reg),
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -96,6 +96,11 @@
 	EvacuationsAsOf    time.Time
 	EvacuationEnds     map[string]time.Time // told with all evacuations
 
+	// MemoryAge is the time since the host that told it started, told to a host's first question; 0: not told.
+	MemoryAge time.Duration
+	// EraAge is the time since the era of the registry was first seen, told to a host's first question; 0: not told.
+	EraAge time.Duration
+
 	Permits      []Permit // to send to cold targets
 	PermitNumber uint64   // of the newest one
 
@@ -162,8 +167,13 @@
 		FindingEpoch: s.findings.epoch, FindingNumber: s.findings.next,
 	}
 	n.Requests, n.RequestsMark = s.requests.Since(than.Requests)
-	if than.FindingEpoch != s.findings.epoch {
+	first := than.FindingEpoch != s.findings.epoch // question of that host
+	if first {
 		than.PermitNumber, than.KeptNumber = 0, 0
+		n.MemoryAge = s.clock.Since(s.began)
+		if !s.eraSeen.IsZero() {
+			n.EraAge = s.clock.Since(s.eraSeen)
+		}
 	}
 	n.PermitNumber, n.Permits = s.permits.next, s.permits.since(than.PermitNumber)
 	n.Kept = s.keptSince(than.KeptNumber)
@@ -227,6 +237,7 @@
 	} else {
 		changed.Targets = s.ApplyChanges(TargetChanges{Changes: n.Changes, Revision: n.RegistryRevision}, n.RegistryAsOf)
 	}
+	s.hearEra(n)
 	changed.Targets = append(tombstones, changed.Targets...)
 	return changed
 }
@@ -243,3 +254,12 @@
 	s.noteEvacuationEnds(n.EvacuationEnds)
 	return s.ApplyEvacuations(*n.Evacuated, n.EvacuationsAsOf)
 }
+
+// hearEra takes for how long a peer has known the era of the registry.
+func (s *State) hearEra(n News) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n.EraAge > 0 && n.RegistryRevision.Era == s.registry.revision.Era {
+		s.noteEra(s.registry.revision.Era, s.clock.Now().Add(-n.EraAge))
+	}
+}
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -315,7 +315,8 @@
 		}
 	}
 	out.PermitNumber, out.Permits = n.PermitNumber, writePermits(n.Permits)
-	out.KeptNumber, out.StoredVersion = n.Kept.Number, n.StoredVersion
+	out.KeptNumber, out.StoredVersion, out.EraAgeUs = n.Kept.Number, n.StoredVersion, n.EraAge.Microseconds()
+	out.MemoryAgeUs = n.MemoryAge.Microseconds()
 	out.Tombstones, out.KeptEvacuations = writeTombstones(n.Kept.Tombstones), writeKept(n.Kept.Evacuations)
 	for _, c := range n.Changes {
 		out.Targets = append(out.Targets, &peerpb.TargetInfo{
@@ -353,7 +354,8 @@
 		n.Evacuated = &EvacuationRead{Domains: r.Evacuations.FailureDomains, Revision: n.EvacuationRevision}
 		n.EvacuationEnds = readEnds(r.Evacuations.Ended, sent)
 	}
-	n.Permits, n.StoredVersion = readPermits(r.Permits), r.StoredVersion
+	n.Permits, n.StoredVersion, n.EraAge = readPermits(r.Permits), r.StoredVersion, time.Duration(max(r.EraAgeUs, 0))*time.Microsecond
+	n.MemoryAge = time.Duration(max(r.MemoryAgeUs, 0)) * time.Microsecond
 	n.Kept = Kept{Number: r.KeptNumber, Tombstones: readTombstones(r.Tombstones), Evacuations: readKept(r.KeptEvacuations)}
 	for _, t := range r.Targets {
 		n.Changes = append(n.Changes, TargetChange{Gone: t.Gone, Target: Target{
--- a/internal/discovery/permit.go
+++ b/internal/discovery/permit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,10 +13,15 @@
 // Permit tells which hosts may send to a target while it is cold, and how many requests each in any second. A
 // target has one permit at most, which never changes: it lies in the store, and whoever finds it there or hears of
 // it holds the same. It is that of the id, not of an incarnation, so that no two hosts go by different ones.
+//
+// A store that comes back from an older copy may have lost it, and hosts that do not know it may write another. So it counts
+// only in its era, on hosts that have recently read the registry in that era, and none is written before every other host has
+// done so, or has ceased to go by its permits.
 type Permit struct {
 	Target string
 	Hosts  []string
-	Each   int // requests in any second
+	Each   int    // requests in any second
+	Era    uint64 // of the store in which it stands
 }
 
 // Of returns how many requests a host may send in any second.
@@ -46,15 +52,22 @@
 	// KeepPermits is for how long a host keeps the permit of a target that is not registered: it may come back
 	// under its id. The store keeps it longer, so that no other is written while a host goes by this one.
 	KeepPermits = 30 * time.Minute
+	// afterPermits is the time from which on a new permit may be written after all older ones have ceased to count: what was sent
+	// by them counts for a second.
+	afterPermits = 1100 * time.Millisecond
 	// reviewPermits is the time between two looks at which targets are registered.
 	reviewPermits = time.Minute
 )
 
-// add takes a permit. It reports false if one for its target is known.
+// add takes a permit. It reports false if one for its target is known, of its era or a later one.
 func (p *permits) add(one Permit) bool {
-	if _, known := p.byTarget[one.Target]; known {
+	known, ok := p.byTarget[one.Target]
+	if ok && known.Era >= one.Era {
 		return false
 	}
+	if ok {
+		p.ordered = slices.DeleteFunc(slices.Clone(p.ordered), func(n numberedPermit) bool { return n.permit.Target == one.Target })
+	}
 	byTarget := maps.Clone(p.byTarget)
 	if byTarget == nil {
 		byTarget = map[string]Permit{}
@@ -66,6 +79,20 @@
 	return true
 }
 
+// of returns those that stand in an era.
+func (p *permits) of(era uint64) map[string]Permit {
+	if !slices.ContainsFunc(p.ordered, func(n numberedPermit) bool { return n.permit.Era != era }) {
+		return p.byTarget
+	}
+	all := map[string]Permit{}
+	for target, one := range p.byTarget {
+		if one.Era == era {
+			all[target] = one
+		}
+	}
+	return all
+}
+
 // forget drops the permits of targets that have not been registered for long.
 func (p *permits) forget(now time.Time, targets map[string]Target) {
 	if len(p.ordered) == 0 || now.Sub(p.lookedAt) < reviewPermits {
@@ -117,6 +144,27 @@
 	}
 }
 
+// PermitsCount reports whether this host has read the registry recently enough to go by permits: any other host may not
+// know them, and may write new ones.
+func (s *State) PermitsCount() bool {
+	asOf := s.registryAsOf.Load()
+	return asOf != nil && s.clock.Since(*asOf) <= s.permitsFor
+}
+
+// MayPermit reports whether new permits may be written: those of earlier eras count nowhere any more.
+func (s *State) MayPermit() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.eraSeen.IsZero() && s.clock.Since(s.eraSeen) >= s.permitsFor+afterPermits
+}
+
+// noteEra notes when the era of the registry was first seen, by this host or a peer. The caller holds the lock.
+func (s *State) noteEra(era uint64, seen time.Time) {
+	if s.eraSeen.IsZero() || s.seenEra < era || s.seenEra == era && seen.Before(s.eraSeen) {
+		s.seenEra, s.eraSeen = era, seen
+	}
+}
+
 // TellPermits tells permits to the hosts that others follow. One that misses them finds them in the store.
 func (s *Spread) TellPermits(ctx context.Context, all []Permit) {
 	in := &peerpb.Findings{Permits: writePermits(all)}
@@ -130,7 +178,7 @@
 func writePermits(all []Permit) []*peerpb.Permit {
 	out := make([]*peerpb.Permit, 0, len(all))
 	for _, p := range all {
-		out = append(out, &peerpb.Permit{Target: p.Target, Hosts: p.Hosts, Each: uint32(p.Each)})
+		out = append(out, &peerpb.Permit{Target: p.Target, Hosts: p.Hosts, Each: uint32(p.Each), Era: p.Era})
 	}
 	return out
 }
@@ -138,7 +186,7 @@
 func readPermits(in []*peerpb.Permit) []Permit {
 	var all []Permit
 	for _, p := range in {
-		all = append(all, Permit{Target: p.Target, Hosts: p.Hosts, Each: int(p.Each)})
+		all = append(all, Permit{Target: p.Target, Hosts: p.Hosts, Each: int(p.Each), Era: p.Era})
 	}
 	return all
 }
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/clock"
@@ -33,10 +34,16 @@
 	// configWritten is the store's revision at which the configuration in
 	// force was written; the belief's grows also when nothing changes.
 	configWritten revision.Revision
+	began         time.Time // when this host started
+	toldByElder   atomic.Bool
 	stored        storedConfig
 	numbers       *keptNumbers
 	evacuations   evacuations
 	permits       permits
+	permitsFor    time.Duration // for how long they count without news of the registry
+	seenEra       uint64        // of the registry
+	eraSeen       time.Time     // when it was first seen
+	registryAsOf  atomic.Pointer[time.Time]
 	registry      belief
 	targets       map[string]Target
 	lapsed        map[string]time.Time // targets that went missing, and until when they are kept
@@ -92,17 +99,19 @@
 func NewState() *State {
 	numbers := &keptNumbers{}
 	return &State{
+		began:       time.Now(),
 		numbers:     numbers,
 		evacuations: evacuations{domains: map[string]bool{}, inForce: map[string]bool{}, numbers: numbers},
 		tombstones:  newTombstones(defaultBeat, numbers),
 		targets:     map[string]Target{}, lapsed: map[string]time.Time{}, unusable: map[string]string{}, lapseAfter: DefaultConfig().lapseAfter(),
-		news: make(chan struct{}), findings: newFindings(), reports: make(chan Finding, mostReports),
+		permitsFor: DefaultConfig().permitsFor(),
+		news:       make(chan struct{}), findings: newFindings(), reports: make(chan Finding, mostReports),
 	}
 }
 
 // GoBy makes the ages of what is believed go by a clock that counts the time in which the machine is
 // suspended. It is to be called before the state is used.
-func (s *State) GoBy(c *clock.Clock) { s.clock = c }
+func (s *State) GoBy(c *clock.Clock) { s.clock, s.began = c, c.Now() }
 
 // Clock returns the clock of all ages.
 func (s *State) Clock() *clock.Clock { return s.clock }
@@ -367,11 +376,13 @@
 	s.registry.revision = revision.Later(s.registry.revision, at)
 	if asOf.After(s.registry.asOf) {
 		if before := s.registry.asOf; !before.IsZero() && asOf.Sub(before) >= s.lapseAfter {
+	s.noteEra(s.registry.revision.Era, now)
 			s.resumed = now
 		}
 		s.registry.asOf = asOf
 	}
 	var made, unusable []TargetChange
+		s.registryAsOf.Store(&asOf)
 	for _, c := range changes {
 		if s.noteUnusable(c) {
 			unusable = append(unusable, c)
@@ -494,6 +505,6 @@
 		Targets:          targets,
 
 		Evacuated: s.evacuations.inForce, EvacuationsUnknown: !s.evacuations.known(), EvacuationEnds: s.evacuations.ends,
-		Permits: s.permits.byTarget, Now: s.clock.Now(),
+		Permits: s.permits.of(s.registry.revision.Era), Now: s.clock.Now(),
 	}
 }
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -87,6 +87,9 @@
 	if now.Before(s.coldFrom) {
 		return false, s.coldFrom
 	}
+	if !s.permitsCount() {
+		return false, now.Add(coldLook)
+	}
 	if w.window.Room(now, w.each, urgent)-w.unsent > 0 {
 		return true, now
 	}
@@ -118,7 +121,7 @@
 	if !s.cold(now, t) {
 		return nil
 	}
-	if now.Before(s.coldFrom) || t.warmth.window.Room(now, t.warmth.each, s.urgent(r)) <= 0 {
+	if now.Before(s.coldFrom) || !s.permitsCount() || t.warmth.window.Room(now, t.warmth.each, s.urgent(r)) <= 0 {
 		return errCold
 	}
 	t.warmth.window.Sent(now)
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -37,8 +37,10 @@
 	view     discovery.View
 	shardOf  map[string]*routing.Route // route over shards that a service is one of
 
-	onCold  chan struct{} // a target without a permit has become cold
-	started time.Time
+	onCold chan struct{} // a target without a permit has become cold
+	// permitsCount reports whether this host may go by its permits to send to cold targets.
+	permitsCount func() bool
+	started      time.Time
 }
 
 func newFleet(cfg Config, host, domain string, hosts func() int) *fleet {
@@ -71,7 +73,7 @@
 		s = &service{
 			name: name, byID: map[string]*target{}, changed: make(chan struct{}),
 			budget: policy.NewShare(f.cfg.allowance(), f.equalWeight(), f.draw(name)), neverAside: f.cfg.off(SetAside),
-			coldFrom: f.started.Add(startHold), onCold: f.onCold, regions: f.cfg.Regions,
+			coldFrom: f.started.Add(startHold), permitsCount: f.permitsCount, onCold: f.onCold, regions: f.cfg.Regions,
 		}
 		f.services[name] = s
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,7 @@
 	}
 	g.attemptHeader = http.Header{}
 	messages.Attempt(g.attemptHeader, "", 0)
+	g.fleet.permitsCount = state.PermitsCount
 	state.Follow(g.fleet.apply)
 	if !cfg.off(Findings) {
 		state.FollowFindings(g.learn)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -385,5 +385,5 @@
 	is.NoErr(g.Ready())
 }
 
-// at returns a revision of the first era.
-func at(number uint64) revision.Revision { return revision.Revision{Era: 1, Number: number} }
+// at returns a revision of a store that tells no era.
+func at(number uint64) revision.Revision { return revision.Revision{Number: number} }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -32,7 +32,9 @@
 	urgentRank int    // the lowest of the routes to the service
 	coldBound  coldBound
 	coldFrom   time.Time // until then nothing is sent to cold targets
-	onCold     chan<- struct{}
+	// permitsCount reports whether this host may go by its permits. It takes no lock.
+	permitsCount func() bool
+	onCold       chan<- struct{}
 }
 
 // target is one incarnation of a target as this host sees it.
--- a/internal/objstore/api.go
+++ b/internal/objstore/api.go
@@ -31,6 +31,7 @@
 	Name     string          `json:"name"`
 	Version  uint64          `json:"version"`
 	Revision uint64          `json:"revision"`
+	Era      uint64          `json:"-"` // of the revision; see revision.Revision
 	Value    json.RawMessage `json:"value,omitempty"`
 	Deleted  bool            `json:"deleted,omitempty"`
 	Created  time.Time       `json:"created"` // by the platform's clock
--- a/internal/objstore/envelope.go
+++ b/internal/objstore/envelope.go
@@ -22,7 +22,7 @@
 // Open returns the object that a record holds. A record that was not written
 // by a Client, such as one made by hand, is at version 1 and has no times.
 func Open(kind string, r Record) (Object, error) {
-	o := Object{Kind: kind, Name: r.Name, Revision: r.Revision.Number, Deleted: r.Deleted}
+	o := Object{Kind: kind, Name: r.Name, Revision: r.Revision.Number, Era: r.Revision.Era, Deleted: r.Deleted}
 	if r.Problem != nil {
 		return o, Error.New("record %s/%s: %w", kind, r.Name, r.Problem)
 	}
--- a/internal/warmup/keeper.go
+++ b/internal/warmup/keeper.go
@@ -109,6 +109,9 @@
 	var mu sync.Mutex
 	var got []discovery.Permit
 	now := time.Now()
+	if !k.state.MayPermit() {
+		return
+	}
 	for _, t := range wanted {
 		if !k.due(now, t.ID) {
 			continue
--- a/internal/warmup/keeper_test.go
+++ b/internal/warmup/keeper_test.go
@@ -65,8 +65,12 @@
 // startKeepers starts a host for each turn, none of which writes if that is negative.
 func startKeepers(t *testing.T, cold []gateway.ColdTarget, turns ...int) *keepers {
 	k := &keepers{platform: objstoretest.New()}
-	for _, turn := range turns {
-		client, state := k.platform.Client(), discovery.NewState()
+	for range turns {
+		k.states = append(k.states, discovery.NewState())
+	}
+	know(k.states...)
+	for i, turn := range turns {
+		client, state := k.platform.Client(), k.states[i]
 		peers := &fakePeers{turn: turn, writes: turn >= 0}
 		targets := &fakeTargets{state: state, cold: cold, told: make(chan struct{}, 1)}
 		keeper := NewKeeper(targets, peers, client, state, event.Discard())
@@ -75,7 +79,7 @@
 		}
 		t.Cleanup(func() { _ = keeper.Stop(context.Background()) })
 		targets.told <- struct{}{}
-		k.clients, k.states, k.peers = append(k.clients, client), append(k.states, state), append(k.peers, peers)
+		k.clients, k.peers = append(k.clients, client), append(k.peers, peers)
 	}
 	return k
 }
@@ -152,7 +156,7 @@
 func TestForeignPermitIsNone(t *testing.T) {
 	is := is.New(t)
 	for _, text := range []string{`{}`, `7`, `{"target":"i-2","hosts":["a"],"each":3}`, `{"target":"i-1","hosts":[],"each":3}`, `{"target":"i-1","hosts":["a"],"each":0}`, `{"target":"i-1","hosts":"a","each":3}`} {
-		_, err := decode("i-1", []byte(text))
+		_, err := decode("i-1", objstore.Object{Value: []byte(text)})
 		is.True(err != nil)
 	}
 }
@@ -197,12 +201,23 @@
 	f.Add("i-1", text)
 	f.Add("", []byte(`{"hosts":[null],"each":1e9}`))
 	f.Fuzz(func(t *testing.T, target string, text []byte) {
-		p, err := decode(target, text)
+		p, err := decode(target, objstore.Object{Value: text})
 		if err == nil && (p.Target != target || len(p.Hosts) == 0 || p.Each < 1) {
 			t.Fatalf("read %+v", p)
 		}
 	})
 }
 
-// at returns a revision of the first era.
-func at(number uint64) revision.Revision { return revision.Revision{Era: 1, Number: number} }
+// at returns a revision of a store that tells no era.
+func at(number uint64) revision.Revision { return revision.Revision{Number: number} }
+
+// knownFor is for how long hosts know the registry before targets are cold: longer than it takes until permits may be written.
+const knownFor = 5 * time.Second
+
+// know lets hosts know the registry of the store for a while.
+func know(states ...*discovery.State) {
+	for _, state := range states {
+		state.ApplyTargets(discovery.TargetList{Revision: at(1)}, time.Now())
+	}
+	time.Sleep(knownFor)
+}
--- a/internal/warmup/permit.go
+++ b/internal/warmup/permit.go
@@ -1,7 +1,8 @@
 // Package warmup divides what cold targets bear among the hosts. A cold target falls over at more than a few
 // requests a second from all hosts together, and no host knows what the others send. So each target gets one
 // permit, which names some hosts and what each may send in any second; it is written to the store once, under a
-// condition, and never changed. Whatever a host believes of the others, the sum stays.
+// condition, and never changed. Whatever a host believes of the others, the sum stays. After the store came back from an older
+// copy none is written until those that it may have lost count on no host.
 package warmup
 
 import (
@@ -28,31 +29,37 @@
 	Each   int      `json:"each"`
 }
 
+// permit returns the permit of an era.
+func (s stored) permit(era uint64) discovery.Permit {
+	return discovery.Permit{Target: s.Target, Hosts: s.Hosts, Each: s.Each, Era: era}
+}
+
 // write writes a permit, unless its target has one. It returns the one that stands.
 func write(ctx context.Context, store objstore.Store, p discovery.Permit) (discovery.Permit, error) {
-	value, err := json.Marshal(stored(p))
+	value, err := json.Marshal(stored{Target: p.Target, Hosts: p.Hosts, Each: p.Each})
 	if err != nil {
 		return discovery.Permit{}, Error.Wrap(err)
 	}
-	_, err = store.Put(ctx, objstore.KindPermit, p.Target, 0, value)
+	o, err := store.Put(ctx, objstore.KindPermit, p.Target, 0, value)
 	var conflict *objstore.Conflict
 	if errors.As(err, &conflict) && conflict.Current.Version > 0 {
-		return decode(p.Target, conflict.Current.Value)
+		return decode(p.Target, conflict.Current)
 	}
 	if err != nil {
 		return discovery.Permit{}, Error.New("write permit of %s: %w", p.Target, err)
 	}
+	p.Era = o.Era
 	return p, nil
 }
 
 // decode reads the permit of a target.
-func decode(target string, text []byte) (discovery.Permit, error) {
+func decode(target string, o objstore.Object) (discovery.Permit, error) {
 	var s stored
-	if err := json.Unmarshal(text, &s); err != nil {
+	if err := json.Unmarshal(o.Value, &s); err != nil {
 		return discovery.Permit{}, Error.New("decode permit of %s: %w", target, err)
 	}
 	if s.Target != target || len(s.Hosts) == 0 || s.Each < 1 {
 		return discovery.Permit{}, Error.New("permit of %s: %w", target, errForeign)
 	}
-	return discovery.Permit(s), nil
+	return s.permit(o.Era), nil
 }
