Hosts that start are told what left by one that has run for long

What would be seen: requests at a target that had left, up to seven seconds after its registration was removed, from hosts that had started around a restore.

Three ways, each found by the soak: two hosts that start together asked each other, and took that for being told; a host that was told while the store was away heard no tombstone, as none was in force yet, and read the copy afterwards; a copy that holds an earlier incarnation of the id was not covered by the tombstone of the later one.

A host that watches now asks on, for six seconds, until it hears a host that has run for longer than a copy is old. A tombstone covers earlier incarnations, and one that is known to run is not replaced by an earlier one.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -73,7 +73,6 @@
 	started    time.Time
 	draw       float64     // random part of the times of a host that knows nothing
 	peerFailed atomic.Bool // the last question to a peer brought nothing
-	toldOnce   bool        // a peer has told all that it knows, since the start; of followPeers
 
 	cancel context.CancelFunc
 	done   sync.WaitGroup
@@ -343,7 +342,7 @@
 		// A host that watches for all asks the others, too, when the store
 		// turns it away: it may serve them.
 		// Nor does it rely on the store alone once it has started: that may have lost what the others know.
-		if f.toldOnce && f.peers.Watches() && f.state.clock.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
+		if !f.state.seeksElder() && f.peers.Watches() && f.state.clock.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
 			await.Sleep(ctx, lookEvery)
 			continue
 		}
@@ -357,7 +356,9 @@
 			await.Sleep(ctx, lookEvery) // the next one asked may be another
 			continue
 		}
-		f.toldOnce = f.toldOnce || f.complete(news)
+		if f.complete(news) && news.MemoryAge >= elderAge {
+			f.state.toldByElder.Store(true)
+		}
 		if news.AllTargets || len(news.Changes) > 0 {
 			f.log.Event(evRegistryTold).Str("peer", news.From).Uint64("since_era", known.RegistryRevision.Era).Uint64("since", known.RegistryRevision.Number).
 				Uint64("era", news.RegistryRevision.Era).Uint64("revision", news.RegistryRevision.Number).Bool("whole", news.AllTargets).Int("targets", len(news.Changes)).Msg("")
@@ -385,6 +386,9 @@
 	if f.state.Freshness().IsZero() {
 		return f.coldPeerWait()
 	}
+	if f.peers.Watches() && f.state.seeksElder() {
+		return seekWait, f.cfg.peerTimeout()
+	}
 	if f.state.clock.Since(f.state.Freshness()) > f.cfg.hurryAfter() {
 		return f.cfg.hurriedWait(), f.cfg.peerTimeout()
 	}
--- a/internal/discovery/kept.go
+++ b/internal/discovery/kept.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
@@ -30,10 +31,11 @@
 	return len(k.Tombstones) == 0 && len(k.Evacuations) == 0 && k.Config == nil
 }
 
-// keptSince returns what is kept after a number. The caller holds the lock.
-func (s *State) keptSince(number uint64) Kept {
+// keptSince returns what is kept after a number. A host that asks for the first time is told all tombstones: the store may come
+// back from a copy before it has any of its own. The caller holds the lock.
+func (s *State) keptSince(number uint64, first bool) Kept {
 	k := Kept{
-		Number: s.numbers.newest, Tombstones: s.tombstones.since(number), Evacuations: s.evacuations.keptSince(number),
+		Number: s.numbers.newest, Tombstones: s.tombstones.since(number, first), Evacuations: s.evacuations.keptSince(number),
 	}
 	if s.stored.kept > number {
 		k.Config = &s.table.Config
@@ -83,3 +85,20 @@
 	s.stored.told = s.stored.told || n.StoredVersion != nil
 	return s.applyConfig(read, n.ConfigAsOf, stored)
 }
+
+const (
+	// elderAge is how long a host must have run to know what the store may have lost: more than the age of its copy, and the time
+	// that it was away.
+	elderAge = 15 * time.Second
+	// seekElderFor is for how long a host that starts asks others for one that has run for so long. What is kept over a restore
+	// counts for about as long.
+	seekElderFor = 6 * time.Second
+	// seekWait is how long each of them may hold the question.
+	seekWait = 50 * time.Millisecond
+)
+
+// seeksElder reports whether this host has just started, and no host that has run for long has told it what it keeps. Hosts that
+// read the store alone, or hear of others that have just started, too, do not know what an older copy lacks.
+func (s *State) seeksElder() bool {
+	return !s.toldByElder.Load() && s.clock.Since(s.began) < seekElderFor
+}
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -176,7 +176,7 @@
 		}
 	}
 	n.PermitNumber, n.Permits = s.permits.next, s.permits.since(than.PermitNumber)
-	n.Kept = s.keptSince(than.KeptNumber)
+	n.Kept = s.keptSince(than.KeptNumber, first)
 	if s.stored.told {
 		version := s.stored.version
 		n.StoredVersion = &version
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -124,10 +124,10 @@
 	writeKnown(than, req)
 	reply, err := peerpb.NewDRPCDiscoveryClient(s.dialer.Conn(ctx, from.Peer)).Follow(ctx, req)
 	if err != nil {
-		s.noteReply(from.ID, nil)
+		s.noteReply(from.ID, nil, false)
 		return News{}, Error.New("ask %s for news: %w", from.ID, err)
 	}
-	s.noteReply(from.ID, reply)
+	s.noteReply(from.ID, reply, s.Watches() && s.state.seeksElder())
 	news, err := readReply(reply, asked)
 	news.From = from.ID
 	return news, err
@@ -204,8 +204,8 @@
 	return hosts[rand.IntN(len(hosts))], true
 }
 
-// noteReply notes what a host answered, nil if it did not.
-func (s *Spread) noteReply(from string, r *peerpb.FollowReply) {
+// noteReply notes what a host answered, nil if it did not. A host that seeks an elder asks another one next.
+func (s *Spread) noteReply(from string, r *peerpb.FollowReply, seeking bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r != nil {
@@ -214,6 +214,11 @@
 			requests: quarantine.Mark{Epoch: r.RequestEpoch, Number: r.RequestNumber},
 		}
 	}
+	if r != nil && seeking && time.Duration(r.MemoryAgeUs)*time.Microsecond < elderAge {
+		s.misses++
+		s.turn++
+		return
+	}
 	if r != nil && s.fresh(r.ConfigAgeUs) && s.fresh(r.RegistryAgeUs) && (!s.cfg.followsEvacuations() || s.fresh(r.EvacuationsAgeUs)) {
 		s.misses = 0
 		return
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -218,10 +218,10 @@
 	if l.Revision.Before(s.registry.revision) {
 		return nil
 	}
-	if !s.registry.revision.IsZero() && s.registry.revision.Era < l.Revision.Era {
-		s.restored(l.Revision.Era, s.clock.Now())
-	}
 	now := s.clock.Now()
+	if s.registry.revision.Era < l.Revision.Era {
+		s.restored(l.Revision.Era, now)
+	}
 	clear(s.tombstones.overruled)
 	listed := map[string]bool{}
 	var changes []TargetChange
@@ -306,7 +306,9 @@
 // restored takes the first sight of a new era at a time: the copy that the store came back from lacks the newest registrations,
 // which are written again as after an outage, and what has left since is in it. The caller holds the lock.
 func (s *State) restored(era uint64, at time.Time) {
-	s.endOutage(at)
+	if !s.registry.revision.IsZero() { // else this host has just started
+		s.endOutage(at)
+	}
 	s.tombstones.restored(era, at)
 }
 
@@ -374,12 +376,14 @@
 func (s *State) apply(changes []TargetChange, at revision.Revision, asOf time.Time) []TargetChange {
 	now := s.clock.Now()
 	s.registry.revision = revision.Later(s.registry.revision, at)
+	s.noteEra(s.registry.revision.Era, now)
 	if asOf.After(s.registry.asOf) {
 		if before := s.registry.asOf; !before.IsZero() && asOf.Sub(before) >= s.lapseAfter {
 	s.noteEra(s.registry.revision.Era, now)
 			s.resumed = now
 		}
 		s.registry.asOf = asOf
+		s.registryAsOf.Store(&asOf)
 	}
 	var made, unusable []TargetChange
 		s.registryAsOf.Store(&asOf)
--- a/internal/discovery/tombstone.go
+++ b/internal/discovery/tombstone.go
@@ -66,7 +66,7 @@
 	if !ok || one.at.Era >= at.Era || !now.Before(one.until) {
 		return tombstone{}, false
 	}
-	return one, one.born == target.Born || one.born == anyIncarnation
+	return one, target.Born <= one.born || one.born == anyIncarnation // an earlier incarnation is gone, too
 }
 
 // restored makes all tombstones of earlier eras than one count from now on.
@@ -108,14 +108,14 @@
 	At     revision.Revision
 }
 
-// since returns those in force after a number.
-func (t *tombstones) since(number uint64) []Tombstone {
-	if number >= t.numbers.newest {
+// since returns those in force after a number, or all.
+func (t *tombstones) since(number uint64, everything bool) []Tombstone {
+	if number >= t.numbers.newest && !everything {
 		return nil
 	}
 	var all []Tombstone
 	for id, one := range t.byID {
-		if one.number > number {
+		if everything || one.number > number {
 			all = append(all, Tombstone{Target: id, Born: one.born, Gone: one.gone, At: one.at})
 		}
 	}
@@ -146,6 +146,9 @@
 // overrule returns what is to be believed of a registration in a list: nothing of a target that is gone, and of one that leaves
 // that it does. The caller holds the lock.
 func (s *State) overrule(t Target, at revision.Revision, now time.Time) (believed Target, gone bool) {
+	if known, ok := s.targets[t.ID]; ok && t.Born > 0 && t.Born < known.Born {
+		return known, false // the copy has an earlier incarnation; this one writes itself again, or lapses
+	}
 	one, ok := s.tombstones.of(t, at, now)
 	if !ok || !one.gone && t.Draining {
 		return t, false
@@ -170,7 +173,10 @@
 			continue
 		}
 		one := tombstone{born: told.Born, gone: told.Gone, at: told.At, buried: now}
-		s.tombstones.bury(told.Target, s.tombstones.inForce(one, now))
+		if told.At.Era < s.registry.revision.Era {
+			one = s.tombstones.inForce(one, now)
+		}
+		s.tombstones.bury(told.Target, one)
 		if c, ok := s.overruleKnown(told.Target, now); ok {
 			made = append(made, c)
 		}
