Soak: the store comes back from older copies of itself

After the storm a target leaves while one host runs; the store goes back to before that as the others start.

--- a/internal/cli/soak.go
+++ b/internal/cli/soak.go
@@ -16,6 +16,7 @@
 	Storm     time.Duration `long:"storm" default:"6s" description:"Length of the faults of each seed"`
 	Callers   int           `long:"callers" default:"12" description:"Callers of each seed"`
 	Helpers   bool          `long:"helpers" description:"One host gathers the queries of the others, whose links are narrow"`
+	Restores  bool          `long:"restores" description:"The store comes back from older copies of itself"`
 	Placement bool          `long:"placement" description:"Failure domains are evacuated, targets are cold after a crash, a route has a home"`
 	Hosts     int           `long:"hosts" default:"3" description:"Hosts of each seed, a process each"`
 	First     bool          `long:"first-faults" description:"Only the faults that seeds of earlier reports were drawn from"`
@@ -46,7 +47,7 @@
 		work.Go(func() {
 			for seed := range next {
 				r, err := soak.Run(soak.Config{
-					Binary: binary, Seed: seed, Storm: c.Storm, Callers: c.Callers, Helpers: c.Helpers, Hosts: c.Hosts, AllFaults: !c.First, Placement: c.Placement,
+					Binary: binary, Seed: seed, Storm: c.Storm, Callers: c.Callers, Helpers: c.Helpers, Hosts: c.Hosts, AllFaults: !c.First, Placement: c.Placement, Restores: c.Restores,
 				})
 				mu.Lock()
 				if err != nil || len(r.Violations) > 0 {
--- a/internal/soak/further.go
+++ b/internal/soak/further.go
@@ -91,6 +91,10 @@
 // leaveUnseen kills all hosts but one, and lets a target leave without a word before they start again: whoever reads the
 // registry then does not hear of it. It draws from a stream of its own, so that the other faults of a seed stay as they were.
 func (c Config) leaveUnseen() []step {
+	started := startedAfter
+	if c.Restores {
+		started = restoredAfter
+	}
 	rng := rand.New(rand.NewPCG(c.Seed, 1))
 	stays, leaves := rng.IntN(c.hosts()), rng.IntN(replicas)
 	all := []step{{at: unseenAfter, name: fmt.Sprintf("target %d of reservations leaves without a word", leaves), do: func(s *site) { s.targets[leaves].vanish() }}}
@@ -99,7 +103,7 @@
 			continue
 		}
 		all = append(all, step{
-			last: startedAfter, name: fmt.Sprintf("host %d is killed", host),
+			last: started, name: fmt.Sprintf("host %d is killed", host),
 			do: func(s *site) { s.hosts[host].signal(syscall.SIGKILL) }, undo: restart(host),
 		})
 	}
--- a/internal/soak/placement.go
+++ b/internal/soak/placement.go
@@ -143,18 +143,18 @@
 }
 
 func (s *site) evacuate(domain int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.apply(platform.KindEvacuations, domainName(domain), struct{}{}); err != nil {
 		panic(err) // an empty object always has a JSON form
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.evacuated[domainName(domain)] = time.Now()
 }
 
 func (s *site) endEvacuation(domain int) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.evacuated, domainName(domain))
-	s.mu.Unlock()
 	s.store.Remove(platform.KindEvacuations, domainName(domain))
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -38,6 +38,9 @@
 	if c.Placement {
 		all = append(all, c.placementStorm()...)
 	}
+	if c.Restores {
+		all = append(all, c.restoreStorm()...)
+	}
 	return all
 }
 
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -76,7 +76,7 @@
 func (p *proxy) takeAgain() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.ln != nil { // a target that crashed twice is taken again once
 		return nil
 	}
 	ln, err := net.Listen("tcp", p.on)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -68,6 +68,8 @@
 	changes   []change
 	evacuated map[string]time.Time // failure domains, since when
 	arrivals  []arrival
+	copies    []objectstore.Copy // of the store, oldest first
+	ended     chan struct{}      // closes at stop
 }
 
 // change is one version of the configuration and when it was in the store.
@@ -84,11 +86,14 @@
 		return nil, Error.New("make a folder: %w", err)
 	}
 	s := &site{dir: dir, ip: ownLoopback(), store: objectstore.New(objectstore.DefaultConfig()), versions: cfg.versions(),
-		cfg: cfg, evacuated: map[string]time.Time{}}
+		cfg: cfg, evacuated: map[string]time.Time{}, ended: make(chan struct{})}
 	if err := s.startTargets(); err != nil {
 		return s, err
 	}
 	s.configure()
+	if cfg.Restores {
+		s.serving.Go(s.keepCopies)
+	}
 	return s, s.startHosts(cfg)
 }
 
@@ -224,6 +229,7 @@
 
 // stop ends what newSite started. The folder with the logs stays if keep is set.
 func (s *site) stop(keep bool) {
+	close(s.ended)
 	for _, p := range s.hosts {
 		p.signal(syscall.SIGKILL)
 	}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -35,6 +35,8 @@
 	// Placement adds what binds where requests go: failure domains are evacuated, targets are cold after a
 	// crash, a route has a home. Targets tell their load and pause.
 	Placement bool
+	// Restores makes the store come back from older copies of itself.
+	Restores bool
 }
 
 func (c Config) hosts() int {
@@ -97,7 +99,12 @@
 	cs := startCallers(s, cfg, rng)
 	r.play(s, cfg.storm(rng))
 	if cfg.AllFaults {
-		r.play(s, cfg.leaveUnseen())
+		last := cfg.leaveUnseen()
+		if cfg.Restores {
+			last = append(last, cfg.lastRestore())
+			time.Sleep(knownAfter)
+		}
+		r.play(s, last)
 	}
 	time.Sleep(settleTime)
 	calmFrom := time.Now()
