Requests in quarantine outlive an older copy of the store

A record that the store lost with its newest writes was written by nobody again: hosts that start when no other can tell them would let the request end targets anew. A host that reads the store for others, each ten seconds while it holds any, now writes what the store lacks, and clears that it lacks.

TestQuarantineOutlivesAnOlderCopyOfTheStore fails without it.

--- a/internal/quarantine/keeper.go
+++ b/internal/quarantine/keeper.go
@@ -129,9 +129,39 @@
 		k.log.Event(evUnreadable).Str("name", name).Err(err).Msg("")
 	}
 	k.table.Merge(records)
+	for _, key := range k.lost(records) {
+		k.keep(ctx, key)
+	}
 	return nil
 }
 
+// writtenWithin is the time in which the host that finds something of a request has written it.
+const writtenWithin = 10 * time.Second
+
+// lost returns the keys of which the store holds less than this host does: it came back from an older copy. Hosts that
+// start then would let the requests end targets again.
+func (k *Keeper) lost(stored []Record) []Key {
+	byKey := map[Key]Record{}
+	for _, r := range stored {
+		byKey[r.Key] = r
+	}
+	now := k.table.clock.Now()
+	var all []Key
+	for _, key := range k.table.Held() {
+		known, _ := k.table.knownOf(key)
+		isOld := now.Sub(known.newest()) > writtenWithin // else its finder is about to write it
+		if _, there := byKey[key]; !there && isOld {
+			all = append(all, key)
+		}
+	}
+	for key, r := range byKey {
+		if known, ok := k.table.knownOf(key); ok && len(r.Cleared) < len(known.Cleared) {
+			all = append(all, key)
+		}
+	}
+	return all
+}
+
 // stored is a record as the store holds it.
 type stored struct {
 	Key     string         `json:"key"`
--- a/internal/quarantine/keeper_test.go
+++ b/internal/quarantine/keeper_test.go
@@ -129,3 +129,22 @@
 		is.Equal(all[0].stanceOf(testRequest("/x")), Quarantined)
 	})
 }
+
+// The store comes back from a copy without the record. A host that reads it writes again what it holds, so that one that
+// starts when no other can tell it knows.
+func TestQuarantineOutlivesAnOlderCopyOfTheStore(t *testing.T) {
+	runKeepers(t, 3, func(t *testing.T, store *objstoretest.Platform, all []kept) {
+		is := is.New(t)
+		all[0].quarantine(testRequest("/x"), 1)
+		time.Sleep(time.Second)
+		is.NoErr(all[1].Read(t.Context()))
+		time.Sleep(writtenWithin)
+		store.Reset()
+		is.NoErr(all[1].Read(t.Context()))
+		is.NoErr(all[2].Read(t.Context()))
+		is.Equal(all[2].stanceOf(testRequest("/x")), Quarantined)
+		puts := store.Calls("put")
+		is.NoErr(all[1].Read(t.Context()))
+		is.Equal(store.Calls("put"), puts) // once
+	})
+}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -21,6 +21,17 @@
 	return s.quarantinedUntil(hold)
 }
 
+// newest returns when the newest strike was.
+func (r Record) newest() time.Time {
+	var at time.Time
+	for _, s := range r.Strikes {
+		if s.At.After(at) {
+			at = s.At
+		}
+	}
+	return at
+}
+
 // record returns a copy of what is held against a key.
 func (e *entry) record(k Key) Record {
 	return Record{Key: k, Strikes: slices.Clone(e.strikes), Cleared: slices.Clone(e.cleared)}
