--- a/internal/discovery/evacuation_test.go
+++ b/internal/discovery/evacuation_test.go
@@ -72,11 +72,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	err := f.begin()
-	return EvacuationRead{Domains: f.evacuations.at(f.revision), Revision: at(f.revision)}, err
+	return EvacuationRead{Domains: f.evacuations.at(f.revision), Revision: f.at(f.revision)}, err
 }
 
 func (f *fakeStore) WatchEvacuations(ctx context.Context, since revision.Revision, wait time.Duration) (EvacuationChanges, error) {
-	reached, err := f.wait(ctx, since.Number, wait)
+	reached, err := f.wait(ctx, since, wait)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.evacuations.since(since.Number, reached), err
--- a/internal/discovery/fleet_test.go
+++ b/internal/discovery/fleet_test.go
@@ -157,7 +157,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	list := TargetList{Revision: at(s.revision)}
+	list := TargetList{Revision: s.at(s.revision)}
 	for i := range fleetTargets {
 		list.Targets = append(list.Targets, Target{
 			ID: fmt.Sprintf("i-%08x", i), Service: fmt.Sprintf("guest-portal-%d", i/3), Address: fmt.Sprintf("10.9.%d.%d:8080", i/250, i%250),
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -23,6 +23,7 @@
 	mu       sync.Mutex
 	config   routing.Config
 	revision uint64
+	restores uint64 // of an older copy; the era counts from 1
 	written  uint64 // revision of the configuration
 	changed  chan struct{}
 	away     bool
@@ -58,6 +59,20 @@
 	f.wakeLocked()
 }
 
+// at returns a revision in the present era. The lock is held.
+func (f *fakeStore) at(number uint64) revision.Revision {
+	return revision.Revision{Era: 1 + f.restores, Number: number}
+}
+
+// restore takes the store back by some revisions.
+func (f *fakeStore) restore(by uint64) {
+	f.set(func() {
+		f.restores++
+		f.revision -= by
+		f.written = min(f.written, f.revision)
+	})
+}
+
 // called returns the calls so far.
 func (f *fakeStore) called() int {
 	f.mu.Lock()
@@ -77,18 +92,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	err := f.begin()
-	return ConfigRead{Config: f.config, Found: f.written > 0, Revision: at(f.revision)}, err
+	return ConfigRead{Config: f.config, Found: f.written > 0, Listed: true, Revision: f.at(f.revision)}, err
 }
 
 // wait returns when something changes, or after the wait.
-func (f *fakeStore) wait(ctx context.Context, after uint64, wait time.Duration) (uint64, error) {
+func (f *fakeStore) wait(ctx context.Context, since revision.Revision, wait time.Duration) (uint64, error) {
+	after := since.Number
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	f.mu.Lock()
 	err := f.begin()
 	for {
 		changed, revision := f.changed, f.revision
-		if err == nil && after < f.gone {
+		if err == nil && (after < f.gone || since.Era != 1+f.restores) {
 			err = ErrHistoryGone
 		}
 		if f.deaf {
@@ -114,24 +130,26 @@
 
 func (f *fakeStore) WatchConfig(ctx context.Context, since revision.Revision, wait time.Duration) (ConfigRead, error) {
 	after := since.Number
-	reached, err := f.wait(ctx, after, wait)
+	reached, err := f.wait(ctx, since, wait)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err != nil || reached <= after || f.written <= after {
-		return ConfigRead{Revision: at(reached)}, err
+		return ConfigRead{Revision: f.at(reached)}, err
 	}
-	return ConfigRead{Config: f.config, Found: true, Revision: at(reached)}, nil
+	return ConfigRead{Config: f.config, Found: true, Revision: f.at(reached)}, nil
 }
 
 func (f *fakeStore) Targets(context.Context) (TargetList, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return TargetList{Revision: at(f.revision)}, f.begin()
+	return TargetList{Revision: f.at(f.revision)}, f.begin()
 }
 
 func (f *fakeStore) WatchTargets(ctx context.Context, since revision.Revision, wait time.Duration) (TargetChanges, error) {
-	reached, err := f.wait(ctx, since.Number, wait)
-	return TargetChanges{Revision: at(reached)}, err
+	reached, err := f.wait(ctx, since, wait)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return TargetChanges{Revision: f.at(reached)}, err
 }
 
 // fakePeers is a host's way to one that watches.
--- /dev/null
+++ b/internal/discovery/restore_test.go
@@ -0,0 +1,58 @@
+package discovery
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The store is away for some seconds and comes back from an older copy. That takes few calls more than the same outage
+// without: each host that watches reads everything once. The versions that follow are in force everywhere in time.
+func TestRestoreOfTheStoreTakesFewCalls(t *testing.T) {
+	const lost = 3 // revisions
+	for _, n := range []int{7, 65, 295} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			calls := map[bool]int{}
+			for _, restored := range []bool{false, true} {
+				withFleet(t, n, time.Second, func(net *simNet, store *fakeStore, all []*simHost) {
+					is := is.New(t)
+					time.Sleep(10 * time.Second)
+					for range lost {
+						store.set(func() { store.revision++ })
+					}
+					time.Sleep(2 * time.Second)
+					before := store.called()
+					store.set(func() { store.away = true })
+					time.Sleep(4500 * time.Millisecond)
+					if restored {
+						store.restore(lost)
+					}
+					store.set(func() { store.away = false })
+					time.Sleep(2 * time.Second)
+					calls[restored] = store.called() - before
+					for v := range uint64(2 * lost) {
+						store.set(func() {
+							store.revision++
+							store.written = store.revision
+							store.config = manyRoutes(2 + v)
+						})
+						time.Sleep(largeSite().ApplyWithin.Std() / 2)
+						for _, h := range all {
+							table, _ := h.state.Table()
+							is.True(table.Config.Version >= 2+v)
+						}
+					}
+				})
+			}
+			watching := 1 + n/96 + fleetDomains*2*min(n/(fleetDomains*leastDomain), 1)
+			pages := (fleetTargets-1)/pageOfTargets + 1 + 1 // of the registry, and the configuration
+			t.Logf("%d hosts: %d calls around an outage of 4.5 s, %d with a restore; at most %d hosts watch", n, calls[false], calls[true], watching)
+			drawn := calls[false] / 10 // pauses between failed calls are drawn anew
+			if calls[true] > calls[false]+drawn+watching*(pages+2) {
+				t.Errorf("%d calls with a restore, %d without", calls[true], calls[false])
+			}
+		})
+	}
+}
