Reservations run at most once over a restore of the platform

What a caller would see: a repeat of a reservation that had run and been answered ran again, after the platform came back from a copy without its record.

Each era of the platform gets an object that tells when it was first used. Before an attempt is sent, the time of the reservation's id is held against that of the era in which its record was just written: what ran before a restore has an older id, so an older one is not sent, and is told as unknown. That also holds for records that the copy has in an earlier state. Hosts write the object within some seconds of seeing an era, so that few new ids are older. Where the platform tells no era nothing changes.

Weighed: a window after each host's first sight of an era leaves hosts that start later without it; refusing all repeats would refuse new reservations, too.

--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -39,6 +39,7 @@
 	cfg      Config
 	store    objstore.Store
 	records  recordStore
+	losses   *losses
 	creates  *createLimiter
 	sender   Sender
 	asker    Asker
@@ -66,7 +67,7 @@
 	return &Claims{
 		cfg: cfg, store: store, sender: sender, asker: asker, view: view, services: services,
 		log: log, metrics: newMetrics(reg),
-		records: recordStore{store}, creates: newCreateLimiter(), mem: newMemory(cfg.Remember.Std(), cfg.RememberMax),
+		losses: newLosses(store), records: recordStore{store}, creates: newCreateLimiter(), mem: newMemory(cfg.Remember.Std(), cfg.RememberMax),
 		ctx: ctx, cancel: cancel, writeSlots: make(chan struct{}, cfg.Background),
 	}
 }
@@ -76,6 +77,7 @@
 	if c.cfg.Sweepers > 0 {
 		go c.sweepLoop(c.ctx)
 	}
+	go c.losses.follow(c.ctx)
 	return nil
 }
 
@@ -199,6 +201,9 @@
 	if a := c.mem.lastSent(id.String()); a != nil && a.rec.sameRequest(r) {
 		return unsettled(c.cfg.RetryAfter.Std())
 	}
+	if lost := c.losses.known(); !lost.IsZero() && !id.time().After(lost) {
+		return unsettled(c.cfg.RetryAfter.Std()) // it may have run before the platform lost its record
+	}
 	return res
 }
 
--- a/internal/claim/failure_test.go
+++ b/internal/claim/failure_test.go
@@ -348,3 +348,22 @@
 	}
 	return id
 }
+
+// The platform comes back from a copy without the newest claims. A repeat of a reservation that has run must not run again,
+// at a host that ran it or at another one.
+func TestRepeatAfterThePlatformCameBackOlderDoesNotRunAgain(t *testing.T) {
+	inFleet(t, 2, func(is *is.I, f *fleet) {
+		r := newReservation()
+		is.Equal(f.hosts[0].reserve(r).Outcome, outcome.Done)
+		f.platform.Reset()
+		for _, h := range append(f.hosts, f.add()) {
+			res := h.reserve(r)
+			is.True(!res.Outcome.NotRun()) // known to the first host, unknown to the others
+		}
+		is.Equal(f.runs(r), 1)
+		time.Sleep(lookEvery + lookSpread)
+		later := newReservation()
+		is.Equal(f.hosts[1].reserve(later).Outcome, outcome.Done)
+		is.Equal(f.runs(later), 1)
+	})
+}
--- a/internal/claim/machine_test.go
+++ b/internal/claim/machine_test.go
@@ -10,6 +10,7 @@
 	"golang.org/x/time/rate"
 	"pgregory.net/rapid"
 
+	"rhubarbwood.example/rhubarbwood/internal/objstore/objstoretest"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 )
@@ -25,6 +26,8 @@
 type machine struct {
 	*fleet
 	ids      []string
+	copies   []objstoretest.Copy
+	restored bool
 	mu       sync.Mutex
 	observed []observation
 }
@@ -105,6 +108,19 @@
 	synctest.Wait()
 }
 
+// restore takes the platform back to an older copy of itself.
+func (m *machine) restore(t *rapid.T) {
+	if len(m.copies) == 0 || rapid.Bool().Draw(t, "copy") {
+		m.copies = append(m.copies, m.platform.Copy())
+		return
+	}
+	at := rapid.IntRange(0, len(m.copies)-1).Draw(t, "of")
+	m.platform.Restore(m.copies[at])
+	m.restored = true
+	m.copies = m.copies[:at+1] // the later ones are of what is lost
+	synctest.Wait()
+}
+
 func (m *machine) landLate(*rapid.T) {
 	m.platform.Release()
 	synctest.Wait()
@@ -219,6 +235,9 @@
 		r := reservation(id)
 		res := h.reserve(r)
 		m.note(observation{req: r, res: res})
+		if m.restored && res.Reason == query.ReasonUnsettled {
+			continue // older than the restore: it may have run, and nothing tells
+		}
 		if m.settle && res.Reason != query.ReasonExpired && res.Outcome != outcome.Done {
 			t.Fatalf("reservation %s ends as %s %s", id, res.Outcome, res.Reason)
 		}
@@ -251,6 +270,7 @@
 		"reserve": m.reserve, "repeat": m.reserve, "kill": m.kill, "freeze": m.freeze,
 		"fault writes": m.faultWrites, "fault target": m.faultTarget, "misjudge": m.misjudge,
 		"outage": m.outage, "land late": m.landLate, "pass": m.pass, "age": m.age,
+		"restore": m.restore,
 	})
 	m.finish(t)
 }
--- a/internal/claim/recordstore.go
+++ b/internal/claim/recordstore.go
@@ -14,6 +14,7 @@
 	rec     Record
 	version uint64
 	changed time.Time // by the platform's clock
+	era     uint64    // of the platform, in which this is what stands
 }
 
 // writeResult tells what is known of a conditional write.
@@ -38,7 +39,7 @@
 	}
 	obj, err := s.store.Put(ctx, id.kind(), id.String(), version, value)
 	if err == nil {
-		return entry{rec: rec, version: obj.Version, changed: obj.Changed}, applied
+		return entry{rec: rec, version: obj.Version, changed: obj.Changed, era: obj.Era}, applied
 	}
 	var con *objstore.Conflict
 	if errors.As(err, &con) {
@@ -68,7 +69,7 @@
 	if obj.Version == 0 || obj.Deleted {
 		return entry{}, nil
 	}
-	e := entry{version: obj.Version, changed: obj.Changed}
+	e := entry{version: obj.Version, changed: obj.Changed, era: obj.Era}
 	if err := json.Unmarshal(obj.Value, &e.rec); err != nil {
 		return entry{}, Error.New("record %s/%s: %w", obj.Kind, obj.Name, err)
 	}
--- a/internal/claim/runner.go
+++ b/internal/claim/runner.go
@@ -153,6 +153,16 @@
 		r.withdraw(e, a, res)
 		return res, false
 	}
+	lost, err := r.c.losses.before(r.ctx, e.era)
+	if err != nil {
+		res := r.notRun(query.ReasonPlatform)
+		r.withdraw(e, a, res)
+		return res, false
+	}
+	if !lost.IsZero() && !r.id.time().After(lost) {
+		r.withdraw(e, a, r.notRun(query.ReasonUnsettled)) // this attempt
+		return unsettled(r.c.cfg.RetryAfter.Std()), false
+	}
 	r.c.mem.sent(a)
 	res = r.c.sender.Send(r.ctx, r.remaining(), a.rec.Target, a.id)
 	res.Target = a.rec.Target
--- a/internal/objstore/api.go
+++ b/internal/objstore/api.go
@@ -20,6 +20,8 @@
 	KindWindow   = "window" // delivery windows
 	KindRecord   = "record" // single delivery records
 
+	KindEra = "era" // one object an era, written when it was first used
+
 	KindQuarantine = "quarantine" // requests that are kept from targets
 	KindPermit     = "permit"     // to send to cold targets
 )
@@ -69,6 +71,9 @@
 	// passed; then it returns no object and the revision seen. ErrCompacted
 	// means that changes since the revision are gone: list again.
 	Watch(ctx context.Context, after uint64, wait time.Duration, kinds ...string) (Listing, error)
+	// Era counts the times that the platform came back from an older copy, as of its newest
+	// answer; 0 also if it tells none.
+	Era() uint64
 	// Hosts returns the platform's list of hosts.
 	Hosts(ctx context.Context) ([]LiveHost, error)
 	// Now returns the platform's clock as of its newest answer, and false
--- a/internal/objstore/client.go
+++ b/internal/objstore/client.go
@@ -229,6 +229,9 @@
 	return &Conflict{Current: o}
 }
 
+// Era implements Store.
+func (c *Client) Era() uint64 { return c.records.Era() }
+
 // Hosts implements Store.
 func (c *Client) Hosts(ctx context.Context) ([]LiveHost, error) { return c.records.Hosts(ctx) }
 
--- a/internal/objstore/objstoretest/client.go
+++ b/internal/objstore/objstoretest/client.go
@@ -61,6 +61,7 @@
 	if !ok {
 		return objstore.Object{}, objstore.ErrNotFound
 	}
+	o.Era = c.p.era
 	return o, nil
 }
 
@@ -108,6 +109,13 @@
 	}
 }
 
+// Era implements objstore.Store.
+func (c *Client) Era() uint64 {
+	c.p.mu.Lock()
+	defer c.p.mu.Unlock()
+	return c.p.era
+}
+
 // Hosts implements objstore.Store.
 func (c *Client) Hosts(ctx context.Context) ([]objstore.LiveHost, error) {
 	if err := c.begin(ctx, "hosts"); err != nil {
--- a/internal/objstore/objstoretest/objstoretest.go
+++ b/internal/objstore/objstoretest/objstoretest.go
@@ -6,6 +6,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -25,6 +26,7 @@
 	objects   map[key]objstore.Object
 	changes   []objstore.Object // every change after compacted, oldest first
 	revision  uint64
+	era       uint64 // 0 until the first Reset
 	compacted uint64
 	signal    chan struct{} // closed and replaced at each change, outage and recovery
 	down      bool
@@ -81,12 +83,37 @@
 }
 
 // Reset takes the platform back to its beginning, without objects and at
-// revision 0, as a restore of an empty backup would.
+// revision 0, as a restore of an empty backup would. The era rises by one.
 func (p *Platform) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.objects)
 	p.revision, p.compacted, p.changes = 0, 0, nil
+	p.era++
+	p.wake()
+}
+
+// Copy is the platform as it stood at a moment.
+type Copy struct {
+	objects  map[key]objstore.Object
+	revision uint64
+}
+
+// Copy returns the platform as it stands.
+func (p *Platform) Copy() Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{maps.Clone(p.objects), p.revision}
+}
+
+// Restore takes the platform back to a copy. Later writes are lost, and their revisions are given
+// out again. The era rises by one.
+func (p *Platform) Restore(c Copy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects, p.revision = maps.Clone(c.objects), c.revision
+	p.compacted, p.changes = p.revision, nil
+	p.era++
 	p.wake()
 }
 
@@ -165,6 +192,7 @@
 	p.revision++
 	next := current
 	next.Version, next.Revision, next.Changed = version+1, p.revision, now
+	next.Era = p.era
 	next.Value, next.Deleted = slices.Clone(value), deleted
 	if !ok {
 		next.Created = now
