Test: a request whose connection is too slow is told as not run

A connection that opens after 3 s, a caller that waits less: 503 and nothing runs afterwards, for idempotent requests, others and queries. It passes on the code as it was: nothing to mend.

--- a/internal/gateway/away_test.go
+++ b/internal/gateway/away_test.go
@@ -83,3 +83,22 @@
 		is.True(!strings.Contains(log.String(), `"target_health"`))
 	})
 }
+
+// The same of requests to one target: the connection opens only after the caller's time is over.
+func TestRequestWhoseConnectionIsTooSlowIsToldAsNotRun(t *testing.T) {
+	slow := func(s *site, ctx context.Context, network, address string) (net.Conn, error) {
+		time.Sleep(3 * time.Second)
+		return s.network.Dial(ctx, network, address)
+	}
+	for _, path := range []string{"/one/x", "/once/x", "/all/x"} {
+		t.Run(path, func(t *testing.T) {
+			run(t, options{dial: slow}, func(t *testing.T, s *site) {
+				is := is.New(t)
+				got := s.get(path, "q")
+				time.Sleep(10 * time.Second)
+				is.Equal(s.runs("q"), 0)
+				is.Equal(got.status, http.StatusServiceUnavailable)
+			})
+		})
+	}
+}
