Model: what hosts believe over restores of the store

Three twins are refuted: revisions ordered by number alone, a watch that goes on over a restore, the era of the host told in place of that of the belief. A test of the product's own configuration over a restore: a change after it is in force on three hosts.

--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -280,6 +280,26 @@
 	})
 }
 
+// A change that is accepted after the platform came back from an older copy is in force on every host.
+func TestChangeAfterThePlatformWentBackIsInForce(t *testing.T) {
+	inFleet(t, 3, 1, func(is *is.I, f *fleet) {
+		f.write(testService("b"))
+		f.pass(spreadBound)
+		older := f.platform.Copy()
+		f.write(testService("c"))
+		f.pass(spreadBound)
+		f.platform.Restore(older)
+		for _, name := range []string{"a", "d", "e"} { // past the revision that hosts hold
+			f.write(testService(name))
+		}
+		f.pass(settled)
+		for _, n := range f.nodes {
+			_, known := n.catalog.Service("a")
+			is.True(known)
+		}
+	})
+}
+
 // TestPullOverDRPC pulls between two hosts over real connections.
 func TestPullOverDRPC(t *testing.T) {
 	is := is.New(t)
--- a/model/check.sh
+++ b/model/check.sh
@@ -87,6 +87,12 @@
 refuted registry BROKEN_QUIET
 refuted registry BROKEN_LATE
 
+# A store that comes back from an older copy. Two restores and three revisions.
+holds restore
+for twin in BROKEN_NUMBER BROKEN_WATCH BROKEN_HOST; do
+	refuted restore "$twin"
+done
+
 # What cold targets bear, divided among hosts.
 holds cold -DHOSTS=2
 for twin in BROKEN_COUNT BROKEN_WRITE BROKEN_AGAIN BROKEN_START; do
