Tombstones hold over any order of readings, news and restores

What would be seen: a target that lives unknown to a host for good, one that is gone kept for six seconds more, or one that leaves used again, where two restores follow each other or news of a peer come between.

Each found by random histories: a target that was written anew kept the tombstone of before; one that was missing was taken for one that the store has; a change that tells what a host believed already left no tombstone for the next restore, and a removal took the one of a target that leaves; a tombstone of the present era replaced an earlier one that overrules a registration.

--- /dev/null
+++ b/internal/discovery/eras_history_test.go
@@ -0,0 +1,230 @@
+package discovery
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"rhubarbwood.example/rhubarbwood/internal/clock"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
+)
+
+// erasStore is a store that comes back from older copies, and the truth that is written to it again.
+type erasStore struct {
+	storeCopy
+	era    uint64
+	copies []storeCopy
+	truth  map[string]Target // that live
+	newest uint64            // version of the configuration
+	born   int64
+}
+
+// storeCopy is what the store holds.
+type storeCopy struct {
+	number  uint64
+	events  []revisedChange // of this copy's history
+	targets map[string]Target
+	version uint64
+}
+
+func (s *erasStore) at() revision.Revision { return revision.Revision{Era: s.era, Number: s.number} }
+
+// write writes a target's registration, or removes it.
+func (s *erasStore) write(t Target, gone bool) {
+	held, there := s.targets[t.ID]
+	if gone != there && held == t {
+		return // nothing changes
+	}
+	s.number++
+	s.targets = maps.Clone(s.targets)
+	if gone {
+		delete(s.targets, t.ID)
+	} else {
+		s.targets[t.ID] = t
+	}
+	s.events = append(slices.Clip(s.events), revisedChange{s.at(), TargetChange{Target: t, Gone: gone}})
+}
+
+func (s *erasStore) configure(version uint64) {
+	if s.version != version {
+		s.number++
+		s.version = version
+	}
+}
+
+// restore takes the store back to a copy; the operator writes again at once.
+func (s *erasStore) restore(i int) {
+	s.storeCopy, s.copies = s.copies[i], s.copies[:i+1]
+	s.era++
+	for j := range s.events {
+		s.events = slices.Clone(s.events)
+		s.events[j].revision.Era = s.era
+	}
+	s.configure(s.newest)
+}
+
+// beat lets every target that lives write its registration again, and those lapse that nobody writes.
+func (s *erasStore) beat() {
+	for _, id := range slices.Sorted(maps.Keys(s.targets)) {
+		if _, lives := s.truth[id]; !lives {
+			s.write(Target{ID: id}, true)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.truth)) {
+		s.write(s.truth[id], false)
+	}
+}
+
+func (s *erasStore) list() TargetList {
+	return TargetList{Targets: slices.Collect(maps.Values(s.targets)), Revision: s.at()}
+}
+
+func (s *erasStore) watch(after revision.Revision) (TargetChanges, bool) {
+	changes := TargetChanges{Revision: s.at()}
+	if after.Era != s.era || s.number < after.Number {
+		return changes, false
+	}
+	for _, e := range s.events {
+		if after.Before(e.revision) {
+			changes.Changes = append(changes.Changes, e.change)
+		}
+	}
+	return changes, true
+}
+
+// erasHost is one host, and what it was told of incarnations that left.
+type erasHost struct {
+	*State
+	left map[Target]bool // by id and incarnation
+}
+
+func incarnation(t Target) Target { return Target{ID: t.ID, Born: t.Born} }
+
+// Whatever order readings, watches, news of peers, late ones too, and restores come in: a version never goes back, no target is
+// used again that a host knew to leave, and once all is written again every host believes what the store holds.
+func TestBeliefsOverRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, pass := clock.Virtual()
+		store := &erasStore{era: 1, storeCopy: storeCopy{number: 1, targets: map[string]Target{}}, truth: map[string]Target{}}
+		start := func() *erasHost {
+			s := NewState()
+			s.GoBy(c)
+			return &erasHost{s, map[Target]bool{}}
+		}
+		hosts := []*erasHost{start(), start(), start()}
+		late := make([]News, len(hosts))
+		versions := make([]uint64, len(hosts))
+		asOf := func() time.Time { return c.Now() }
+		read := func(h *erasHost) {
+			h.ApplyTargets(store.list(), asOf())
+			h.ApplyConfig(ConfigRead{Config: version(store.version), Found: store.version > 0, Listed: true, Revision: store.at()}, asOf())
+		}
+		watch := func(h *erasHost) {
+			changes, ok := store.watch(h.Known().RegistryRevision)
+			if !ok || h.Known().RegistryRevision.IsZero() {
+				read(h)
+				return
+			}
+			h.ApplyChanges(changes, asOf())
+			h.ApplyConfig(ConfigRead{Config: version(store.version), Found: store.version > 0, Revision: store.at()}, asOf())
+		}
+		draw := func(t *rapid.T, label string) int { return rapid.IntRange(0, len(hosts)-1).Draw(t, label) }
+		id := func(t *rapid.T) string { return rapid.SampledFrom(targetNames).Draw(t, "target") }
+		ask := func(t *rapid.T) int {
+			i, j := draw(t, "host"), draw(t, "peer")
+			late[i], _ = hosts[j].newsSince(hosts[i].Known())
+			return i
+		}
+		hear := func(i int) {
+			hosts[i].ApplyNews(late[i])
+			late[i] = News{}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"register": func(t *rapid.T) {
+				store.born++
+				target := Target{ID: id(t), Born: store.born, Service: "s"}
+				store.truth[target.ID] = target
+				store.write(target, false)
+			},
+			"drain": func(t *rapid.T) {
+				if target, lives := store.truth[id(t)]; lives {
+					target.Draining = true
+					store.truth[target.ID] = target
+					store.write(target, false)
+				}
+			},
+			"remove": func(t *rapid.T) {
+				name := id(t)
+				delete(store.truth, name)
+				store.write(Target{ID: name}, true)
+			},
+			"configure": func(*rapid.T) { store.newest++; store.configure(store.newest) },
+			"copy":      func(*rapid.T) { store.copies = append(store.copies, store.storeCopy) },
+			"restore": func(t *rapid.T) {
+				if len(store.copies) > 0 {
+					store.restore(rapid.IntRange(0, len(store.copies)-1).Draw(t, "copy"))
+				}
+			},
+			"beat":  func(*rapid.T) { store.beat() },
+			"read":  func(t *rapid.T) { read(hosts[draw(t, "host")]) },
+			"watch": func(t *rapid.T) { watch(hosts[draw(t, "host")]) },
+			"ask":   func(t *rapid.T) { ask(t) },
+			"hear":  func(t *rapid.T) { hear(draw(t, "host")) },
+			"told":  func(t *rapid.T) { hear(ask(t)) },
+			"start": func(t *rapid.T) {
+				i := draw(t, "host")
+				hosts[i], late[i], versions[i] = start(), News{}, 0
+			},
+			"": func(t *rapid.T) {
+				for i, h := range hosts {
+					v := h.View()
+					if v.Table != nil {
+						if v.Table.Config.Version < versions[i] {
+							t.Fatalf("host %d went back from version %d to %d", i, versions[i], v.Table.Config.Version)
+						}
+						versions[i] = v.Table.Config.Version
+					}
+					believed := map[string]Target{}
+					for _, target := range v.Targets {
+						believed[target.ID] = target
+						if h.left[incarnation(target)] && !target.Draining {
+							t.Fatalf("host %d uses %+v again, which it knew to leave", i, target)
+						}
+						if target.Draining {
+							h.left[incarnation(target)] = true
+						}
+					}
+				}
+			},
+		})
+		store.beat()
+		for range 2 {
+			for _, h := range hosts {
+				watch(h)
+			}
+			pass(keptNoLonger)
+			for _, h := range hosts {
+				h.Expire(c.Now())
+			}
+		}
+		for i, h := range hosts {
+			if got, want := ids(h.State), slices.Sorted(maps.Keys(store.truth)); !slices.Equal(got, want) {
+				t.Fatalf("host %d knows %v, the store %v", i, got, want)
+			}
+			for _, target := range h.View().Targets {
+				if target != store.truth[target.ID] {
+					t.Fatalf("host %d believes %+v, the store holds %+v", i, target, store.truth[target.ID])
+				}
+			}
+			if table, _ := h.Table(); store.newest > 0 && (table == nil || table.Config.Version != store.newest) {
+				t.Fatalf("host %d is not at version %d", i, store.newest)
+			}
+		}
+	})
+}
+
+// keptNoLonger is longer than anything is kept over a restore.
+const keptNoLonger = (revivalBeats + 1) * defaultBeat
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -258,7 +258,7 @@
 	changes := slices.Clone(c.Changes)
 	for i := range changes {
 		changes[i].Target = s.stamp(changes[i].Target)
-		s.tombstones.exhume(changes[i].Target.ID)
+		s.heed(changes[i], c.Revision)
 	}
 	s.history.add(c.Revision, changes)
 	made := s.apply(changes, c.Revision, asOf)
@@ -345,6 +345,7 @@
 	s.permits.forget(now, s.targets)
 	revived := s.tombstones.sweep(now)
 	for _, t := range revived {
+		delete(s.lapsed, t.ID)
 		s.targets[t.ID] = t
 	}
 	gone := changed(revived)
@@ -445,7 +446,7 @@
 	if !c.Gone {
 		delete(s.lapsed, id)
 		s.targets[id] = c.Target
-		s.noteLeaving(c.Target)
+		s.noteWord(c.Target)
 		return c, true
 	}
 	if until := s.holdLapsed(); now.Before(until) && c.Problem == "" {
--- a/internal/discovery/tombstone.go
+++ b/internal/discovery/tombstone.go
@@ -127,6 +127,20 @@
 	s.tombstones.bury(id, tombstone{born: born, gone: gone, at: at, buried: s.clock.Now()})
 }
 
+// heed makes a change that was written in this era count more than what is kept from an earlier one. The caller holds the lock.
+func (s *State) heed(c TargetChange, at revision.Revision) {
+	t := c.Target
+	switch {
+	case c.Gone:
+		delete(s.tombstones.overruled, t.ID) // it may be kept for a while, as one that leaves if it did
+	case t.Draining:
+		s.tombstones.exhume(t.ID)
+		s.bury(t.ID, t.Born, false, at) // also where it is believed already
+	default:
+		s.tombstones.exhume(t.ID)
+	}
+}
+
 // noteUnheard buries a target that is told to be gone and was never heard of. The caller holds the lock.
 func (s *State) noteUnheard(c TargetChange) {
 	id := c.Target.ID
@@ -136,10 +150,15 @@
 	}
 }
 
-// noteLeaving buries a target that says that it leaves; not one that is only believed to. The caller holds the lock.
-func (s *State) noteLeaving(t Target) {
-	if _, overruled := s.tombstones.overruled[t.ID]; t.Draining && !overruled {
+// noteWord buries a target that says that it leaves, and forgets the tombstone of one that says that it is there; not of one that
+// is only believed to leave. The caller holds the lock.
+func (s *State) noteWord(t Target) {
+	switch _, overruled := s.tombstones.overruled[t.ID]; {
+	case overruled:
+	case t.Draining:
 		s.bury(t.ID, t.Born, false, s.registry.revision)
+	default:
+		s.tombstones.exhume(t.ID)
 	}
 }
 
@@ -169,11 +188,12 @@
 	now := s.clock.Now()
 	var made []TargetChange
 	for _, told := range all {
-		if known, ok := s.tombstones.byID[told.Target]; ok && !known.at.Before(told.At) {
+		isEarlier := told.At.Era < s.registry.revision.Era // else the registry tells by itself
+		if known, ok := s.tombstones.byID[told.Target]; ok && (!isEarlier || !known.at.Before(told.At)) {
 			continue
 		}
 		one := tombstone{born: told.Born, gone: told.Gone, at: told.At, buried: now}
-		if told.At.Era < s.registry.revision.Era {
+		if isEarlier {
 			one = s.tombstones.inForce(one, now)
 		}
 		s.tombstones.bury(told.Target, one)
@@ -194,7 +214,11 @@
 	if !ok {
 		return TargetChange{}, false
 	}
+	_, missing := s.lapsed[id]
 	believed, gone := s.overrule(t, s.registry.revision, now)
+	if missing { // the store does not have it either, so that nothing is to be believed again
+		delete(s.tombstones.overruled, id)
+	}
 	if gone {
 		delete(s.targets, id)
 		delete(s.lapsed, id)
