--- a/internal/claim/claims.go
+++ b/internal/claim/claims.go
@@ -67,7 +67,7 @@
 	return &Claims{
 		cfg: cfg, store: store, sender: sender, asker: asker, view: view, services: services,
 		log: log, metrics: newMetrics(reg),
-		losses: newLosses(store), records: recordStore{store}, creates: newCreateLimiter(), mem: newMemory(cfg.Remember.Std(), cfg.RememberMax),
+		losses: newLosses(store, log), records: recordStore{store}, creates: newCreateLimiter(), mem: newMemory(cfg.Remember.Std(), cfg.RememberMax),
 		ctx: ctx, cancel: cancel, writeSlots: make(chan struct{}, cfg.Background),
 	}
 }
--- a/internal/claim/events.go
+++ b/internal/claim/events.go
@@ -18,4 +18,7 @@
 	evSweepFailed = event.Define(5004, "claim_sweep_failed", plog.WarnLevel,
 		"A round of removal of old records ended early; the next round continues from there.",
 		"Check the platform if it repeats.", "error")
+	evEraNotRead = event.Define(5005, "platform_era_not_read", plog.WarnLevel,
+		"Since when the platform's era is used could not be read or written. It is tried again; reservations that need it are refused as not run meanwhile.",
+		"Check the platform if it repeats.", "era", "error")
 )
--- a/internal/claim/loss.go
+++ b/internal/claim/loss.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
+	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
 
@@ -19,14 +20,15 @@
 // losses are the eras that this host knows, and since when they are used.
 type losses struct {
 	store objstore.Store
+	log   *event.Log
 
 	mu     sync.Mutex
 	since  map[uint64]time.Time // by the platform's clock
 	newest time.Time
 }
 
-func newLosses(store objstore.Store) *losses {
-	return &losses{store: store, since: map[uint64]time.Time{}}
+func newLosses(store objstore.Store, log *event.Log) *losses {
+	return &losses{store: store, log: log, since: map[uint64]time.Time{}}
 }
 
 // before returns the time before which records may have been lost, as of an era; the zero time if the platform tells no era.
@@ -70,7 +72,9 @@
 		if known || era == 0 || !await.Sleep(ctx, rand.N(lookSpread)) {
 			continue
 		}
-		_, _ = l.before(ctx, era) // it is tried again, and by the next reservation
+		if _, err := l.before(ctx, era); err != nil { // it is tried again, also by the next reservation
+			l.log.Event(evEraNotRead).Uint64("era", era).Err(err).Msg("")
+		}
 	}
 }
 
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -36,6 +36,13 @@
 	9009, // the same; and what a cold target got was forgotten as its registration came
 }
 
+// restoreSeeds run with all faults, placement, and a store that comes back from older copies of itself.
+var restoreSeeds = []uint64{
+	10005, // two permits of a cold target at once: the store had lost one
+	10211, // hosts that had started around a restore sent to a target that had left
+	10235, // the same, with an earlier incarnation of the target in the copy
+}
+
 // A short soak of real processes. "rhubarbwood soak" runs longer ones.
 func TestSoak(t *testing.T) {
 	const storm, callers = 2 * time.Second, 8
@@ -52,6 +59,9 @@
 	for _, seed := range placementSeeds {
 		all = append(all, soak.Config{Seed: seed, Storm: 6 * time.Second, Callers: 12, AllFaults: true, Placement: true})
 	}
+	for _, seed := range restoreSeeds {
+		all = append(all, soak.Config{Seed: seed, Storm: 6 * time.Second, Callers: 12, AllFaults: true, Placement: true, Restores: true})
+	}
 	for _, cfg := range all {
 		t.Run("", func(t *testing.T) {
 			t.Parallel()
