Discovery: what lapses and what configuration is in force in files of their own, plainer names

Names of tombstones are the field's (add, drop, suppress), a host that has run for long is no elder. Nothing changes in what is done.

--- a/internal/discovery/evacuation.go
+++ b/internal/discovery/evacuation.go
@@ -110,7 +110,7 @@
 		domains[domain] = true
 	}
 	if e := &s.evacuations; !e.belief.revision.IsZero() && e.belief.revision.Era < r.Revision.Era {
-		e.keepLost(domains, s.clock.Now())
+		e.keepMissing(domains, s.clock.Now())
 	}
 	maps.DeleteFunc(s.evacuations.kept, func(domain string, _ keptEvacuation) bool { return domains[domain] })
 	s.evacuations.since = r.Revision
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -342,7 +342,7 @@
 		// A host that watches for all asks the others, too, when the store
 		// turns it away: it may serve them.
 		// Nor does it rely on the store alone once it has started: that may have lost what the others know.
-		if !f.state.seeksElder() && f.peers.Watches() && f.state.clock.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
+		if !f.state.seeksEstablishedPeer() && f.peers.Watches() && f.state.clock.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
 			await.Sleep(ctx, lookEvery)
 			continue
 		}
@@ -356,8 +356,8 @@
 			await.Sleep(ctx, lookEvery) // the next one asked may be another
 			continue
 		}
-		if f.complete(news) && news.MemoryAge >= elderAge {
-			f.state.toldByElder.Store(true)
+		if f.complete(news) && news.MemoryAge >= establishedAge {
+			f.state.toldByEstablished.Store(true)
 		}
 		if news.AllTargets || len(news.Changes) > 0 {
 			f.log.Event(evRegistryTold).Str("peer", news.From).Uint64("since_era", known.RegistryRevision.Era).Uint64("since", known.RegistryRevision.Number).
@@ -386,7 +386,7 @@
 	if f.state.Freshness().IsZero() {
 		return f.coldPeerWait()
 	}
-	if f.peers.Watches() && f.state.seeksElder() {
+	if f.peers.Watches() && f.state.seeksEstablishedPeer() {
 		return seekWait, f.cfg.peerTimeout()
 	}
 	if f.state.clock.Since(f.state.Freshness()) > f.cfg.hurryAfter() {
--- a/internal/discovery/keptevacuation.go
+++ b/internal/discovery/keptevacuation.go
@@ -33,8 +33,8 @@
 	e.kept[domain] = keptEvacuation{at: at, number: e.numbers.next(), until: now.Add(e.keepFor)}
 }
 
-// keepLost keeps the evacuations that a list of a new era lacks.
-func (e *evacuations) keepLost(listed map[string]bool, now time.Time) {
+// keepMissing keeps the evacuations that a list of a new era lacks.
+func (e *evacuations) keepMissing(listed map[string]bool, now time.Time) {
 	for domain := range e.inForce {
 		if !listed[domain] {
 			e.keep(domain, e.belief.revision, now)
@@ -78,9 +78,9 @@
 	return s.refreshEvacuations(false)
 }
 
-// keepTold takes what a peer keeps, unless what is believed here is of the same era: then it follows the store. It returns
+// applyKeptEvacuations takes what a peer keeps, unless what is believed here is of the same era: then it follows the store. It returns
 // what has changed.
-func (s *State) keepTold(all []KeptEvacuation) []EvacuationChange {
+func (s *State) applyKeptEvacuations(all []KeptEvacuation) []EvacuationChange {
 	if len(all) == 0 {
 		return nil
 	}
--- a/internal/discovery/news.go
+++ b/internal/discovery/news.go
@@ -218,7 +218,7 @@
 // ApplyNews takes what a peer told, and returns what that has changed.
 func (s *State) ApplyNews(n News) Changed {
 	var changed Changed
-	kept := s.keepTold(n.Kept.Evacuations) // first: nothing is sent there for a moment
+	kept := s.applyKeptEvacuations(n.Kept.Evacuations) // first: nothing is sent there for a moment
 	changed.Evacuations = append(kept, s.applyEvacuationNews(n)...)
 	s.ApplyPermits(n.Permits)
 	if !n.Outage.IsZero() {
@@ -237,7 +237,7 @@
 	} else {
 		changed.Targets = s.ApplyChanges(TargetChanges{Changes: n.Changes, Revision: n.RegistryRevision}, n.RegistryAsOf)
 	}
-	s.hearEra(n)
+	s.noteEraAge(n)
 	changed.Targets = append(tombstones, changed.Targets...)
 	return changed
 }
@@ -255,8 +255,8 @@
 	return s.ApplyEvacuations(*n.Evacuated, n.EvacuationsAsOf)
 }
 
-// hearEra takes for how long a peer has known the era of the registry.
-func (s *State) hearEra(n News) {
+// noteEraAge takes for how long a peer has known the era of the registry.
+func (s *State) noteEraAge(n News) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n.EraAge > 0 && n.RegistryRevision.Era == s.registry.revision.Era {
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -127,7 +127,7 @@
 		s.noteReply(from.ID, nil, false)
 		return News{}, Error.New("ask %s for news: %w", from.ID, err)
 	}
-	s.noteReply(from.ID, reply, s.Watches() && s.state.seeksElder())
+	s.noteReply(from.ID, reply, s.Watches() && s.state.seeksEstablishedPeer())
 	news, err := readReply(reply, asked)
 	news.From = from.ID
 	return news, err
@@ -204,7 +204,7 @@
 	return hosts[rand.IntN(len(hosts))], true
 }
 
-// noteReply notes what a host answered, nil if it did not. A host that seeks an elder asks another one next.
+// noteReply notes what a host answered, nil if it did not. A host that seeks one that has run for long asks another one next.
 func (s *Spread) noteReply(from string, r *peerpb.FollowReply, seeking bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -214,7 +214,7 @@
 			requests: quarantine.Mark{Epoch: r.RequestEpoch, Number: r.RequestNumber},
 		}
 	}
-	if r != nil && seeking && time.Duration(r.MemoryAgeUs)*time.Microsecond < elderAge {
+	if r != nil && seeking && time.Duration(r.MemoryAgeUs)*time.Microsecond < establishedAge {
 		s.misses++
 		s.turn++
 		return
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -14,16 +14,6 @@
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
-// lapseHold is how long a target whose registration went missing around an
-// outage of the store is still believed to be there. Registrations lapse
-// during an outage and are written again within about two seconds of its end.
-const lapseHold = 2200 * time.Millisecond
-
-// doubtHold is the same on a host that knew nothing new for so long that registrations may have lapsed, and whose own
-// first reading succeeds: within this time it hears of an outage from those that try each 250 ms or so. Without it, 7 of
-// 100 hosts took targets for gone that had lapsed in an outage of 2.6 s, in virtual time.
-const doubtHold = 500 * time.Millisecond
-
 // State is what the host believes. Every method is safe for concurrent use.
 type State struct {
 	clock *clock.Clock // of all ages
@@ -33,30 +23,30 @@
 	config belief
 	// configWritten is the store's revision at which the configuration in
 	// force was written; the belief's grows also when nothing changes.
-	configWritten revision.Revision
-	began         time.Time // when this host started
-	toldByElder   atomic.Bool
-	stored        storedConfig
-	numbers       *keptNumbers
-	evacuations   evacuations
-	permits       permits
-	permitsFor    time.Duration // for how long they count without news of the registry
-	seenEra       uint64        // of the registry
-	eraSeen       time.Time     // when it was first seen
-	registryAsOf  atomic.Pointer[time.Time]
-	registry      belief
-	targets       map[string]Target
-	lapsed        map[string]time.Time // targets that went missing, and until when they are kept
-	unusable      map[string]string    // problems of registrations that name no target, by id
-	outage        time.Time            // when the registry could last be read again after an outage
-	resumed       time.Time            // when the belief of the registry was last current again after lapseAfter or more
-	failing       bool                 // the last reading of the registry by this host failed
-	lapseAfter    time.Duration        // of an outage, from which on registrations may lapse in it
-	history       history
-	tombstones    tombstones
-	news          chan struct{} // closes at the next change
-	follow        []func(View)
-	findings      findings
+	configWritten     revision.Revision
+	began             time.Time // when this host started
+	toldByEstablished atomic.Bool
+	stored            storedConfig
+	numbers           *keptNumbers
+	evacuations       evacuations
+	permits           permits
+	permitsFor        time.Duration // for how long they count without news of the registry
+	seenEra           uint64        // of the registry
+	eraSeen           time.Time     // when it was first seen
+	registryAsOf      atomic.Pointer[time.Time]
+	registry          belief
+	targets           map[string]Target
+	lapsed            map[string]time.Time // targets that went missing, and until when they are kept
+	unusable          map[string]string    // problems of registrations that name no target, by id
+	outage            time.Time            // when the registry could last be read again after an outage
+	resumed           time.Time            // when the belief of the registry was last current again after lapseAfter or more
+	failing           bool                 // the last reading of the registry by this host failed
+	lapseAfter        time.Duration        // of an outage, from which on registrations may lapse in it
+	history           history
+	tombstones        tombstones
+	news              chan struct{} // closes at the next change
+	follow            []func(View)
+	findings          findings
 
 	requests *quarantine.Table // what is held against requests; nil: not shared
 
@@ -148,43 +138,6 @@
 	return table.Config.Limits
 }
 
-// ApplyConfig takes what was read of the configuration at a time. It reports
-// whether the configuration changed. An older version never replaces a newer, whatever their revisions. What is of an
-// earlier era than the belief proves nothing of its age.
-func (s *State) ApplyConfig(r ConfigRead, asOf time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r.Found || r.Listed {
-		return s.applyConfig(r, asOf, &r.Config.Version)
-	}
-	return s.applyConfig(r, asOf, nil)
-}
-
-// applyConfig is ApplyConfig with the version that the store holds at the revision, nil if that is not told. The caller holds
-// the lock.
-func (s *State) applyConfig(r ConfigRead, asOf time.Time, stored *uint64) bool {
-	if r.Revision.Era >= s.config.revision.Era {
-		s.stored.told = s.stored.told || !s.config.revision.IsZero() && s.config.revision.Era < r.Revision.Era
-		s.config.revision = revision.Later(s.config.revision, r.Revision)
-		if asOf.After(s.config.asOf) {
-			s.config.asOf = asOf
-		}
-		if stored != nil {
-			s.stored.known, s.stored.version = true, *stored
-		}
-	}
-	isNewer := r.Found && (s.table == nil || s.table.Config.Version < r.Config.Version)
-	if isNewer {
-		s.table = routing.NewTable(r.Config)
-		s.configWritten = r.Revision
-	}
-	s.refreshKeptConfig()
-	if isNewer {
-		s.tell()
-	}
-	return isNewer
-}
-
 // Freshness returns when the oldest of the beliefs was last known to be current; the
 // zero time if one never was.
 func (s *State) Freshness() time.Time {
@@ -222,12 +175,12 @@
 	if s.registry.revision.Era < l.Revision.Era {
 		s.restored(l.Revision.Era, now)
 	}
-	clear(s.tombstones.overruled)
+	clear(s.tombstones.suppressed)
 	listed := map[string]bool{}
 	var changes []TargetChange
 	for _, t := range l.Targets {
 		listed[t.ID] = true
-		t, gone := s.overrule(s.stamp(t), l.Revision, now)
+		t, gone := s.suppress(s.stamp(t), l.Revision, now)
 		if !gone {
 			changes = append(changes, TargetChange{Target: t})
 		}
@@ -258,7 +211,7 @@
 	changes := slices.Clone(c.Changes)
 	for i := range changes {
 		changes[i].Target = s.stamp(changes[i].Target)
-		s.heed(changes[i], c.Revision)
+		s.supersede(changes[i], c.Revision)
 	}
 	s.history.add(c.Revision, changes)
 	made := s.apply(changes, c.Revision, asOf)
@@ -268,111 +221,6 @@
 	return made
 }
 
-// ReadFailed tells that this host could not read the registry.
-func (s *State) ReadFailed() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.failing = true
-}
-
-// Failing reports whether the last reading of the registry by this host failed.
-func (s *State) Failing() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.failing
-}
-
-// ReadAgain tells that this host has just read the registry. After failures, while nobody told it anything
-// newer, the store was away, and registrations may have lapsed.
-func (s *State) ReadAgain() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.failing {
-		s.failing = false
-		s.noteOutage(s.clock.Now())
-	}
-}
-
-// noteOutage takes the end of an outage, as this host or a peer saw it. It is none if the belief of the
-// registry was current shortly before: it is then the way of one host to the store that failed. On the word of one such
-// host the others kept a target that had left for 2.2 s more, 4 s in all. The caller holds the lock.
-func (s *State) noteOutage(end time.Time) {
-	inDoubt := s.clock.Now().Before(s.resumed.Add(doubtHold))
-	if inDoubt || end.Sub(s.registry.asOf) >= s.lapseAfter {
-		s.endOutage(end)
-	}
-}
-
-// restored takes the first sight of a new era at a time: the copy that the store came back from lacks the newest registrations,
-// which are written again as after an outage, and what has left since is in it. The caller holds the lock.
-func (s *State) restored(era uint64, at time.Time) {
-	if !s.registry.revision.IsZero() { // else this host has just started
-		s.endOutage(at)
-	}
-	s.tombstones.restored(era, at)
-}
-
-// endOutage keeps what goes missing for a while after the end of an outage. The caller holds the lock.
-func (s *State) endOutage(end time.Time) {
-	if !end.After(s.outage) {
-		return
-	}
-	s.outage = end
-	s.wakePeers()
-	for id, until := range s.lapsed {
-		if later := end.Add(lapseHold); later.After(until) {
-			s.lapsed[id] = later
-		}
-	}
-}
-
-// holdLapsed returns until when a target that is missing now is believed to be there. The caller holds
-// the lock.
-func (s *State) holdLapsed() time.Time {
-	outage, doubt := s.outage.Add(lapseHold), s.resumed.Add(doubtHold)
-	if doubt.After(outage) {
-		return doubt
-	}
-	return outage
-}
-
-// Expire removes the targets that went missing around an outage and did not
-// come back, and permits of targets that are long gone, and believes registrations that an older copy of the store
-// brought back and that still stand. It returns the targets.
-func (s *State) Expire(now time.Time) []TargetChange {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.permits.forget(now, s.targets)
-	revived := s.tombstones.sweep(now)
-	for _, t := range revived {
-		delete(s.lapsed, t.ID)
-		s.targets[t.ID] = t
-	}
-	gone := changed(revived)
-	for id, until := range s.lapsed {
-		if now.Before(until) {
-			continue
-		}
-		gone = append(gone, TargetChange{Target: s.targets[id], Gone: true})
-		s.bury(id, s.targets[id].Born, true, s.registry.revision)
-		delete(s.lapsed, id)
-		delete(s.targets, id)
-	}
-	if len(gone) > 0 {
-		s.tell()
-	}
-	return gone
-}
-
-// changed returns the changes that make targets known.
-func changed(all []Target) []TargetChange {
-	var changes []TargetChange
-	for _, t := range all {
-		changes = append(changes, TargetChange{Target: t})
-	}
-	return changes
-}
-
 // apply changes the targets and tells the followers if anything differs.
 func (s *State) apply(changes []TargetChange, at revision.Revision, asOf time.Time) []TargetChange {
 	now := s.clock.Now()
@@ -393,7 +241,7 @@
 			unusable = append(unusable, c)
 		}
 		if !s.differs(c, now) {
-			s.noteUnheard(c)
+			s.noteUnknownGone(c)
 			continue
 		}
 		if c, ok := s.change(c, now); ok {
@@ -446,7 +294,7 @@
 	if !c.Gone {
 		delete(s.lapsed, id)
 		s.targets[id] = c.Target
-		s.noteWord(c.Target)
+		s.noteRegistration(c.Target)
 		return c, true
 	}
 	if until := s.holdLapsed(); now.Before(until) && c.Problem == "" {
@@ -456,7 +304,7 @@
 	delete(s.targets, id)
 	delete(s.lapsed, id)
 	if c.Problem == "" { // that a registration is spoilt says nothing of its target
-		s.bury(id, known.Born, true, s.registry.revision)
+		s.addTombstone(id, known.Born, true, s.registry.revision)
 	}
 	return TargetChange{Target: known, Gone: true}, true
 }
--- a/internal/discovery/tombstone.go
+++ b/internal/discovery/tombstone.go
@@ -16,7 +16,7 @@
 	at     revision.Revision
 	number uint64    // in the order in which peers are told; 0: they need not be
 	until  time.Time // when it ends after a restore; the zero time: there was none
-	buried time.Time
+	added  time.Time
 }
 
 // anyIncarnation stands for every incarnation of an id.
@@ -36,28 +36,28 @@
 type tombstones struct {
 	byID    map[string]tombstone
 	numbers *keptNumbers
-	// overruled are registrations as the store tells them, whose targets are believed to leave or to be gone.
-	overruled map[string]Target
+	// suppressed are registrations as the store tells them, whose targets are believed to leave or to be gone.
+	suppressed map[string]Target
 	// hold is how long a tombstone counts after a restore.
 	hold time.Duration
 }
 
 func newTombstones(beat time.Duration, numbers *keptNumbers) tombstones {
-	return tombstones{byID: map[string]tombstone{}, numbers: numbers, overruled: map[string]Target{}, hold: revivalBeats * beat}
+	return tombstones{byID: map[string]tombstone{}, numbers: numbers, suppressed: map[string]Target{}, hold: revivalBeats * beat}
 }
 
-// bury remembers that an incarnation leaves or is gone.
-func (t *tombstones) bury(id string, one tombstone) {
+// add remembers that an incarnation leaves or is gone.
+func (t *tombstones) add(id string, one tombstone) {
 	if _, known := t.byID[id]; !known && len(t.byID) >= mostTombstones {
 		return // so many are gone at once that some may come back for a moment
 	}
 	t.byID[id] = one
 }
 
-// exhume forgets a target's tombstone: it was written anew.
-func (t *tombstones) exhume(id string) {
+// drop forgets a target's tombstone: it was written anew.
+func (t *tombstones) drop(id string) {
 	delete(t.byID, id)
-	delete(t.overruled, id)
+	delete(t.suppressed, id)
 }
 
 // of returns the tombstone that counts against a registration as it was told at a revision.
@@ -89,13 +89,13 @@
 	var believed []Target
 	for id, one := range t.byID {
 		ended := !one.until.IsZero() && !now.Before(one.until)
-		if !ended && (!one.until.IsZero() || now.Sub(one.buried) < keepTombstones) {
+		if !ended && (!one.until.IsZero() || now.Sub(one.added) < keepTombstones) {
 			continue
 		}
-		if target, ok := t.overruled[id]; ok {
+		if target, ok := t.suppressed[id]; ok {
 			believed = append(believed, target)
 		}
-		t.exhume(id)
+		t.drop(id)
 	}
 	return believed
 }
@@ -122,49 +122,49 @@
 	return all
 }
 
-// bury remembers a target that is told to leave, or to be gone, at a revision. The caller holds the lock.
-func (s *State) bury(id string, born int64, gone bool, at revision.Revision) {
-	s.tombstones.bury(id, tombstone{born: born, gone: gone, at: at, buried: s.clock.Now()})
+// addTombstone remembers a target that is told to leave, or to be gone, at a revision. The caller holds the lock.
+func (s *State) addTombstone(id string, born int64, gone bool, at revision.Revision) {
+	s.tombstones.add(id, tombstone{born: born, gone: gone, at: at, added: s.clock.Now()})
 }
 
-// heed makes a change that was written in this era count more than what is kept from an earlier one. The caller holds the lock.
-func (s *State) heed(c TargetChange, at revision.Revision) {
+// supersede makes a change that was written in this era count more than what is kept from an earlier one. The caller holds the lock.
+func (s *State) supersede(c TargetChange, at revision.Revision) {
 	t := c.Target
 	switch {
 	case c.Gone:
-		delete(s.tombstones.overruled, t.ID) // it may be kept for a while, as one that leaves if it did
+		delete(s.tombstones.suppressed, t.ID)       // it may be kept for a while, as one that leaves if it did
 	case t.Draining:
-		s.tombstones.exhume(t.ID)
-		s.bury(t.ID, t.Born, false, at) // also where it is believed already
+		s.tombstones.drop(t.ID)
+		s.addTombstone(t.ID, t.Born, false, at) // also where it is believed already
 	default:
-		s.tombstones.exhume(t.ID)
+		s.tombstones.drop(t.ID)
 	}
 }
 
-// noteUnheard buries a target that is told to be gone and was never heard of. The caller holds the lock.
-func (s *State) noteUnheard(c TargetChange) {
+// noteUnknownGone adds the tombstone of a target that is told to be gone and was never heard of. The caller holds the lock.
+func (s *State) noteUnknownGone(c TargetChange) {
 	id := c.Target.ID
 	_, heard := s.targets[id]
-	if _, buried := s.tombstones.byID[id]; c.Gone && c.Problem == "" && !heard && !buried {
-		s.bury(id, anyIncarnation, true, s.registry.revision)
+	if _, known := s.tombstones.byID[id]; c.Gone && c.Problem == "" && !heard && !known {
+		s.addTombstone(id, anyIncarnation, true, s.registry.revision)
 	}
 }
 
-// noteWord buries a target that says that it leaves, and forgets the tombstone of one that says that it is there; not of one that
+// noteRegistration adds the tombstone of a target that says that it leaves, and drops the tombstone of one that says that it is there; not of one that
 // is only believed to leave. The caller holds the lock.
-func (s *State) noteWord(t Target) {
-	switch _, overruled := s.tombstones.overruled[t.ID]; {
-	case overruled:
+func (s *State) noteRegistration(t Target) {
+	switch _, suppressed := s.tombstones.suppressed[t.ID]; {
+	case suppressed:
 	case t.Draining:
-		s.bury(t.ID, t.Born, false, s.registry.revision)
+		s.addTombstone(t.ID, t.Born, false, s.registry.revision)
 	default:
-		s.tombstones.exhume(t.ID)
+		s.tombstones.drop(t.ID)
 	}
 }
 
-// overrule returns what is to be believed of a registration in a list: nothing of a target that is gone, and of one that leaves
+// suppress returns what is to be believed of a registration in a list: nothing of a target that is gone, and of one that leaves
 // that it does. The caller holds the lock.
-func (s *State) overrule(t Target, at revision.Revision, now time.Time) (believed Target, gone bool) {
+func (s *State) suppress(t Target, at revision.Revision, now time.Time) (believed Target, gone bool) {
 	if known, ok := s.targets[t.ID]; ok && t.Born > 0 && t.Born < known.Born {
 		return known, false // the copy has an earlier incarnation; this one writes itself again, or lapses
 	}
@@ -172,7 +172,7 @@
 	if !ok || !one.gone && t.Draining {
 		return t, false
 	}
-	s.tombstones.overruled[t.ID] = t
+	s.tombstones.suppressed[t.ID] = t
 	t.Draining = true
 	return t, one.gone
 }
@@ -192,12 +192,12 @@
 		if known, ok := s.tombstones.byID[told.Target]; ok && (!isEarlier || !known.at.Before(told.At)) {
 			continue
 		}
-		one := tombstone{born: told.Born, gone: told.Gone, at: told.At, buried: now}
+		one := tombstone{born: told.Born, gone: told.Gone, at: told.At, added: now}
 		if isEarlier {
 			one = s.tombstones.inForce(one, now)
 		}
-		s.tombstones.bury(told.Target, one)
-		if c, ok := s.overruleKnown(told.Target, now); ok {
+		s.tombstones.add(told.Target, one)
+		if c, ok := s.suppressKnown(told.Target, now); ok {
 			made = append(made, c)
 		}
 	}
@@ -207,17 +207,17 @@
 	return made
 }
 
-// overruleKnown applies a new tombstone to what is believed of its target, and reports whether that changes. The caller holds
+// suppressKnown applies a new tombstone to what is believed of its target, and reports whether that changes. The caller holds
 // the lock.
-func (s *State) overruleKnown(id string, now time.Time) (TargetChange, bool) {
+func (s *State) suppressKnown(id string, now time.Time) (TargetChange, bool) {
 	t, ok := s.targets[id]
 	if !ok {
 		return TargetChange{}, false
 	}
 	_, missing := s.lapsed[id]
-	believed, gone := s.overrule(t, s.registry.revision, now)
+	believed, gone := s.suppress(t, s.registry.revision, now)
 	if missing { // the store does not have it either, so that nothing is to be believed again
-		delete(s.tombstones.overruled, id)
+		delete(s.tombstones.suppressed, id)
 	}
 	if gone {
 		delete(s.targets, id)
@@ -233,11 +233,11 @@
 	all := make([]Target, 0, len(s.targets))
 	for id, t := range s.targets {
 		_, missing := s.lapsed[id]
-		if _, overruled := s.tombstones.overruled[id]; !missing && !overruled {
+		if _, suppressed := s.tombstones.suppressed[id]; !missing && !suppressed {
 			all = append(all, t)
 		}
 	}
-	for _, t := range s.tombstones.overruled {
+	for _, t := range s.tombstones.suppressed {
 		all = append(all, t)
 	}
 	return all
