A tombstone outlives a second restore

What would be seen: requests at a target that had left, where the store comes back twice within ten seconds, the second time from a copy in which the target's registration had been brought back by the first.

--- a/internal/discovery/restore_test.go
+++ b/internal/discovery/restore_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/clock"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // The store is away for some seconds and comes back from an older copy. That takes few calls more than the same outage
@@ -56,3 +59,25 @@
 		})
 	}
 }
+
+// The registration of a target that left lapses once more after a restore. A second restore, ten seconds later, to a copy
+// from before it lapsed does not bring the target back either.
+func TestTombstoneOutlivesASecondRestore(t *testing.T) {
+	is := is.New(t)
+	c, pass := clock.Virtual()
+	s := NewState()
+	s.GoBy(c)
+	in := func(era, number uint64) revision.Revision { return revision.Revision{Era: era, Number: number} }
+	left := []Target{{ID: "left", Born: 3, Service: "s"}}
+	s.ApplyTargets(TargetList{Targets: left, Revision: in(1, 5)}, c.Now())
+	s.ApplyChanges(TargetChanges{Changes: went("left"), Revision: in(1, 9)}, c.Now())
+	is.Equal(len(s.View().Targets), 0)
+	s.ApplyTargets(TargetList{Targets: left, Revision: in(2, 6)}, c.Now())
+	is.Equal(len(s.View().Targets), 0)
+	pass(4 * time.Second)
+	s.ApplyChanges(TargetChanges{Changes: went("left"), Revision: in(2, 7)}, c.Now())
+	pass(6 * time.Second)
+	s.Expire(c.Now())
+	s.ApplyTargets(TargetList{Targets: left, Revision: in(3, 6)}, c.Now())
+	is.Equal(len(s.View().Targets), 0)
+}
