--- a/internal/discovery/tombstone.go
+++ b/internal/discovery/tombstone.go
@@ -133,6 +133,9 @@
 	switch {
 	case c.Gone:
 		delete(s.tombstones.suppressed, t.ID)       // it may be kept for a while, as one that leaves if it did
+		if one, ok := s.tombstones.byID[t.ID]; ok { // it counts for the next restore as well
+			s.addTombstone(t.ID, one.born, one.gone, at)
+		}
 	case t.Draining:
 		s.tombstones.drop(t.ID)
 		s.addTombstone(t.ID, t.Born, false, at) // also where it is believed already
