A host that starts asks others what they know before it reads the store

All at hosts that had started within the last half second, after the store had come back from a copy that still had the targets.

Ruled out: a tombstone that ended too early (the host that stayed held it), and one that was not told (it was, with the first answer).

Now a host asks up to eight others, seeds among them, before it follows the store or peers: until one that has run for 15 s has told what it knows, all have answered or failed, or 0.2 s are over. It takes the place of the questions that hosts which watch the store sent after their first reading. Event 10012 tells the outcome.

--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -30,6 +30,10 @@
 	evEvacuationUnreadable = event.Define(10011, "evacuation_unreadable", plog.WarnLevel,
 		"An entry among the evacuations names no failure domain that can be read; it evacuates none.",
 		"Find who wrote it.", "problem")
+	evRecalled = event.Define(10012, "beliefs_recalled", plog.InfoLevel,
+		"The host has started and asked others what they know before it reads the store: one that has run for long has told (established), or none of those asked was heard to have.",
+		"If none is established though the fleet was not started anew: for some seconds the host knows only what the store tells, which may have come back from an older copy.",
+		"established", "peer", "asked", "took")
 	evRegistryTold = event.Define(10008, "registry_told", plog.InfoLevel,
 		"A peer told what is newer in the registry than a revision that the host held: all targets there are (whole), or changes.",
 		"none", "peer", "since_era", "since", "era", "revision", "whole", "targets")
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -32,6 +32,11 @@
 	Isolated() bool
 	// News asks a host that watches the store what is newer than the revisions.
 	News(ctx context.Context, than Known, wait time.Duration) (News, error)
+	// Contacts returns the addresses of hosts to ask at the start, the best first.
+	Contacts() []string
+	// Recall asks the host at an address what it knows that is newer than the revisions, and all that it keeps over a restore. It
+	// is answered at once.
+	Recall(ctx context.Context, address string, than Known) (News, error)
 	// TellFindings tells what this host has judged of targets.
 	TellFindings(ctx context.Context, all []Finding)
 	// TellRequests tells what this host holds against requests, and returns how many of
@@ -49,6 +54,10 @@
 func (alone) News(context.Context, Known, time.Duration) (News, error) {
 	return News{}, Error.New("there are no peers")
 }
+func (alone) Contacts() []string { return nil }
+func (alone) Recall(context.Context, string, Known) (News, error) {
+	return News{}, Error.New("there are no peers")
+}
 func (alone) TellFindings(context.Context, []Finding)               {}
 func (alone) TellRequests(context.Context, []quarantine.Record) int { return 0 }
 
@@ -70,6 +79,7 @@
 	mu   sync.Mutex
 	back chan struct{} // closes when the store answers after it did not
 
+	recalled   chan struct{} // closes when store and peers may be followed
 	started    time.Time
 	draw       float64     // random part of the times of a host that knows nothing
 	peerFailed atomic.Bool // the last question to a peer brought nothing
@@ -88,7 +98,7 @@
 	state.tombstones = newTombstones(cfg.RegistrationBeat.Std(), state.numbers)
 	state.evacuations.followed, state.evacuations.keepFor = cfg.followsEvacuations(), cfg.keepEvacuations()
 	return &Follower{cfg: cfg, source: source, peers: peers, state: state, log: log, metrics: newMetrics(reg),
-		unusableLines: rate.NewLimiter(unusableLines, unusableBurst), back: make(chan struct{})}
+		unusableLines: rate.NewLimiter(unusableLines, unusableBurst), back: make(chan struct{}), recalled: make(chan struct{})}
 }
 
 // Start begins to follow and returns at once: the store may be away.
@@ -97,6 +107,7 @@
 	f.cancel = cancel
 	f.started = time.Now()
 	f.draw = rand.Float64()
+	f.done.Go(func() { f.recall(ctx) })
 	f.done.Go(func() { f.run(ctx, "configuration", f.followConfig) })
 	f.done.Go(func() { f.run(ctx, "targets", f.followTargets) })
 	if f.cfg.followsEvacuations() {
@@ -144,6 +155,7 @@
 	l := &link{follower: f, what: what, pause: backoff.NewExponentialBackOff()}
 	l.pause.InitialInterval = f.cfg.RetryFirst.Std()
 	l.pause.MaxInterval = f.cfg.RetryMost.Std()
+	f.awaitRecall(ctx)
 	for ctx.Err() == nil {
 		if !f.shouldWatch() {
 			await.Sleep(ctx, f.lookAgain())
@@ -158,6 +170,14 @@
 	}
 }
 
+// awaitRecall waits until the store and peers may be followed.
+func (f *Follower) awaitRecall(ctx context.Context) {
+	select {
+	case <-f.recalled:
+	case <-ctx.Done():
+	}
+}
+
 // rest waits for a pause, or until the store has answered another line of
 // calls: after a restart during an outage nothing can be served before both the
 // configuration and the targets are known.
@@ -338,42 +358,44 @@
 
 // followPeers takes news from the hosts that watch the store.
 func (f *Follower) followPeers(ctx context.Context) {
+	f.awaitRecall(ctx)
 	for ctx.Err() == nil {
 		// A host that watches for all asks the others, too, when the store
 		// turns it away: it may serve them.
-		// Nor does it rely on the store alone once it has started: that may have lost what the others know.
-		if !f.state.seeksEstablishedPeer() && f.peers.Watches() && f.state.clock.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
+		if f.peers.Watches() && f.state.clock.Since(f.state.Freshness()) <= f.cfg.staleAfter() {
 			await.Sleep(ctx, lookEvery)
 			continue
 		}
 		wait, timeout := f.peerWait()
 		limited, cancel := context.WithTimeout(ctx, timeout)
-		known := f.state.Known()
-		news, err := f.peers.News(limited, known, wait)
+		news, err := f.peers.News(limited, f.state.Known(), wait)
 		cancel()
 		f.peerFailed.Store(err != nil || !f.complete(news))
 		if err != nil {
 			await.Sleep(ctx, lookEvery) // the next one asked may be another
 			continue
 		}
-		if f.complete(news) && news.MemoryAge >= establishedAge {
-			f.state.toldByEstablished.Store(true)
-		}
-		if news.AllTargets || len(news.Changes) > 0 {
-			f.log.Event(evRegistryTold).Str("peer", news.From).Uint64("since_era", known.RegistryRevision.Era).Uint64("since", known.RegistryRevision.Number).
-				Uint64("era", news.RegistryRevision.Era).Uint64("revision", news.RegistryRevision.Number).Bool("whole", news.AllTargets).Int("targets", len(news.Changes)).Msg("")
-		}
-		changed := f.state.ApplyNews(news)
-		if changed.Config {
-			f.logConfig("peer")
-		}
-		f.logEvacuations(changed.Evacuations, "peer")
-		f.logTargets(changed.Targets, "peer")
-		f.state.learn(news.Findings)
-		f.state.mergeRequests(news.Requests)
+		f.applyNews(news)
 	}
 }
 
+// applyNews takes what a peer told.
+func (f *Follower) applyNews(news News) {
+	known := f.state.Known()
+	if news.AllTargets || len(news.Changes) > 0 {
+		f.log.Event(evRegistryTold).Str("peer", news.From).Uint64("since_era", known.RegistryRevision.Era).Uint64("since", known.RegistryRevision.Number).
+			Uint64("era", news.RegistryRevision.Era).Uint64("revision", news.RegistryRevision.Number).Bool("whole", news.AllTargets).Int("targets", len(news.Changes)).Msg("")
+	}
+	changed := f.state.ApplyNews(news)
+	if changed.Config {
+		f.logConfig("peer")
+	}
+	f.logEvacuations(changed.Evacuations, "peer")
+	f.logTargets(changed.Targets, "peer")
+	f.state.learn(news.Findings)
+	f.state.mergeRequests(news.Requests)
+}
+
 // complete reports whether the host that told news knows all that this one has to know.
 func (f *Follower) complete(n News) bool {
 	evacuations := !f.cfg.followsEvacuations() || !n.EvacuationsAsOf.IsZero()
@@ -386,9 +408,6 @@
 	if f.state.Freshness().IsZero() {
 		return f.coldPeerWait()
 	}
-	if f.peers.Watches() && f.state.seeksEstablishedPeer() {
-		return seekWait, f.cfg.peerTimeout()
-	}
 	if f.state.clock.Since(f.state.Freshness()) > f.cfg.hurryAfter() {
 		return f.cfg.hurriedWait(), f.cfg.peerTimeout()
 	}
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -172,6 +172,10 @@
 func (f *fakePeers) TellRequests(context.Context, []quarantine.Record) int { return 0 }
 func (f *fakePeers) TellFindings(_ context.Context, all []Finding)         { f.watcher.spreadFindings(all) }
 
+// Contacts returns none: the one peer is asked for news.
+func (f *fakePeers) Contacts() []string                                  { return nil }
+func (f *fakePeers) Recall(context.Context, string, Known) (News, error) { return News{}, errAway }
+
 func (f *fakePeers) setCut(cut bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/discovery/kept.go
+++ b/internal/discovery/kept.go
@@ -1,10 +1,6 @@
 package discovery
 
-import (
-	"time"
-
-	"rhubarbwood.example/rhubarbwood/internal/routing"
-)
+import "rhubarbwood.example/rhubarbwood/internal/routing"
 
 // The store may come back from a copy that lacks what hosts know: targets that left, evacuations, the version in force. They
 // keep that, and tell it to peers apart from what the store tells: a peer at the same revision may have read only the copy.
@@ -41,20 +37,3 @@
 	}
 	return k
 }
-
-const (
-	// establishedAge is how long a host must have run to know what the store may have lost: more than the age of its copy, and the time
-	// that it was away.
-	establishedAge = 15 * time.Second
-	// seekFor is for how long a host that starts asks others for one that has run for so long. What is kept over a restore
-	// counts for about as long.
-	seekFor = 6 * time.Second
-	// seekWait is how long each of them may hold the question.
-	seekWait = 50 * time.Millisecond
-)
-
-// seeksEstablishedPeer reports whether this host has just started, and no host that has run for long has told it what it keeps. Hosts that
-// read the store alone, or hear of others that have just started, too, do not know what an older copy lacks.
-func (s *State) seeksEstablishedPeer() bool {
-	return !s.toldByEstablished.Load() && s.clock.Since(s.began) < seekFor
-}
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -27,6 +27,7 @@
 	members member.View
 	dialer  peer.Dialer
 	state   *State
+	seeds   []string // addresses of hosts that may not be known yet
 
 	met atomic.Bool // another host was known
 
@@ -38,6 +39,9 @@
 	// groups are made anew with each generation of the membership.
 	groups     *groups
 	generation uint64
+	// contacts are made anew with each generation of the membership.
+	contacts   []string
+	contactsOf uint64
 	encoded    encodedConfig
 }
 
@@ -59,6 +63,9 @@
 	return &Spread{cfg: cfg, members: members, dialer: dialer, state: state, turn: turn, heard: map[string]heardMark{}}
 }
 
+// AskFirst sets addresses of hosts to ask at the start that may not be known yet. It is to be called before the exchange is used.
+func (s *Spread) AskFirst(seeds []string) { s.seeds = seeds }
+
 // divided returns the groups of the fleet as this host sees it.
 func (s *Spread) divided() *groups {
 	generation := s.members.Generation()
@@ -124,15 +131,65 @@
 	writeKnown(than, req)
 	reply, err := peerpb.NewDRPCDiscoveryClient(s.dialer.Conn(ctx, from.Peer)).Follow(ctx, req)
 	if err != nil {
-		s.noteReply(from.ID, nil, false)
+		s.noteReply(from.ID, nil)
 		return News{}, Error.New("ask %s for news: %w", from.ID, err)
 	}
-	s.noteReply(from.ID, reply, s.Watches() && s.state.seeksEstablishedPeer())
+	s.noteReply(from.ID, reply)
 	news, err := readReply(reply, asked)
 	news.From = from.ID
 	return news, err
 }
 
+// Contacts implements Peers: hosts of the own failure domain before others, those that have run for longest first, then the
+// seeds that may be others still.
+func (s *Spread) Contacts() []string {
+	generation := s.members.Generation()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.contacts == nil || s.contactsOf != generation {
+		s.contacts, s.contactsOf = s.chooseContacts(), generation
+	}
+	return s.contacts
+}
+
+func (s *Spread) chooseContacts() []string {
+	self := s.members.Self()
+	known := except(s.members.Hosts(), self.ID)
+	distance := func(h member.Host) int {
+		if h.FailureDomain == self.FailureDomain {
+			return 0
+		}
+		return 1
+	}
+	slices.SortFunc(known, func(a, b member.Host) int {
+		return cmp.Or(cmp.Compare(distance(a), distance(b)), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	all := []string{}
+	for _, h := range known {
+		all = append(all, h.Peer)
+	}
+	for _, seed := range s.seeds {
+		if seed != self.Peer && !slices.Contains(all, seed) {
+			all = append(all, seed)
+		}
+	}
+	return all[:min(len(all), mostContacts)]
+}
+
+// Recall implements Peers.
+func (s *Spread) Recall(ctx context.Context, address string, than Known) (News, error) {
+	asked := s.state.clock.Now()
+	req := &peerpb.FollowRequest{}
+	writeKnown(than, req)
+	reply, err := peerpb.NewDRPCDiscoveryClient(s.dialer.Conn(ctx, address)).Follow(ctx, req)
+	if err != nil {
+		return News{}, Error.New("ask %s for what it knows: %w", address, err)
+	}
+	news, err := readReply(reply, asked)
+	news.From = address
+	return news, err
+}
+
 // anyEvery is after how many questions in a row that brought nothing a host of the
 // whole fleet is asked, not of the own group.
 const anyEvery = 4
@@ -204,8 +261,8 @@
 	return hosts[rand.IntN(len(hosts))], true
 }
 
-// noteReply notes what a host answered, nil if it did not. A host that seeks one that has run for long asks another one next.
-func (s *Spread) noteReply(from string, r *peerpb.FollowReply, seeking bool) {
+// noteReply notes what a host answered, nil if it did not.
+func (s *Spread) noteReply(from string, r *peerpb.FollowReply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r != nil {
@@ -214,11 +271,6 @@
 			requests: quarantine.Mark{Epoch: r.RequestEpoch, Number: r.RequestNumber},
 		}
 	}
-	if r != nil && seeking && time.Duration(r.MemoryAgeUs)*time.Microsecond < establishedAge {
-		s.misses++
-		s.turn++
-		return
-	}
 	if r != nil && s.fresh(r.ConfigAgeUs) && s.fresh(r.RegistryAgeUs) && (!s.cfg.followsEvacuations() || s.fresh(r.EvacuationsAgeUs)) {
 		s.misses = 0
 		return
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -23,30 +23,29 @@
 	config belief
 	// configWritten is the store's revision at which the configuration in
 	// force was written; the belief's grows also when nothing changes.
-	configWritten     revision.Revision
-	began             time.Time // when this host started
-	toldByEstablished atomic.Bool
-	stored            storedConfig
-	numbers           *keptNumbers
-	evacuations       evacuations
-	permits           permits
-	permitsFor        time.Duration // for how long they count without news of the registry
-	seenEra           uint64        // of the registry
-	eraSeen           time.Time     // when it was first seen
-	registryAsOf      atomic.Pointer[time.Time]
-	registry          belief
-	targets           map[string]Target
-	lapsed            map[string]time.Time // targets that went missing, and until when they are kept
-	unusable          map[string]string    // problems of registrations that name no target, by id
-	outage            time.Time            // when the registry could last be read again after an outage
-	resumed           time.Time            // when the belief of the registry was last current again after lapseAfter or more
-	failing           bool                 // the last reading of the registry by this host failed
-	lapseAfter        time.Duration        // of an outage, from which on registrations may lapse in it
-	history           history
-	tombstones        tombstones
-	news              chan struct{} // closes at the next change
-	follow            []func(View)
-	findings          findings
+	configWritten revision.Revision
+	began         time.Time // when this host started
+	stored        storedConfig
+	numbers       *keptNumbers
+	evacuations   evacuations
+	permits       permits
+	permitsFor    time.Duration // for how long they count without news of the registry
+	seenEra       uint64        // of the registry
+	eraSeen       time.Time     // when it was first seen
+	registryAsOf  atomic.Pointer[time.Time]
+	registry      belief
+	targets       map[string]Target
+	lapsed        map[string]time.Time // targets that went missing, and until when they are kept
+	unusable      map[string]string    // problems of registrations that name no target, by id
+	outage        time.Time            // when the registry could last be read again after an outage
+	resumed       time.Time            // when the belief of the registry was last current again after lapseAfter or more
+	failing       bool                 // the last reading of the registry by this host failed
+	lapseAfter    time.Duration        // of an outage, from which on registrations may lapse in it
+	history       history
+	tombstones    tombstones
+	news          chan struct{} // closes at the next change
+	follow        []func(View)
+	findings      findings
 
 	requests *quarantine.Table // what is held against requests; nil: not shared
 
--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -41,6 +41,8 @@
 	10005, // two permits of a cold target at once: the store had lost one
 	10211, // hosts that had started around a restore sent to a target that had left
 	10235, // the same, with an earlier incarnation of the target in the copy
+	10306, // two hosts that had started together read the copy 0.5 s before they met the one that knew better
+	11043, // the same, with one host
 }
 
 // A short soak of real processes. "rhubarbwood soak" runs longer ones.
--- a/internal/gatewayhost/fleet_test.go
+++ b/internal/gatewayhost/fleet_test.go
@@ -41,6 +41,7 @@
 	workTime   = 10 * time.Millisecond   // of a request at a target
 	callerTime = 600 * time.Millisecond  // that a caller waits
 	beat       = 1200 * time.Millisecond // between two registrations of a target
+	farAway    = 150 * time.Millisecond  // that a connection to a far host takes
 )
 
 // fleetDomains are the failure domains of the hosts in turn; targets stand in all but the last.
@@ -72,6 +73,7 @@
 	started  []*platformtarget.Target
 	// work are all requests as they came to targets.
 	work []targetWork
+	far  string // address to which a connection takes farAway
 	// endsAfter returns how long a target runs a request before it ends; nil: half of the
 	// usual work.
 	endsAfter func(target int) time.Duration
@@ -275,6 +277,7 @@
 // hostNetwork is the network as one process sees it: it ends with the process.
 type hostNetwork struct {
 	network *standin.Network
+	fleet   *fleet
 
 	mu    sync.Mutex
 	dead  bool
@@ -300,6 +303,9 @@
 func (n *hostNetwork) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	toPeer := strings.HasSuffix(address, fmt.Sprint(":", portPeers))
 	toStore := address == storeAddress
+	if address == n.fleet.far {
+		time.Sleep(farAway)
+	}
 	if n.cut(toPeer, toStore) {
 		return nil, net.ErrClosed
 	}
@@ -495,7 +501,7 @@
 	if f.settings != nil {
 		f.settings(&s)
 	}
-	p := &fleetHostProcess{network: &hostNetwork{network: f.network}}
+	p := &fleetHostProcess{network: &hostNetwork{network: f.network, fleet: f}}
 	onPlatform := OnPlatform()
 	onPlatform.Records = func(c objstore.Config) objstore.Records {
 		return platform.NewObjectsOver(p.network.Dial, c.Addresses...)
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -237,6 +237,7 @@
 		return nil, l.Err
 	}
 	s := discovery.NewSpread(h.settings.Discovery, members, pool, state.State)
+	s.AskFirst(h.settings.Member.Seeds)
 	return spreadModule{s}, s.Register(server)
 }
 
--- a/internal/gatewayhost/restore_test.go
+++ b/internal/gatewayhost/restore_test.go
@@ -174,13 +174,18 @@
 
 // restart kills the first hosts and starts each anew.
 func (f *fleet) restart(n int) {
-	for i, h := range f.hosts[:n] {
-		h.network.kill()
-		f.old = append(f.old, h)
-		f.hosts[i] = f.startHost(i)
+	for i := range f.hosts[:n] {
+		f.restartHost(i)
 	}
 }
 
+// restartHost kills a host and starts it anew.
+func (f *fleet) restartHost(i int) {
+	f.hosts[i].network.kill()
+	f.old = append(f.old, f.hosts[i])
+	f.hosts[i] = f.startHost(i)
+}
+
 // A target that the copy brings back, and that lives, is used again, though it has nothing new to say: its registration
 // had lapsed while it could not reach the store.
 func TestTargetThatLivesIsBackThoughItHadLapsed(t *testing.T) {
--- /dev/null
+++ b/internal/gatewayhost/startgap_test.go
@@ -0,0 +1,52 @@
+package gatewayhost
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
+	"rhubarbwood.example/rhubarbwood/platform"
+)
+
+// Hosts that start while the store is away know each other before they know one that has run for long. The store comes back
+// from a copy that has a target which left: they send it nothing, though the way to that host takes longer than the store's.
+func TestHostsThatStartTogetherLeaveOutTargetsThatLeft(t *testing.T) {
+	for name, stays := range map[string]int{"one that is no seed stays": fleetHosts - 1, "one that is a seed stays": 1} {
+		t.Run(name, func(t *testing.T) {
+			runFleet(t, &fleet{}, func(t *testing.T, f *fleet) {
+				is := is.New(t)
+				time.Sleep(20 * time.Second)
+				older := f.store.Copy()
+				var gone []*fleetTarget
+				for _, t := range f.targets {
+					if t.service == singleService {
+						gone = append(gone, t)
+						f.store.Remove(platform.KindTargets, t.id)
+					}
+				}
+				time.Sleep(time.Second)
+				left := time.Now()
+
+				f.store.SetFaults(objectstore.Faults{Outage: objectstore.OutageCut})
+				time.Sleep(awayFor)
+				f.far = hostAddress(stays, portPeers)
+				for i := range f.hosts {
+					if i != stays {
+						f.restartHost(i)
+					}
+				}
+				callers := f.keepAskingEvery(2 * time.Millisecond)
+				defer callers.stop()
+				time.Sleep(20 * time.Millisecond)
+				f.store.Restore(older)
+				f.store.SetFaults(objectstore.Faults{})
+				time.Sleep(time.Second)
+				for _, t := range gone {
+					is.Equal(f.workAt(t, left), 0)
+				}
+			})
+		})
+	}
+}
