A watcher that is refused after a restore reads everything at once; others wait for it

Cause, traced in 40 fleets of seven hosts: in a long outage hosts that do not watch turn to the store as well. When it comes back from an older copy all are refused; the host that watches then waited for a pause that had grown to 250 ms in the outage, and another one with a shorter pause read the 6 pages as well (6 of 40). Ruled out: restarts (none), the question at the start (none starts).

The first refusal shows that the outage is over: it ends the grown pause, a host that watches reads at once, and others wait for the longest pause of one that does. Refused again without an answered watch between, pauses grow as before.

TestOnlyTheWatcherReadsTheRegistryAfterARestore: fails before, passes in 100 fleets.

--- a/internal/discovery/config.go
+++ b/internal/discovery/config.go
@@ -162,6 +162,10 @@
 // hurriedWait is peerWait of a host in a hurry.
 func (c Config) hurriedWait() time.Duration { return c.peerWait() / 10 }
 
+// watcherBack is the time from the end of an outage within which a host that watches has read everything: its longest pause
+// between two calls, drawn at up to one and a half times RetryMost, and the reading.
+func (c Config) watcherBack() time.Duration { return c.RetryMost.Std()*3/2 + coldStep }
+
 // batchWait is the time between a watch that found changes of the registry and
 // the next one. Targets that start or leave together are then read together: at
 // the start of 118 targets three watching hosts made 354 calls without it,
--- a/internal/discovery/evacuation.go
+++ b/internal/discovery/evacuation.go
@@ -198,8 +198,7 @@
 	if err != nil {
 		return err
 	}
-	l.reached()
-	l.pause.Reset()
+	l.watched()
 	f.logUnreadable(changes.Problems)
 	f.logEvacuations(f.state.ApplyEvacuationChanges(changes, w.provedAsOf(len(changes.Changes) > 0)), "store")
 	return nil
--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -209,11 +209,18 @@
 // In a large fleet the calls of all hosts together keep a spacing.
 //
 // A store that has dropped its history does answer, so everything is read again
-// soon: 71 hosts that waited for their turn served an old configuration for 4 s.
+// soon: 71 hosts that waited for their turn served an old configuration for 4 s. A host that watches
+// reads at once, unless it was refused so again; the others give it the time to tell them.
 func (f *Follower) pauseAfter(l *link, err error) time.Duration {
 	pause := l.pause.NextBackOff()
-	if f.peers.Watches() || errors.Is(err, ErrHistoryGone) {
+	isGone, watches := errors.Is(err, ErrHistoryGone), f.peers.Watches()
+	switch {
+	case isGone && watches && l.refused == 1:
+		return 0
+	case watches:
 		return pause
+	case isGone:
+		return max(pause, f.cfg.watcherBack())
 	}
 	return max(pause, f.cfg.watchWait(), time.Duration(f.peers.Hosts())*f.cfg.CallSpacing.Std())
 }
@@ -229,6 +236,7 @@
 	// held is the revision that this host held at the last call, and gone the one since which the store does not have the
 	// changes: nothing but a reading, or what a peer knows, goes on from there.
 	held, gone revision.Revision
+	refused    int // watches in a row that the store refused, as it does not have the changes
 }
 
 // mustList reports whether everything has to be read before a watch from a revision that
@@ -253,10 +261,21 @@
 	}
 }
 
+// watched notes the answer to a watch.
+func (l *link) watched() {
+	l.reached()
+	l.pause.Reset()
+	l.refused = 0
+}
+
 // failed notes a call that brought nothing.
 func (l *link) failed(err error) {
 	if errors.Is(err, ErrHistoryGone) {
 		l.gone = l.held
+		l.refused++
+		if l.refused == 1 {
+			l.pause.Reset() // it has grown in an outage that is over
+		}
 		l.follower.log.Event(evHistoryGone).Str("what", l.what).Uint64("era", l.held.Era).Uint64("revision", l.held.Number).Msg("")
 		return
 	}
@@ -285,8 +304,7 @@
 	if err != nil {
 		return err
 	}
-	l.reached()
-	l.pause.Reset()
+	l.watched()
 	f.applyConfig(read, w.provedAsOf(read.Found), "store")
 	return nil
 }
@@ -332,8 +350,7 @@
 	if err != nil {
 		return f.targetsFailed(err)
 	}
-	l.reached()
-	l.pause.Reset()
+	l.watched()
 	f.state.ReadAgain()
 	f.logTargets(f.state.ApplyChanges(changes, w.provedAsOf(len(changes.Changes) > 0)), "store")
 	if len(changes.Changes) > 0 {
--- a/internal/discovery/follower_test.go
+++ b/internal/discovery/follower_test.go
@@ -30,6 +30,7 @@
 	deaf     bool
 	gone     uint64 // history up to this revision is gone
 	calls    int
+	lists    int // of these, for the registry or a page of it
 
 	evacuations evacuationLog
 }
@@ -142,6 +143,7 @@
 func (f *fakeStore) Targets(context.Context) (TargetList, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.lists++
 	return TargetList{Revision: f.at(f.revision)}, f.begin()
 }
 
--- a/internal/discovery/restore_test.go
+++ b/internal/discovery/restore_test.go
@@ -60,6 +60,32 @@
 	}
 }
 
+// Hosts that do not watch the store have turned to it in the outage, and are refused like the one that does: it reads the
+// registry, and they are told.
+func TestOnlyTheWatcherReadsTheRegistryAfterARestore(t *testing.T) {
+	const lost = 3 // revisions
+	for range 20 { // pauses between failed calls are drawn anew
+		withFleet(t, 7, time.Second, func(_ *simNet, store *fakeStore, all []*simHost) {
+			is := is.New(t)
+			time.Sleep(10 * time.Second)
+			for range lost {
+				store.set(func() { store.revision++ })
+			}
+			time.Sleep(2 * time.Second)
+			store.set(func() { store.away = true })
+			time.Sleep(4500 * time.Millisecond)
+			store.restore(lost)
+			before := store.lists
+			store.set(func() { store.away = false })
+			time.Sleep(2 * time.Second)
+			is.Equal(store.lists-before, (fleetTargets-1)/pageOfTargets+1)
+			for _, h := range all {
+				is.Equal(h.state.Known().RegistryRevision.Era, uint64(2))
+			}
+		})
+	}
+}
+
 // The registration of a target that left lapses once more after a restore. A second restore, ten seconds later, to a copy
 // from before it lapsed does not bring the target back either.
 func TestTombstoneOutlivesASecondRestore(t *testing.T) {
