A question to a target keeps a connection for its request before it gives its own back

Cause: a target that may have started again is asked on its health path first. The question's connection went back to the idle ones, and only then one was reserved for the request; a request that waited for a connection took it between the two, and the first one failed with "every connection to the target is in use". Seen in the error of 12 of 12 refusals. Ruled out: the bound of cold targets (not reached), the store's eras (it failed alike before them).

--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -169,15 +169,16 @@
 	if r.deadline.Before(deadline) {
 		deadline = r.deadline
 	}
+	t.pool.Reserve() // before the question gives its connection back, which others wait for
 	v, err := g.askHealth(ctx, deadline, conn, s, r)
 	if err != nil {
+		t.pool.Unreserve()
 		return nil, err
 	}
 	s.mu.Lock()
 	t.warmth.answered = max(t.warmth.answered, doubt)
 	s.toldWarmup(time.Now(), t, v.Warmup)
 	s.mu.Unlock()
-	t.pool.Reserve()
 	return t.pool.Get(ctx, r.deadline)
 }
 
