The product's configuration is ordered by era, and accepted changes outlive an older copy of the platform

Operators: a change that the platform gave a revision which hosts held, after it had come back from an older copy, was never in force; a change that was told as accepted in the seconds that the copy lacks was undone.

It was known by reading; its test did not show it, as it asked for a service that had been there before. That test now writes six changes below, at and past the revision held, which is stricter; it failed.

States are ordered by era and number, told as one number. A host that finds that the copy stands at a state which the change it holds was made on, or lacks an object heard of in the last minute, keeps it in force and writes it again on the condition that the copy still stands so. Ruled out: keeping the larger version, which overwrites a change that an operator made on the copy first (TestChangeOfTheOlderCopyStands).

Three tests fail on the code before and pass now; catalog, integration, operate, host and entry tests pass. Hosts of the users' platform do not run this code.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // Notifier tells a few peers at once that this host has a newer revision; the
@@ -44,6 +46,7 @@
 	state   atomic.Pointer[state]
 	applied chan struct{} // closed when the first configuration is in force
 	hints   chan struct{} // wakes hintLoop; capacity 1
+	lost    chan struct{} // wakes rewriteLoop; capacity 1
 
 	mu        sync.Mutex // guards what follows, and changes of state
 	rng       *rand.Rand
@@ -73,6 +76,7 @@
 		log: log, metrics: newMetrics(reg),
 		applied:  make(chan struct{}),
 		hints:    make(chan struct{}, 1),
+		lost:     make(chan struct{}, 1),
 		rng:      rand.New(rand.NewPCG(seed, members.Self().Incarnation)),
 		fresh:    newFreshness(cfg.StaleAfter.Std()),
 		started:  time.Now(),
@@ -98,7 +102,7 @@
 	c.mu.Lock()
 	c.started = c.clock.Now()
 	c.mu.Unlock()
-	for _, loop := range []func(context.Context){c.watchLoop, c.pullLoop, c.hintLoop} {
+	for _, loop := range []func(context.Context){c.watchLoop, c.pullLoop, c.hintLoop, c.rewriteLoop} {
 		c.done.Go(func() { loop(run) })
 	}
 	timer := time.NewTimer(c.cfg.StartWait.Std())
@@ -154,6 +158,7 @@
 // applyBatch applies a batch, announces it to the peers if it held something
 // new, and counts and logs it under its source.
 func (c *Catalog) applyBatch(b batch, source string) error {
+	b.at = c.clock.Now()
 	c.mu.Lock()
 	next, changed, err := c.state.Load().apply(b)
 	if err != nil {
@@ -171,6 +176,9 @@
 		c.notifier.Announce()
 	}
 	c.reportApplied(next, changed, source)
+	if slices.ContainsFunc(changed, func(e *entry) bool { return e.lost }) {
+		c.wakeRewriting()
+	}
 	return nil
 }
 
@@ -192,11 +200,11 @@
 	for _, e := range changed {
 		if e.problem != nil {
 			c.log.Event(evUnreadable).Str("kind", e.object.Kind).Str("object", e.object.Name).
-				Uint64("version", e.object.Version).Uint64("revision", e.object.Revision).
+				Uint64("version", e.object.Version).Stringer("revision", revision.FromOrdinal(e.object.Revision)).
 				Str("error", e.problem.Error()).Msg("")
 		}
 	}
-	c.log.Event(evApplied).Str("source", source).Int("objects", len(changed)).Uint64("revision", s.revision).Msg("")
+	c.log.Event(evApplied).Str("source", source).Int("objects", len(changed)).Stringer("revision", revision.FromOrdinal(s.revision)).Msg("")
 }
 
 // noteFreshness logs when the host becomes stale or fresh.
@@ -212,7 +220,7 @@
 		c.log.Event(evStale).Dur("last_heard", c.clock.Since(last)).Msg("")
 	case turned:
 		c.metrics.stale.Set(0)
-		c.log.Event(evFresh).Uint64("revision", c.Revision()).Msg("")
+		c.log.Event(evFresh).Stringer("revision", revision.FromOrdinal(c.Revision())).Msg("")
 	}
 }
 
--- a/internal/catalog/change.go
+++ b/internal/catalog/change.go
@@ -11,6 +11,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // maxPrevious is how many changes an object remembers, so that a change that
@@ -36,8 +37,8 @@
 // Stored is a service as it stands in the platform, defaults not filled in.
 type Stored struct {
 	Service  Service
-	Version  uint64 // to name in a change
-	Revision uint64
+	Version  uint64    // to name in a change
+	Revision uint64    // ordinal of it
 	Changed  time.Time // by the platform's clock
 }
 
@@ -52,7 +53,7 @@
 	if err != nil {
 		return Stored{}, err
 	}
-	return Stored{Service: *s, Version: o.Version, Revision: o.Revision, Changed: o.Changed}, nil
+	return Stored{Service: *s, Version: o.Version, Revision: o.At().Ordinal(), Changed: o.Changed}, nil
 }
 
 // Change makes an operator's change of a service and tells what became of it.
@@ -176,7 +177,7 @@
 	}
 	line := e.log.Event(ev).Str("kind", r.Kind).Str("object", r.Name).Str("change", r.ChangeID).Str("operator", by.Operator)
 	if r.Status == Accepted {
-		line.Str("reason", by.Reason).Uint64("version", r.Version).Uint64("revision", r.Revision).Msg("")
+		line.Str("reason", by.Reason).Uint64("version", r.Version).Stringer("revision", revision.FromOrdinal(r.Revision)).Msg("")
 		return r
 	}
 	line.Strs("error", r.Problems).Msg("")
--- a/internal/catalog/change_test.go
+++ b/internal/catalog/change_test.go
@@ -15,6 +15,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/objstore/objstoretest"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // heldView is a View of a configuration given by the test.
@@ -122,7 +123,7 @@
 // written returns the writes of the platform's history by change id.
 func written(ctx context.Context, p *objstoretest.Platform) map[string][]objstore.Object {
 	by := map[string][]objstore.Object{}
-	l, err := p.Client().Watch(ctx, 0, 0, kinds...)
+	l, err := p.Client().Watch(ctx, revision.Revision{}, 0, kinds...)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/catalog/events.go
+++ b/internal/catalog/events.go
@@ -24,7 +24,7 @@
 	evNotWatching = event.Define(2006, "configuration_not_watching", plog.InfoLevel,
 		"This host left the watching of the platform to others of its failure domain.", "none")
 	evPlatformBehind = event.Define(2007, "platform_behind", plog.ErrorLevel,
-		"The platform tells an older revision than the one in force, as after a restore from a backup. Hosts never go back.",
+		"The platform tells an older revision than the one in force, and no later era. Hosts never go back.",
 		"Compare the platform's objects with those in force; write the right ones again, then restart the hosts.",
 		"revision", "platform_revision")
 	evChangeAccepted = event.Define(2008, "change_accepted", plog.InfoLevel,
@@ -33,6 +33,10 @@
 	evChangeRefused = event.Define(2009, "change_refused", plog.InfoLevel,
 		"An operator's change was refused; it was not made.", "none",
 		"kind", "object", "change", "operator", "error")
+	evWrittenAgain = event.Define(2011, "change_written_again", plog.WarnLevel,
+		"The platform came back from an older copy that lacks an accepted change; this host writes it again. It is settled without an error, or tried again; superseded: another write came first and stands.",
+		"None, unless the error stays. For a superseded change compare the object with what the operator wanted.",
+		"kind", "object", "change", "revision", "superseded", "error")
 	evChangeUnknown = event.Define(2010, "change_unknown", plog.WarnLevel,
 		"The platform did not tell whether an operator's change was made.",
 		"Show the object's configuration once the platform answers; its change id tells.",
--- a/internal/catalog/object.go
+++ b/internal/catalog/object.go
@@ -4,6 +4,8 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
+	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
@@ -15,19 +17,30 @@
 
 func keyOf(o objstore.Object) key { return key{o.Kind, o.Name} }
 
+// withOrdinals gives objects of the platform the ordinals of their revisions, by which states order them.
+func withOrdinals(objects []objstore.Object) []objstore.Object {
+	all := slices.Clone(objects)
+	for i := range all {
+		all[i].Revision = all[i].At().Ordinal()
+	}
+	return all
+}
+
 // entry is what is held of one object: the newest version as it was written,
-// and the newest version that could be read. An entry never changes.
+// and the newest version that could be read. The object's revision is an ordinal. An entry never changes.
 type entry struct {
 	object   objstore.Object // Deleted: a deletion
 	service  *Service        // as written, defaults not filled in
 	snapshot *Snapshot
-	problem  error // why object can't be read; then the fields above are of an older version
+	problem  error     // why object can't be read; then the fields above are of an older version
+	heard    time.Time // when this host heard of it
+	lost     bool      // by the platform, which came back from an older copy: it is to be written again
 }
 
 // newEntry reads an object. If it can't be read, the content of the entry
 // before it stays in force.
-func newEntry(o objstore.Object, before *entry) *entry {
-	e := &entry{object: o}
+func newEntry(o objstore.Object, before *entry, now time.Time) *entry {
+	e := &entry{object: o, heard: now}
 	if o.Deleted {
 		return e
 	}
--- a/internal/catalog/publish.go
+++ b/internal/catalog/publish.go
@@ -104,13 +104,13 @@
 // gone accepts a deletion and finds its revision, if the platform still knows.
 func (e *Editor) gone(ctx context.Context, o objstore.Object, r Result) Result {
 	r.Status = Accepted
-	l, err := e.store.Watch(ctx, o.Revision, 0, o.Kind)
+	l, err := e.store.Watch(ctx, o.At(), 0, o.Kind)
 	if err != nil {
 		return r
 	}
 	for _, c := range l.Objects {
 		if c.Name == o.Name && c.Deleted {
-			r.Version, r.Revision = c.Version, c.Revision
+			r.Version, r.Revision = c.Version, c.At().Ordinal()
 		}
 	}
 	return r
--- a/internal/catalog/result.go
+++ b/internal/catalog/result.go
@@ -49,7 +49,7 @@
 	Name     string      `json:"name"`
 	ChangeID string      `json:"change_id"`
 	Version  uint64      `json:"version,omitempty"`  // of the object, if accepted
-	Revision uint64      `json:"revision,omitempty"` // at which it was accepted; 0: accepted, but later changes hide the revision
+	Revision uint64      `json:"revision,omitempty"` // ordinal of that at which it was accepted; 0: accepted, but later changes hide the revision
 	Problems []string    `json:"problems,omitempty"` // why it was refused, or what is not known
 	Lost     *LostRace   `json:"lost,omitempty"`     // to whom, if another change came first
 	Changes  []FieldDiff `json:"changes,omitempty"`  // of a dry run: what it would change
@@ -78,7 +78,7 @@
 }
 
 func (r Result) accepted(o objstore.Object) Result {
-	r.Status, r.Version, r.Revision = Accepted, o.Version, o.Revision
+	r.Status, r.Version, r.Revision = Accepted, o.Version, o.At().Ordinal()
 	return r
 }
 
--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -16,6 +16,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/peer"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 const (
@@ -235,7 +236,7 @@
 	return out, err
 }
 
-func (s slow) Watch(ctx context.Context, after uint64, wait time.Duration, kinds ...string) (objstore.Listing, error) {
+func (s slow) Watch(ctx context.Context, after revision.Revision, wait time.Duration, kinds ...string) (objstore.Listing, error) {
 	l, err := s.Store.Watch(ctx, after, wait, kinds...)
 	time.Sleep(time.Hour)
 	return l, err
@@ -280,26 +281,84 @@
 	})
 }
 
-// A change that is accepted after the platform came back from an older copy is in force on every host.
+// A change that is accepted after the platform came back from an older copy is in force on every host, whatever revision
+// it gets: below, at, or past that which hosts hold.
 func TestChangeAfterThePlatformWentBackIsInForce(t *testing.T) {
 	inFleet(t, 3, 1, func(is *is.I, f *fleet) {
 		f.write(testService("b"))
 		f.pass(spreadBound)
 		older := f.platform.Copy()
-		f.write(testService("c"))
+		for _, name := range []string{"c", "d", "e"} {
+			f.write(testService(name))
+		}
 		f.pass(spreadBound)
 		f.platform.Restore(older)
-		for _, name := range []string{"a", "d", "e"} { // past the revision that hosts hold
-			f.write(testService(name))
+		for i := range 6 {
+			f.write(testService(fmt.Sprintf("new%d", i)))
+			f.pass(spreadBound)
+			for _, n := range f.nodes {
+				_, known := n.catalog.Service(fmt.Sprintf("new%d", i))
+				is.True(known)
+			}
 		}
+	})
+}
+
+// What the platform lost of changes that were accepted stays in force, and is written again: hosts that hear only the
+// platform find it.
+func TestAcceptedChangesOutliveAnOlderCopy(t *testing.T) {
+	inFleet(t, 3, 1, func(is *is.I, f *fleet) {
+		operator := f.operator(is)
+		created, altered := testService("created"), testService("a")
+		older := f.platform.Copy()
+		is.Equal(operator.Change(f.t.Context(), Request{Verb: Create, Service: created}).Status, Accepted)
+		for version := range uint64(3) {
+			altered.Targets[0].Slots++
+			r := operator.Change(f.t.Context(), Request{Verb: Alter, Service: altered, Version: 2 + version})
+			is.Equal(r.Status, Accepted)
+		}
+		f.pass(spreadBound)
+		f.platform.Restore(older)
+		f.pass(spreadBound)
+		f.add("starts", "domain-0")
 		f.pass(settled)
 		for _, n := range f.nodes {
-			_, known := n.catalog.Service("a")
+			_, known := n.catalog.Service("created")
 			is.True(known)
+			now, _ := n.catalog.Service("a")
+			is.Equal(now.Targets[0].Slots, altered.Targets[0].Slots)
 		}
+		is.Equal(len(f.platform.Objects(objstore.KindService)), 2)
 	})
 }
 
+// A change that an operator makes before a lost one is written again counts: it was made on what the platform held.
+func TestChangeOfTheOlderCopyStands(t *testing.T) {
+	inFleet(t, 3, 1, func(is *is.I, f *fleet) {
+		operator := f.operator(is)
+		lost, made := testService("a"), testService("a")
+		lost.Targets[0].Slots, made.Targets[0].Slots = 7, 9
+		older := f.platform.Copy()
+		is.Equal(operator.Change(f.t.Context(), Request{Verb: Alter, Service: lost, Version: 2}).Status, Accepted)
+		f.pass(spreadBound)
+		f.platform.Restore(older)
+		is.Equal(operator.Change(f.t.Context(), Request{Verb: Alter, Service: made, Version: 2}).Status, Accepted)
+		f.pass(settled)
+		for _, n := range f.nodes {
+			now, _ := n.catalog.Service("a")
+			is.Equal(now.Targets[0].Slots, made.Targets[0].Slots)
+		}
+	})
+}
+
+// operator returns an editor at one of the hosts, after a first change of service a.
+func (f *fleet) operator(is *is.I) *Editor {
+	e := NewEditor(f.nodes[0].catalog)
+	is.Equal(e.Change(f.t.Context(), Request{Verb: Alter, Service: testService("a"), Version: 1}).Status, Accepted)
+	f.pass(spreadBound)
+	return e
+}
+
 // TestPullOverDRPC pulls between two hosts over real connections.
 func TestPullOverDRPC(t *testing.T) {
 	is := is.New(t)
--- a/internal/catalog/state.go
+++ b/internal/catalog/state.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 )
@@ -37,6 +38,7 @@
 	full     bool   // objects neither in objects nor in held, unchanged since after, are gone
 	objects  []objstore.Object
 	held     []key
+	at       time.Time // by the host's clock
 }
 
 // apply returns the state with the batch applied and the entries that it
@@ -57,7 +59,7 @@
 	if next.entries == nil {
 		next.entries = map[key]*entry{}
 	}
-	changed := next.put(b.objects, s.complete)
+	changed := next.put(b, s.complete)
 	if b.full {
 		changed = append(changed, next.removeAllBut(b)...)
 	}
@@ -75,14 +77,17 @@
 
 // put takes the objects that changed after the given revision. An answer may
 // hold several changes of one object, in any order.
-func (s *state) put(objects []objstore.Object, after uint64) []*entry {
+func (s *state) put(b batch, after uint64) []*entry {
 	var changed []*entry
-	for _, o := range objects {
+	for _, o := range b.objects {
 		held := s.entries[keyOf(o)]
 		if o.Revision <= after || held != nil && o.Revision <= held.object.Revision {
 			continue
 		}
-		e := newEntry(o, held)
+		e := newEntry(o, held, b.at)
+		if held.succeeds(o, b.at) {
+			e = held.keptOver(o.Version, o.Revision)
+		}
 		s.entries[keyOf(o)] = e
 		s.revision = max(s.revision, o.Revision)
 		changed = append(changed, e)
@@ -91,7 +96,7 @@
 }
 
 // removeAllBut deletes what the batch, which names all objects, does not
-// name. The revision of the deletion is not known; that of the batch is the
+// name, but for what the platform may have lost. The revision of the deletion is not known; that of the batch is the
 // latest that it can be.
 func (s *state) removeAllBut(b batch) []*entry {
 	named := map[key]bool{}
@@ -106,6 +111,12 @@
 		if named[k] || e.object.Deleted {
 			continue
 		}
+		if e.mayBeLost(b.complete, b.at) {
+			s.entries[k] = e.keptOver(0, b.complete)
+			s.revision = b.complete
+			removed = append(removed, s.entries[k])
+			continue
+		}
 		gone := objstore.Object{Kind: k.kind, Name: k.name, Version: e.object.Version, Revision: b.complete, Deleted: true}
 		s.entries[k] = &entry{object: gone}
 		s.revision = b.complete
--- a/internal/catalog/watch.go
+++ b/internal/catalog/watch.go
@@ -9,6 +9,7 @@
 
 	"rhubarbwood.example/rhubarbwood/internal/await"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 const (
@@ -44,18 +45,18 @@
 // has none yet, or if the platform has forgotten changes since.
 func (c *Catalog) follow(ctx context.Context) error {
 	asked := c.clock.Now()
-	after := c.state.Load().complete
-	if after == 0 {
+	after := revision.FromOrdinal(c.state.Load().complete)
+	if after.IsZero() {
 		return c.list(ctx)
 	}
 	l, err := c.store.Watch(ctx, after, c.cfg.WatchWait.Std(), kinds...)
-	if errors.Is(err, objstore.ErrCompacted) || err == nil && l.Revision < after {
+	if errors.Is(err, objstore.ErrCompacted) || err == nil && l.At().Before(after) {
 		return c.list(ctx)
 	}
 	if err != nil {
 		return Error.New("watch: %w", err)
 	}
-	if err := c.applyBatch(batch{after: after, complete: l.Revision, objects: l.Objects}, sourcePlatform); err != nil {
+	if err := c.applyBatch(batch{after: after.Ordinal(), complete: l.At().Ordinal(), objects: withOrdinals(l.Objects)}, sourcePlatform); err != nil {
 		return err
 	}
 	c.heardPlatform(asked)
@@ -68,11 +69,12 @@
 	if err != nil {
 		return Error.New("list: %w", err)
 	}
-	if held := c.state.Load().complete; l.Revision < held {
-		c.log.Event(evPlatformBehind).Uint64("revision", held).Uint64("platform_revision", l.Revision).Msg("")
-		return Error.New("list: the platform is at revision %d, this host at %d", l.Revision, held)
+	if held := revision.FromOrdinal(c.state.Load().complete); l.At().Before(held) {
+		c.log.Event(evPlatformBehind).Stringer("revision", held).Stringer("platform_revision", l.At()).Msg("")
+		return Error.New("list: the platform is at revision %s, this host at %s", l.At(), held)
 	}
-	if err := c.applyBatch(batch{complete: l.Revision, floor: l.Revision, full: true, objects: l.Objects}, sourcePlatform); err != nil {
+	at := l.At().Ordinal()
+	if err := c.applyBatch(batch{complete: at, floor: at, full: true, objects: withOrdinals(l.Objects)}, sourcePlatform); err != nil {
 		return err
 	}
 	c.heardPlatform(asked)
--- a/internal/objstore/api.go
+++ b/internal/objstore/api.go
@@ -8,6 +8,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // Kinds of objects.
@@ -40,12 +42,19 @@
 	Changed  time.Time       `json:"changed"` // by the platform's clock
 }
 
+// At returns where in the history of the platform the object was written.
+func (o Object) At() revision.Revision { return revision.Revision{Era: o.Era, Number: o.Revision} }
+
 // Listing is the objects of one or more kinds at a revision, or the changes up to it.
 type Listing struct {
 	Revision uint64   `json:"revision"`
+	Era      uint64   `json:"-"` // of the revision
 	Objects  []Object `json:"objects"`
 }
 
+// At returns where in the history of the platform the listing was made.
+func (l Listing) At() revision.Revision { return revision.Revision{Era: l.Era, Number: l.Revision} }
+
 // LiveHost is an entry of the platform's lagging list of hosts: of the
 // system's own hosts and of target hosts.
 type LiveHost struct {
@@ -69,8 +78,8 @@
 	Delete(ctx context.Context, kind, name string, version uint64) error
 	// Watch waits for changes of the kinds after the revision, until wait has
 	// passed; then it returns no object and the revision seen. ErrCompacted
-	// means that changes since the revision are gone: list again.
-	Watch(ctx context.Context, after uint64, wait time.Duration, kinds ...string) (Listing, error)
+	// means that changes since the revision are gone, or that it is of an earlier era: list again.
+	Watch(ctx context.Context, after revision.Revision, wait time.Duration, kinds ...string) (Listing, error)
 	// Era counts the times that the platform came back from an older copy, as of its newest
 	// answer; 0 also if it tells none.
 	Era() uint64
--- a/internal/objstore/client.go
+++ b/internal/objstore/client.go
@@ -61,30 +61,35 @@
 func (c *Client) List(ctx context.Context, kinds ...string) (Listing, error) {
 	l := Listing{Objects: []Object{}}
 	for i, kind := range kinds {
-		revision, err := c.listKind(ctx, kind, &l)
+		at, err := c.listKind(ctx, kind, &l)
 		if err != nil {
 			return Listing{}, err
 		}
-		if i == 0 || revision < l.Revision {
-			l.Revision = revision
-		}
+		l.seen(at, i == 0)
 	}
 	return l, nil
 }
 
+// seen notes the revision of one kind: the listing is of the earliest one.
+func (l *Listing) seen(at revision.Revision, first bool) {
+	if first || at.Before(l.At()) {
+		l.Era, l.Revision = at.Era, at.Number
+	}
+}
+
 // listKind adds all objects of a kind and returns the revision of the list.
-func (c *Client) listKind(ctx context.Context, kind string, l *Listing) (uint64, error) {
+func (c *Client) listKind(ctx context.Context, kind string, l *Listing) (revision.Revision, error) {
 	all, err := ListAll(ctx, c.records, kind)
 	if err != nil {
-		return 0, err
+		return revision.Revision{}, err
 	}
 	c.openAll(kind, all.Records, l)
-	return all.Revision.Number, nil
+	return all.Revision, nil
 }
 
 // Watch implements Store. Each kind is watched by a call of its own; once one
 // has found a change, the others are asked for what they have.
-func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration, kinds ...string) (Listing, error) {
+func (c *Client) Watch(ctx context.Context, after revision.Revision, wait time.Duration, kinds ...string) (Listing, error) {
 	if len(kinds) > 1 && wait > 0 {
 		if err := c.awaitAny(ctx, after, wait, kinds); err != nil {
 			return Listing{}, err
@@ -93,26 +98,19 @@
 	}
 	l := Listing{Objects: []Object{}}
 	for i, kind := range kinds {
-		p, err := c.records.Watch(ctx, kind, c.point(after), wait)
+		p, err := c.records.Watch(ctx, kind, after, wait)
 		if err != nil {
 			return Listing{}, err
 		}
 		c.openAll(kind, p.Records, &l)
-		if i == 0 || p.Revision.Number < l.Revision {
-			l.Revision = p.Revision.Number
-		}
+		l.seen(p.Revision, i == 0)
 	}
 	return l, nil
 }
 
-// point returns the revision of a number in the platform's present era.
-func (c *Client) point(number uint64) revision.Revision {
-	return revision.Revision{Era: c.records.Era(), Number: number}
-}
-
 // awaitAny returns when one of the kinds has changed after the revision, or
 // wait has passed.
-func (c *Client) awaitAny(ctx context.Context, after uint64, wait time.Duration, kinds []string) error {
+func (c *Client) awaitAny(ctx context.Context, after revision.Revision, wait time.Duration, kinds []string) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type found struct {
@@ -122,7 +120,7 @@
 	results := make(chan found, len(kinds))
 	for _, kind := range kinds {
 		go func() {
-			p, err := c.records.Watch(ctx, kind, c.point(after), wait)
+			p, err := c.records.Watch(ctx, kind, after, wait)
 			results <- found{len(p.Records) > 0, err}
 		}()
 	}
--- a/internal/objstore/client_test.go
+++ b/internal/objstore/client_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 func TestVersionsCountTheChangesOfAnObject(t *testing.T) {
@@ -73,7 +75,7 @@
 	is.NoErr(err)
 	is.NoErr(c.Delete(t.Context(), "k", "a", 1))
 	is.True(errors.Is(c.Delete(t.Context(), "k", "a", 1), ErrNotFound))
-	l, err := c.Watch(t.Context(), 1, 0, "k")
+	l, err := c.Watch(t.Context(), revision.Revision{Number: 1}, 0, "k")
 	is.NoErr(err)
 	is.Equal(len(l.Objects), 1)
 	is.True(l.Objects[0].Deleted)
@@ -96,7 +98,7 @@
 	is.NoErr(err)
 	is.Equal(len(l.Objects), 4)
 	is.Equal(l.Revision, uint64(4))
-	l, err = c.Watch(t.Context(), 2, time.Second, "k", "j")
+	l, err = c.Watch(t.Context(), revision.Revision{Number: 2}, time.Second, "k", "j")
 	is.NoErr(err)
 	is.Equal(len(l.Objects), 2)
 	is.Equal(l.Revision, uint64(4))
--- a/internal/objstore/objstoretest/client.go
+++ b/internal/objstore/objstoretest/client.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 // Client is one host's client of the platform, with faults of its own. It
@@ -88,7 +89,7 @@
 }
 
 // Watch implements objstore.Store.
-func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration, kinds ...string) (objstore.Listing, error) {
+func (c *Client) Watch(ctx context.Context, after revision.Revision, wait time.Duration, kinds ...string) (objstore.Listing, error) {
 	if err := c.begin(ctx, "watch"); err != nil {
 		return objstore.Listing{}, err
 	}
@@ -223,19 +224,19 @@
 }
 
 // changed returns the changes after a revision and what signals the next one.
-func (c *Client) changed(after uint64, kinds []string) (objstore.Listing, <-chan struct{}, error) {
+func (c *Client) changed(after revision.Revision, kinds []string) (objstore.Listing, <-chan struct{}, error) {
 	if c.cut() {
 		return objstore.Listing{}, nil, &objstore.Unanswered{Cause: errDown}
 	}
 	c.p.mu.Lock()
 	defer c.p.mu.Unlock()
-	if after < c.p.compacted || after > c.p.revision {
+	if after.Era != c.p.era || after.Number < c.p.compacted || after.Number > c.p.revision {
 		return objstore.Listing{}, nil, objstore.ErrCompacted
 	}
 	c.tick()
-	l := objstore.Listing{Revision: c.p.revision}
+	l := objstore.Listing{Revision: c.p.revision, Era: c.p.era}
 	for _, o := range c.p.changes {
-		if o.Revision > after && slices.Contains(kinds, o.Kind) {
+		if o.Revision > after.Number && slices.Contains(kinds, o.Kind) {
 			l.Objects = append(l.Objects, o)
 		}
 	}
--- a/internal/objstore/objstoretest/objstoretest.go
+++ b/internal/objstore/objstoretest/objstoretest.go
@@ -163,9 +163,10 @@
 
 // list returns the objects of the kinds, sorted by kind and name; p.mu is held.
 func (p *Platform) list(kinds ...string) objstore.Listing {
-	l := objstore.Listing{Revision: p.revision}
+	l := objstore.Listing{Revision: p.revision, Era: p.era}
 	for _, o := range p.objects {
 		if slices.Contains(kinds, o.Kind) {
+			o.Era = p.era
 			l.Objects = append(l.Objects, o)
 		}
 	}
--- a/internal/objstore/objstoretest/objstoretest_test.go
+++ b/internal/objstore/objstoretest/objstoretest_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 func TestFaultsOfWrites(t *testing.T) {
@@ -53,16 +54,16 @@
 		p := New()
 		c := p.Client()
 		time.AfterFunc(time.Second, func() { _, _ = p.Client().Put(t.Context(), "k", "a", 0, nil) })
-		l, err := c.Watch(t.Context(), 0, time.Minute, "k")
+		l, err := c.Watch(t.Context(), revision.Revision{}, time.Minute, "k")
 		is.NoErr(err)
 		is.Equal(len(l.Objects), 1)
 		start := time.Now()
-		l, err = c.Watch(t.Context(), l.Revision, time.Minute, "k")
+		l, err = c.Watch(t.Context(), l.At(), time.Minute, "k")
 		is.NoErr(err)
 		is.Equal(len(l.Objects), 0)
 		is.Equal(time.Since(start), time.Minute)
 		p.Compact()
-		_, err = c.Watch(t.Context(), 0, time.Minute, "k")
+		_, err = c.Watch(t.Context(), revision.Revision{}, time.Minute, "k")
 		is.True(errors.Is(err, objstore.ErrCompacted))
 	})
 }
--- a/internal/revision/revision.go
+++ b/internal/revision/revision.go
@@ -28,8 +28,25 @@
 // IsZero reports whether r is the zero value.
 func (r Revision) IsZero() bool { return r == Revision{} }
 
-// String returns the era and the number.
-func (r Revision) String() string { return fmt.Sprintf("%d/%d", r.Era, r.Number) }
+// String returns the era and the number, or the number alone where no era was told.
+func (r Revision) String() string {
+	if r.Era == 0 {
+		return fmt.Sprint(r.Number)
+	}
+	return fmt.Sprintf("%d/%d", r.Era, r.Number)
+}
+
+// numberBits is how many bits of an ordinal hold the number: enough for 2,000 changes a second over 17 years.
+const numberBits = 40
+
+// Ordinal returns one number that orders as the revision does, for where a single one is told or kept. Without an era it
+// is the number.
+func (r Revision) Ordinal() uint64 { return r.Era<<numberBits | r.Number&(1<<numberBits-1) }
+
+// FromOrdinal returns the revision of an ordinal.
+func FromOrdinal(n uint64) Revision {
+	return Revision{Era: n >> numberBits, Number: n & (1<<numberBits - 1)}
+}
 
 // Later returns the later one of two revisions.
 func Later(a, b Revision) Revision {
--- a/internal/revision/revision_test.go
+++ b/internal/revision/revision_test.go
@@ -14,9 +14,15 @@
 			is.Equal(a.Before(b), i < j)
 			is.Equal(a.Compare(b), -b.Compare(a))
 			is.Equal(Later(a, b), ordered[max(i, j)])
+			is.Equal(a.Ordinal() < b.Ordinal(), i < j)
 		}
 	}
 	is.True(Revision{}.IsZero())
 	is.True(!Revision{Era: 1}.IsZero())
 	is.Equal(Revision{2, 68}.String(), "2/68")
+	is.Equal(Revision{0, 68}.String(), "68")
+	is.Equal(Revision{0, 68}.Ordinal(), uint64(68))
+	for _, r := range ordered {
+		is.Equal(FromOrdinal(r.Ordinal()), r)
+	}
 }
