Show: revisions with their eras, and hosts that go by an earlier one

On call could not tell from `show hosts` or `show config` which hosts had heard that the platform came back from an older copy: revisions were shown as numbers, which it gives out again. They are shown as era/number now, and `show config` names the hosts of an earlier era.

TestShowConfigTellsOfTwoEras; the other tests of operate pass unchanged.

--- a/internal/operate/change.go
+++ b/internal/operate/change.go
@@ -105,7 +105,7 @@
 		return dryRunTable(r), nil
 	}
 	t := newTable("object", "status", "version", "revision", "change")
-	t.add(r.Kind+" "+r.Name, string(r.Status), unlessZero(r.Version), unlessZero(r.Revision), r.ChangeID)
+	t.add(r.Kind+" "+r.Name, string(r.Status), unlessZero(r.Version), revisionText(r.Revision), r.ChangeID)
 	if r.Revision == 0 {
 		t.note("accepted; later changes hide the revision, \"show config\" tells what is in force")
 		return t, nil
@@ -190,7 +190,7 @@
 			failures = append(failures, err)
 			continue
 		}
-		t.add(name, target, yesNo(drained), string(r.Status), unlessZero(r.Version), unlessZero(r.Revision), r.ChangeID)
+		t.add(name, target, yesNo(drained), string(r.Status), unlessZero(r.Version), revisionText(r.Revision), r.ChangeID)
 		if r.Revision > 0 {
 			t.note("%s: %s", name, describeInForce(e.parts.Catalog.InForce(ctx, r.Revision)))
 		}
--- a/internal/operate/operate_test.go
+++ b/internal/operate/operate_test.go
@@ -23,6 +23,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 	"rhubarbwood.example/rhubarbwood/internal/query"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 const service = `{"name":"%s","workload":"guest-portal","urgency":"interactive","targets":[
@@ -142,6 +143,20 @@
 	})
 }
 
+// Revisions are shown with their eras, and hosts that go by an earlier era are named.
+func TestShowConfigTellsOfTwoEras(t *testing.T) {
+	run(t, func(t *testing.T, is *is.I, h *testHost) {
+		h.create("guest-01")
+		hosts := slices.Clone(h.Hosts())
+		hosts[1].Revision = revision.Revision{Era: 2, Number: 7}.Ordinal()
+		h.hosts.Store(&hosts)
+		c := h.do("show config")
+		is.Equal(c.cell(1, "revision"), "2/7")
+		is.True(strings.Contains(c.Message, "is in era 2; era 0 on "+h.Hosts()[0].ID))
+		is.Equal(h.do("show hosts").cell(1, "revision"), "2/7")
+	})
+}
+
 func TestAlterSetsFieldsAndDryRunDoesNot(t *testing.T) {
 	run(t, func(t *testing.T, is *is.I, h *testHost) {
 		h.create("guest-01")
--- a/internal/operate/state.go
+++ b/internal/operate/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,13 +13,14 @@
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/lang"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
 )
 
 func (e *Executor) hosts() *Table {
 	t := newTable("host", "failure_domain", "state", "incarnation", "revision", "peer", "api")
 	self := e.parts.Members.Self().ID
 	for _, h := range e.parts.Members.Hosts() {
-		t.add(h.ID, h.FailureDomain, string(h.State), number(h.Incarnation), number(h.Revision), h.Peer, h.API)
+		t.add(h.ID, h.FailureDomain, string(h.State), number(h.Incarnation), revisionText(h.Revision), h.Peer, h.API)
 	}
 	t.note("%d hosts as host %s sees them", len(t.Rows), self)
 	return t
@@ -37,7 +39,7 @@
 		o := stored[s.Name]
 		t.add(s.Name, s.Workload, string(s.Urgency), strconv.Itoa(len(s.Targets)), strconv.Itoa(drainedTargets(s)),
 			s.Rules.LatencyObjective.String(), fraction(s.Rules.LatencyRatio), fraction(s.Rules.CoverageRatio),
-			unlessZero(o.Version), unlessZero(o.Revision))
+			unlessZero(o.Version), revisionText(o.At().Ordinal()))
 	}
 	return t
 }
@@ -131,17 +133,29 @@
 	t := newTable("host", "failure_domain", "state", "revision", "has_newest")
 	newest := e.newest()
 	f := e.parts.Catalog.InForce(ctx, newest)
+	byEra := map[uint64][]string{}
 	for _, h := range e.parts.Members.Hosts() {
-		revision := max(h.Revision, f.Revisions[h.ID])
-		t.add(h.ID, h.FailureDomain, string(h.State), number(revision), yesNo(!slices.Contains(f.Missing, h.ID)))
+		told := max(h.Revision, f.Revisions[h.ID])
+		byEra[revision.FromOrdinal(told).Era] = append(byEra[revision.FromOrdinal(told).Era], h.ID)
+		t.add(h.ID, h.FailureDomain, string(h.State), revisionText(told), yesNo(!slices.Contains(f.Missing, h.ID)))
 	}
 	t.note("%s", describeInForce(f))
+	noteEras(t, byEra)
 	if e.parts.Catalog.Stale() {
 		t.note("host %s is cut off from platform and peers, so a newer revision may be in force elsewhere", e.parts.Members.Self().ID)
 	}
 	return t
 }
 
+// noteEras tells of hosts that go by different eras of the platform: those of the earlier one have not heard that it came
+// back from an older copy.
+func noteEras(t *Table, byEra map[uint64][]string) {
+	eras := slices.Sorted(maps.Keys(byEra))
+	for _, era := range eras[:max(len(eras)-1, 0)] {
+		t.note("the platform came back from an older copy, and is in era %d; era %d on %s", eras[len(eras)-1], era, strings.Join(byEra[era], ", "))
+	}
+}
+
 // newest returns the newest revision that any host has reported.
 func (e *Executor) newest() uint64 {
 	newest := e.parts.Catalog.Revision()
@@ -152,7 +166,7 @@
 }
 
 func describeInForce(f catalog.InForce) string {
-	text := fmt.Sprintf("revision %d is in force on %d of %d hosts", f.Revision, f.On, f.Of)
+	text := fmt.Sprintf("revision %s is in force on %d of %d hosts", revisionText(f.Revision), f.On, f.Of)
 	if len(f.Missing) > 0 {
 		text += ", not yet on " + strings.Join(f.Missing, ", ")
 	}
@@ -198,6 +212,14 @@
 	return number(n)
 }
 
+// revisionText returns the revision of an ordinal as text, empty for one that is not known.
+func revisionText(ordinal uint64) string {
+	if ordinal == 0 {
+		return ""
+	}
+	return revision.FromOrdinal(ordinal).String()
+}
+
 func fraction(f float64) string { return strconv.FormatFloat(f, 'f', -1, 64) }
 
 func yesNo(b bool) string {
