Stand-in: drills, in which the platform comes back from an older copy of itself

Only the soak could play a restore, with copies of its own. The platform's stand-in keeps copies where its settings say so (`copy_every`, `oldest_copy`) and plays a drill that it is asked for (`POST /standin/restore`); the soak uses the same copies, the demo's platform keeps some and prints the call.

--- a/internal/cli/demo.go
+++ b/internal/cli/demo.go
@@ -109,7 +109,8 @@
   export RHUBARBWOOD_ENTRY=%s RHUBARBWOOD_OPERATORS=%s RHUBARBWOOD_TOKEN=%s
   rhubarbwood exec 'show services'
   curl -H 'Host: %s' -H 'X-Request-Id: 1' http://%s%s | xxd
+  curl -d '{"outage":"cut","away":"1s","age":"5s"}' http://%s/standin/restore   # the platform comes back from an older copy
 
-`, first.Callers, first.Operators, demo.Token, platformtarget.SiteHost, site.Gateway(), platformtarget.SiteQuery+"wedding")
+`, first.Callers, first.Operators, demo.Token, platformtarget.SiteHost, site.Gateway(), platformtarget.SiteQuery+"wedding", site.Platform())
 	fmt.Fprintln(c.env.Out, "ready")
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -33,6 +33,10 @@
 
 	readyTimeout   = 10 * time.Second
 	forwardLatency = 5 * time.Millisecond // of the targets of forwarded requests
+
+	// The platform keeps copies of itself, so that it can be made to come back from one.
+	copyEvery  = 500 * time.Millisecond
+	oldestCopy = 10 * time.Second
 )
 
 // Token is the operators' token of the demo.
@@ -51,6 +55,7 @@
 	hosts    []*host.Host
 	gateway  *gatewayhost.Host
 	forward  *platformtarget.Site
+	platform string // address of the stand-in
 	standins []standin.Server
 	serving  sync.WaitGroup
 }
@@ -102,11 +107,13 @@
 func (s *Site) startPlatform() (*objectstore.Store, string, error) {
 	c := objectstore.DefaultConfig()
 	c.Seeds = s.layout.Seeds()
+	c.CopyEvery, c.OldestCopy = unit.Duration(copyEvery), unit.Duration(oldestCopy)
 	store := objectstore.New(c)
 	address, err := s.serve(objectstore.NewServer(store))
 	if err != nil {
 		return nil, "", fmt.Errorf("platform: %w", err)
 	}
+	s.platform = address
 	return store, address, nil
 }
 
@@ -189,6 +196,9 @@
 	return all
 }
 
+// Platform returns the address of the platform's stand-in.
+func (s *Site) Platform() string { return s.platform }
+
 // Targets returns the number of targets.
 func (s *Site) Targets() int { return len(s.layout.Targets) }
 
--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
+	"rhubarbwood.example/rhubarbwood/internal/unit"
 	"rhubarbwood.example/rhubarbwood/platform"
 )
 
@@ -66,32 +67,22 @@
 	}
 }
 
-// keepCopies copies the store now and then until stop.
-func (s *site) keepCopies() {
-	tick := time.NewTicker(copyEvery)
-	defer tick.Stop()
-	for {
-		s.mu.Lock()
-		s.copies = append(s.copies, s.store.Copy())
-		if most := int(oldestCopy / copyEvery); len(s.copies) > most {
-			s.copies = s.copies[1:]
-		}
-		s.mu.Unlock()
-		select {
-		case <-tick.C:
-		case <-s.ended:
-			return
-		}
+// storeConfig is that of the site's store.
+func (c Config) storeConfig() objectstore.Config {
+	cfg := objectstore.DefaultConfig()
+	if c.Restores {
+		cfg.CopyEvery, cfg.OldestCopy = unit.Duration(copyEvery), unit.Duration(oldestCopy)
 	}
+	return cfg
 }
 
 // restore brings the store back from a copy of some age. What the operator wrote is written again at once, what targets
 // wrote with their next beat.
 func (s *site) restore(age time.Duration, rng *rand.Rand) {
 	s.mu.Lock()
-	s.store.Restore(s.copies[max(len(s.copies)-1-int(age/copyEvery), 0)])
-	s.copies = nil // of what is lost
-	s.copies = append(s.copies, s.store.Copy())
+	if err := s.store.RestoreOlder(age); err != nil {
+		panic(err) // it keeps copies from the start
+	}
 	s.rewriteOperator()
 	s.mu.Unlock()
 	s.store.SetFaults(objectstore.Faults{})
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -68,8 +68,7 @@
 	changes   []change
 	evacuated map[string]time.Time // failure domains, since when
 	arrivals  []arrival
-	copies    []objectstore.Copy // of the store, oldest first
-	ended     chan struct{}      // closes at stop
+	ended     chan struct{} // closes at stop
 }
 
 // change is one version of the configuration and when it was in the store.
@@ -85,14 +84,14 @@
 	if err != nil {
 		return nil, Error.New("make a folder: %w", err)
 	}
-	s := &site{dir: dir, ip: ownLoopback(), store: objectstore.New(objectstore.DefaultConfig()), versions: cfg.versions(),
+	s := &site{dir: dir, ip: ownLoopback(), store: objectstore.New(cfg.storeConfig()), versions: cfg.versions(),
 		cfg: cfg, evacuated: map[string]time.Time{}, ended: make(chan struct{})}
 	if err := s.startTargets(); err != nil {
 		return s, err
 	}
 	s.configure()
 	if cfg.Restores {
-		s.serving.Go(s.keepCopies)
+		s.serving.Go(func() { s.store.KeepCopies(s.ended) })
 	}
 	return s, s.startHosts(cfg)
 }
--- a/internal/standin/objectstore/config.go
+++ b/internal/standin/objectstore/config.go
@@ -32,6 +32,8 @@
 	ClockOffset unit.Duration `json:"clock_offset"`             // platform's clock less this machine's
 	NoClock     bool          `json:"no_clock,omitempty"`       // answers tell no time, as on the users' platform
 	NoEra       bool          `json:"no_era,omitempty"`         // answers tell no era
+	CopyEvery   unit.Duration `json:"copy_every,omitempty"`     // between two copies of the store; 0: none are taken
+	OldestCopy  unit.Duration `json:"oldest_copy,omitempty"`    // that is kept, to come back from
 	WriteRate   float64       `json:"write_rate,omitempty"`     // writes/s; 0: no limit
 	ReadRate    float64       `json:"read_rate,omitempty"`      // reads/s, watches included; 0: no limit
 	Faults      Faults        `json:"faults,omitempty"`         // in force from the start
@@ -67,6 +69,9 @@
 	if c.Page < 1 {
 		all = append(all, Error.New("page %d is below 1", c.Page))
 	}
+	if c.CopyEvery < 0 || c.OldestCopy < c.CopyEvery {
+		all = append(all, Error.New("copy_every %s, oldest_copy %s: want 0s or more, and the second not below the first", c.CopyEvery, c.OldestCopy))
+	}
 	if c.WriteRate < 0 || c.ReadRate < 0 {
 		all = append(all, Error.New("write_rate %g or read_rate %g is negative", c.WriteRate, c.ReadRate))
 	}
--- a/internal/standin/objectstore/control.go
+++ b/internal/standin/objectstore/control.go
@@ -20,6 +20,18 @@
 		s.SetFaults(f)
 		w.WriteHeader(http.StatusNoContent)
 	})
+	mux.HandleFunc("POST "+PathRestore, func(w http.ResponseWriter, r *http.Request) {
+		var d Drill
+		if err := errors.Join(readStrict(r, &d), d.Validate()); err != nil {
+			writeJSON(w, http.StatusBadRequest, problem{err.Error()})
+			return
+		}
+		if err := s.Play(d); err != nil {
+			writeJSON(w, http.StatusConflict, problem{err.Error()})
+			return
+		}
+		w.WriteHeader(http.StatusNoContent)
+	})
 	mux.HandleFunc("GET "+PathCounters, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.Counters())
 	})
--- a/internal/standin/objectstore/handler.go
+++ b/internal/standin/objectstore/handler.go
@@ -17,6 +17,7 @@
 const (
 	PathFaults   = "/standin/faults"   // GET, POST: Faults
 	PathCounters = "/standin/counters" // GET: Counters
+	PathRestore  = "/standin/restore"  // POST: Drill
 )
 
 // pathObjects is the path of the object API, as the platform's page has it.
--- a/internal/standin/objectstore/restore_test.go
+++ b/internal/standin/objectstore/restore_test.go
@@ -1,12 +1,15 @@
 package objectstore
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
+	"rhubarbwood.example/rhubarbwood/internal/unit"
 	"rhubarbwood.example/rhubarbwood/platform"
 )
 
@@ -31,6 +34,40 @@
 	is.Equal(c.do(t.Context(), "GET", "/api/objects/claim?watch=2&waitMs=0", "", nil), http.StatusOK)
 }
 
+// A drill takes the store away and brings it back from a copy of an age; with the oldest copy where none is so old.
+func TestDrill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cfg := DefaultConfig()
+		cfg.CopyEvery, cfg.OldestCopy = unit.Duration(time.Second), unit.Duration(5*time.Second)
+		s := New(cfg)
+		c := newClient(s)
+		stop := make(chan struct{})
+		go s.KeepCopies(stop)
+		for i := range 10 {
+			is.Equal(c.create(t.Context(), fmt.Sprint(i), `{}`, nil), http.StatusOK)
+			time.Sleep(time.Second)
+		}
+		drilled := make(chan int, 1)
+		go func() {
+			drilled <- c.do(t.Context(), "POST", PathRestore, `{"outage":"unavailable","away":"500ms","age":"3s"}`, nil)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(c.do(t.Context(), "GET", "/api/objects/claim/0", "", nil), http.StatusServiceUnavailable)
+		is.Equal(<-drilled, http.StatusNoContent)
+		is.Equal(s.Era(), uint64(2))
+		is.Equal(c.do(t.Context(), "GET", "/api/objects/claim/6", "", nil), http.StatusOK)
+		is.Equal(c.do(t.Context(), "GET", "/api/objects/claim/9", "", nil), http.StatusNotFound)
+		is.NoErr(s.RestoreOlder(time.Hour))
+		is.Equal(s.Era(), uint64(3))
+		close(stop)
+		for _, bad := range []string{`{"away":"-1s"}`, `{"outage":"odd"}`, `{"age":3}`, `{"away":"2h"}`} {
+			is.Equal(c.do(t.Context(), "POST", PathRestore, bad, nil), http.StatusBadRequest)
+		}
+		is.Equal(newClient(New(DefaultConfig())).do(t.Context(), "POST", PathRestore, `{}`, nil), http.StatusConflict)
+	})
+}
+
 func TestRestoreCutsWatchesThatWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -42,6 +42,8 @@
 	faults        Faults
 	faultsChanged chan struct{} // closes when the faults change
 	release       chan struct{} // closes when waiting watches are to end
+
+	copies copies
 }
 
 // New returns a store with the seeds of the configuration, which must be
