Delivery: a host writes its last windows again when the platform came back from an older copy

Reports lacked what hosts had written in the lost seconds; they named the windows, and nobody wrote them again.

A host keeps its windows of the last 30 s and writes them again, on the condition that they are not there, at its next flush after the era rose. One that was summed up and removed since is recognised by its number, as after a delayed write. No call more while the era stands.

TestWindowsOutliveAnOlderCopy failed (windows of three hosts missing), passes.

--- a/internal/delivery/events.go
+++ b/internal/delivery/events.go
@@ -27,6 +27,12 @@
 		"A delivery object can't be read. Reports name it.",
 		"Check whether hosts of different releases run. The object's windows are missing in reports until it can be read.",
 		"object", "error")
+	evRewritten = event.Define(6009, "delivery_window_restored", plog.InfoLevel,
+		"The platform came back from an older copy; this host has written one of its last delivery windows again, or found it there.", "none",
+		"window", "before", "era")
+	evRewriteFailed = event.Define(6010, "delivery_window_not_restored", plog.WarnLevel,
+		"The platform came back from an older copy, and a delivery window that this may lack could not be written again. It is tried again for half a minute.",
+		"Check the platform if it goes on; reports name the windows that are missing.", "window", "era", "error")
 	evBurnFailed = event.Define(6008, "delivery_burn_failed", plog.WarnLevel,
 		"The burn of the objectives could not be computed. Its metrics keep their last values, if this host has any, until a later try succeeds.",
 		"Check the platform if it goes on. \"show burn\" computes the same.", "error")
--- a/internal/delivery/fleet_test.go
+++ b/internal/delivery/fleet_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -151,15 +150,21 @@
 // report vouches for must be there to the last delivery; of any other there
 // must not be more than was recorded.
 func (f *fleet) differences(r Report) []string {
-	missing := fmt.Sprint(r.Completeness.Missing, r.Completeness.Open)
+	unvouched := map[string]bool{}
+	name := func(i Incarnation) { unvouched[fmt.Sprintf("%s/%d", i.Host, i.Number)] = true }
+	for _, gap := range r.Completeness.Missing {
+		name(gap.Incarnation)
+	}
+	for _, open := range r.Completeness.Open {
+		name(open.Incarnation)
+	}
 	reported := map[string]uint64{}
 	for _, l := range r.Lines {
 		reported[l.Key.Service] = l.Sums.Count
 	}
 	var differences []string
 	for _, run := range slices.Sorted(maps.Keys(f.recorded)) {
-		id, number, _ := strings.Cut(run, "/")
-		vouched := !strings.Contains(missing, fmt.Sprintf("host %s, incarnation %s ", id, number))
+		vouched := !unvouched[run]
 		if n := f.recorded[run]; reported[run] > n || vouched && reported[run] != n {
 			differences = append(differences, fmt.Sprintf("%s: %d reported, %d recorded, vouched for: %t", run, reported[run], n, vouched))
 		}
--- a/internal/delivery/flush.go
+++ b/internal/delivery/flush.go
@@ -8,8 +8,9 @@
 )
 
 // flush writes the pending windows, oldest first, until one fails or as many
-// as given are written.
+// as given are written, and those again that the platform may have lost.
 func (w *Windows) flush(ctx context.Context, most int) {
+	defer w.rewrite(ctx)
 	for range most {
 		p := w.queue.head()
 		if p == nil {
@@ -33,15 +34,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.cfg.WriteTimeout.Std())
 	defer cancel()
-	_, err = w.store.Put(ctx, w.kind(p.window.Host), p.window.name(), 0, value)
+	kind, name := w.kind(p.window.Host), p.window.name()
+	o, err := w.store.Put(ctx, kind, name, 0, value)
 	var conflict *objstore.Conflict
 	var unavailable *objstore.Unavailable
 	switch {
 	case err == nil:
 		w.metrics.bytes.Add(float64(len(value)))
+		w.keep(kind, name, value, o.Era)
 		return nil
 	case errors.As(err, &conflict) && sameValue(conflict.Current.Value, value):
-		return nil // an earlier try was applied
+		w.keep(kind, name, value, conflict.Current.Era) // an earlier try was applied
+		return nil
 	case errors.As(err, &conflict):
 		return w.takeNextNumber(p)
 	case errors.As(err, &unavailable):
--- a/internal/delivery/windows.go
+++ b/internal/delivery/windows.go
@@ -33,6 +33,7 @@
 	numbered Incarnation // of the window written last
 	next     uint64      // number of the next window to be written
 	failures int         // in a row
+	kept     []writtenWindow
 	seen     map[Incarnation]bool
 	// early is the part of an interval by which the first window is shorter, so that
 	// hosts that start together do not write together.
