Delivery: sums are remembered for their era, and a round ends with it

Reports could lose windows for good over a restore. By reading, then two tests: a host went by what it remembered of a sum under its name and version, which the platform had given to another sum since, and removed windows that this did not hold; and a round went on removing windows whose sum the platform had lost under it.

What is remembered is dropped with the era; a round makes no call in another era than it began in, and puts the window back that it was just removing. A part of a sum that is being removed in that moment is still lost.

TestSumIsNotRememberedOverARestore and TestWindowsOutliveARestoreWithinARound failed, pass; the other tests of the package pass.

--- a/internal/delivery/compact.go
+++ b/internal/delivery/compact.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -30,6 +31,7 @@
 	pace     *rate.Limiter        // of removals
 	last     [MaxShards]time.Time // slots of the last rounds that ended well
 	indexes  [MaxShards]map[string]*index
+	era      uint64 // of the platform, in which the indexes and what the round goes by were read
 	burn     *burnGauge
 	burnSlot time.Time // of the newest burn
 
@@ -174,6 +176,9 @@
 	if err != nil {
 		return Error.New("list windows of shard %d: %w", shard, err)
 	}
+	if listing.Era != c.era { // what is remembered by its version may have been lost and written anew
+		c.era, c.indexes = listing.Era, [MaxShards]map[string]*index{}
+	}
 	indexes, windows := readIndexes(listing.Objects, c.indexes[shard], c.unreadable)
 	c.remember(shard, indexes)
 	summed := coveredBy(allSpans(indexes))
@@ -231,7 +236,7 @@
 		}
 	}
 	for _, o := range removable {
-		if err := c.remove(ctx, o.Kind, o.Name, o.Version); err != nil {
+		if err := c.removeWindow(ctx, o); err != nil {
 			return err
 		}
 	}
@@ -239,6 +244,22 @@
 	return nil
 }
 
+// removeWindow removes a window that is in a sum, and puts it back if the platform came back from an older copy meanwhile: that may
+// lack the sum.
+func (c *Compactor) removeWindow(ctx context.Context, o objstore.Object) error {
+	if err := c.remove(ctx, o.Kind, o.Name, o.Version); err != nil {
+		return err
+	}
+	if c.store.Era() == c.era {
+		return nil
+	}
+	_, err := c.store.Put(ctx, o.Kind, o.Name, 0, o.Value)
+	if conflict := (*objstore.Conflict)(nil); err != nil && !errors.As(err, &conflict) {
+		return errors.Join(errRestored, Error.New("put window %s back: %w", o.Name, err))
+	}
+	return Error.Wrap(errRestored)
+}
+
 // sumLevel sums the sums of a level whose time is over into the next level's,
 // and removes them.
 func (c *Compactor) sumLevel(ctx context.Context, now time.Time, shard int, from, to level, indexes []*index) error {
--- a/internal/delivery/sumstore.go
+++ b/internal/delivery/sumstore.go
@@ -129,8 +129,15 @@
 	}
 }
 
-// call makes one call to the platform within the write timeout.
+// errRestored means that the platform came back from an older copy while a round went on: it may lack the sum whose windows
+// the round is about to remove.
+var errRestored = errors.New("the platform came back from an older copy within the round")
+
+// call makes one call of a round to the platform within the write timeout.
 func (c *Compactor) call(ctx context.Context, f func(context.Context) error) error {
+	if c.store.Era() != c.era {
+		return Error.Wrap(errRestored)
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.WriteTimeout.Std())
 	defer cancel()
 	return f(ctx)
