A tombstone ends only where the registry is known to be current after its time

The time for which the tombstone of the target counted was over, and its registration, as the host had read it before, was believed; 2 ms later the store told that it was gone.

What a host believes of a registration is weighed by when it was known to be current, not by when the host looks: a tombstone counts against everything told as of a time before its end, and ends when the registry is known past it.

--- a/internal/discovery/lapse.go
+++ b/internal/discovery/lapse.go
@@ -90,7 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.permits.forget(now, s.targets)
-	revived := s.tombstones.sweep(now)
+	revived := s.tombstones.sweep(now, s.registry.asOf)
 	for _, t := range revived {
 		delete(s.lapsed, t.ID)
 		s.targets[t.ID] = t
@@ -101,7 +101,9 @@
 			continue
 		}
 		gone = append(gone, TargetChange{Target: s.targets[id], Gone: true})
-		s.addTombstone(id, s.targets[id].Born, true, s.registry.revision)
+		if _, suppressed := s.tombstones.suppressed[id]; !suppressed { // else the one that counts goes on
+			s.addTombstone(id, s.targets[id].Born, true, s.registry.revision)
+		}
 		delete(s.lapsed, id)
 		delete(s.targets, id)
 	}
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -179,7 +179,7 @@
 	var changes []TargetChange
 	for _, t := range l.Targets {
 		listed[t.ID] = true
-		t, gone := s.suppress(s.stamp(t), l.Revision, now)
+		t, gone := s.suppress(s.stamp(t), l.Revision, asOf)
 		if !gone {
 			changes = append(changes, TargetChange{Target: t})
 		}
--- a/internal/discovery/tombstone.go
+++ b/internal/discovery/tombstone.go
@@ -60,10 +60,10 @@
 	delete(t.suppressed, id)
 }
 
-// of returns the tombstone that counts against a registration as it was told at a revision.
-func (t *tombstones) of(target Target, at revision.Revision, now time.Time) (tombstone, bool) {
+// of returns the tombstone that counts against a registration as it was told at a revision, current as of a time.
+func (t *tombstones) of(target Target, at revision.Revision, asOf time.Time) (tombstone, bool) {
 	one, ok := t.byID[target.ID]
-	if !ok || one.at.Era >= at.Era || !now.Before(one.until) {
+	if !ok || one.at.Era >= at.Era || !asOf.Before(one.until) {
 		return tombstone{}, false
 	}
 	return one, target.Born <= one.born || one.born == anyIncarnation // an earlier incarnation is gone, too
@@ -84,11 +84,12 @@
 	return one
 }
 
-// sweep forgets what no longer counts, and returns the registrations that are to be believed again.
-func (t *tombstones) sweep(now time.Time) []Target {
+// sweep forgets what no longer counts, and returns the registrations that are to be believed again: those that the registry,
+// current as of a time, still has then. A host that was suspended goes by what it knew before, until it hears again.
+func (t *tombstones) sweep(now, asOf time.Time) []Target {
 	var believed []Target
 	for id, one := range t.byID {
-		ended := !one.until.IsZero() && !now.Before(one.until)
+		ended := !one.until.IsZero() && !asOf.Before(one.until)
 		if !ended && (!one.until.IsZero() || now.Sub(one.added) < keepTombstones) {
 			continue
 		}
@@ -167,11 +168,11 @@
 
 // suppress returns what is to be believed of a registration in a list: nothing of a target that is gone, and of one that leaves
 // that it does. The caller holds the lock.
-func (s *State) suppress(t Target, at revision.Revision, now time.Time) (believed Target, gone bool) {
+func (s *State) suppress(t Target, at revision.Revision, asOf time.Time) (believed Target, gone bool) {
 	if known, ok := s.targets[t.ID]; ok && t.Born > 0 && t.Born < known.Born {
 		return known, false // the copy has an earlier incarnation; this one writes itself again, or lapses
 	}
-	one, ok := s.tombstones.of(t, at, now)
+	one, ok := s.tombstones.of(t, at, asOf)
 	if !ok || !one.gone && t.Draining {
 		return t, false
 	}
@@ -200,7 +201,7 @@
 			one = s.tombstones.inForce(one, now)
 		}
 		s.tombstones.add(told.Target, one)
-		if c, ok := s.suppressKnown(told.Target, now); ok {
+		if c, ok := s.suppressKnown(told.Target); ok {
 			made = append(made, c)
 		}
 	}
@@ -212,13 +213,13 @@
 
 // suppressKnown applies a new tombstone to what is believed of its target, and reports whether that changes. The caller holds
 // the lock.
-func (s *State) suppressKnown(id string, now time.Time) (TargetChange, bool) {
+func (s *State) suppressKnown(id string) (TargetChange, bool) {
 	t, ok := s.targets[id]
 	if !ok {
 		return TargetChange{}, false
 	}
 	_, missing := s.lapsed[id]
-	believed, gone := s.suppress(t, s.registry.revision, now)
+	believed, gone := s.suppress(t, s.registry.revision, s.registry.asOf)
 	if missing { // the store does not have it either, so that nothing is to be believed again
 		delete(s.tombstones.suppressed, id)
 	}
--- /dev/null
+++ b/internal/discovery/waking_test.go
@@ -0,0 +1,36 @@
+package discovery
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"rhubarbwood.example/rhubarbwood/internal/clock"
+	"rhubarbwood.example/rhubarbwood/internal/revision"
+)
+
+func inEra(era, number uint64) revision.Revision { return revision.Revision{Era: era, Number: number} }
+
+// A host is suspended while the tombstone of a target that left counts. It wakes after its end: what it believes is that old, and the
+// target is not used until the store is known to tell its registration still.
+func TestTombstoneOutlivesASuspension(t *testing.T) {
+	is := is.New(t)
+	c, pass := clock.Virtual()
+	s := NewState()
+	s.GoBy(c)
+	left := []Target{{ID: "left", Born: 3, Service: "s"}}
+	s.ApplyTargets(TargetList{Targets: left, Revision: inEra(1, 5)}, c.Now())
+	s.ApplyChanges(TargetChanges{Changes: went("left"), Revision: inEra(1, 9)}, c.Now())
+	s.ApplyTargets(TargetList{Targets: left, Revision: inEra(2, 6)}, c.Now())
+	asked := c.Now()
+	pass(20 * time.Second)
+	s.Expire(c.Now())
+	is.Equal(len(s.View().Targets), 0)
+	s.ApplyTargets(TargetList{Targets: left, Revision: inEra(2, 7)}, asked) // an answer from before
+	s.Expire(c.Now())
+	is.Equal(len(s.View().Targets), 0)
+	s.ApplyChanges(TargetChanges{Revision: inEra(2, 7)}, c.Now()) // it still stands
+	s.Expire(c.Now())
+	is.Equal(len(s.View().Targets), 1)
+}
