A kept evacuation ends only where evacuations are known to be current after its time

It ends once the evacuations are known to be current past its time. TestKeptEvacuationOutlivesASuspension failed, passes; the tests of evacuations, eras and restores pass.

--- a/internal/discovery/follower.go
+++ b/internal/discovery/follower.go
@@ -481,6 +481,6 @@
 	for await.Sleep(ctx, expireEvery) {
 		now := f.state.clock.Now()
 		f.logTargets(f.state.Expire(now), "outage over")
-		f.logEvacuations(f.state.ExpireEvacuations(now), "restore over")
+		f.logEvacuations(f.state.ExpireEvacuations(), "restore over")
 	}
 }
--- a/internal/discovery/keptevacuation.go
+++ b/internal/discovery/keptevacuation.go
@@ -42,9 +42,10 @@
 	}
 }
 
-// release ends keeping those whose time is over.
-func (e *evacuations) release(now time.Time) {
-	maps.DeleteFunc(e.kept, func(_ string, k keptEvacuation) bool { return !now.Before(k.until) })
+// release ends keeping those whose time is over as far as the evacuations are known to be current: a host that was suspended
+// goes by what it knew before, until it hears again.
+func (e *evacuations) release() {
+	maps.DeleteFunc(e.kept, func(_ string, k keptEvacuation) bool { return !e.belief.asOf.Before(k.until) })
 }
 
 // believed returns the domains that are evacuated, those that are kept so among them.
@@ -68,13 +69,13 @@
 }
 
 // ExpireEvacuations ends those that are kept and were not written again in time. It returns what has changed.
-func (s *State) ExpireEvacuations(now time.Time) []EvacuationChange {
+func (s *State) ExpireEvacuations() []EvacuationChange {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.evacuations.kept) == 0 {
 		return nil
 	}
-	s.evacuations.release(now)
+	s.evacuations.release()
 	return s.refreshEvacuations(false)
 }
 
--- a/internal/discovery/waking_test.go
+++ b/internal/discovery/waking_test.go
@@ -34,3 +34,20 @@
 	s.Expire(c.Now())
 	is.Equal(len(s.View().Targets), 1)
 }
+
+// The same with an evacuation that an older copy of the store lacks.
+func TestKeptEvacuationOutlivesASuspension(t *testing.T) {
+	is := is.New(t)
+	c, pass := clock.Virtual()
+	s := NewState()
+	s.GoBy(c)
+	s.evacuations.followed, s.evacuations.keepFor = true, 4*time.Second
+	s.ApplyEvacuations(EvacuationRead{Domains: []string{"d"}, Revision: inEra(1, 5)}, c.Now())
+	s.ApplyEvacuations(EvacuationRead{Revision: inEra(2, 3)}, c.Now())
+	pass(20 * time.Second)
+	s.ExpireEvacuations()
+	is.Equal(s.Evacuations(), []string{"d"})
+	s.ApplyEvacuationChanges(EvacuationChanges{Revision: inEra(2, 4)}, c.Now()) // nobody has written it again
+	s.ExpireEvacuations()
+	is.Equal(len(s.Evacuations()), 0)
+}
