--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -38,7 +38,7 @@
 
 // restoreSeeds run with all faults, placement, and a store that comes back from older copies of itself.
 var restoreSeeds = []uint64{
-	10005, // two permits of a cold target at once: the store had lost one
+	10005, // two permits of a cold target at once: the store had lost one; a host that woke believed what it had read before
 	10211, // hosts that had started around a restore sent to a target that had left
 	10235, // the same, with an earlier incarnation of the target in the copy
 	10306, // two hosts that had started together read the copy 0.5 s before they met the one that knew better
