Discovery: older news do not age the registry for permits

What was seen, by reading: the time as of which the registry is current was stored twice, the second time also where it was older than the one held. A host that heard a peer's older news counted its permits of cold targets for less long, and refused requests to them that it might have sent.

Ruled out: a permit that counts for too long; the time held never falls now, and it is the one of the belief itself. The era was noted twice, too; the second time could change nothing.

TestOlderNewsDoNotAgeTheRegistry fails on the code before (not true: PermitsCount).

--- /dev/null
+++ b/internal/discovery/permit_age_test.go
@@ -0,0 +1,23 @@
+package discovery
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// What a peer read before this host did takes nothing from what this host knows: permits would count for less long.
+func TestOlderNewsDoNotAgeTheRegistry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := NewState()
+		time.Sleep(time.Hour)
+		read := time.Now()
+		s.ApplyTargets(TargetList{Revision: at(7)}, read)
+		is.True(s.PermitsCount())
+		s.ApplyChanges(TargetChanges{Revision: at(8)}, read.Add(-s.permitsFor-time.Second))
+		is.True(s.PermitsCount())
+	})
+}
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -227,14 +227,12 @@
 	s.noteEra(s.registry.revision.Era, now)
 	if asOf.After(s.registry.asOf) {
 		if before := s.registry.asOf; !before.IsZero() && asOf.Sub(before) >= s.lapseAfter {
-			s.noteEra(s.registry.revision.Era, now)
 			s.resumed = now
 		}
 		s.registry.asOf = asOf
 		s.registryAsOf.Store(&asOf)
 	}
 	var made, unusable []TargetChange
-	s.registryAsOf.Store(&asOf)
 	for _, c := range changes {
 		if s.noteUnusable(c) {
 			unusable = append(unusable, c)
