Test: a question for the load leaves the last connection to a request

The pool counts what is reserved, so no request is admitted on that connection meanwhile. The test stays; nothing is changed.

--- a/internal/gateway/ask_test.go
+++ b/internal/gateway/ask_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
+	"rhubarbwood.example/rhubarbwood/internal/routing"
 	"rhubarbwood.example/rhubarbwood/internal/standin/platformtarget"
 )
 
@@ -64,3 +65,27 @@
 		}
 	})
 }
+
+// A question takes no connection that a request was given, where there is no other one.
+func TestQuestionLeavesTheLastConnectionToARequest(t *testing.T) {
+	const connections = 1 // of the host to each target
+	run(t, options{target: func(c *platformtarget.Config) { c.TellLoad = true }}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		few := func(service *routing.Service) { service.MaxConnections = connections }
+		s.configureWith(2, few, s.usualRoutes(1)...)
+		is.Equal(s.get("/one/x", "first").status, http.StatusOK) // its answer tells the load
+		for _, target := range s.targets {
+			target.SilenceHealth(true)
+		}
+		for round := range 20 {
+			answers := make(chan answer)
+			for i := range connections * len(s.targets) {
+				go func() { answers <- s.ask(http.MethodPost, "/once/x", fmt.Sprintf("r%d-%d", round, i), "") }()
+			}
+			for range connections * len(s.targets) {
+				is.Equal((<-answers).status, http.StatusOK)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
