Catalog test: a change of the older copy, and one that races a lost change, apart

Cause: the test's. It let an operator change a service just after the platform came back without an earlier change, and took for granted that no host had written that one again before.

Now the order is set: hosts that know the lost change do not reach the platform until an operator at one that does not has made another on the copy. It fails with the check of what a change was made on left out. The race has a test of its own, which holds what the operator is told against all hosts. No code changes.

--- a/internal/catalog/spread_test.go
+++ b/internal/catalog/spread_test.go
@@ -337,22 +337,66 @@
 // A change that an operator makes before a lost one is written again counts: it was made on what the platform held.
 func TestChangeOfTheOlderCopyStands(t *testing.T) {
 	inFleet(t, 3, 1, func(is *is.I, f *fleet) {
+		lost, made := testService("a"), testService("a")
+		lost.Targets[0].Slots, made.Targets[0].Slots = 7, 9
 		operator := f.operator(is)
+		older := f.platform.Copy()
+		is.Equal(operator.Change(f.t.Context(), Request{Verb: Alter, Service: lost, Version: 2}).Status, Accepted)
+		f.pass(spreadBound)
+		f.reachPlatform(false)
+		f.scatter()
+		f.platform.Restore(older)
+		unaware := f.add("unaware", "domain-0") // of the change that was lost
+		f.pass(spreadBound)
+		is.Equal(NewEditor(unaware.catalog).Change(f.t.Context(), Request{Verb: Alter, Service: made, Version: 2}).Status, Accepted)
+		f.reachPlatform(true)
+		f.join()
+		f.pass(settled)
+		is.Equal(f.slots(is, "a"), made.Targets[0].Slots)
+	})
+}
+
+// An operator whose change races with the one that is written again is told what came of it.
+func TestChangeThatRacesALostOneIsToldTruly(t *testing.T) {
+	inFleet(t, 3, 1, func(is *is.I, f *fleet) {
 		lost, made := testService("a"), testService("a")
 		lost.Targets[0].Slots, made.Targets[0].Slots = 7, 9
+		operator := f.operator(is)
 		older := f.platform.Copy()
 		is.Equal(operator.Change(f.t.Context(), Request{Verb: Alter, Service: lost, Version: 2}).Status, Accepted)
 		f.pass(spreadBound)
 		f.platform.Restore(older)
-		is.Equal(operator.Change(f.t.Context(), Request{Verb: Alter, Service: made, Version: 2}).Status, Accepted)
+		result := operator.Change(f.t.Context(), Request{Verb: Alter, Service: made, Version: 2})
 		f.pass(settled)
-		for _, n := range f.nodes {
-			now, _ := n.catalog.Service("a")
-			is.Equal(now.Targets[0].Slots, made.Targets[0].Slots)
+		switch result.Status {
+		case Accepted:
+			is.Equal(f.slots(is, "a"), made.Targets[0].Slots)
+		case Refused:
+			is.Equal(f.slots(is, "a"), lost.Targets[0].Slots)
+		default:
+			f.t.Fatalf("the operator was told %v", result)
 		}
 	})
 }
 
+// reachPlatform lets all hosts reach the platform, or none.
+func (f *fleet) reachPlatform(reach bool) {
+	for _, n := range f.all() {
+		n.client.Outage(!reach)
+	}
+}
+
+// slots returns those of the first target of a service, which all hosts hold alike.
+func (f *fleet) slots(is *is.I, service string) int {
+	first, _ := f.nodes[0].catalog.Service(service)
+	for _, n := range f.all() {
+		s, known := n.catalog.Service(service)
+		is.True(known)
+		is.Equal(s.Targets[0].Slots, first.Targets[0].Slots)
+	}
+	return first.Targets[0].Slots
+}
+
 // operator returns an editor at one of the hosts, after a first change of service a.
 func (f *fleet) operator(is *is.I) *Editor {
 	e := NewEditor(f.nodes[0].catalog)
