Model: reservations over a restore of the platform

The promise "at most once" rests on a record that a restore may lose; that it holds was shown by tests and histories, not by the model. With RESTORE the record goes back to an earlier state of itself once, at any step, beside lost answers and writes that land late. An attempt whose record was written after that is not sent, as the id is older. The twin TRUST_COPY, which sends it, is refuted: runs <= 1.

--- a/model/check.sh
+++ b/model/check.sh
@@ -62,6 +62,8 @@
 refuted claim SECOND_TARGET_WITHOUT_UPDATE -DREQUESTS=2 -DFAULTS=2 -DATTEMPTS=5
 refuted claim REMOVE_EARLY -DREQUESTS=2 -DFAULTS=2
 refuted claim RELEASE_BY_REMOVAL -DREQUESTS=3 -DFAULTS=1
+holds claim -DRESTORE -DREQUESTS=2 -DFAULTS=1
+refuted claim TRUST_COPY -DRESTORE -DREQUESTS=2 -DFAULTS=1
 
 # Configuration. Two hosts that watch and pull, two objects, two changes; a
 # host that watches and one that only pulls, one object, three changes.
--- a/model/claim.pml
+++ b/model/claim.pml
@@ -8,6 +8,9 @@
  * request that meets another's attempt may always take its host for dead. So
  * may any write meet an outage of the platform, of any length.
  *
+ * With RESTORE the platform comes back from an older copy of the record once, at
+ * any step. The reservation's id is older than that.
+ *
  * Checked: the target runs the reservation at most once, and no request that
  * was told "not run" has run or runs later.
  *
@@ -48,6 +51,14 @@
 bool wellPast = false;    /* and past the age of removal */
 byte faults = FAULTS;
 
+#ifdef RESTORE
+byte copyVersion = 0;
+byte copyPhase = NONE;
+byte copyAttempt = 0;
+bool copyPast = false;
+#endif
+bool restored = false;
+
 typedef Write { bool used; byte ver; byte ph; byte att };
 Write late[SLOTS];
 
@@ -108,6 +119,7 @@
 	byte mine = 0;  /* the newest attempt */
 	byte held = 0;  /* an earlier one that was rejected, named by the record */
 	bool cw, doubt;
+	bool lossy; /* the record was written after the platform may have lost an earlier one */
 
 	/* Requests are alike, so the order in which they begin is fixed. The host
 	   looks at the clock; its reading may be old. */
@@ -131,6 +143,7 @@
 take:
 	atomic {
 		put(base, SENDING, mine);
+		lossy = restored;
 		if
 		:: result == APPLIED -> goto own
 		:: result == CONFLICT && ca == mine && cp == SENDING -> goto own
@@ -162,6 +175,12 @@
 own:
 	atomic {
 		held = 0;
+#ifndef TRUST_COPY
+		if
+		:: lossy -> neverRuns[mine] = true; base = cv; cv = 0; forget(); goto release /* told as unknown */
+		:: else -> skip
+		fi;
+#endif
 #ifndef NO_RECHECK
 		if
 		:: cw -> neverRuns[mine] = true; base = cv; cv = 0; forget(); goto release /* told as expired */
@@ -278,7 +297,7 @@
 		fi
 	};
 end:
-	atomic { base = 0; cv = 0; cp = 0; ca = 0; result = 0; tries = 0; mine = 0; held = 0; cw = false; doubt = false }
+	atomic { base = 0; cv = 0; cp = 0; ca = 0; result = 0; tries = 0; mine = 0; held = 0; cw = false; doubt = false; lossy = false }
 }
 
 /* Writes that were held back land at any time, or never. */
@@ -305,9 +324,24 @@
 	od
 }
 
+#ifdef RESTORE
+/* A copy of the record is made, and later takes its place. */
+proctype Restore() {
+	atomic { copyVersion = version; copyPhase = phase; copyAttempt = attempt; copyPast = writtenPast };
+	atomic {
+		version = copyVersion; phase = copyPhase; attempt = copyAttempt; writtenPast = copyPast;
+		copyVersion = 0; copyPhase = NONE; copyAttempt = 0; copyPast = false;
+		restored = true
+	}
+}
+#endif
+
 init {
 	byte i = 0;
 	atomic {
+#ifdef RESTORE
+		run Restore();
+#endif
 		run Network();
 		run Clock();
 		do
