Cold targets: a permit of an era that its writer has not waited in is not used

What could be seen: two permits of a cold target that count at once, and more requests in a second than it bears.

Cause: whether permits may be written is judged by the era of the registry that the host knows; the store may have come back from a copy since, without a permit that was written last. The permit written then is of the later era, and was told to all hosts: those that had read the registry in that era went by it, while others, cut off from that news, still went by the lost one for up to the time in which they trust the registry.

Ruled out: late writes that land in a later era. Whoever finds such a permit has waited in that era, and so has whoever tells it.

Now a permit counts only where it stands in the era for which the host has waited; else it is found later, by a host that has. TestPermitWrittenAfterAnUnheardRestoreWaits fails on the code before ({i-1 [a] 21 1} held at once).

--- a/internal/discovery/permit.go
+++ b/internal/discovery/permit.go
@@ -151,11 +151,12 @@
 	return asOf != nil && s.clock.Since(*asOf) <= s.permitsFor
 }
 
-// MayPermit reports whether new permits may be written: those of earlier eras count nowhere any more.
-func (s *State) MayPermit() bool {
+// MayPermit returns the era of the registry, and whether permits that stand in it may be used: those of earlier eras count
+// nowhere any more.
+func (s *State) MayPermit() (era uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.eraSeen.IsZero() && s.clock.Since(s.eraSeen) >= s.permitsFor+afterPermits
+	return s.seenEra, !s.eraSeen.IsZero() && s.clock.Since(s.eraSeen) >= s.permitsFor+afterPermits
 }
 
 // noteEra notes when the era of the registry was first seen, by this host or a peer. The caller holds the lock.
--- a/internal/warmup/keeper.go
+++ b/internal/warmup/keeper.go
@@ -109,7 +109,8 @@
 	var mu sync.Mutex
 	var got []discovery.Permit
 	now := time.Now()
-	if !k.state.MayPermit() {
+	era, ok := k.state.MayPermit()
+	if !ok {
 		return
 	}
 	for _, t := range wanted {
@@ -117,7 +118,7 @@
 			continue
 		}
 		calls.Go(func() error {
-			permit, err := k.write(ctx, t)
+			permit, err := k.write(ctx, t, era)
 			if err != nil {
 				k.log.Event(evNotWritten).Str("target", t.ID).Err(err).Msg("")
 				return nil // it is tried again
@@ -169,7 +170,12 @@
 // errNone means that a target bears too little for any host.
 var errNone = errors.New("the target bears less than one request a second")
 
-func (k *Keeper) write(ctx context.Context, t gateway.ColdTarget) (discovery.Permit, error) {
+// errLaterEra means that the store came back from an older copy that this host has not heard of yet: other hosts
+// may go by a permit that the store has lost.
+var errLaterEra = errors.New("the store is in another era than the registry that this host knows")
+
+// write writes the permit of a target, or reads the one that stands, in an era.
+func (k *Keeper) write(ctx context.Context, t gateway.ColdTarget, era uint64) (discovery.Permit, error) {
 	hosts, each := policy.DivideCold(t.Bound, t.ID, t.Hosts)
 	if each == 0 {
 		return discovery.Permit{}, Error.Wrap(errNone)
@@ -180,6 +186,9 @@
 	if err != nil {
 		return permit, err
 	}
+	if permit.Era != era {
+		return discovery.Permit{}, Error.Wrap(errLaterEra)
+	}
 	k.log.Event(evPermit).Str("target", t.ID).Strs("hosts", permit.Hosts).Int("each", permit.Each).Msg("")
 	return permit, nil
 }
--- a/internal/warmup/keeper_test.go
+++ b/internal/warmup/keeper_test.go
@@ -152,6 +152,31 @@
 	}
 }
 
+// The store came back from an older copy, without a permit by which other hosts may still go, and this host has not heard of
+// that: a permit that it writes then counts on no host before the others have ceased to go by theirs.
+func TestPermitWrittenAfterAnUnheardRestoreWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		k := startKeepers(t, nil, 0)
+		state, client := k.states[0], k.clients[0]
+		k.platform.Restore(k.platform.Copy())
+		peers := k.peers[0]
+		targets := &fakeTargets{state: state, cold: []gateway.ColdTarget{coldTarget("i-1", "a")}, told: make(chan struct{}, 1)}
+		keeper := NewKeeper(targets, peers, client, state, event.Discard())
+		is.NoErr(keeper.Start(t.Context()))
+		t.Cleanup(func() { _ = keeper.Stop(context.Background()) })
+		targets.told <- struct{}{}
+		time.Sleep(time.Second)
+		state.ApplyTargets(discovery.TargetList{Revision: revision.Revision{Era: 1, Number: 1}}, time.Now())
+		time.Sleep(knownFor - time.Second)
+		is.Equal(k.permit(0, "i-1"), discovery.Permit{})
+		is.Equal(len(peers.told), 0)
+		time.Sleep(2 * time.Second)
+		is.Equal(k.permit(0, "i-1").Of("a"), 21)
+		is.True(len(peers.told) > 0)
+	})
+}
+
 // What another writer left in place of a permit is none, and the target gets nothing while it is cold.
 func TestForeignPermitIsNone(t *testing.T) {
 	is := is.New(t)
--- a/model/check.sh
+++ b/model/check.sh
@@ -101,4 +101,10 @@
 	refuted cold "$twin" -DHOSTS=2
 done
 
+# The same over a restore of the store.
+holds cold -DHOSTS=2 -DRESTORES=1 -DBOUND=2 -DSTARTS=0
+for twin in BROKEN_ERA BROKEN_WAIT BROKEN_ANSWER; do
+	refuted cold "$twin" -DHOSTS=2 -DRESTORES=1 -DBOUND=2 -DSTARTS=0
+done
+
 exit $((failures > 0))
