--- a/internal/discovery/eras_history_test.go
+++ b/internal/discovery/eras_history_test.go
@@ -28,6 +28,8 @@
 	events  []revisedChange // of this copy's history
 	targets map[string]Target
 	version uint64
+
+	evacuations evacuationLog
 }
 
 func (s *erasStore) at() revision.Revision { return revision.Revision{Era: s.era, Number: s.number} }
@@ -57,13 +59,18 @@
 
 // restore takes the store back to a copy; the operator writes again at once.
 func (s *erasStore) restore(i int) {
+	s.goBack(i)
+	s.configure(s.newest)
+}
+
+// goBack takes the store back to a copy.
+func (s *erasStore) goBack(i int) {
 	s.storeCopy, s.copies = s.copies[i], s.copies[:i+1]
 	s.era++
 	for j := range s.events {
 		s.events = slices.Clone(s.events)
 		s.events[j].revision.Era = s.era
 	}
-	s.configure(s.newest)
 }
 
 // beat lets every target that lives write its registration again, and those lapse that nobody writes.
--- a/internal/discovery/main_test.go
+++ b/internal/discovery/main_test.go
@@ -11,6 +11,13 @@
 // at returns a revision of the first era.
 func at(number uint64) revision.Revision { return revision.Revision{Era: 1, Number: number} }
 
+// How many histories of whole fleets are played, and which: a few in CI, thousands by hand.
+var (
+	fleetHistories = flag.Int("fleet-histories", 100, "histories of whole fleets")
+	fleetSeed      = flag.Int("fleet-seed", 1, "seed of these")
+	fleetSize      = flag.Int("fleet-size", 7, "hosts of each fleet")
+)
+
 // The histories are the same in every run.
 func TestMain(m *testing.M) {
 	flag.Parse()
