A question for a target's load takes no connection that a request was given

What callers saw: a single request refused as "targets are busy", at once, at a target with room for it, where hosts have few connections to each target.

Cause: the question reserved a connection beside that of the request without looking whether there is one. Where there is none it took the request's; a question that is not answered within 2 ms ends its connection just as the request wants it.

Ruled out: requests on each other's connections (the pool counts those).

Now a question is sent only where there is a connection beside the request's.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -64,7 +64,10 @@
 func (g *Gateway) askLoad(ctx context.Context, r *run, t *target) {
 	s := r.service
 	deadline, _ := ctx.Deadline()
-	t.pool.Reserve() // on top of that of the request
+	if !t.pool.TryReserve() { // a connection beside that of the request
+		g.metrics.asked.WithLabelValues("no connection").Inc()
+		return
+	}
 	conn, err := t.pool.Get(ctx, deadline)
 	if err != nil {
 		g.metrics.asked.WithLabelValues("no connection").Inc()
--- a/internal/gateway/ask_test.go
+++ b/internal/gateway/ask_test.go
@@ -1,8 +1,11 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -66,10 +69,17 @@
 	})
 }
 
-// A question takes no connection that a request was given, where there is no other one.
+// Where the connection of a request is the only one to its target, no question is sent over it: one that is not answered
+// would end the connection as the request takes it, and the request would be refused as "targets are busy".
 func TestQuestionLeavesTheLastConnectionToARequest(t *testing.T) {
 	const connections = 1 // of the host to each target
-	run(t, options{target: func(c *platformtarget.Config) { c.TellLoad = true }}, func(t *testing.T, s *site) {
+	var dialed atomic.Int32
+	o := options{target: func(c *platformtarget.Config) { c.TellLoad = true }}
+	o.dial = func(s *site, ctx context.Context, network, address string) (net.Conn, error) {
+		dialed.Add(1)
+		return s.network.Dial(ctx, network, address)
+	}
+	run(t, o, func(t *testing.T, s *site) {
 		is := is.New(t)
 		few := func(service *routing.Service) { service.MaxConnections = connections }
 		s.configureWith(2, few, s.usualRoutes(1)...)
@@ -78,14 +88,17 @@
 			target.SilenceHealth(true)
 		}
 		for round := range 20 {
-			answers := make(chan answer)
+			answers := make(chan int)
 			for i := range connections * len(s.targets) {
-				go func() { answers <- s.ask(http.MethodPost, "/once/x", fmt.Sprintf("r%d-%d", round, i), "") }()
+				go func() { answers <- s.ask(http.MethodPost, "/once/x", fmt.Sprintf("r%d-%d", round, i), "").status }()
 			}
+			statuses := map[int]int{}
 			for range connections * len(s.targets) {
-				is.Equal((<-answers).status, http.StatusOK)
+				statuses[<-answers]++
 			}
+			is.Equal(statuses, map[int]int{http.StatusOK: connections * len(s.targets)})
 			time.Sleep(time.Second)
 		}
+		is.True(int(dialed.Load()) <= connections*len(s.targets))
 	})
 }
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -94,7 +94,21 @@
 func (p *Pool) Free() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.closed && len(p.idle)+max(p.limit-p.open, 0) > p.kept
+	return p.free()
+}
+
+// free is Free with the lock held.
+func (p *Pool) free() bool { return !p.closed && len(p.idle)+max(p.limit-p.open, 0) > p.kept }
+
+// TryReserve is Reserve if there is a connection to reserve.
+func (p *Pool) TryReserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.free() {
+		return false
+	}
+	p.kept++
+	return true
 }
 
 // Reserve keeps a connection for the next Get: requests that are given one at the same moment are no
