A target that went missing before a restore is kept no longer for it

Cause, from the hosts' lines: the host that watched for all was killed; the one that stayed had no news of the registry for two beats, and kept what it then found missing for a moment, as it may have lapsed in an outage that it did not see. A restore fell into that moment. The copy had the target, and what is kept so has no tombstone: it counted as registered, on all hosts, until its registration lapsed 4.2 s later.

Ruled out: a host that starts and believes the copy (both asked the one that stayed first, which told 81 targets, without it); a tombstone that ended.

Now what went missing without an outage gets its tombstone as the restore is seen. What went missing around an outage does not: it may well live, and all targets may be among it.

--- a/internal/discovery/lapse.go
+++ b/internal/discovery/lapse.go
@@ -15,6 +15,13 @@
 // 100 hosts took targets for gone that had lapsed in an outage of 2.6 s, in virtual time.
 const doubtHold = 500 * time.Millisecond
 
+// lapse is a target that went missing.
+type lapse struct {
+	until time.Time // when it is no longer believed to be there
+	// inOutage is set if it went missing around an outage: its registration may well have lapsed, though it lives.
+	inOutage bool
+}
+
 // ReadFailed tells that this host could not read the registry.
 func (s *State) ReadFailed() {
 	s.mu.Lock()
@@ -45,8 +52,13 @@
 // host the others kept a target that had left for 2.2 s more, 4 s in all. The caller holds the lock.
 func (s *State) noteOutage(end time.Time) {
 	inDoubt := s.clock.Now().Before(s.resumed.Add(doubtHold))
-	if inDoubt || end.Sub(s.registry.asOf) >= s.lapseAfter {
-		s.endOutage(end)
+	if !inDoubt && end.Sub(s.registry.asOf) < s.lapseAfter {
+		return
+	}
+	s.endOutage(end)
+	for id, missing := range s.lapsed {
+		missing.inOutage = true
+		s.lapsed[id] = missing
 	}
 }
 
@@ -56,6 +68,11 @@
 	if !s.registry.revision.IsZero() { // else this host has just started
 		s.endOutage(at)
 	}
+	for id, missing := range s.lapsed {
+		if _, known := s.tombstones.byID[id]; !known && !missing.inOutage {
+			s.addTombstone(id, s.targets[id].Born, true, s.registry.revision) // the copy may bring it back, though it left
+		}
+	}
 	s.tombstones.restored(era, at)
 }
 
@@ -66,21 +83,22 @@
 	}
 	s.outage = end
 	s.wakePeers()
-	for id, until := range s.lapsed {
-		if later := end.Add(lapseHold); later.After(until) {
-			s.lapsed[id] = later
+	for id, missing := range s.lapsed {
+		if later := end.Add(lapseHold); later.After(missing.until) {
+			missing.until = later
+			s.lapsed[id] = missing
 		}
 	}
 }
 
-// holdLapsed returns until when a target that is missing now is believed to be there. The caller holds
+// holdLapsed returns until when a target that goes missing now is believed to be there. The caller holds
 // the lock.
-func (s *State) holdLapsed() time.Time {
+func (s *State) holdLapsed(now time.Time) lapse {
 	outage, doubt := s.outage.Add(lapseHold), s.resumed.Add(doubtHold)
 	if doubt.After(outage) {
-		return doubt
+		return lapse{until: doubt, inOutage: now.Before(outage)}
 	}
-	return outage
+	return lapse{until: outage, inOutage: true}
 }
 
 // Expire removes the targets that went missing around an outage and did not
@@ -96,8 +114,8 @@
 		s.targets[t.ID] = t
 	}
 	gone := changed(revived)
-	for id, until := range s.lapsed {
-		if now.Before(until) {
+	for id, missing := range s.lapsed {
+		if now.Before(missing.until) {
 			continue
 		}
 		gone = append(gone, TargetChange{Target: s.targets[id], Gone: true})
--- a/internal/discovery/restore_test.go
+++ b/internal/discovery/restore_test.go
@@ -107,3 +107,26 @@
 	s.ApplyTargets(TargetList{Targets: left, Revision: in(3, 6)}, c.Now())
 	is.Equal(len(s.View().Targets), 0)
 }
+
+// A target leaves while a host has no news of the registry, which keeps it for a moment, as it may have lapsed. An older copy of the
+// store that comes back just then does not make it one that is there.
+func TestTargetThatWentMissingBeforeARestoreIsKeptNoLonger(t *testing.T) {
+	is := is.New(t)
+	c, pass := clock.Virtual()
+	s := NewState()
+	s.GoBy(c)
+	in := func(era, number uint64) revision.Revision { return revision.Revision{Era: era, Number: number} }
+	left := []Target{{ID: "left", Born: 3, Service: "s"}}
+	s.ApplyTargets(TargetList{Targets: left, Revision: in(1, 5)}, c.Now())
+	pass(s.lapseAfter + time.Second)
+	s.ApplyChanges(TargetChanges{Changes: went("left"), Revision: in(1, 9)}, c.Now())
+	is.True(s.keepsLapsed("left"))
+	s.ApplyTargets(TargetList{Targets: left, Revision: in(2, 6)}, c.Now())
+	pass(lapseHold)
+	s.Expire(c.Now())
+	is.Equal(len(s.View().Targets), 0)
+	pass(revivalBeats * defaultBeat) // its registration still stands
+	s.ApplyChanges(TargetChanges{Revision: in(2, 7)}, c.Now())
+	s.Expire(c.Now())
+	is.Equal(ids(s), []string{"left"})
+}
--- a/internal/discovery/state.go
+++ b/internal/discovery/state.go
@@ -35,12 +35,12 @@
 	registryAsOf  atomic.Pointer[time.Time]
 	registry      belief
 	targets       map[string]Target
-	lapsed        map[string]time.Time // targets that went missing, and until when they are kept
-	unusable      map[string]string    // problems of registrations that name no target, by id
-	outage        time.Time            // when the registry could last be read again after an outage
-	resumed       time.Time            // when the belief of the registry was last current again after lapseAfter or more
-	failing       bool                 // the last reading of the registry by this host failed
-	lapseAfter    time.Duration        // of an outage, from which on registrations may lapse in it
+	lapsed        map[string]lapse  // targets that went missing and are kept for a while
+	unusable      map[string]string // problems of registrations that name no target, by id
+	outage        time.Time         // when the registry could last be read again after an outage
+	resumed       time.Time         // when the belief of the registry was last current again after lapseAfter or more
+	failing       bool              // the last reading of the registry by this host failed
+	lapseAfter    time.Duration     // of an outage, from which on registrations may lapse in it
 	history       history
 	tombstones    tombstones
 	news          chan struct{} // closes at the next change
@@ -92,7 +92,7 @@
 		numbers:     numbers,
 		evacuations: evacuations{domains: map[string]bool{}, inForce: map[string]bool{}, numbers: numbers},
 		tombstones:  newTombstones(defaultBeat, numbers),
-		targets:     map[string]Target{}, lapsed: map[string]time.Time{}, unusable: map[string]string{}, lapseAfter: DefaultConfig().lapseAfter(),
+		targets:     map[string]Target{}, lapsed: map[string]lapse{}, unusable: map[string]string{}, lapseAfter: DefaultConfig().lapseAfter(),
 		permitsFor: DefaultConfig().permitsFor(),
 		news:       make(chan struct{}), findings: newFindings(), reports: make(chan Finding, mostReports),
 	}
@@ -294,8 +294,8 @@
 		s.noteRegistration(c.Target)
 		return c, true
 	}
-	if until := s.holdLapsed(); now.Before(until) && c.Problem == "" {
-		s.lapsed[id] = until
+	if hold := s.holdLapsed(now); now.Before(hold.until) && c.Problem == "" {
+		s.lapsed[id] = hold
 		return c, false
 	}
 	delete(s.targets, id)
