News of a peer are not dated after they arrived

Cause, from the hosts' lines: the age of news is counted from the question plus the time for which the peer held it, by the peer's clock. A peer that was suspended while it held the question counted 17 s; this host, whose clock had not gone on, dated the news 17 s ahead. So the end of an evacuation lay ahead, and the failure domain's targets counted as cold until then, without a permit: "no target". Ages of the configuration and the registry were counted the same way, and old beliefs taken for current.

Ruled out: the evacuation itself (its end was logged on all hosts), homes, permits lost in the restore (the service without any bound was refused, too).

The moment is at the latest that of the arrival now. Hosts whose clocks agree see no difference.

--- a/internal/discovery/cold_test.go
+++ b/internal/discovery/cold_test.go
@@ -78,7 +78,7 @@
 	if err := proto.Unmarshal(text, &got); err != nil {
 		t.Fatal(err)
 	}
-	read, err := readReply(&got, time.Now())
+	read, err := readReply(&got, time.Now(), time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/discovery/fuzz_test.go
+++ b/internal/discovery/fuzz_test.go
@@ -32,7 +32,7 @@
 		if proto.Unmarshal(text, &reply) != nil {
 			t.Skip("not a message")
 		}
-		news, err := readReply(&reply, time.Now())
+		news, err := readReply(&reply, time.Now(), time.Now())
 		if err != nil {
 			return
 		}
--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -135,7 +135,7 @@
 		return News{}, Error.New("ask %s for news: %w", from.ID, err)
 	}
 	s.noteReply(from.ID, reply)
-	news, err := readReply(reply, asked)
+	news, err := readReply(reply, asked, s.state.clock.Now())
 	news.From = from.ID
 	return news, err
 }
@@ -185,7 +185,7 @@
 	if err != nil {
 		return News{}, Error.New("ask %s for what it knows: %w", address, err)
 	}
-	news, err := readReply(reply, asked)
+	news, err := readReply(reply, asked, s.state.clock.Now())
 	news.From = address
 	return news, err
 }
--- a/internal/discovery/spread_test.go
+++ b/internal/discovery/spread_test.go
@@ -11,6 +11,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/member"
 	"rhubarbwood.example/rhubarbwood/internal/peer"
+	"rhubarbwood.example/rhubarbwood/internal/peer/peerpb"
 )
 
 // fixedMembers is a membership that does not change.
@@ -175,3 +176,19 @@
 	}
 	is.Equal(len(f.recent), mostFindings)
 }
+
+// The clock of a peer may have counted a suspension that this host's did not. What the peer tells is taken to be of the moment in which
+// it arrived at the latest: dated later, beliefs would count as current, and targets as cold, for all of the difference.
+func TestNewsAreNotOfTheFuture(t *testing.T) {
+	is := is.New(t)
+	asked := time.Now()
+	received := asked.Add(200 * time.Millisecond)
+	n, err := readReply(&peerpb.FollowReply{
+		HeldUs: (17 * time.Second).Microseconds(), RegistryRevision: 7, ConfigRevision: 7, EvacuationRevision: 7, OutageAgeUs: never,
+		Evacuations: &peerpb.Evacuations{Ended: []*peerpb.EvacuationEnd{{FailureDomain: "a"}}},
+	}, asked, received)
+	is.NoErr(err)
+	for _, at := range []time.Time{n.RegistryAsOf, n.ConfigAsOf, n.EvacuationsAsOf, n.EvacuationEnds["a"]} {
+		is.True(!at.After(received))
+	}
+}
--- a/internal/discovery/suspend_test.go
+++ b/internal/discovery/suspend_test.go
@@ -70,7 +70,7 @@
 		state.ApplyConfig(ConfigRead{Config: version(1), Found: true, Revision: at(1)}, machine.Now())
 		suspend(time.Minute)
 		reply := writeReply(state.AwaitNews(t.Context(), Known{}, time.Second), machine.Now(), machine.Now())
-		news, err := readReply(reply, time.Now())
+		news, err := readReply(reply, time.Now(), time.Now())
 		is.NoErr(err)
 		is.True(time.Since(news.ConfigAsOf) >= time.Minute)
 	})
--- a/internal/discovery/wire.go
+++ b/internal/discovery/wire.go
@@ -40,9 +40,13 @@
 
 // readReply decodes the reply to a request that was sent at a time. Ages are
 // taken to be as great as they can be: the reply was sent at the earliest when
-// the request had been held.
-func readReply(r *peerpb.FollowReply, asked time.Time) (News, error) {
+// the request had been held, but not after it was received, whatever a peer's clock
+// has counted.
+func readReply(r *peerpb.FollowReply, asked, received time.Time) (News, error) {
 	sent := asked.Add(time.Duration(r.HeldUs) * time.Microsecond)
+	if sent.After(received) {
+		sent = received
+	}
 	n := News{
 		ConfigAsOf: before(sent, r.ConfigAgeUs), RegistryAsOf: before(sent, r.RegistryAgeUs),
 		AllTargets: r.AllTargets, Outage: before(sent, r.OutageAgeUs),
