--- a/tools/soak_twins.sh
+++ b/tools/soak_twins.sh
@@ -8,7 +8,7 @@
 seeds=${1:-12} # that each twin gets
 failed=0
 
-# twin NAME PROMISE FILE SED: SED on FILE switches the mechanism off.
+# twin NAME PROMISE FILE SED [FLAG...]: SED on FILE switches the mechanism off, FLAGs are those of the soak.
 twin() {
   local copy
   copy=$(mktemp -d)
@@ -21,7 +21,7 @@
   elif ! (cd "$copy" && go build -o rhubarbwood ./cmd/rhubarbwood); then
     echo "FAILED   $1: does not build"
     failed=1
-  elif (cd "$copy" && ./rhubarbwood soak --seeds "$seeds" --parallel 4 >out 2>&1); then
+  elif (cd "$copy" && ./rhubarbwood soak --seeds "$seeds" --parallel 4 "${@:5}" >out 2>&1); then
     echo "FAILED   $1: kept every promise in $seeds seeds"
     failed=1
   elif grep -q "^  $2: " "$copy/out"; then
@@ -37,13 +37,13 @@
 twin "reservations are repeated like any other request" "at most once" \
   internal/gateway/single.go 's/!\(r.route.Idempotent \&\& r.request.soleAsker\(\)\)/!r.request.soleAsker()/'
 twin "what may have run is told as not run" "refused as not run" \
-  internal/gateway/single.go 's/case run.outcomes.NotRun\(\):/case run.outcomes.NotRun() || run.last.outcome == outcome.Unknown:/'
+  internal/gateway/single.go 's/case run.sends.outcome\(\).NotRun\(\):/case run.sends.outcome().NotRun() || run.last.outcome == outcome.Unknown:/'
 twin "an answer that is cut is taken as whole" "whole and true answer" \
   internal/targetconn/conn.go 's/_, err := io.ReadFull\(resp.Body, body\)/_, err := io.ReadFull(resp.Body, body); err = nil/'
 twin "a stop does not wait for requests" "a planned stop cuts off nothing" \
   internal/gatewayhost/servers.go 's/l.server.Shutdown\(ctx\); err != nil/l.server.Close(); err != nil/'
 twin "a leaving target is asked on" "a leaving target gets no new work" \
-  internal/gateway/fleet.go 's/t.leaving = conf.Draining/t.leaving = false/'
+  internal/gateway/service.go 's/t.leaving = conf.Draining \|\| t.evacuated/t.leaving = t.evacuated/'
 
 twin "a request that ends its targets is sent on" "a request that ends its targets is kept from them" \
   internal/gateway/trial.go 's/return !g.requests.Empty\(\) \&\& /return false \&\& /'
@@ -52,4 +52,9 @@
 twin "a host that has just read the registry tells peers no removals from before" "a leaving target gets no new work" \
   internal/discovery/state.go 's/s.history.begin\(l.Revision\)$/s.history.add(l.Revision, changes)/'
 
+twin "hosts order what they believe by revisions alone" "in force within the bound" \
+  internal/revision/revision.go 's/return cmp.Or\(cmp.Compare\(r.Era, other.Era\), (.*)\)$/return \1/' --restores
+twin "what an older copy has of targets that left is believed" "a leaving target gets no new work" \
+  internal/discovery/tombstone.go 's/one, ok := s.tombstones.of\(t, at, asOf\)/one, ok := tombstone{}, false/' --restores
+
 exit $failed
