--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -43,6 +43,8 @@
 	10235, // the same, with an earlier incarnation of the target in the copy
 	10306, // two hosts that had started together read the copy 0.5 s before they met the one that knew better
 	11043, // the same, with one host
+	14013, // news of a peer that had been suspended were dated ahead: targets counted as cold, old beliefs as current
+	14017, // a target left while the host that stayed had no news; a restore brought it back
 }
 
 // A short soak of real processes. "rhubarbwood soak" runs longer ones.
