Hosts that start ask those that have run for long first, also elsewhere

What could be seen: hosts of a failure domain that lost power as a whole start beside a restore of the store, and believe its copy: targets that had left get requests.

Cause: of eight hosts that a starting one asks, those of its own failure domain came first. Where that has more than eight, and all of them have just started, no host that knows what the store has lost is among them.

Ruled out: small sites, where all other hosts are asked.

TestContactsHoldOneThatHasRunForLong fails on the code before.

--- a/internal/discovery/peers.go
+++ b/internal/discovery/peers.go
@@ -140,8 +140,8 @@
 	return news, err
 }
 
-// Contacts implements Peers: hosts of the own failure domain before others, those that have run for longest first, then the
-// seeds that may be others still.
+// Contacts implements Peers: hosts that have run for long, of the own failure domain before others, then those that have not, then
+// the seeds that may be others still.
 func (s *Spread) Contacts() []string {
 	generation := s.members.Generation()
 	s.mu.Lock()
@@ -155,14 +155,15 @@
 func (s *Spread) chooseContacts() []string {
 	self := s.members.Self()
 	known := except(s.members.Hosts(), self.ID)
-	distance := func(h member.Host) int {
-		if h.FailureDomain == self.FailureDomain {
-			return 0
-		}
-		return 1
-	}
 	slices.SortFunc(known, func(a, b member.Host) int {
-		return cmp.Or(cmp.Compare(distance(a), distance(b)), cmp.Compare(a.Incarnation, b.Incarnation))
+		rank := contactRank(self, a)
+		if other := contactRank(self, b); rank != other {
+			return cmp.Compare(rank, other)
+		}
+		if rank <= elderElsewhere { // those that start together divide over them
+			return cmp.Compare(drawn(self, a), drawn(self, b))
+		}
+		return cmp.Compare(a.Incarnation, b.Incarnation)
 	})
 	all := []string{}
 	for _, h := range known {
@@ -176,6 +177,33 @@
 	return all[:min(len(all), mostContacts)]
 }
 
+// Ranks of the hosts that one which starts asks, in the order in which it does. Where a whole failure domain has started anew nobody in it
+// knows what a restore of the store has lost. Hosts elsewhere are asked first only if they have run for long: their answers cross failure
+// domains.
+const (
+	elderNearby = iota
+	elderElsewhere
+	youngNearby
+	youngElsewhere
+)
+
+func contactRank(self, other member.Host) int {
+	isNearby := other.FailureDomain == self.FailureDomain
+	hasRunForLong := other.Incarnation+uint64(establishedAge) <= self.Incarnation // a time of day each, in nanoseconds
+	switch {
+	case hasRunForLong && isNearby:
+		return elderNearby
+	case hasRunForLong:
+		return elderElsewhere
+	case isNearby:
+		return youngNearby
+	}
+	return youngElsewhere
+}
+
+// drawn returns a number that is drawn once for two hosts.
+func drawn(self, other member.Host) uint64 { return xxhash.Sum64String(self.ID + "/" + other.ID) }
+
 // Recall implements Peers.
 func (s *Spread) Recall(ctx context.Context, address string, than Known) (News, error) {
 	asked := s.state.clock.Now()
--- a/internal/discovery/recall.go
+++ b/internal/discovery/recall.go
@@ -24,7 +24,7 @@
 	recallStagger = 15 * time.Millisecond
 	// recallAgain is the time until a host that did not answer is asked again.
 	recallAgain = 250 * time.Millisecond
-	// mostContacts bounds the hosts that are asked. Of eight drawn at random one has run on unless nearly all have started anew.
+	// mostContacts bounds the hosts that are asked.
 	mostContacts = 8
 )
 
--- a/internal/discovery/spread_test.go
+++ b/internal/discovery/spread_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -192,3 +194,20 @@
 		is.True(!at.After(received))
 	}
 }
+
+// All hosts of a failure domain have just started together: one that starts there asks a host elsewhere that has run for long, as none
+// of its own knows what a restore of the store has lost.
+func TestContactsHoldOneThatHasRunForLong(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	started := func(id, domain string, ago time.Duration) member.Host {
+		return member.Host{ID: id, FailureDomain: domain, Peer: id, State: member.Alive, Incarnation: uint64(now.Add(-ago).UnixNano())}
+	}
+	self := started("self", "a", 0)
+	members := fixedMembers{self: self, hosts: []member.Host{self, started("elder", "b", time.Hour)}}
+	for i := range 2 * mostContacts {
+		members.hosts = append(members.hosts, started(fmt.Sprint("young", i), "a", time.Second))
+	}
+	s := NewSpread(DefaultConfig(), members, nil, NewState())
+	is.True(slices.Contains(s.Contacts(), "elder"))
+}
