A host that starts takes what it is told after it follows the store, too

Cause, from the hosts' lines: ten hosts started together. At first they knew the seeds alone, which had just started as well; once those had answered, after 50 ms, they followed the store, whose copy had the target. The hosts that knew that it had left were met a moment later; they had run for 12 s, and what a host tells that has not run for 15 s was dropped from then on.

Ruled out: tombstones that ended (all thirty others had it).

What is told later is taken like any other news now; it has come over the network already. TestStartingHostTakesWhatIsToldAfterItFollowsTheStore fails on the code before ([a b] != [b]).

--- a/internal/discovery/recall.go
+++ b/internal/discovery/recall.go
@@ -136,7 +136,9 @@
 		return true
 	case a.err != nil:
 		c.failedAt = time.Now()
-	case !r.followed:
+	case r.followed:
+		r.follower.applyNews(a.news)
+	default:
 		r.young = append(r.young, a)
 	}
 	return false
