--- a/internal/discovery/restore_test.go
+++ b/internal/discovery/restore_test.go
@@ -86,14 +86,22 @@
 	}
 }
 
+// in returns a revision of an era.
+func in(era, number uint64) revision.Revision { return revision.Revision{Era: era, Number: number} }
+
+// virtualState returns a state that knows nothing, its clock, and what lets time pass.
+func virtualState() (s *State, c *clock.Clock, pass func(time.Duration)) {
+	c, pass = clock.Virtual()
+	s = NewState()
+	s.GoBy(c)
+	return s, c, pass
+}
+
 // The registration of a target that left lapses once more after a restore. A second restore, ten seconds later, to a copy
 // from before it lapsed does not bring the target back either.
 func TestTombstoneOutlivesASecondRestore(t *testing.T) {
 	is := is.New(t)
-	c, pass := clock.Virtual()
-	s := NewState()
-	s.GoBy(c)
-	in := func(era, number uint64) revision.Revision { return revision.Revision{Era: era, Number: number} }
+	s, c, pass := virtualState()
 	left := []Target{{ID: "left", Born: 3, Service: "s"}}
 	s.ApplyTargets(TargetList{Targets: left, Revision: in(1, 5)}, c.Now())
 	s.ApplyChanges(TargetChanges{Changes: went("left"), Revision: in(1, 9)}, c.Now())
@@ -112,10 +120,7 @@
 // store that comes back just then does not make it one that is there.
 func TestTargetThatWentMissingBeforeARestoreIsKeptNoLonger(t *testing.T) {
 	is := is.New(t)
-	c, pass := clock.Virtual()
-	s := NewState()
-	s.GoBy(c)
-	in := func(era, number uint64) revision.Revision { return revision.Revision{Era: era, Number: number} }
+	s, c, pass := virtualState()
 	left := []Target{{ID: "left", Born: 3, Service: "s"}}
 	s.ApplyTargets(TargetList{Targets: left, Revision: in(1, 5)}, c.Now())
 	pass(s.lapseAfter + time.Second)
