Review: a request that is not idempotent runs twice

A rejected request is sent again to the target that rejected it, with the same request id. If the target sends the rejection a second time, late, the copy counts as the answer to the attempt that runs.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -18,7 +18,8 @@
 		os.Exit(2)
 	}
 	cases := map[string]func(f *fleet, r *record, trouble bool) (broken bool, err error){
-		"move": runMove,
+		"extra": runExtra,
+		"move":  runMove,
 	}
 	run, ok := cases[os.Args[1]]
 	if !ok {
