Review: requests that a stopping host has passed on are cut

A host takes new connections until 3.7 s after SIGTERM and closes all of them at 5 s. A request of the last 0.7 s that takes longer runs, and its caller gets no answer. The script shows LOST.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -19,6 +19,7 @@
 	}
 	cases := map[string]func(f *fleet, r *record, trouble bool) (broken bool, err error){
 		"extra": runExtra,
+		"stop":  runStop,
 		"move":  runMove,
 	}
 	run, ok := cases[os.Args[1]]
