Logs: requests cut at a stop are told from callers that left

Requests that the host itself cuts at the end of its stop were logged as "the caller left" (11001), so the log could not tell a caller's disconnect from a stop, nor show when after the stop signal they had arrived.

The reason and the delivery record name the host once it closes the connections of requests in flight, and a line 11014 follows that of a request that arrived after the stop signal, with the time between them.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -11,6 +11,9 @@
 		"A request was answered. Logged for each failed, refused, late or partial answer and for one in 50 of the others. Lines are rate-limited; 11005 has the number of those left out.",
 		"Read the reason; docs/OPERATIONS.md describes how to find the cause.",
 		"request", "route", "status", "outcome", "missing", "took", "version", "reason")
+	evDuringStop = event.Define(11014, "request_during_stop", plog.InfoLevel,
+		"The request of the preceding 11001 line arrived after the host's stop signal; after is the time between them, in ms.",
+		"Compare it with stop.balancer_lag and stop.grace.", "request", "after")
 	evAttempts = event.Define(11004, "request_attempts", plog.InfoLevel,
 		"The attempts made for the request of the preceding 11001 line: the targets tried (of a query over shards, those of some missing shards) and the age of the configuration.",
 		"Look for log lines about these targets, on the helper host if one is named.", "request", "attempts", "asked", "budget", "age", "helper", "content", "caller")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,7 +54,9 @@
 	log              *event.Log
 	metrics          *metrics
 	logLimits        *logLimits
-	cancel           context.CancelFunc
+	// connectionsClosed is set when this host closes the callers' connections at the end of its stop.
+	connectionsClosed atomic.Bool
+	cancel            context.CancelFunc
 	// attemptHeader has the header names that are set anew for each attempt.
 	attemptHeader http.Header
 }
@@ -98,6 +100,18 @@
 
 func (g *Gateway) leaving() bool { return g.life.State() >= kernel.Leaving }
 
+// afterStop returns how long after the host began to stop a request arrived; 0: before, or the host is not stopping.
+func (g *Gateway) afterStop(arrived time.Time) time.Duration {
+	if since, leaving := g.life.LeavingSince(); leaving {
+		return max(arrived.Sub(since), 0)
+	}
+	return 0
+}
+
+// ConnectionsClosed tells the gateway that this host closes the callers' connections now. Requests that end after
+// it were cut by the host, not by their callers.
+func (g *Gateway) ConnectionsClosed() { g.connectionsClosed.Store(true) }
+
 // Ready returns nil if the load balancer may send callers to this host, or else the reason why not.
 func (g *Gateway) Ready() error {
 	if s := g.life.State(); s != kernel.Ready {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -160,6 +160,9 @@
 	g.log.Event(evAnswer).Str("request", r.call.RequestID).Str("route", w.route).Int("status", w.status).
 		Str("outcome", w.outcome.String()).Int("missing", w.missingParts).Dur("took", took).
 		Uint64("version", w.configVersion).Str("reason", w.reason).Msg("")
+	if after := g.afterStop(r.arrived); after > 0 {
+		g.log.Event(evDuringStop).Str("request", r.call.RequestID).Dur("after", after).Msg("")
+	}
 	if w.triedTargets == "" {
 		return
 	}
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -124,10 +124,12 @@
 	w.problem(status, 0, reason)
 }
 
-// gone records that the caller disconnected before an answer.
+// gone records that the connection to the caller ended before an answer.
 func (w *reply) gone() {
-	w.outcome, w.reasonCode = outcome.Unknown, query.ReasonCallerLeft
-	w.reason = "the caller left"
+	w.outcome, w.reasonCode, w.reason = outcome.Unknown, query.ReasonCallerLeft, "the caller left"
+	if w.gateway.connectionsClosed.Load() {
+		w.reasonCode, w.reason = query.ReasonDraining, "this host closed the connection at the end of its stop"
+	}
 }
 
 type problem struct {
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -329,6 +329,7 @@
 		return nil, l.Err
 	}
 	h.callers = newCallerListener(h.listeners.callers, state.Limits, g, h.log)
+	h.callers.beforeCut = g.ConnectionsClosed
 	return h.callers, nil
 }
 
--- a/internal/gatewayhost/servers.go
+++ b/internal/gatewayhost/servers.go
@@ -50,6 +50,8 @@
 	listener net.Listener
 	server   *http.Server
 	log      *event.Log
+	// beforeCut is called before connections with requests in flight are closed; nil: nothing is.
+	beforeCut func()
 }
 
 func newHTTPListener(name string, ln net.Listener, h http.Handler, l *event.Log) *httpListener {
@@ -90,6 +92,9 @@
 // Stop closes the listener and waits for requests in flight until ctx is done, then cuts them off.
 func (l *httpListener) Stop(ctx context.Context) error {
 	if err := l.server.Shutdown(ctx); err != nil {
+		if l.beforeCut != nil {
+			l.beforeCut()
+		}
 		_ = l.server.Close() // cuts off the requests in flight; the error below reports it
 		return Error.New("stop listener %s: requests in flight were cut off: %w", l.name, err)
 	}
--- a/internal/kernel/lifecycle.go
+++ b/internal/kernel/lifecycle.go
@@ -1,6 +1,9 @@
 package kernel
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // State is the lifecycle state of a host. It only moves forward.
 type State uint8
@@ -25,9 +28,10 @@
 // Lifecycle holds the state of a host, shared by its modules. It is safe for
 // concurrent use.
 type Lifecycle struct {
-	mu      sync.Mutex
-	state   State
-	leaving chan struct{}
+	mu           sync.Mutex
+	state        State
+	leaving      chan struct{}
+	leavingSince time.Time // zero before the state Leaving
 }
 
 // NewLifecycle returns a lifecycle in the state Starting.
@@ -44,6 +48,13 @@
 // Leaving or a later one.
 func (l *Lifecycle) Leaving() <-chan struct{} { return l.leaving }
 
+// LeavingSince returns when the host reached the state Leaving, and false if it has not.
+func (l *Lifecycle) LeavingSince() (time.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leavingSince, !l.leavingSince.IsZero()
+}
+
 // Advance moves to the state s and reports whether the state changed. A call
 // with the current or an earlier state has no effect, so a host that is leaving
 // can't become ready again.
@@ -54,6 +65,7 @@
 		return false
 	}
 	if l.state < Leaving && s >= Leaving {
+		l.leavingSince = time.Now()
 		close(l.leaving)
 	}
 	l.state = s
