Stop: a host refuses what it can't complete, and answers what is in flight

Cause: new connections are accepted until the balancer lag is over (3.7 s), and everything is cut at the grace less the exit margin (5.0 s); nothing compared the two with what a request needs. Ruled out: idle connections closed while a request is read, and callers or targets that close first.

From the stop signal on a request is passed on only if it will have ended before the host, by its time limit or with 1.5 times a slow answer of its route left and at least two fifths of the stop; others are refused at once as not run. 200 ms before the close what is in flight is answered, as not run or as possibly run. The same holds for queries gathered for other hosts, which were cut with the peer connections.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -27,6 +27,7 @@
 	arrived      time.Time
 	arrivedClock time.Time   // arrival on the clock that also advances while the machine is suspended
 	expired      atomic.Bool // the deadline had passed when the machine resumed from a suspension
+	stopped      atomic.Bool // the host's stop ended the wait for the answer
 	// objective is the latency within which the answer counts as in time: the route's, or the time
 	// limit if the route has none.
 	objective time.Duration
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -43,6 +43,9 @@
 	evResumed = event.Define(11012, "host_was_suspended", plog.WarnLevel,
 		"The machine was suspended, and this process with it. The ages of cached state include the suspension; requests whose time limit passed meanwhile were answered.",
 		"Find out why, unless a virtual machine was migrated.", "asleep", "expired")
+	evEndedAtStop = event.Define(11013, "requests_ended_at_stop", plog.WarnLevel,
+		"Requests were still in flight shortly before the end of the host's stop. Each was answered that it did not run, or that it may have run; the lines 11001 with \"the host is stopping\" in their reason have the ids.",
+		"Compare the grace (stop.grace) with the latencies of the routes. Requests that arrived after the stop signal are in flight only if they took longer than usual.", "requests")
 	evTargetHealth = event.Define(11003, "target_health", plog.InfoLevel,
 		"A target was set aside because of failed or slow answers, or readmitted.", "Check the target if it stays set aside.",
 		"target", "service", "set_aside", "latency", "failures", "from")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -54,6 +54,7 @@
 	log              *event.Log
 	metrics          *metrics
 	logLimits        *logLimits
+	hostStop         hostStop
 	// connectionsClosed is set when this host closes the callers' connections at the end of its stop.
 	connectionsClosed atomic.Bool
 	cancel            context.CancelFunc
@@ -95,23 +96,10 @@
 // Stop ends the background work of Start.
 func (g *Gateway) Stop(context.Context) error {
 	g.cancel()
+	g.hostStop.stopTimer()
 	return nil
 }
 
-func (g *Gateway) leaving() bool { return g.life.State() >= kernel.Leaving }
-
-// afterStop returns how long after the host began to stop a request arrived; 0: before, or the host is not stopping.
-func (g *Gateway) afterStop(arrived time.Time) time.Duration {
-	if since, leaving := g.life.LeavingSince(); leaving {
-		return max(arrived.Sub(since), 0)
-	}
-	return 0
-}
-
-// ConnectionsClosed tells the gateway that this host closes the callers' connections now. Requests that end after
-// it were cut by the host, not by their callers.
-func (g *Gateway) ConnectionsClosed() { g.connectionsClosed.Store(true) }
-
 // Ready returns nil if the load balancer may send callers to this host, or else the reason why not.
 func (g *Gateway) Ready() error {
 	if s := g.life.State(); s != kernel.Ready {
@@ -184,6 +172,10 @@
 	r.latencyScale = r.stats.latencyScale(r.objective)
 	r.answerBy, r.lateRetry = r.stats.observeArrival(g.arrival(hr, r), r.objective)
 	r.lateRetry = r.lateRetry && !g.cfg.disabled(LateRetryYield)
+	if !g.admitsAtStop(r) {
+		w.refuse(refusalStopping)
+		return
+	}
 	g.forward(hr.Context(), w, r, route)
 }
 
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -294,12 +294,15 @@
 // attempt starts, and those in flight complete. It reports progress to p. Until goAhead is set each
 // shard gets at most one attempt, as the other host may still gather the query itself.
 func (g *Gateway) GatherFor(ctx, enough context.Context, q Query, p Progress, goAhead *atomic.Bool) Gathered {
+	r := g.requestFromQuery(q)
+	if !g.admitsAtStop(r) {
+		return Gathered{Outcome: outcome.NotSent, Reason: refusalStopping.name}
+	}
 	load := g.queriesForOthers.Add(1)
 	defer g.queriesForOthers.Add(-1)
 	if !p.Accepted(int(load)) {
 		return Gathered{Outcome: outcome.NotSent, Reason: "the other host has gone"}
 	}
-	r := g.requestFromQuery(q)
 	r.goAhead = goAhead
 	ctx, done := r.attemptContext(ctx)
 	defer done()
--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -10,6 +10,7 @@
 type pendingRequests struct {
 	mu        sync.Mutex
 	byRequest map[*request]*pendingRequest
+	ended     bool // endAll was called
 }
 
 // pendingRequest is one request that is not answered yet.
@@ -28,6 +29,9 @@
 	defer pending.mu.Unlock()
 	p := &pendingRequest{cancel: end}
 	pending.byRequest[r] = p
+	if pending.ended {
+		r.stop(end)
+	}
 	return func() {
 		pending.mu.Lock()
 		defer pending.mu.Unlock()
@@ -68,6 +72,24 @@
 	end()
 }
 
+// endAll ends the wait for the answers of all requests, and of those that are added later. It returns how many
+// there are.
+func (pending *pendingRequests) endAll() int {
+	pending.mu.Lock()
+	defer pending.mu.Unlock()
+	pending.ended = true
+	for r, p := range pending.byRequest {
+		r.stop(p.cancel)
+	}
+	return len(pending.byRequest)
+}
+
+// stop marks the request as ended by the host's stop and ends the wait for its answer.
+func (r *request) stop(end func()) {
+	r.stopped.Store(true)
+	end()
+}
+
 // overdue reports whether the request's deadline has passed.
 func (r *request) overdue() bool { return r.expired.Load() || !time.Now().Before(r.deadline) }
 
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -29,6 +29,7 @@
 	refusalBusy        = refusal{"targets are busy", query.ReasonOverload, 60 * time.Millisecond}
 	refusalCold        = refusal{"targets are cold", query.ReasonOverload, 500 * time.Millisecond}
 	refusalQuarantined = refusal{"targets end under this request", query.ReasonQuarantined, time.Minute}
+	refusalStopping    = refusal{"the host is stopping", query.ReasonDraining, 20 * time.Millisecond} // another host can serve it at once
 	refusalTimeout     = refusal{"no target came free in time", query.ReasonBudget, 60 * time.Millisecond}
 )
 
@@ -112,6 +113,12 @@
 	w.problem(http.StatusBadGateway, 0, reason)
 }
 
+// stopped answers that the request may have run, as the host ends before the request has.
+func (w *reply) stopped() {
+	w.outcome, w.reasonCode = outcome.Unknown, query.ReasonDraining
+	w.problem(http.StatusBadGateway, 0, "the host is stopping; the request may have run")
+}
+
 // invalid answers that the request is not valid and did not run.
 func (w *reply) invalid(status int, reason string) {
 	w.outcome, w.reasonCode = outcome.NotSent, query.ReasonBadRequest
--- a/internal/gateway/scatter.go
+++ b/internal/gateway/scatter.go
@@ -28,8 +28,12 @@
 		w.refuse(refusalNoTarget)
 	case got.Outcome.NotRun() && stance == quarantine.Quarantined:
 		w.quarantined(left)
+	case got.Outcome.NotRun() && r.stopped.Load():
+		w.refuse(refusalStopping)
 	case got.Outcome.NotRun():
 		w.refuse(refusalBusy)
+	case r.stopped.Load():
+		w.stopped()
 	case r.overdue():
 		w.timeout()
 	default:
--- a/internal/gateway/single.go
+++ b/internal/gateway/single.go
@@ -289,6 +289,8 @@
 		w.refuse(run.refusal())
 	case run.lastFailure.outcome == outcome.Failed:
 		w.whole(run.lastFailure)
+	case r.stopped.Load():
+		w.stopped()
 	case r.overdue():
 		w.timeout()
 	default:
@@ -299,6 +301,8 @@
 // refusal returns the reason why a request did not run.
 func (r *run) refusal() refusal {
 	switch {
+	case r.request.stopped.Load():
+		return refusalStopping
 	case errors.Is(r.admitErr, errNoTarget):
 		return refusalNoTarget
 	case errors.Is(r.admitErr, quarantine.ErrQuarantined):
--- a/internal/gatewayhost/callerconn.go
+++ b/internal/gatewayhost/callerconn.go
@@ -52,6 +52,26 @@
 	}
 }
 
+// count returns the number of open connections.
+func (l *limitedListener) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// countServing returns the number of connections on which a request is being served.
+func (l *limitedListener) countServing() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for c := range l.conns {
+		if c.isServing() {
+			n++
+		}
+	}
+	return n
+}
+
 // trackState records the state of a connection; it is the http.Server.ConnState hook.
 func (l *limitedListener) trackState(c net.Conn, s http.ConnState) {
 	conn, ok := c.(*callerConn)
@@ -116,6 +136,13 @@
 	}
 }
 
+// isServing reports whether a request is being served.
+func (c *callerConn) isServing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.serving
+}
+
 // closeIfIdle closes the connection if it is idle.
 func (c *callerConn) closeIfIdle() {
 	c.mu.Lock()
--- a/internal/gatewayhost/events.go
+++ b/internal/gatewayhost/events.go
@@ -11,7 +11,7 @@
 		"The host listens on its addresses. It becomes ready once it has a configuration.", "none",
 		"failure_domain", "callers", "readiness", "platform")
 	evLeaving = event.Define(12002, "gateway_host_leaving", plog.InfoLevel,
-		"The host received a stop signal. It reports not ready and keeps serving until the load balancer stops sending requests.", "none",
+		"The host received a stop signal. It reports not ready, and until the load balancer stops sending requests it serves those that it can complete before its end and refuses the others.", "none",
 		"balancer_lag", "grace")
 	evStopped = event.Define(12003, "gateway_host_stopped", plog.InfoLevel,
 		"The host has stopped; every request in flight was completed.", "none", "took")
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -412,15 +412,17 @@
 	return !reflect.DeepEqual(s, h.settings)
 }
 
-// Stop stops the host gracefully: readiness fails immediately, new requests are served
-// until the balancer lag is over, and requests in flight may then complete until the
-// grace ends.
+// Stop stops the host gracefully: readiness fails immediately, new connections are accepted
+// until the balancer lag is over, and requests in flight may complete until shortly before the
+// grace ends; then they are answered without a result. New requests that may take longer are
+// refused as not run, so that their callers can go to another host.
 func (h *Host) Stop(ctx context.Context) error {
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, h.settings.Stop.Grace.Std()-exitMargin)
 	defer cancel()
 	h.kernel.Advance(kernel.Leaving)
 	h.log.Event(evLeaving).Stringer("balancer_lag", h.settings.Stop.BalancerLag).Stringer("grace", h.settings.Stop.Grace).Msg("")
+	h.gateway.BeginStop(start.Add(h.settings.Stop.requestTime()))
 	h.callers.closeIdle()
 	h.members.Leave(ctx)
 	await.Sleep(ctx, h.settings.Stop.BalancerLag.Std())
--- a/internal/gatewayhost/servers.go
+++ b/internal/gatewayhost/servers.go
@@ -50,13 +50,12 @@
 	listener net.Listener
 	server   *http.Server
 	log      *event.Log
-	// beforeCut is called before connections with requests in flight are closed; nil: nothing is.
-	beforeCut func()
+	served   chan struct{} // closed when the server accepts no more connections
 }
 
 func newHTTPListener(name string, ln net.Listener, h http.Handler, l *event.Log) *httpListener {
 	return &httpListener{
-		name: name, listener: ln, log: l,
+		name: name, listener: ln, log: l, served: make(chan struct{}),
 		server: &http.Server{
 			Handler:           h,
 			ReadHeaderTimeout: defaultHeaderTimeout,
@@ -82,6 +81,7 @@
 // Start starts serving in the background.
 func (l *httpListener) Start(context.Context) error {
 	go func() {
+		defer close(l.served)
 		if err := l.server.Serve(l.listener); !errors.Is(err, http.ErrServerClosed) {
 			l.log.Event(evListenerFailed).Str("listener", l.name).Err(err).Msg("")
 		}
@@ -92,9 +92,6 @@
 // Stop closes the listener and waits for requests in flight until ctx is done, then cuts them off.
 func (l *httpListener) Stop(ctx context.Context) error {
 	if err := l.server.Shutdown(ctx); err != nil {
-		if l.beforeCut != nil {
-			l.beforeCut()
-		}
 		_ = l.server.Close() // cuts off the requests in flight; the error below reports it
 		return Error.New("stop listener %s: requests in flight were cut off: %w", l.name, err)
 	}
@@ -105,6 +102,8 @@
 type callerListener struct {
 	*httpListener
 	conns *limitedListener
+	// beforeCut is called before connections with requests in flight are closed.
+	beforeCut func()
 }
 
 func newCallerListener(ln net.Listener, limits limitsSource, h http.Handler, log *event.Log) *callerListener {
@@ -112,7 +111,45 @@
 	l := newHTTPListener("callers", conns, h, log)
 	l.server.ConnState = conns.trackState
 	l.server.ConnContext = callerContext
-	return &callerListener{l, conns}
+	return &callerListener{httpListener: l, conns: conns, beforeCut: func() {}}
+}
+
+// connCheckInterval is the interval at which Stop checks whether all connections are closed. http.Server.Shutdown
+// checks up to half a second apart, which would leave the modules that stop later no time.
+const connCheckInterval = 10 * time.Millisecond
+
+// Stop closes the listener and waits until the connections are closed, each after the response to its request. When
+// ctx is done it closes those that remain.
+func (c *callerListener) Stop(ctx context.Context) error {
+	shutdown := make(chan error, 1)
+	go func() { shutdown <- c.server.Shutdown(ctx) }()
+	<-c.served // from here on every accepted connection is counted
+	check := time.NewTicker(connCheckInterval)
+	defer check.Stop()
+	for {
+		select {
+		case <-check.C:
+			if c.conns.count() == 0 {
+				return nil
+			}
+		case err := <-shutdown:
+			if err == nil {
+				return nil
+			}
+			return c.closeAll(err)
+		}
+	}
+}
+
+// closeAll closes all connections. The error says how many requests that cut off.
+func (c *callerListener) closeAll(cause error) error {
+	c.beforeCut()
+	cut := c.conns.countServing()
+	_ = c.server.Close() // the connections are not used any more
+	if cut == 0 {
+		return nil
+	}
+	return Error.New("stop listener %s: %d requests in flight were cut off: %w", c.name, cut, cause)
 }
 
 // callerContext makes the caller's connection available to the gateway.
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -69,6 +69,8 @@
 	defaultRecordHolders = 8
 	// exitMargin is the part of the grace reserved for the exit of the process itself.
 	exitMargin = time.Second
+	// finalAnswerTime is the time before exitMargin in which the requests still in flight are answered.
+	finalAnswerTime = 200 * time.Millisecond
 )
 
 // DefaultSettings returns the defaults. Values that depend on the site are not set:
@@ -152,6 +154,9 @@
 	)
 }
 
+// requestTime returns the time from the stop signal until requests still in flight are answered without a result.
+func (s Stop) requestTime() time.Duration { return s.Grace.Std() - exitMargin - finalAnswerTime }
+
 // Validate checks that the grace covers the balancer lag and the exit margin.
 func (s Stop) Validate() error {
 	if s.BalancerLag < 0 || s.Grace.Std() <= s.BalancerLag.Std()+exitMargin {
