Logs: rejections of targets, with their connection

When a request that may run once ran twice, the log did not show which responses were taken as rejections of which attempt, nor over which connection they came. Line 11015, at level debug, has both.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -183,6 +183,10 @@
 		return result{outcome: outcome.Unknown, err: err, abandoned: late, connectionLost: !late && targetconn.ConnectionLost(err)}
 	}
 	res := g.evaluate(t, answer)
+	if res.outcome == outcome.Rejected {
+		g.log.Event(evRejected).Str("request", r.call.RequestID).Str("target", t.info.ID).Str("service", t.info.Service).
+			Int("status", answer.Status).Uint64("connection", answer.Connection).Dur("after", time.Since(began)).Msg("")
+	}
 	res.targetTimedOut = timeout < left && res.outcome != outcome.Done && time.Since(began) > timeout-targetTimeoutMargin
 	return res
 }
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -11,6 +11,10 @@
 		"A request was answered. Logged for each failed, refused, late or partial answer and for one in 50 of the others. Lines are rate-limited; 11005 has the number of those left out.",
 		"Read the reason; docs/OPERATIONS.md describes how to find the cause.",
 		"request", "route", "status", "outcome", "missing", "took", "version", "reason")
+	evRejected = event.Define(11015, "attempt_rejected", plog.DebugLevel,
+		"A target answered that it did not run an attempt; after is the time since it was sent, in ms, and connection the number of the connection to this target.",
+		"If a request that may run once ran twice, its lines show whether a rejection came sooner than the target can answer, over a connection that had carried an earlier attempt of it.",
+		"request", "target", "service", "status", "connection", "after")
 	evDuringStop = event.Define(11014, "request_during_stop", plog.InfoLevel,
 		"The request of the preceding 11001 line arrived after the host's stop signal; after is the time between them, in ms.",
 		"Compare it with stop.balancer_lag and stop.grace.", "request", "after")
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -34,6 +34,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Connection is the number of the connection, counted from 1 since the pool was made.
+	Connection uint64
 }
 
 // errBodyTooLong means that a response body exceeds the limit.
@@ -69,6 +71,7 @@
 // Conn is one connection to a target. It carries one request at a time.
 type Conn struct {
 	pool    *Pool
+	number  uint64 // as in Response.Connection
 	net     net.Conn
 	reader  *bufio.Reader
 	expires time.Time // end of the idle time: the target may close the connection from then on
@@ -246,7 +249,7 @@
 		return a, false, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	a = Response{Status: resp.StatusCode, Header: resp.Header}
+	a = Response{Status: resp.StatusCode, Header: resp.Header, Connection: c.number}
 	body, err := readBody(resp, r.MaxBodyBytes)
 	if err != nil {
 		return a, false, err
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -192,7 +192,7 @@
 	if len(p.conns) == 0 {
 		p.restarted.Store(true)
 	}
-	c := &Conn{pool: p, net: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), expires: time.Now().Add(unusedIdleTime)}
+	c := &Conn{pool: p, number: p.dialed, net: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), expires: time.Now().Add(unusedIdleTime)}
 	p.conns[c] = true
 	return c, nil
 }
