Targets: a rejected request isn't sent again over the same connection

Cause: a request that a target rejected is sent to it again with the same id, and may get the connection of the attempt before. The check against responses of earlier requests compares the id, so a late second copy of the rejection counts as the response to the new attempt, which runs. Ruled out: a request sent again without a rejection, by two hosts, or run by a target that had rejected it.

A connection keeps the ids of requests that were answered as not run, and the pool gives such a request another one. Then an id names one attempt on each connection. It is closed before it would have to forget one.

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -71,7 +71,7 @@
 		g.metrics.loadQueries.WithLabelValues("no connection").Inc()
 		return
 	}
-	conn, err := t.pool.Get(ctx, deadline)
+	conn, err := t.pool.Get(ctx, deadline, "")
 	if err != nil {
 		g.metrics.loadQueries.WithLabelValues("no connection").Inc()
 		return
@@ -102,7 +102,7 @@
 	}
 	answer, _, err := conn.Exchange(ctx, deadline, &targetconn.Request{
 		Method: http.MethodGet, Head: head, MaxBodyBytes: maxHealthAnswerBytes,
-		Matches: func(h http.Header) bool { return g.messages.Answer(http.StatusOK, h).RequestID == "" },
+		Match: g.matchHealth,
 	})
 	if err != nil {
 		return Verdict{}, Error.New("query the target's health: %w", err)
@@ -110,6 +110,14 @@
 	return g.messages.Answer(answer.Status, answer.Header), nil
 }
 
+// matchHealth returns what a response is to a health check. Responses to other requests have an id.
+func (g *Gateway) matchHealth(status int, h http.Header) targetconn.Match {
+	if g.messages.Answer(status, h).RequestID != "" {
+		return targetconn.Foreign
+	}
+	return targetconn.Answer
+}
+
 // canQueryLoad reports whether a target of the service has reported its load and the health path is
 // known.
 func (s *service) canQueryLoad() bool {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -116,7 +116,7 @@
 		t.pool.CancelReservation()
 		return result{outcome: outcome.NotSent, err: err}
 	}
-	conn, err := t.pool.Get(ctx, r.deadline)
+	conn, err := t.pool.Get(ctx, r.deadline, r.call.RequestID)
 	if err != nil {
 		abandoned := ctx.Err() != nil
 		return result{outcome: outcome.NotSent, err: err, abandoned: abandoned, unreachable: !abandoned && targetconn.Unreachable(err)}
@@ -165,8 +165,8 @@
 	g.messages.Attempt(own, t.info.ID, timeout)
 	began := time.Now()
 	answer, sent, err := conn.Exchange(ctx, r.deadline, &targetconn.Request{
-		Method: r.method, Head: head, Header: own, Body: r.body,
-		Matches:      func(h http.Header) bool { return g.answersRequest(h, r) },
+		Method: r.method, Head: head, Header: own, Body: r.body, ID: r.call.RequestID,
+		Match:        func(status int, h http.Header) targetconn.Match { return g.match(r, status, h) },
 		MaxBodyBytes: g.cfg.MaxAnswer,
 	})
 	if err != nil {
@@ -194,11 +194,10 @@
 // cutRejection returns the result of a response whose body is missing, if its header tells that the
 // request did not run.
 func (g *Gateway) cutRejection(t *target, r *request, answer targetconn.Response) (result, bool) {
-	if answer.Status == 0 || !g.answersRequest(answer.Header, r) {
+	if answer.Status == 0 || g.match(r, answer.Status, answer.Header) != targetconn.NotRun {
 		return result{}, false
 	}
-	res := g.evaluate(t, answer)
-	return res, res.outcome.NotRun()
+	return g.evaluate(t, answer), true
 }
 
 // errTargetRestarted means that the target started again while it had the request.
@@ -218,11 +217,16 @@
 	return left
 }
 
-// answersRequest reports whether a response belongs to the request. A response without a request id
-// is accepted.
-func (g *Gateway) answersRequest(h http.Header, r *request) bool {
-	id := g.messages.Answer(http.StatusOK, h).RequestID
-	return id == "" || id == r.call.RequestID
+// match returns what a response is to the request. A response without a request id is accepted.
+func (g *Gateway) match(r *request, status int, h http.Header) targetconn.Match {
+	v := g.messages.Answer(status, h)
+	switch {
+	case v.RequestID != "" && v.RequestID != r.call.RequestID:
+		return targetconn.Foreign
+	case v.Kind == NotRun || v.Kind == WrongTarget:
+		return targetconn.NotRun
+	}
+	return targetconn.Answer
 }
 
 // evaluate returns the result of an attempt by the target's response.
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -195,7 +195,7 @@
 	t.cold.handledSigns = max(t.cold.handledSigns, signs)
 	s.observeWarmup(time.Now(), t, v.Warmup)
 	s.mu.Unlock()
-	return t.pool.Get(ctx, r.deadline)
+	return t.pool.Get(ctx, r.deadline, r.call.RequestID)
 }
 
 // unreserveSend records that an attempt with a connection slot is not sent. The caller holds the
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -21,14 +21,25 @@
 	Head   []byte      // request line and shared headers, as NewHead returns them
 	Header http.Header // in addition to the headers of Head
 	Body   []byte
-	// Matches reports whether a response with this header belongs to the request;
-	// nil accepts every response. A target may send a response twice, and the
-	// duplicate is then read as the response to the next request.
-	Matches func(http.Header) bool
+	// ID is the id that the target repeats in its response; empty: none, as in a health check.
+	ID string
+	// Match returns what a response is to the request; nil accepts every response as Answer. A target
+	// may send a response twice, and the duplicate is then read as the response to the next request.
+	Match func(status int, h http.Header) Match
 	// MaxBodyBytes is the maximum length of the response body, in bytes.
 	MaxBodyBytes int64
 }
 
+// Match is what a response is to the request that is in flight on its connection.
+type Match uint8
+
+// Kinds of matches.
+const (
+	Foreign Match = iota // belongs to another request
+	Answer               // answers the request, which has run or may have run
+	NotRun               // says that the request did not run: it may be sent again with the same id
+)
+
 // Response is the complete response of a target.
 type Response struct {
 	Status int
@@ -76,6 +87,9 @@
 	reader  *bufio.Reader
 	expires time.Time // end of the idle time: the target may close the connection from then on
 	once    sync.Once
+	// notRun has the requests that the target did not run, by id. They may be sent again, but not over
+	// this connection: a second copy of the rejection would be taken as the response to the new attempt.
+	notRun requestIDs
 }
 
 // Discard closes the connection.
@@ -148,7 +162,7 @@
 	case err != nil:
 		c.fail(err)
 		return a, true, Error.New("read response: %w", err)
-	case !reusable || !w.finished() || !stopWatch():
+	case !reusable || c.notRun.full() || !w.finished() || !stopWatch():
 		c.Discard()
 	default:
 		c.pool.put(c)
@@ -216,6 +230,13 @@
 	return w, nil
 }
 
+func (r *Request) match(a Response) Match {
+	if r.Match == nil {
+		return Answer
+	}
+	return r.Match(a.Status, a.Header)
+}
+
 // encode writes the request in HTTP/1.1 format.
 func (r *Request) encode(buf *bytes.Buffer) {
 	buf.Write(r.Head)
@@ -232,7 +253,10 @@
 		if err != nil {
 			return a, false, err
 		}
-		if r.Matches == nil || r.Matches(a.Header) {
+		if match := r.match(a); match != Foreign {
+			if match == NotRun {
+				c.notRun.add(r.ID)
+			}
 			// A target that sent a surplus response may send more of them.
 			return a, reusable && skipped == 0, nil
 		}
--- a/internal/targetconn/conn_test.go
+++ b/internal/targetconn/conn_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -77,8 +78,16 @@
 		panic(err) // every argument is valid
 	}
 	return &Request{
-		Method: method, Head: head, Header: http.Header{"X-Id": {id}}, Body: body, MaxBodyBytes: 1 << 20,
-		Matches: func(h http.Header) bool { return h.Get("X-Id") == id },
+		Method: method, Head: head, Header: http.Header{"X-Id": {id}}, Body: body, MaxBodyBytes: 1 << 20, ID: id,
+		Match: func(status int, h http.Header) Match {
+			switch {
+			case h.Get("X-Id") != id:
+				return Foreign
+			case status == http.StatusServiceUnavailable:
+				return NotRun
+			}
+			return Answer
+		},
 	}
 }
 
@@ -90,7 +99,7 @@
 func exchangeUntil(t *testing.T, p *Pool, r *Request, deadline time.Time) (Response, bool, error) {
 	t.Helper()
 	p.Reserve()
-	c, err := p.Get(t.Context(), time.Now().Add(time.Minute))
+	c, err := p.Get(t.Context(), time.Now().Add(time.Minute), "")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -272,7 +281,7 @@
 	_ = ln.Close()
 	p := NewPool(ln.Addr().String(), 1, testTimeout, (&net.Dialer{}).DialContext)
 	p.Reserve()
-	_, err = p.Get(t.Context(), time.Now().Add(time.Minute))
+	_, err = p.Get(t.Context(), time.Now().Add(time.Minute), "")
 	is.True(err != nil)
 	is.True(p.HasFree()) // the failed dial doesn't count as an open connection
 }
@@ -282,16 +291,16 @@
 	p := serve(t, respondAlways(okResponse))
 	p.SetLimit(1)
 	p.Reserve()
-	c, err := p.Get(t.Context(), time.Now().Add(time.Minute))
+	c, err := p.Get(t.Context(), time.Now().Add(time.Minute), "")
 	is.NoErr(err)
 	p.Reserve()
-	_, err = p.Get(t.Context(), time.Now().Add(time.Minute))
+	_, err = p.Get(t.Context(), time.Now().Add(time.Minute), "")
 	is.True(errors.Is(err, ErrLimit))
 	c.Discard()
 	is.True(p.HasFree())
 	p.Close()
 	p.Reserve()
-	_, err = p.Get(t.Context(), time.Now().Add(time.Minute))
+	_, err = p.Get(t.Context(), time.Now().Add(time.Minute), "")
 	is.True(err != nil)
 }
 
@@ -304,7 +313,7 @@
 		}
 	})
 	p.Reserve()
-	c, err := p.Get(t.Context(), time.Now().Add(time.Minute))
+	c, err := p.Get(t.Context(), time.Now().Add(time.Minute), "")
 	is.NoErr(err)
 	ctx, cancel := context.WithCancel(t.Context())
 	go func() {
@@ -364,3 +373,68 @@
 	p.CancelReservation()
 	is.True(p.HasFree())
 }
+
+// rejectFirst answers the first request of each id that it gets with 503, and the others with 200.
+func rejectFirst() func(net.Conn, *bufio.Reader) {
+	var mu sync.Mutex
+	received := map[string]bool{}
+	return func(c net.Conn, r *bufio.Reader) {
+		defer func() { _ = c.Close() }()
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := req.Header.Get("X-Id")
+			mu.Lock()
+			status := "200 OK"
+			if !received[id] {
+				status = "503 Full"
+			}
+			received[id] = true
+			mu.Unlock()
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", status, id)
+		}
+	}
+}
+
+func exchangeWithID(t *testing.T, p *Pool, id string) Response {
+	t.Helper()
+	p.Reserve()
+	c, err := p.Get(t.Context(), time.Now().Add(time.Minute), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, _, err := c.Exchange(t.Context(), time.Now().Add(testTimeout), getRequest(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// A request that a target rejected must not use the same connection again, also where the pool is at its limit.
+func TestRejectedRequestGetsAnotherConnection(t *testing.T) {
+	is := is.New(t)
+	p := serve(t, rejectFirst())
+	p.SetLimit(1)
+	first := exchangeWithID(t, p, "1")
+	is.Equal(first.Status, http.StatusServiceUnavailable)
+	is.Equal(exchangeWithID(t, p, "2").Connection, first.Connection) // other requests do
+	again := exchangeWithID(t, p, "1")
+	is.Equal(again.Status, http.StatusOK)
+	is.True(again.Connection != first.Connection)
+	is.Equal(exchangeWithID(t, p, "3").Connection, again.Connection) // the first one was closed, as the limit is 1
+	is.Equal(p.Dialed(), uint64(2))
+	is.Equal(len(p.conns), 1)
+}
+
+// A connection must not forget a rejected request: it is closed when it has seen as many as it remembers.
+func TestConnectionIsClosedBeforeItForgetsARejectedRequest(t *testing.T) {
+	is := is.New(t)
+	p := serve(t, rejectFirst())
+	for n := range maxNotRunIDs {
+		is.Equal(exchangeWithID(t, p, fmt.Sprint(n)).Connection, uint64(1))
+	}
+	is.Equal(len(p.idle), 0)
+	is.Equal(exchangeWithID(t, p, "0").Connection, uint64(2))
+}
--- a/internal/targetconn/fuzz_test.go
+++ b/internal/targetconn/fuzz_test.go
@@ -40,7 +40,7 @@
 		rest := bytes.NewReader(answer)
 		pool := NewPool("t:80", 1, time.Second, func(context.Context, string, string) (net.Conn, error) { return scriptedConn{response: rest}, nil })
 		pool.Reserve()
-		conn, err := pool.Get(t.Context(), time.Now().Add(time.Minute))
+		conn, err := pool.Get(t.Context(), time.Now().Add(time.Minute), "")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -134,11 +135,12 @@
 	return p.dialed
 }
 
-// Get returns the reserved connection for one request: an idle one that is still usable, or a new one
-// that is opened by the deadline. If Get fails, nothing was sent.
-func (p *Pool) Get(ctx context.Context, deadline time.Time) (*Conn, error) {
+// Get returns the reserved connection for the request with the id, empty for one without: an idle one that
+// is still usable, or a new one that is opened by the deadline. It is none over which the target answered
+// that it did not run this request. If Get fails, nothing was sent.
+func (p *Pool) Get(ctx context.Context, deadline time.Time, id string) (*Conn, error) {
 	for reserved := true; ; reserved = false {
-		c, err := p.takeIdle(reserved)
+		c, err := p.takeIdle(reserved, id)
 		if err != nil {
 			return nil, err
 		}
@@ -152,27 +154,41 @@
 	}
 }
 
-// takeIdle returns an idle connection, or counts a new one as open and returns nil. It uses up the
+// takeIdle returns an idle connection for the request with the id, or counts a new one as open and returns
+// nil. At the limit it closes an idle connection that the request can't use, for the new one. It uses up the
 // caller's reservation if reserved is set.
-func (p *Pool) takeIdle(reserved bool) (*Conn, error) {
+func (p *Pool) takeIdle(reserved bool, id string) (*Conn, error) {
+	c, unusable, err := p.takeIdleOrOpen(reserved, id)
+	if unusable != nil {
+		unusable.Discard()
+	}
+	return c, err
+}
+
+// takeIdleOrOpen is takeIdle, but returns the connection to close.
+func (p *Pool) takeIdleOrOpen(reserved bool, id string) (c, unusable *Conn, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if reserved {
 		p.reserved--
 	}
 	if p.closed {
-		return nil, Error.Wrap(errPoolClosed)
+		return nil, nil, Error.Wrap(errPoolClosed)
 	}
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
-		return c, nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; !c.notRun.has(id) {
+			p.idle = slices.Delete(p.idle, i, i+1)
+			return c, nil, nil
+		}
 	}
 	if p.openCount >= p.limit {
-		return nil, Error.Wrap(ErrLimit)
+		if len(p.idle) == 0 {
+			return nil, nil, Error.Wrap(ErrLimit)
+		}
+		unusable, p.idle = p.idle[0], p.idle[1:]
 	}
 	p.openCount++
-	return nil, nil
+	return nil, unusable, nil
 }
 
 func (p *Pool) connect(ctx context.Context, deadline time.Time) (*Conn, error) {
