Gateway: a rejection that names no request is no proof

A response without a request id was accepted for any request. Health checks have no id and share connections with requests where targets report load or may be cold; a second copy of the rejection of a health check counted as the rejection of the next request on the connection, which runs.

Such a response is taken as one that says nothing: the request may have run. The stand-in of a target left the id out of rejections; it repeats it now, as the platform's protocol asks.

The test fails on the code before: 503 for a request that ran.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -217,9 +217,19 @@
 	return left
 }
 
+// verdict interprets the response to a request. A rejection that names no request proves nothing: it may be a
+// copy of the rejection of a health check, which has no id.
+func (g *Gateway) verdict(status int, h http.Header) Verdict {
+	v := g.messages.Answer(status, h)
+	if v.RequestID == "" && (v.Kind == NotRun || v.Kind == WrongTarget) {
+		v.Kind = Unreadable
+	}
+	return v
+}
+
 // match returns what a response is to the request. A response without a request id is accepted.
 func (g *Gateway) match(r *request, status int, h http.Header) targetconn.Match {
-	v := g.messages.Answer(status, h)
+	v := g.verdict(status, h)
 	switch {
 	case v.RequestID != "" && v.RequestID != r.call.RequestID:
 		return targetconn.Foreign
@@ -231,7 +241,7 @@
 
 // evaluate returns the result of an attempt by the target's response.
 func (g *Gateway) evaluate(t *target, a targetconn.Response) result {
-	v := g.messages.Answer(a.Status, a.Header)
+	v := g.verdict(a.Status, a.Header)
 	res := result{verdict: v, answer: a}
 	if v.MalformedReport {
 		g.metrics.unreadableReports.Inc()
@@ -247,7 +257,7 @@
 		res.outcome = outcome.Rejected
 	default:
 		res.outcome = outcome.Unknown
-		res.err = Error.New("target %s answered with status %d and no signature", t.info.ID, a.Status)
+		res.err = Error.New("target %s answered with status %d, without a signature or a rejection of this request", t.info.ID, a.Status)
 	}
 	return res
 }
--- a/internal/gateway/duplicate_test.go
+++ b/internal/gateway/duplicate_test.go
@@ -24,6 +24,8 @@
 	attempts map[string]int // by request id
 	runs     map[string]int
 	conns    []net.Conn // all that were accepted
+	// copyOfHealthCheck makes it send a rejection without a request id before each response, and reject no requests.
+	copyOfHealthCheck bool
 }
 
 const duplicatingService = "s9"
@@ -72,6 +74,9 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
+		if t.copyOfHealthCheck {
+			second = []byte("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		}
 		if _, err := c.Write(second); err != nil {
 			return
 		}
@@ -89,7 +94,7 @@
 func (t *duplicatingTarget) respond(id string) (response []byte, rejected bool) {
 	t.mu.Lock()
 	t.attempts[id]++
-	rejected = t.attempts[id] == 1
+	rejected = t.attempts[id] == 1 && !t.copyOfHealthCheck
 	if !rejected {
 		t.runs[id]++
 	}
@@ -131,3 +136,17 @@
 		is.Equal(len(target.conns), 2) // other requests use the connections
 	})
 }
+
+// A second copy of the rejection of a health check, which names no request, came as the response to a request that may
+// run once: the request was refused as not run, and ran.
+func TestRejectionThatNamesNoRequestIsNoProof(t *testing.T) {
+	run(t, options{}, func(t *testing.T, s *site) {
+		is := is.New(t)
+		target := s.addDuplicatingTarget()
+		target.copyOfHealthCheck = true
+		a := s.send(http.MethodPost, "/once/x", "r1", "reserve")
+		is.Equal(a.status, http.StatusBadGateway)
+		time.Sleep(time.Second)
+		is.Equal(target.runs["r1"], 1)
+	})
+}
--- a/internal/standin/platformtarget/target.go
+++ b/internal/standin/platformtarget/target.go
@@ -160,6 +160,10 @@
 	t.mu.Unlock()
 	h := w.Header()
 	t.setLoadHeader(h, f)
+	id := r.Header.Get(platform.HeaderRequestID)
+	if id != "" && r.URL.Path != pathHealth {
+		h.Set(platform.HeaderRequestID, id)
+	}
 	switch want := r.Header.Get(platform.HeaderInstance); {
 	case r.URL.Path == pathHealth:
 		if t.healthCheckHangs.Load() {
@@ -173,7 +177,7 @@
 		h.Set("X-Instance-Id", "another")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case r.Header.Get(platform.HeaderRequestID) == "":
+	case id == "":
 		refuseNotRun(w, http.StatusBadRequest)
 		return
 	}
@@ -250,7 +254,6 @@
 	}
 	t.noteEnd(run, fails || slowFactor > 1)
 	h := w.Header()
-	h.Set(platform.HeaderRequestID, run.RequestID)
 	h.Set(platform.HeaderSignature, Signature(t.cfg.Service, run.RequestID))
 	switch {
 	case ended == workDeadlineExceeded:
