Relay: a reservation's rejection must name its attempt

Each attempt at a target of the product's own interface has an id, and a rejection that names another attempt was no proof; one that names none was. Connections are kept, so a late second copy of such a rejection counted as that of the next attempt, and a reservation that ran was reported as not run.

A rejection of a reservation counts only if it names the attempt; of a search one without an id counts as before, as a search may run twice. The fakes of the package repeat the id, as the stand-in of a target does.

The test fails on the code before: rejected in place of unknown.

--- a/internal/relay/announce_test.go
+++ b/internal/relay/announce_test.go
@@ -67,9 +67,9 @@
 		"one answer": {func(f *fixture, _ []*hostList) {
 			var refused atomic.Bool
 			f.targets[0].set(func(x *fakeTarget) {
-				x.serve = func(w http.ResponseWriter, _ *http.Request, a targetapi.Answer) {
+				x.serve = func(w http.ResponseWriter, r *http.Request, a targetapi.Answer) {
 					if refused.CompareAndSwap(false, true) {
-						reject(w, http.StatusServiceUnavailable, targetapi.CodeDraining)
+						reject(w, r, http.StatusServiceUnavailable, targetapi.CodeDraining)
 						return
 					}
 					_ = json.NewEncoder(w).Encode(a)
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,6 +27,7 @@
 	limit     int
 	body      []byte
 	deadline  time.Time // with the monotonic clock reading of this process
+	once      bool      // a reservation: it must not run twice
 }
 
 // attemptResult is the result of an attempt as the sender observed it. The
@@ -193,13 +194,14 @@
 
 // parseRejection decodes a Rejection. It proves that the attempt did not run
 // only if the code matches the status and the rejection does not name another
-// attempt.
+// attempt. That of a reservation must name it: a late copy of the rejection of
+// an earlier attempt on the connection may name none.
 func parseRejection(status int, body []byte, a *attempt) attemptResult {
 	var b targetapi.Rejection
 	if err := json.Unmarshal(body, &b); err != nil {
 		return invalidAnswer(Error.New("parse rejection: %w", err))
 	}
-	if b.AttemptID != "" && b.AttemptID != a.id {
+	if b.AttemptID != a.id && (a.once || b.AttemptID != "") {
 		return invalidAnswer(Error.New("rejection is for attempt %q", b.AttemptID))
 	}
 	o, reason, ok := rejectionOutcome(status, b.Code)
--- a/internal/relay/fakes_test.go
+++ b/internal/relay/fakes_test.go
@@ -226,9 +226,9 @@
 	}
 }
 
-func reject(w http.ResponseWriter, status int, code string) {
+func reject(w http.ResponseWriter, r *http.Request, status int, code string) {
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(targetapi.Rejection{Code: code})
+	_ = json.NewEncoder(w).Encode(targetapi.Rejection{Code: code, AttemptID: r.Header.Get(targetapi.HeaderAttempt)})
 }
 
 // fixture is a relay with targets that all hold every shard.
--- a/internal/relay/faults_test.go
+++ b/internal/relay/faults_test.go
@@ -36,10 +36,15 @@
 	}
 }
 
+// rejecting responds with a rejection, which names the attempt unless body names another one.
 func rejecting(status int, body targetapi.Rejection) func(http.ResponseWriter, *http.Request, targetapi.Answer) {
-	return func(w http.ResponseWriter, _ *http.Request, _ targetapi.Answer) {
+	return func(w http.ResponseWriter, r *http.Request, _ targetapi.Answer) {
+		named := body
+		if named.AttemptID == "" {
+			named.AttemptID = r.Header.Get(targetapi.HeaderAttempt)
+		}
 		w.WriteHeader(status)
-		_ = json.NewEncoder(w).Encode(body)
+		_ = json.NewEncoder(w).Encode(named)
 	}
 }
 
@@ -329,3 +334,23 @@
 		})
 	}
 }
+
+// A late copy of a rejection that names no attempt counted as the rejection of the next attempt on the connection: a
+// reservation that ran was reported as not run. A search may run twice, and is rejected by it as before.
+func TestRejectionThatNamesNoAttemptProvesNothingOfAReservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFixture(8, 1, smallAnswers)
+		defer f.close()
+		f.targets[0].serve = func(w http.ResponseWriter, _ *http.Request, _ targetapi.Answer) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			_ = json.NewEncoder(w).Encode(targetapi.Rejection{Code: targetapi.CodeShed})
+		}
+		got := f.relay.Send(t.Context(), reserve(time.Second), "t0", "a")
+		is.Equal(got.Outcome, outcome.Unknown)
+		is.Equal(got.Reason, query.ReasonBadAnswer)
+		found, err := f.search(context.Background(), batch(1, time.Second))
+		is.NoErr(err)
+		is.Equal(found[0].Outcome, outcome.Rejected)
+	})
+}
--- a/internal/relay/health_test.go
+++ b/internal/relay/health_test.go
@@ -53,8 +53,8 @@
 	for name, sign := range map[string]func(f *fixture){
 		"answer, status claims ready": func(f *fixture) {
 			f.targets[0].set(func(x *fakeTarget) {
-				x.serve = func(w http.ResponseWriter, _ *http.Request, _ targetapi.Answer) {
-					reject(w, http.StatusServiceUnavailable, targetapi.CodeDraining)
+				x.serve = func(w http.ResponseWriter, r *http.Request, _ targetapi.Answer) {
+					reject(w, r, http.StatusServiceUnavailable, targetapi.CodeDraining)
 					x.set(func(x *fakeTarget) { x.serve = nil }) // later requests are served
 				}
 			})
--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -21,7 +21,7 @@
 )
 
 func rejectAll(code string, status int) func(http.ResponseWriter, *http.Request, targetapi.Answer) {
-	return func(w http.ResponseWriter, _ *http.Request, _ targetapi.Answer) { reject(w, status, code) }
+	return func(w http.ResponseWriter, r *http.Request, _ targetapi.Answer) { reject(w, r, status, code) }
 }
 
 // A search that every replica rejects fails at the time of the last rejection,
--- a/internal/relay/reserve.go
+++ b/internal/relay/reserve.go
@@ -155,7 +155,7 @@
 	}
 	s := &reserveAttempt{pool: p, peers: set.replicas, result: make(chan attemptResult, 1), ctx: ctx, attempt: &attempt{
 		id: attemptID, requestID: q.RequestID, service: q.Service, shard: shard,
-		snapshot: snapshot, body: body, deadline: deadline,
+		snapshot: snapshot, body: body, deadline: deadline, once: true,
 	}}
 	return reservation(q, targetID, s.run(t))
 }
--- a/internal/relay/reserve_test.go
+++ b/internal/relay/reserve_test.go
@@ -33,7 +33,7 @@
 				target.set(func(x *fakeTarget) {
 					x.serve = func(w http.ResponseWriter, r *http.Request, _ targetapi.Answer) {
 						snapshot, shard = r.Header.Get(targetapi.HeaderSnapshot), r.Header.Get(targetapi.HeaderShard)
-						reject(w, http.StatusServiceUnavailable, targetapi.CodeShed)
+						reject(w, r, http.StatusServiceUnavailable, targetapi.CodeShed)
 					}
 				})
 			}
--- a/internal/targetapi/targetapi.go
+++ b/internal/targetapi/targetapi.go
@@ -66,7 +66,7 @@
 	Code         string   `json:"code"`
 	RetryAfterMS int64    `json:"retry_after_ms,omitempty"`
 	Snapshots    []uint64 `json:"snapshots,omitempty"`  // snapshots held for the service
-	AttemptID    string   `json:"attempt_id,omitempty"` // from the request header; with another id the request may have run
+	AttemptID    string   `json:"attempt_id,omitempty"` // from the request header; with another id the request may have run, as may a reservation without one
 }
 
 // Codes of a Rejection.
