Gateway: a panic is logged as an error and answered

A panic while a request is processed was recovered by the HTTP server, which closes the connection without an answer and reports it at level debug (12008).

The gateway recovers it: event 11016 with request, route and stack, a metric, and 502, as the request may have run. If part of an answer was written the connection is closed as before.

The test fails on the code before: status 0 in place of 502.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -11,6 +11,9 @@
 		"A request was answered. Logged for each failed, refused, late or partial answer and for one in 50 of the others. Lines are rate-limited; 11005 has the number of those left out.",
 		"Read the reason; docs/OPERATIONS.md describes how to find the cause.",
 		"request", "route", "status", "outcome", "missing", "took", "version", "reason")
+	evPanicked = event.Define(11016, "request_panicked", plog.ErrorLevel,
+		"The processing of a request panicked, which is a fault of this program. The request was answered 502, as possibly run. Lines are rate-limited; the metric counts every case.",
+		"Report the stack. If it is the same for every request of a route, restart the host.", "request", "route", "panic", "stack")
 	evRejected = event.Define(11015, "attempt_rejected", plog.DebugLevel,
 		"A target answered that it did not run an attempt; after is the time since it was sent, in ms, and connection the number of the connection to this target.",
 		"If a request that may run once ran twice, its lines show whether a rejection came sooner than the target can answer, over a connection that had carried an earlier attempt of it.",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,9 +16,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -121,10 +123,31 @@
 func (g *Gateway) ServeHTTP(rw http.ResponseWriter, hr *http.Request) {
 	r := &request{caller: hr.RemoteAddr, method: hr.Method, uri: hr.RequestURI, host: hr.Host, arrived: time.Now(), arrivedClock: g.state.Clock().Now()}
 	w := &reply{gateway: g, writer: rw, request: r}
-	g.serve(w, r, hr)
+	g.serveRecovering(w, r, hr)
 	g.record(w)
 }
 
+// serveRecovering is serve, but answers a request whose processing panics as possibly run. The HTTP server would
+// close its connection without an answer.
+func (g *Gateway) serveRecovering(w *reply, r *request, hr *http.Request) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		g.metrics.panics.Inc()
+		if g.logLimits.failures.Allow() {
+			g.log.Event(evPanicked).Str("request", r.call.RequestID).Str("route", w.route).Str("panic", fmt.Sprint(cause)).
+				Str("stack", string(debug.Stack())).Msg("")
+		}
+		if w.status != 0 {
+			panic(http.ErrAbortHandler) // part of an answer was written; the connection must not look complete
+		}
+		w.unknown(Error.New("processing panicked"))
+	}()
+	g.serve(w, r, hr)
+}
+
 func (g *Gateway) serve(w *reply, r *request, hr *http.Request) {
 	call, err := g.messages.Call(hr.Header)
 	r.call = call
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	attempts            *prometheus.CounterVec
 	partialAnswers      prometheus.Counter
 	brokenAttempts      prometheus.Counter
+	panics              prometheus.Counter
 	unreadableReports   prometheus.Counter
 	loadQueries         *prometheus.CounterVec
 	targetsEnded        prometheus.Counter
@@ -65,6 +66,10 @@
 			Name: "rhubarbwood_gateway_broken_attempts_total",
 			Help: "Attempts whose connection ended while the target had the request.",
 		}),
+		panics: f.NewCounter(prometheus.CounterOpts{
+			Name: "rhubarbwood_gateway_panics_total",
+			Help: "Requests whose processing panicked.",
+		}),
 		rolloutAttempts: f.NewCounterVec(prometheus.CounterOpts{
 			Name: "rhubarbwood_gateway_rollout_attempts_total",
 			Help: "Attempts that may have reached a target while a rollout order runs, by service and side: the ordered version (new) or another (old).",
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -66,6 +66,7 @@
 	regions       map[string]string    // of failure domains
 	changeTarget  func(*platformtarget.Config)
 	noRetryBudget bool // as in options
+	messages      gateway.Messages
 	rollouts      bool // the gateways follow rollouts
 
 	revision uint64
@@ -79,9 +80,11 @@
 	unconfigured bool
 	// link is the rate of the gateway's network link in Mbit/s; hosts and helpers are the other
 	// hosts and the client that delegates queries to them.
-	link    uint32
-	hosts   []member.Host
-	helpers func(*site) gateway.Helpers
+	link  uint32
+	hosts []member.Host
+	// listHosts returns the other hosts in place of hosts, where the list changes.
+	listHosts func() []member.Host
+	helpers   func(*site) gateway.Helpers
 	// without has the disabled mechanisms.
 	without []gateway.Mechanism
 	// log receives the log lines; nil: they are discarded.
@@ -97,6 +100,8 @@
 	// changeTarget modifies the settings of each target; nil: none.
 	changeTarget func(*platformtarget.Config)
 	rollouts     bool // the gateways follow rollouts
+	// messages reads and writes headers; nil: platform.Messages.
+	messages gateway.Messages
 }
 
 // dialFunc opens a connection from a gateway to a target.
@@ -142,9 +147,17 @@
 		discovery.NewFollower(cfg, nil, nil, s.state, s.log, prometheus.NewRegistry())
 	}
 	s.regions, s.changeTarget, s.noRetryBudget, s.rollouts = o.regions, o.changeTarget, o.noRetryBudget, o.rollouts
+	s.messages = o.messages
+	if s.messages == nil {
+		s.messages = platform.Messages{}
+	}
 	g := s.gateway(member.Host{ID: "h", FailureDomain: domain, LinkMbps: o.link}, o.without...)
 	if o.helpers != nil {
-		g.EnableHelpers(o.helpers(s), func() []member.Host { return o.hosts })
+		listHosts := o.listHosts
+		if listHosts == nil {
+			listHosts = func() []member.Host { return o.hosts }
+		}
+		g.EnableHelpers(o.helpers(s), listHosts)
 	}
 	s.life.Advance(kernel.Ready)
 	s.serve(callersAddress, g)
@@ -178,7 +191,7 @@
 		cfg.RetryRatio, cfg.RetrySlack = 0, 0
 	}
 	s.metrics = prometheus.NewRegistry()
-	g := gateway.New(cfg, self, func() int { return 1 }, s.state, s.requests, platform.Messages{}, s.recorded, s.life, s.log, s.metrics)
+	g := gateway.New(cfg, self, func() int { return 1 }, s.state, s.requests, s.messages, s.recorded, s.life, s.log, s.metrics)
 	g.DialWith(func(ctx context.Context, network, address string) (net.Conn, error) {
 		return s.dial(s, ctx, network, address)
 	})
