Gateway: placements are cached by the version of their route

Cause: the placement of a route's shards is cached by the name of the route. A query that arrived under the old version and whose body came after the change filled the cache with the old shards; queries of the new version then indexed them (index out of range in cellRoute). Ruled out: unknown targets of the new shards; without the straddling query both directions are answered.

The cache is by the route of one version, so that each version has its own placement.

--- a/internal/gateway/gatherers.go
+++ b/internal/gateway/gatherers.go
@@ -22,7 +22,9 @@
 	// are computed with it, as hosts with such a link may return at any time, or be cut off from
 	// this host alone.
 	maxLinkMbps uint32
-	byRoute     map[string]*gatherers
+	// byRoute is by the route of one version of the configuration: a query that arrived under an earlier version
+	// has other shards, and gatherers refer to shards by their index.
+	byRoute map[*routing.Route]*gatherers
 	// maxCounts is the maximum of gatherers.count seen by this process, by route; see hostCount.
 	maxCounts map[string]int
 }
@@ -41,7 +43,7 @@
 }
 
 func newGathererIndex(self member.Host, hosts func() []member.Host) *gathererIndex {
-	return &gathererIndex{self: self, hosts: hosts, byRoute: map[string]*gatherers{}, maxCounts: map[string]int{}}
+	return &gathererIndex{self: self, hosts: hosts, byRoute: map[*routing.Route]*gatherers{}, maxCounts: map[string]int{}}
 }
 
 // forRoute returns the hosts that gather the queries of a route.
@@ -53,12 +55,12 @@
 		index.builtFrom, index.generation = hosts, generation
 		clear(index.byRoute)
 	}
-	g, ok := index.byRoute[route.Name]
+	g, ok := index.byRoute[route]
 	if !ok {
 		g = index.build(reg.cfg.Regions.hostsAtHome(route, hosts), reg.placement(route), reg.cfg.disabled(Locality))
 		index.maxCounts[route.Name] = max(index.maxCounts[route.Name], g.count)
 		g.count = index.maxCounts[route.Name]
-		index.byRoute[route.Name] = g
+		index.byRoute[route] = g
 	}
 	return g
 }
