Logs: lines after the close of the queue are dropped

The log queue is closed when a host has stopped, while work that the stop has cut off may still log. A line after the close panics ("send on closed channel") and ends the process without its status.

Close waits for the writers in progress, and later lines are dropped and counted. The test fails on the code before with that panic.

--- a/internal/event/queue.go
+++ b/internal/event/queue.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"sync"
 	"sync/atomic"
 
 	plog "github.com/phuslu/log"
@@ -18,6 +19,9 @@
 type Queue struct {
 	async   plog.AsyncWriter
 	dropped atomic.Uint64
+
+	mu     sync.RWMutex // held by writers, and by Close while it stops them: async panics on a line after its Close
+	closed bool
 }
 
 // NewQueue returns a queue that writes to w. Its goroutine starts with the first
@@ -28,8 +32,15 @@
 	}}
 }
 
-// WriteEntry implements plog.Writer: it enqueues a log line.
+// WriteEntry implements plog.Writer: it enqueues a log line. After Close it drops the line: work that a stop has
+// cut off may still log.
 func (q *Queue) WriteEntry(e *plog.Entry) (int, error) {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	if q.closed {
+		q.dropped.Add(1)
+		return 0, io.ErrClosedPipe
+	}
 	n, err := q.async.WriteEntry(e)
 	if errors.Is(err, plog.ErrAsyncWriterFull) {
 		q.dropped.Add(1)
@@ -41,7 +52,12 @@
 func (q *Queue) Dropped() uint64 { return q.dropped.Load() }
 
 // Close writes the queued lines and stops the goroutine.
-func (q *Queue) Close() error { return q.async.Close() }
+func (q *Queue) Close() error {
+	q.mu.Lock()
+	q.closed = true
+	q.mu.Unlock()
+	return q.async.Close()
+}
 
 // NewWithQueue returns a log like New that writes through q.
 func NewWithQueue(q *Queue, level plog.Level, host string) *Log {
--- a/internal/event/queue_test.go
+++ b/internal/event/queue_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	plog "github.com/phuslu/log"
@@ -42,3 +45,27 @@
 	is.Equal(uint64(strings.Count(w.buf.String(), "\n")), lines-q.Dropped())
 	is.True(strings.Contains(w.buf.String(), `"host":"h"`))
 }
+
+// Work that a stop has cut off logged after the queue was closed: the process panicked in place of ending with its status.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	is := is.New(t)
+	q := NewQueue(io.Discard)
+	log := NewWithQueue(q, plog.InfoLevel, "h")
+	e := Event{Number: 1, Name: "x", Level: plog.InfoLevel}
+	var writers sync.WaitGroup
+	var stop atomic.Bool
+	for range 4 {
+		writers.Go(func() {
+			for !stop.Load() {
+				log.Event(e).Msg("")
+			}
+		})
+	}
+	time.Sleep(time.Millisecond)
+	is.NoErr(q.Close())
+	before := q.Dropped()
+	log.Event(e).Msg("")
+	is.True(q.Dropped() > before)
+	stop.Store(true)
+	writers.Wait()
+}
