--- a/internal/gateway/pending.go
+++ b/internal/gateway/pending.go
@@ -10,7 +10,7 @@
 type pendingRequests struct {
 	mu        sync.Mutex
 	byRequest map[*request]*pendingRequest
-	ended     bool // endAll was called
+	ended     bool // endAll was called: requests that are added later end at once
 }
 
 // pendingRequest is one request that is not answered yet.
@@ -30,7 +30,7 @@
 	p := &pendingRequest{cancel: end}
 	pending.byRequest[r] = p
 	if pending.ended {
-		r.stop(end)
+		r.endByStop(end)
 	}
 	return func() {
 		pending.mu.Lock()
@@ -79,13 +79,13 @@
 	defer pending.mu.Unlock()
 	pending.ended = true
 	for r, p := range pending.byRequest {
-		r.stop(p.cancel)
+		r.endByStop(p.cancel)
 	}
 	return len(pending.byRequest)
 }
 
-// stop marks the request as ended by the host's stop and ends the wait for its answer.
-func (r *request) stop(end func()) {
+// endByStop marks the request as ended by the host's stop and ends the wait for its answer.
+func (r *request) endByStop(end func()) {
 	r.stopped.Store(true)
 	end()
 }
--- a/internal/policy/stop.go
+++ b/internal/policy/stop.go
@@ -10,9 +10,9 @@
 // hosts, with requests that take a large part of the time that a stop may take.
 
 const (
-	// minStopReserve is the part of the time of a stop that is reserved at its end for requests that take longer than
+	// stopReserveShare is the share of the time of a stop that is reserved at its end for requests that take longer than
 	// their route usually does: a paused or overloaded target, or a retry.
-	minStopReserve = 0.4
+	stopReserveShare = 0.4
 	// stopLatencyFactor is how many times as long as a slow answer of its route a request is expected to take at most.
 	stopLatencyFactor = 1.5
 )
@@ -26,7 +26,7 @@
 // Admits reports whether a request that arrives now will have ended before the host does. limit is its time limit and slow
 // the latency of a slow answer of its route, 0 if none was observed.
 func (s HostStop) Admits(now time.Time, limit, slow time.Duration) bool {
-	reserve := time.Duration(minStopReserve * float64(s.Ends.Sub(s.Began)))
+	reserve := time.Duration(stopReserveShare * float64(s.Ends.Sub(s.Began)))
 	expected := time.Duration(stopLatencyFactor * float64(slow))
 	return s.Ends.Sub(now) >= min(limit, max(reserve, expected))
 }
