--- a/internal/gateway/duplicate_test.go
+++ b/internal/gateway/duplicate_test.go
@@ -61,6 +61,24 @@
 	return t
 }
 
+func (t *duplicatingTarget) countAttempts(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.attempts[id]
+}
+
+func (t *duplicatingTarget) countRuns(id string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runs[id]
+}
+
+func (t *duplicatingTarget) countConns() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
 func (t *duplicatingTarget) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	t.mu.Lock()
@@ -117,8 +135,8 @@
 			a := s.send(http.MethodPost, "/once/x", id, "reserve")
 			is.Equal(a.status, http.StatusOK)
 			is.Equal(string(a.body), "ok")
-			is.Equal(target.attempts[id], 2)
-			is.Equal(target.runs[id], 1)
+			is.Equal(target.countAttempts(id), 2)
+			is.Equal(target.countRuns(id), 1)
 		}
 	})
 }
@@ -130,10 +148,10 @@
 		target := s.addDuplicatingTarget()
 		is.Equal(s.send(http.MethodPost, "/once/x", "r1", "reserve").status, http.StatusServiceUnavailable)
 		is.Equal(s.send(http.MethodPost, "/once/x", "r1", "reserve").status, http.StatusOK)
-		is.Equal(target.runs["r1"], 1)
-		is.Equal(len(target.conns), 2)
+		is.Equal(target.countRuns("r1"), 1)
+		is.Equal(target.countConns(), 2)
 		is.Equal(s.send(http.MethodPost, "/once/x", "r2", "reserve").status, http.StatusServiceUnavailable)
-		is.Equal(len(target.conns), 2) // other requests use the connections
+		is.Equal(target.countConns(), 2) // other requests use the connections
 	})
 }
 
@@ -147,6 +165,6 @@
 		a := s.send(http.MethodPost, "/once/x", "r1", "reserve")
 		is.Equal(a.status, http.StatusBadGateway)
 		time.Sleep(time.Second)
-		is.Equal(target.runs["r1"], 1)
+		is.Equal(target.countRuns("r1"), 1)
 	})
 }
