Gateway tests: the restarted target is found before it restarts

Cause: its loop restarts each target that has received the request; the retry may reach the other target before the loop does, which then restarts that one as well and ends the retry.

The checks are the same, and one more: exactly one target has the request.

--- a/internal/gateway/incarnation_test.go
+++ b/internal/gateway/incarnation_test.go
@@ -107,11 +107,14 @@
 				go func() { got <- s.get(path, "r1") }()
 				time.Sleep(20 * time.Millisecond)
 				s.faults("s0", platformtarget.Faults{})
+				var holders []string // found before any restarts, since the retry then reaches the other target
 				for id, target := range s.targets {
 					if target.Received() > 0 {
-						s.registerBorn(id, restartBornMs)
+						holders = append(holders, id)
 					}
 				}
+				is.Equal(len(holders), 1)
+				s.registerBorn(holders[0], restartBornMs)
 				a := <-got
 				is.Equal(a.status, want)
 				is.True(a.took < 50*time.Millisecond) // does not wait for the deadline
