--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -27,7 +27,7 @@
 	g.hostStop.timer = time.AfterFunc(ends.Sub(now), g.endPending)
 }
 
-// admitsAtStop reports whether the host is not stopping, or the request will have ended before the host does.
+// admitsAtStop reports whether the host is not stopping, or the request is expected to end before the host does.
 func (g *Gateway) admitsAtStop(r *request) bool {
 	g.hostStop.mu.Lock()
 	stop := g.hostStop.times
--- a/internal/policy/stop.go
+++ b/internal/policy/stop.go
@@ -23,7 +23,7 @@
 	Ends  time.Time // when requests still in flight are answered without a result
 }
 
-// Admits reports whether a request that arrives now will have ended before the host does. limit is its time limit and slow
+// Admits reports whether a request that arrives now is expected to end before the host does. limit is its time limit and slow
 // the latency of a slow answer of its route, 0 if none was observed.
 func (s HostStop) Admits(now time.Time, limit, slow time.Duration) bool {
 	reserve := time.Duration(stopReserveShare * float64(s.Ends.Sub(s.Began)))
