Gateway: large responses are logged while they are read

Callers lost requests in flight when one target of another service sent bytes that are no response: the host exceeded its memory and was ended. Its log had no line about it, as a response was seen only once it was complete.

The bytes of the head and of the body of each response are counted while they are read. Event 11017 names request, target, service, part and bytes once a part reaches 1 MB, and rhubarbwood_gateway_large_responses_total counts it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -168,6 +168,7 @@
 		Method: r.method, Head: head, Header: own, Body: r.body, ID: r.call.RequestID,
 		Match:        func(status int, h http.Header) targetconn.Match { return g.match(r, status, h) },
 		MaxBodyBytes: g.cfg.MaxAnswer,
+		OnLarge:      func(part targetconn.Part, received int64) { g.noteLargeResponse(t, r, part, received) },
 	})
 	if err != nil {
 		late := ctx.Err() != nil || !time.Now().Before(r.deadline)
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -14,6 +14,10 @@
 	evPanicked = event.Define(11016, "request_panicked", plog.ErrorLevel,
 		"The processing of a request panicked, which is a fault of this program. The request was answered 502, as possibly run. Lines are rate-limited; the metric counts every case.",
 		"Report the stack. If it is the same for every request of a route, restart the host.", "request", "route", "panic", "stack")
+	evLargeResponse = event.Define(11017, "response_large", plog.WarnLevel,
+		"A part of a target's response, head or body, reached 1 MB while it was read; received is its size so far, in bytes. Lines are rate-limited; the metric counts every case.",
+		"Compare the size with the memory of the host. Heads are a few hundred bytes: a large one is no response, and the target is faulty.",
+		"request", "target", "service", "part", "received")
 	evRejected = event.Define(11015, "attempt_rejected", plog.DebugLevel,
 		"A target answered that it did not run an attempt; after is the time since it was sent, in ms, and connection the number of the connection to this target.",
 		"If a request that may run once ran twice, its lines show whether a rejection came sooner than the target can answer, over a connection that had carried an earlier attempt of it.",
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -17,6 +17,7 @@
 	partialAnswers      prometheus.Counter
 	brokenAttempts      prometheus.Counter
 	panics              prometheus.Counter
+	largeResponses      *prometheus.CounterVec
 	unreadableReports   prometheus.Counter
 	loadQueries         *prometheus.CounterVec
 	targetsEnded        prometheus.Counter
@@ -66,6 +67,10 @@
 			Name: "rhubarbwood_gateway_broken_attempts_total",
 			Help: "Attempts whose connection ended while the target had the request.",
 		}),
+		largeResponses: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "rhubarbwood_gateway_large_responses_total",
+			Help: "Responses of targets of which a part, head or body, reached 1 MB while it was read.",
+		}, []string{"part"}),
 		panics: f.NewCounter(prometheus.CounterOpts{
 			Name: "rhubarbwood_gateway_panics_total",
 			Help: "Requests whose processing panicked.",
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -28,6 +28,9 @@
 	Match func(status int, h http.Header) Match
 	// MaxBodyBytes is the maximum length of the response body, in bytes.
 	MaxBodyBytes int64
+	// OnLarge is called while the response is read, once a part of it has become large, with the bytes received of
+	// the part so far; nil: not called.
+	OnLarge func(part Part, received int64)
 }
 
 // Match is what a response is to the request that is in flight on its connection.
@@ -84,8 +87,9 @@
 	pool    *Pool
 	number  uint64 // as in Response.Connection
 	net     net.Conn
-	reader  *bufio.Reader
-	expires time.Time // end of the idle time: the target may close the connection from then on
+	meter   *meter        // of reader
+	reader  *bufio.Reader // reads net
+	expires time.Time     // end of the idle time: the target may close the connection from then on
 	once    sync.Once
 	// notRun has the requests that the target did not run, by id. They may be sent again, but not over
 	// this connection: a second copy of the rejection would be taken as the response to the new attempt.
@@ -248,6 +252,8 @@
 // read reads the response, skipping responses to other requests. reusable reports
 // whether the connection may carry another request.
 func (c *Conn) read(r *Request) (a Response, reusable bool, err error) {
+	c.meter.onLarge = r.OnLarge
+	defer func() { c.meter.onLarge = nil }()
 	for skipped := 0; ; skipped++ {
 		a, reusable, err := c.readResponse(r)
 		if err != nil {
@@ -268,10 +274,12 @@
 
 // readResponse reads the next response on the connection.
 func (c *Conn) readResponse(r *Request) (a Response, reusable bool, err error) {
+	c.meter.begin(PartHead)
 	resp, err := c.readHeader(r)
 	if err != nil {
 		return a, false, err
 	}
+	c.meter.begin(PartBody)
 	defer func() { _ = resp.Body.Close() }()
 	a = Response{Status: resp.StatusCode, Header: resp.Header, Connection: c.number}
 	body, err := readBody(resp, r.MaxBodyBytes)
--- a/internal/targetconn/pool.go
+++ b/internal/targetconn/pool.go
@@ -208,7 +208,8 @@
 	if len(p.conns) == 0 {
 		p.restarted.Store(true)
 	}
-	c := &Conn{pool: p, number: p.dialed, net: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), expires: time.Now().Add(unusedIdleTime)}
+	m := &meter{conn: nc}
+	c := &Conn{pool: p, number: p.dialed, net: nc, meter: m, reader: bufio.NewReaderSize(m, readBufferBytes), expires: time.Now().Add(unusedIdleTime)}
 	p.conns[c] = true
 	return c, nil
 }
