Target connections: the head of a response has limits

The target's response was read until the deadline of its request, and all of it was kept, so that the host exceeded its memory and was ended.

Cause: only the body of a response had a limit. net/http reads the status line and the header lines of a response, and any number of 1xx responses before it, until they end.

The bytes received are counted below the buffered reader.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -175,6 +175,7 @@
 		if !sent {
 			return result{outcome: outcome.NotSent, err: err, abandoned: late}
 		}
+		g.noteLimitExceeded(t, r, err)
 		if res, ok := g.cutRejection(t, r, answer); ok {
 			return res
 		}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -18,6 +18,10 @@
 		"A part of a target's response, head or body, reached 1 MB while it was read; received is its size so far, in bytes. Lines are rate-limited; the metric counts every case.",
 		"Compare the size with the memory of the host. Heads are a few hundred bytes: a large one is no response, and the target is faulty.",
 		"request", "target", "service", "part", "received")
+	evLimitExceeded = event.Define(11018, "response_over_limit", plog.WarnLevel,
+		"The response of a target was given up because it exceeded a limit: head_bytes, head_lines or body_bytes; received counts what came, or was announced, in the unit of the limit. The connection was closed; the request may have run. Lines are rate-limited; the metric counts every case.",
+		"Check that target: heads are a few hundred bytes. If its bodies are meant to be this long, raise gateway.max_answer.",
+		"request", "target", "service", "limit", "received", "max")
 	evRejected = event.Define(11015, "attempt_rejected", plog.DebugLevel,
 		"A target answered that it did not run an attempt; after is the time since it was sent, in ms, and connection the number of the connection to this target.",
 		"If a request that may run once ran twice, its lines show whether a rejection came sooner than the target can answer, over a connection that had carried an earlier attempt of it.",
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -18,6 +18,7 @@
 	brokenAttempts      prometheus.Counter
 	panics              prometheus.Counter
 	largeResponses      *prometheus.CounterVec
+	limitedResponses    *prometheus.CounterVec
 	unreadableReports   prometheus.Counter
 	loadQueries         *prometheus.CounterVec
 	targetsEnded        prometheus.Counter
@@ -71,6 +72,10 @@
 			Name: "rhubarbwood_gateway_large_responses_total",
 			Help: "Responses of targets of which a part, head or body, reached 1 MB while it was read.",
 		}, []string{"part"}),
+		limitedResponses: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "rhubarbwood_gateway_responses_over_limit_total",
+			Help: "Responses of targets that were given up as they exceeded a limit, by limit.",
+		}, []string{"limit"}),
 		panics: f.NewCounter(prometheus.CounterOpts{
 			Name: "rhubarbwood_gateway_panics_total",
 			Help: "Requests whose processing panicked.",
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -52,9 +52,6 @@
 	Connection uint64
 }
 
-// errBodyTooLong means that a response body exceeds the limit.
-var errBodyTooLong = errors.New("the response body exceeds the limit")
-
 // errForeignResponse means that only responses to other requests were received.
 var errForeignResponse = errors.New("the response belongs to another request")
 
@@ -291,10 +288,14 @@
 	return a, !resp.Close && c.reader.Buffered() == 0, nil
 }
 
-// readHeader reads the header of the next final response, skipping 1xx responses.
+// readHeader reads the header of the next final response, skipping 1xx responses. The limits of the head apply to
+// all of them together: a target may send 1xx responses without end.
 func (c *Conn) readHeader(r *Request) (*http.Response, error) {
 	for {
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		if c.meter.exceeded != nil {
+			return nil, c.meter.exceeded
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -311,7 +312,7 @@
 // connection and is complete unless the connection is reset.
 func readBody(resp *http.Response, limit int64) ([]byte, error) {
 	if resp.ContentLength > limit {
-		return nil, errBodyTooLong
+		return nil, &LimitError{Limit: LimitBodyBytes, Received: resp.ContentLength, Max: limit}
 	}
 	if resp.ContentLength >= 0 {
 		body := make([]byte, resp.ContentLength)
@@ -323,7 +324,7 @@
 		return nil, err
 	}
 	if int64(len(body)) > limit {
-		return nil, errBodyTooLong
+		return nil, &LimitError{Limit: LimitBodyBytes, Received: int64(len(body)), Max: limit}
 	}
 	return body, nil
 }
