Target connections: a body that was given up is not read on

A request was answered only at its deadline, with 504, if its target announced or sent a body longer than the limit, with a length or in chunks. Found by the search for places that read bytes without end.

Cause: closing the body of a net/http response reads the rest of it. The connection of a body that was given up is closed anyway, and the body of one that was read has nothing left, so it is not closed. Ruled out: the limit itself, which ended the reading (bodies that end with their connection were given up at once, as they aren't read on).

The tests get responses without end of their body, chunks, chunk sizes, chunk extensions and trailer.

--- a/internal/standin/endless.go
+++ b/internal/standin/endless.go
@@ -19,6 +19,7 @@
 func EndlessResponses(header string) []EndlessResponse {
 	const ok = "HTTP/1.1 200 OK\r\n"
 	long := strings.Repeat("x", 1<<10)
+	chunked := ok + header + "Transfer-Encoding: chunked\r\n\r\n"
 	return []EndlessResponse{
 		{Name: "status line", Repeat: long, InHead: true},
 		{Name: "reason phrase", Start: "HTTP/1.1 200 ", Repeat: long, InHead: true},
@@ -26,6 +27,14 @@
 		{Name: "header value", Start: ok + "A: ", Repeat: long, InHead: true},
 		{Name: "header lines", Start: ok, Repeat: "a:\r\n", InHead: true},
 		{Name: "interim responses", Repeat: "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n", InHead: true},
+		{Name: "body without length", Start: ok + header + "\r\n", Repeat: long},
+		{Name: "body with a long length", Start: ok + header + "Content-Length: 1000000000000\r\n\r\n", Repeat: long},
+		{Name: "chunks", Start: chunked, Repeat: "400\r\n" + long + "\r\n"},
+		{Name: "chunk size", Start: chunked, Repeat: "0"},
+		{Name: "chunk extension", Start: chunked + "1;", Repeat: long},
+		{Name: "empty chunk extensions", Start: chunked, Repeat: "1;aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\r\nx\r\n"},
+		{Name: "trailer value", Start: chunked + "0\r\nA: ", Repeat: long},
+		{Name: "trailer lines", Start: chunked + "0\r\n", Repeat: "a: b\r\n"},
 	}
 }
 
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -277,7 +277,7 @@
 		return a, false, err
 	}
 	c.meter.begin(PartBody)
-	defer func() { _ = resp.Body.Close() }()
+	// The body is not closed: that would read the rest of one that was given up, which may have no end.
 	a = Response{Status: resp.StatusCode, Header: resp.Header, Connection: c.number}
 	body, err := readBody(resp, r.MaxBodyBytes)
 	if err != nil {
