Gateway: responses are limited in the memory that they hold together

Dozens of faulty targets at once, each with a body within the limit of one response (8 MB), make a host exceed its memory, as one head without end did.

Cause: each response had a limit, and their sum had none; a body also got the memory that its length announced before a byte of it had come.

internal/membudget has a budget for each source of messages, an eighth of the memory of the process (settings: memory.limit_mb, filled in from the platform's field). A response is charged from its head on until the request that it belongs to has ended. When the budget is used up, the largest response that is still being received is given up, those without a length first, as they may have no end; others go on, and a quarter of the budget is left to messages up to 64 KB. Bodies grow by what has come. The process sets the Go runtime's memory limit to 0.8 of its memory, so that garbage doesn't add up to more. Events and metrics: 11018 with the limit memory, rhubarbwood_memory_*.

Ruled out: a smaller limit for one response, since targets may send bodies of megabytes and there are thousands of connections; and giving up what asks last, which would cost the sound responses.

--- a/internal/cli/gateway.go
+++ b/internal/cli/gateway.go
@@ -31,6 +31,7 @@
 		return usageError(err)
 	}
 	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(s.Memory.HeapLimit())
 	logQueue := event.NewQueue(c.env.Out)
 	defer func() { _ = logQueue.Close() }() // flushes the queue; if the log can't be written, there is nowhere to report it
 	log := event.NewWithQueue(logQueue, s.Log.ParsedLevel(), s.ID)
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -76,7 +76,7 @@
 		g.metrics.loadQueries.WithLabelValues("no connection").Inc()
 		return
 	}
-	v, err := g.queryHealth(ctx, deadline, conn, s, r.request)
+	v, err := g.queryHealth(ctx, deadline, conn, s, t, r.request)
 	if err != nil {
 		g.metrics.loadQueries.WithLabelValues("no answer").Inc()
 		return
@@ -94,19 +94,21 @@
 }
 
 // queryHealth sends a health check over a connection and returns what the target reports.
-func (g *Gateway) queryHealth(ctx context.Context, deadline time.Time, conn *targetconn.Conn, s *service, r *request) (Verdict, error) {
+func (g *Gateway) queryHealth(ctx context.Context, deadline time.Time, conn *targetconn.Conn, s *service, t *target, r *request) (Verdict, error) {
 	head, err := targetconn.NewHead(http.MethodGet, s.healthPath(), r.host, http.Header{}, 0)
 	if err != nil {
 		conn.Release()
 		return Verdict{}, Error.Wrap(err)
 	}
 	answer, _, err := conn.Exchange(ctx, deadline, &targetconn.Request{
-		Method: http.MethodGet, Head: head, MaxBodyBytes: maxHealthAnswerBytes,
+		Method: http.MethodGet, Head: head, MaxBodyBytes: maxHealthAnswerBytes, Memory: g.memory.Targets,
 		Match: g.matchHealth,
 	})
 	if err != nil {
+		g.noteLimitExceeded(t, r, err)
 		return Verdict{}, Error.New("query the target's health: %w", err)
 	}
+	defer answer.Memory.Release()
 	return g.messages.Answer(answer.Status, answer.Header), nil
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,6 +43,7 @@
 	stats        *routeStats // of the route
 	latencyScale float64     // factor that normalizes latencies; see routeStats
 	attempts     atomic.Int32
+	memory       requestMemory
 	mayHaveRun   atomic.Int32 // attempts, at any shard, that are in flight or have not certainly not run
 
 	cachedKeys quarantine.Request // access through quarantineKeys
@@ -167,8 +168,8 @@
 	answer, sent, err := conn.Exchange(ctx, r.deadline, &targetconn.Request{
 		Method: r.method, Head: head, Header: own, Body: r.body, ID: r.call.RequestID,
 		Match:        func(status int, h http.Header) targetconn.Match { return g.match(r, status, h) },
-		MaxBodyBytes: g.cfg.MaxAnswer,
-		OnLarge:      func(part targetconn.Part, received int64) { g.noteLargeResponse(t, r, part, received) },
+		MaxBodyBytes: g.cfg.MaxAnswer, Memory: g.memory.Targets,
+		OnLarge: func(part targetconn.Part, received int64) { g.noteLargeResponse(t, r, part, received) },
 	})
 	if err != nil {
 		late := ctx.Err() != nil || !time.Now().Before(r.deadline)
@@ -184,6 +185,7 @@
 		}
 		return result{outcome: outcome.Unknown, err: err, abandoned: late, connectionLost: !late && targetconn.ConnectionLost(err)}
 	}
+	r.memory.hold(answer.Memory)
 	res := g.evaluate(t, answer)
 	if res.outcome == outcome.Rejected {
 		g.log.Event(evRejected).Str("request", r.call.RequestID).Str("target", t.info.ID).Str("service", t.info.Service).
--- a/internal/gateway/cold.go
+++ b/internal/gateway/cold.go
@@ -186,7 +186,7 @@
 		deadline = r.deadline
 	}
 	t.pool.Reserve() // before the query releases its connection, which other requests wait for
-	v, err := g.queryHealth(ctx, deadline, conn, s, r)
+	v, err := g.queryHealth(ctx, deadline, conn, s, t, r)
 	if err != nil {
 		t.pool.CancelReservation()
 		return nil, err
--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -3,16 +3,20 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 	"rhubarbwood.example/rhubarbwood/internal/standin"
 )
@@ -88,3 +92,57 @@
 		})
 	}
 }
+
+// memoryMetric returns a metric of the budget of a source.
+func memoryMetric(t *testing.T, reg *prometheus.Registry, name, source string) int64 {
+	t.Helper()
+	families, err := reg.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == name && m.GetLabel()[0].GetValue() == source {
+				return int64(m.GetGauge().GetValue() + m.GetCounter().GetValue())
+			}
+		}
+	}
+	t.Fatalf("no metric %s of %s", name, source)
+	return 0
+}
+
+// Dozens of responses without end, each within the limit of one, held more than the memory of the host together.
+func TestResponsesOfManyEndlessTargetsAreLimitedTogether(t *testing.T) {
+	const bad, sound = 60, 20
+	for _, e := range standin.EndlessResponses(endlessHeader) {
+		t.Run(e.Name, func(t *testing.T) {
+			reg := prometheus.NewRegistry()
+			run(t, options{memory: membudget.New(membudget.Config{LimitMB: 64}, reg)}, func(t *testing.T, s *site) {
+				is := is.New(t)
+				s.addEndlessTarget(e)
+				var wg sync.WaitGroup
+				for i := range bad {
+					wg.Go(func() {
+						a := s.send(http.MethodPost, "/endless/x", fmt.Sprintf("bad%d", i), "")
+						is.True(a.status == http.StatusBadGateway || a.status == http.StatusServiceUnavailable) // the latter if no connection was free
+						is.True(a.took < objective)
+					})
+				}
+				for i := range sound {
+					wg.Go(func() {
+						time.Sleep(time.Duration(i) * time.Millisecond)
+						is.Equal(s.send(http.MethodPost, "/once/x", fmt.Sprintf("sound%d", i), "").status, http.StatusOK)
+					})
+				}
+				wg.Wait()
+				if e.Name == "body without length" || e.Name == "chunks" {
+					is.True(memoryMetric(t, reg, "rhubarbwood_memory_messages_given_up_total", "targets") > 0) // the limits of one don't suffice
+				}
+				most := memoryMetric(t, reg, "rhubarbwood_memory_message_max_bytes", "targets")
+				is.True(memoryMetric(t, reg, "rhubarbwood_memory_message_peak_bytes", "targets") <= most)
+				time.Sleep(timeout)
+				is.Equal(memoryMetric(t, reg, "rhubarbwood_memory_message_bytes", "targets"), int64(0)) // all is released
+			})
+		})
+	}
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -19,8 +19,8 @@
 		"Compare the size with the memory of the host. Heads are a few hundred bytes: a large one is no response, and the target is faulty.",
 		"request", "target", "service", "part", "received")
 	evLimitExceeded = event.Define(11018, "response_over_limit", plog.WarnLevel,
-		"The response of a target was given up because it exceeded a limit: head_bytes, head_lines or body_bytes; received counts what came, or was announced, in the unit of the limit. The connection was closed; the request may have run. Lines are rate-limited; the metric counts every case.",
-		"Check that target: heads are a few hundred bytes. If its bodies are meant to be this long, raise gateway.max_answer.",
+		"The response of a target was given up because it exceeded a limit: head_bytes, head_lines, body_bytes, or memory, that of the responses of all targets together. received is what came of the response, or was announced, in the unit of the limit. The connection was closed; the request may have run. Lines are rate-limited; the metric counts every case.",
+		"Check that target: heads are a few hundred bytes. If its bodies are meant to be this long, raise gateway.max_answer; at the limit memory, find by these lines which targets send most.",
 		"request", "target", "service", "limit", "received", "max")
 	evRejected = event.Define(11015, "attempt_rejected", plog.DebugLevel,
 		"A target answered that it did not run an attempt; after is the time since it was sent, in ms, and connection the number of the connection to this target.",
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/quarantine"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 	"rhubarbwood.example/rhubarbwood/internal/targetconn"
@@ -60,6 +61,8 @@
 	// connectionsClosed is set when this host closes the callers' connections at the end of its stop.
 	connectionsClosed atomic.Bool
 	cancel            context.CancelFunc
+	// memory limits what the messages of targets and callers hold; see UseMemory.
+	memory *membudget.Budgets
 	// attemptHeader has the header names that are set anew for each attempt.
 	attemptHeader http.Header
 }
@@ -72,6 +75,7 @@
 	g := &Gateway{
 		cfg: cfg, state: state, quarantineTable: requests, messages: messages, recorder: recorder, life: life, log: log, self: self, hostCount: hosts,
 		registry: newServiceRegistry(cfg, self.ID, self.FailureDomain, hosts), metrics: newMetrics(reg), logLimits: newLogLimits(), pending: newPendingRequests(),
+		memory: &membudget.Budgets{},
 	}
 	g.attemptHeader = http.Header{}
 	messages.Attempt(g.attemptHeader, "", 0)
@@ -83,6 +87,10 @@
 	return g
 }
 
+// UseMemory sets the budgets of what the messages of targets and callers hold. Without it there is no limit on their
+// sum. It must be called before Start.
+func (g *Gateway) UseMemory(b *membudget.Budgets) { g.memory = b }
+
 // Start begins the maintenance of idle connections and the watch for suspensions of the machine.
 func (g *Gateway) Start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -123,6 +131,7 @@
 func (g *Gateway) ServeHTTP(rw http.ResponseWriter, hr *http.Request) {
 	r := &request{caller: hr.RemoteAddr, method: hr.Method, uri: hr.RequestURI, host: hr.Host, arrived: time.Now(), arrivedClock: g.state.Clock().Now()}
 	w := &reply{gateway: g, writer: rw, request: r}
+	defer r.memory.release()
 	g.serveRecovering(w, r, hr)
 	g.record(w)
 }
--- a/internal/gateway/helper.go
+++ b/internal/gateway/helper.go
@@ -295,6 +295,7 @@
 // shard gets at most one attempt, as the other host may still gather the query itself.
 func (g *Gateway) GatherFor(ctx, enough context.Context, q Query, p Progress, goAhead *atomic.Bool) Gathered {
 	r := g.requestFromQuery(q)
+	defer r.memory.release()
 	if !g.admitsAtStop(r) {
 		return Gathered{Outcome: outcome.NotSent, Reason: refusalStopping.name}
 	}
--- a/internal/gateway/received.go
+++ b/internal/gateway/received.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"sync"
 
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/targetconn"
 )
 
@@ -27,3 +29,32 @@
 			Str("limit", string(exceeded.Limit)).Int64("received", exceeded.Received).Int64("max", exceeded.Max).Msg("")
 	}
 }
+
+// requestMemory is what the messages of a request hold: its body and the responses to its attempts.
+type requestMemory struct {
+	mu       sync.Mutex
+	held     []*membudget.Message
+	released bool
+}
+
+// hold releases the message when the request has ended, which may be before it is received.
+func (m *requestMemory) hold(message *membudget.Message) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.released {
+		message.Release()
+		return
+	}
+	m.held = append(m.held, message)
+}
+
+// release releases all messages, those that are received later too.
+func (m *requestMemory) release() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.released = true
+	for _, message := range m.held {
+		message.Release()
+	}
+	m.held = nil
+}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -22,6 +22,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/quarantine"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 	"rhubarbwood.example/rhubarbwood/internal/standin"
@@ -68,6 +69,7 @@
 	noRetryBudget bool // as in options
 	messages      gateway.Messages
 	rollouts      bool // the gateways follow rollouts
+	memory        *membudget.Budgets
 
 	revision uint64
 }
@@ -102,6 +104,8 @@
 	rollouts     bool // the gateways follow rollouts
 	// messages reads and writes headers; nil: platform.Messages.
 	messages gateway.Messages
+	// memory are the budgets of the gateways; nil: without limits.
+	memory *membudget.Budgets
 }
 
 // dialFunc opens a connection from a gateway to a target.
@@ -147,7 +151,7 @@
 		discovery.NewFollower(cfg, nil, nil, s.state, s.log, prometheus.NewRegistry())
 	}
 	s.regions, s.changeTarget, s.noRetryBudget, s.rollouts = o.regions, o.changeTarget, o.noRetryBudget, o.rollouts
-	s.messages = o.messages
+	s.messages, s.memory = o.messages, o.memory
 	if s.messages == nil {
 		s.messages = platform.Messages{}
 	}
@@ -195,6 +199,9 @@
 	g.DialWith(func(ctx context.Context, network, address string) (net.Conn, error) {
 		return s.dial(s, ctx, network, address)
 	})
+	if s.memory != nil {
+		g.UseMemory(s.memory)
+	}
 	s.gateways = append(s.gateways, g)
 	if s.rollouts {
 		g.EnableRollouts()
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -20,6 +20,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/listen"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/netdial"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/peer"
@@ -63,6 +64,7 @@
 	members        *member.Members
 	quarantine     *quarantine.Table
 	gateway        *gateway.Gateway
+	memory         *membudget.Budgets // of the messages of other processes
 
 	peerMetrics *peer.Metrics
 }
@@ -95,6 +97,7 @@
 	h := &Host{settings: s, platform: p, system: system, log: log, lifecycle: kernel.NewLifecycle(), metrics: prometheus.NewRegistry(), runtimeMetrics: prometheus.NewRegistry(), listeners: opened}
 	h.runtimeMetrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.peerMetrics = peer.NewMetrics(h.metrics)
+	h.memory = membudget.New(s.Memory, h.metrics)
 	h.kernel = kernel.New(h.lifecycle, s.Stop.Grace.Std(), log)
 	h.register()
 	if err := h.kernel.Build(); err != nil {
@@ -302,6 +305,7 @@
 	if h.system.Dial != nil {
 		h.gateway.DialWith(h.system.Dial)
 	}
+	h.gateway.UseMemory(h.memory)
 	if s.Rollout.Enabled() {
 		h.gateway.EnableRollouts()
 	}
--- a/internal/gatewayhost/host_test.go
+++ b/internal/gatewayhost/host_test.go
@@ -231,7 +231,7 @@
 	"bindAddresses.control|json": `"10.1.0.39:8224"`, "seedNodes|json": `["10.1.0.39:8224","10.2.0.33:8224"]`,
 	"platform.address|json": `"10.200.1.7:8229"`, "bounds.graceS": "6", "bounds.configApplyMs": "5000",
 	"bounds.retryBudgetRatio": "0.2", "bounds.budgetSlack": "182", "bounds.budgetWindowS": "10",
-	"limits.bandwidthMbps": "140.0", "heartbeatMs": "1500", "bounds.drainMs": "4000", "bounds.evacuationMs": "4500",
+	"limits.bandwidthMbps": "140.0", "limits.memoryMb": "184", "heartbeatMs": "1500", "bounds.drainMs": "4000", "bounds.evacuationMs": "4500",
 	"zones|json":           `{"salt-lake":"kolkata","new-town":"kolkata"}`,
 	"bounds.warmupOverage": "1.5", "bounds.warmupSlack": "5",
 	"bounds.canaryShare": "0.1", "bounds.canarySlack": "40", "bounds.rollbackMs": "4000",
@@ -248,12 +248,12 @@
 	text, err := os.ReadFile("../../deploy/gateway.jsonc.tmpl")
 	is.NoErr(err)
 	for kept, want := range map[string]struct {
-		spread, beat, leave, evacuate  time.Duration
-		link, warmupRatio, warmupSlack float64
-		rollout                        rollout.Config
+		spread, beat, leave, evacuate          time.Duration
+		link, memory, warmupRatio, warmupSlack float64
+		rollout                                rollout.Config
 	}{
-		"$1": {time.Second, 1500 * time.Millisecond, 4 * time.Second, 4500 * time.Millisecond, 140, 1.5, 5, rollout.Config{CanaryShare: 0.1, CanarySlack: 40, RollbackWithin: unit.Duration(4 * time.Second)}},
-		"":   {60 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second, 0, 0, 1, 0, rollout.DefaultConfig()},
+		"$1": {time.Second, 1500 * time.Millisecond, 4 * time.Second, 4500 * time.Millisecond, 140, 184, 1.5, 5, rollout.Config{CanaryShare: 0.1, CanarySlack: 40, RollbackWithin: unit.Duration(4 * time.Second)}},
+		"":   {60 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second, 0, 0, 256, 1, 0, rollout.DefaultConfig()},
 	} {
 		filled := placeholder.ReplaceAllStringFunc(optionalSection.ReplaceAllString(string(text), kept), func(p string) string {
 			value, ok := platformFields[strings.Trim(p, "{}")]
@@ -268,6 +268,7 @@
 		is.Equal(s.Discovery.LeaveWithin.Std(), want.leave)
 		is.Equal(s.Discovery.EvacuateWithin.Std(), want.evacuate)
 		is.Equal(s.LinkMbps, want.link)
+		is.Equal(s.Memory.LimitMB, want.memory)
 		is.Equal(s.Gateway.WarmupRatio, want.warmupRatio)
 		is.Equal(s.Gateway.WarmupSlack, want.warmupSlack)
 		is.Equal(s.Gateway.RetrySlack, 182.0)
--- a/internal/gatewayhost/settings.go
+++ b/internal/gatewayhost/settings.go
@@ -12,6 +12,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/host"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/quarantine"
 	"rhubarbwood.example/rhubarbwood/internal/rollout"
@@ -24,12 +25,13 @@
 
 // Settings are the settings of one host.
 type Settings struct {
-	ID            string    `json:"host"`           // name of the host, stable across restarts
-	FailureDomain string    `json:"failure_domain"` // failure domain of the host
-	Addresses     Addresses `json:"addresses"`
-	LinkMbps      float64   `json:"link_mbps"` // bandwidth of the network link, in Mbit/s; 0: unknown
-	Log           host.Log  `json:"log"`
-	Stop          Stop      `json:"stop"`
+	ID            string           `json:"host"`           // name of the host, stable across restarts
+	FailureDomain string           `json:"failure_domain"` // failure domain of the host
+	Addresses     Addresses        `json:"addresses"`
+	LinkMbps      float64          `json:"link_mbps"` // bandwidth of the network link, in Mbit/s; 0: unknown
+	Log           host.Log         `json:"log"`
+	Memory        membudget.Config `json:"memory"`
+	Stop          Stop             `json:"stop"`
 
 	Platform  objstore.Config  `json:"platform"`
 	Member    member.Config    `json:"member"`
@@ -77,7 +79,8 @@
 // id, failure domain, addresses and the platform's address.
 func DefaultSettings() Settings {
 	return Settings{
-		Log: host.Log{Level: "info"},
+		Log:    host.Log{Level: "info"},
+		Memory: membudget.DefaultConfig(),
 		Stop: Stop{
 			Grace:       unit.Duration(defaultStopGrace),
 			BalancerLag: unit.Duration(defaultBalancerLag),
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 )
 
 // Request is an HTTP/1.1 request to a target.
@@ -28,6 +30,8 @@
 	Match func(status int, h http.Header) Match
 	// MaxBodyBytes is the maximum length of the response body, in bytes.
 	MaxBodyBytes int64
+	// Memory limits what the responses of all targets hold together; nil: no limit.
+	Memory *membudget.Budget
 	// OnLarge is called while the response is read, once a part of it has become large, with the bytes received of
 	// the part so far; nil: not called.
 	OnLarge func(part Part, received int64)
@@ -50,6 +54,8 @@
 	Body   []byte
 	// Connection is the number of the connection, counted from 1 since the pool was made.
 	Connection uint64
+	// Memory is what the response holds. It must be released when the response is no longer used; nil if Exchange failed.
+	Memory *membudget.Message
 }
 
 // errForeignResponse means that only responses to other requests were received.
@@ -263,6 +269,7 @@
 			// A target that sent a surplus response may send more of them.
 			return a, reusable && skipped == 0, nil
 		}
+		a.Memory.Release()
 		if !reusable && c.reader.Buffered() == 0 || skipped == maxForeignResponses {
 			return a, false, errForeignResponse
 		}
@@ -271,15 +278,33 @@
 
 // readResponse reads the next response on the connection.
 func (c *Conn) readResponse(r *Request) (a Response, reusable bool, err error) {
+	memory := r.Memory.Open(func() { _ = c.net.SetReadDeadline(pastDeadline) }) // fails only if the connection is closed
+	a, reusable, err = c.readInto(memory, r)
+	if err == nil {
+		err = memory.Complete()
+	}
+	if err != nil {
+		memory.Release()
+		return a, false, memoryError(err, memory)
+	}
+	a.Memory = memory
+	return a, reusable, nil
+}
+
+// readInto reads the next response on the connection into memory.
+func (c *Conn) readInto(memory *membudget.Message, r *Request) (a Response, reusable bool, err error) {
 	c.meter.begin(PartHead)
 	resp, err := c.readHeader(r)
 	if err != nil {
 		return a, false, err
 	}
 	c.meter.begin(PartBody)
-	// The body is not closed: that would read the rest of one that was given up, which may have no end.
 	a = Response{Status: resp.StatusCode, Header: resp.Header, Connection: c.number}
-	body, err := readBody(resp, r.MaxBodyBytes)
+	if err := memory.Grow(headerMemory(resp.Header)); err != nil {
+		return a, false, err
+	}
+	// The body is not closed: that would read the rest of one that was given up, which may have no end.
+	body, err := readBody(resp, r.MaxBodyBytes, memory)
 	if err != nil {
 		return a, false, err
 	}
@@ -308,27 +333,6 @@
 	}
 }
 
-// readBody reads the whole body of a response. A body without a length ends with the
-// connection and is complete unless the connection is reset.
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
-	if resp.ContentLength > limit {
-		return nil, &LimitError{Limit: LimitBodyBytes, Received: resp.ContentLength, Max: limit}
-	}
-	if resp.ContentLength >= 0 {
-		body := make([]byte, resp.ContentLength)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, &LimitError{Limit: LimitBodyBytes, Received: int64(len(body)), Max: limit}
-	}
-	return body, nil
-}
-
 // keepAliveTime returns how long the target keeps the connection open while it is idle.
 func keepAliveTime(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/internal/targetconn/meter.go
+++ b/internal/targetconn/meter.go
@@ -23,6 +23,7 @@
 	LimitHeadBytes Limit = "head_bytes" // bytes of the head
 	LimitHeadLines Limit = "head_lines" // lines of the head
 	LimitBodyBytes Limit = "body_bytes" // bytes of the body
+	LimitMemory    Limit = "memory"     // bytes that the responses of all targets hold together
 )
 
 const (
@@ -36,8 +37,10 @@
 
 // LimitError means that the reading of a response ended because it exceeded a limit.
 type LimitError struct {
-	Limit    Limit
-	Received int64 // bytes or lines, as the limit counts, when the reading ended; those announced if more
+	Limit Limit
+	// Received is what was received of the response when its reading ended, in the unit of the limit; for a body
+	// that announced more than its limit, the length announced.
+	Received int64
 	Max      int64
 }
 
