Gateway host: requests are limited in the memory that they hold together

Cause: the head and the body of one request had limits, their sum had none. A head is decoded into 16 times its bytes and more where its lines are short.

Heads are charged to the callers' budget while the HTTP server reads them, 16 bytes for each, and header and body until the request is answered. A request that is given up is answered 503 with a retry time at once, as it has not run, and its connection is closed; a body above its limit is answered 413 as soon as its length tells. Readiness checks and scrapes may have heads of 16 KB, not 256.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +20,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 	"rhubarbwood.example/rhubarbwood/internal/standin"
+	"rhubarbwood.example/rhubarbwood/platform"
 )
 
 // endlessService has one target, whose responses have no end.
@@ -146,3 +148,71 @@
 		})
 	}
 }
+
+// callerWithEndlessBody sends a request over a connection of its own, with a body without end of at most
+// endlessBytes, and returns the status of the response; 0: none.
+func (s *site) callerWithEndlessBody(id, framing, block string) (status int, closes bool) {
+	c, err := s.network.Dial(s.t.Context(), "tcp", callersAddress)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	go func() {
+		_, err := fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s\r\n\r\n", caseHost, platform.HeaderRequestID, id, framing)
+		for sent := 0; err == nil && sent < endlessBytes; sent += len(block) {
+			_, err = io.WriteString(c, block)
+		}
+	}()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0, false
+	}
+	return resp.StatusCode, resp.Close
+}
+
+// Dozens of callers whose requests have bodies without end held more than the memory of the host together, each
+// within the limit of one.
+func TestRequestBodiesOfManyCallersAreLimitedTogether(t *testing.T) {
+	const bad, sound, maxBody = 60, 20, 4 << 20
+	block := strings.Repeat("x", 1<<10)
+	for name, body := range map[string]struct {
+		framing, block string
+		status         []int
+	}{
+		"chunks":              {"Transfer-Encoding: chunked", "400\r\n" + block + "\r\n", []int{http.StatusRequestEntityTooLarge, http.StatusServiceUnavailable}},
+		"long length":         {"Content-Length: 1000000000000", block, []int{http.StatusRequestEntityTooLarge}},
+		"length at the limit": {fmt.Sprintf("Content-Length: %d", maxBody), block, []int{http.StatusOK, http.StatusServiceUnavailable}},
+		"trailer":             {"Transfer-Encoding: chunked", "0\r\n" + strings.Repeat("a: b\r\n", 1<<10), []int{http.StatusBadRequest}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reg := prometheus.NewRegistry()
+			run(t, options{memory: membudget.New(membudget.Config{LimitMB: 64}, reg)}, func(t *testing.T, s *site) {
+				is := is.New(t)
+				s.limitBodies(maxBody)
+				var wg sync.WaitGroup
+				began := time.Now()
+				for i := range bad {
+					wg.Go(func() {
+						status, closes := s.callerWithEndlessBody(fmt.Sprintf("bad%d", i), body.framing, body.block)
+						is.True(slices.Contains(body.status, status))
+						is.True(closes || status == http.StatusOK)
+					})
+				}
+				for i := range sound {
+					wg.Go(func() {
+						is.Equal(s.send(http.MethodPost, "/once/x", fmt.Sprintf("sound%d", i), "body").status, http.StatusOK)
+					})
+				}
+				wg.Wait()
+				is.True(time.Since(began) < timeout)
+				if name == "chunks" || name == "length at the limit" {
+					is.True(memoryMetric(t, reg, "rhubarbwood_memory_messages_given_up_total", "callers") > 0) // the limits of one don't suffice
+				}
+				most := memoryMetric(t, reg, "rhubarbwood_memory_message_max_bytes", "callers")
+				is.True(memoryMetric(t, reg, "rhubarbwood_memory_message_peak_bytes", "callers") <= most)
+				time.Sleep(time.Second)
+				is.Equal(memoryMetric(t, reg, "rhubarbwood_memory_message_bytes", "callers"), int64(0)) // all is released
+			})
+		})
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,9 +17,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strings"
 	"sync/atomic"
@@ -186,7 +186,7 @@
 		w.invalid(http.StatusRequestHeaderFieldsTooLarge, "the header is longer than the configuration allows")
 		return
 	}
-	body, err := readBody(hr, table.Config.Limits.BodyBytes)
+	body, err := g.readBody(w, hr, table.Config.Limits.BodyBytes)
 	if err != nil {
 		g.badBody(w, hr, err)
 		return
@@ -222,10 +222,15 @@
 }
 
 func (g *Gateway) badBody(w *reply, hr *http.Request, err error) {
-	var tooLarge *http.MaxBytesError
+	var tooLong *membudget.TooLongError
+	var exceeded *membudget.ExceededError
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.As(err, &tooLong):
+		w.closeAfter()
 		w.invalid(http.StatusRequestEntityTooLarge, err.Error())
+	case errors.As(err, &exceeded), errors.Is(err, os.ErrDeadlineExceeded): // the latter if it was given up while it was read
+		w.closeAfter()
+		w.refuse(refusalMemory)
 	case hr.Context().Err() != nil:
 		w.gone()
 	default:
@@ -286,16 +291,34 @@
 // defaultMaxBodyBytes is the request body limit where the configuration sets none.
 const defaultMaxBodyBytes = 1 << 20
 
-func readBody(hr *http.Request, limit int64) ([]byte, error) {
+// callerHeaderLineMemory is the memory of a decoded header line of a request in addition to its bytes.
+const callerHeaderLineMemory = 64
+
+// readBody reads the body of a request. Header and body are charged to the budget of the callers' messages until the
+// request has ended.
+func (g *Gateway) readBody(w *reply, hr *http.Request, limit int64) ([]byte, error) {
+	conn := http.NewResponseController(w.writer)
+	memory := g.memory.Callers.Open(func() { _ = conn.SetReadDeadline(aborted) }) // fails only if the connection is closed
+	w.request.memory.hold(memory)
+	err := memory.Grow(headerSize(hr) + callerHeaderLineMemory*int64(len(hr.Header)))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
 	if hr.Body == nil || hr.Body == http.NoBody {
 		return nil, nil
 	}
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, hr.Body, limit))
+	body, err := membudget.ReadAll(hr.Body, hr.ContentLength, limit, memory)
+	if err == nil {
+		err = memory.Complete()
+	}
 	if err != nil {
 		return nil, Error.New("read body: %w", err)
 	}
 	return body, nil
 }
+
+// aborted is a deadline that makes pending reads fail immediately.
+var aborted = time.Unix(1, 0)
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -30,6 +30,7 @@
 	refusalCold        = refusal{"targets are cold", query.ReasonOverload, 500 * time.Millisecond}
 	refusalQuarantined = refusal{"targets end under this request", query.ReasonQuarantined, time.Minute}
 	refusalStopping    = refusal{"the host is stopping", query.ReasonDraining, 20 * time.Millisecond} // another host can serve it at once
+	refusalMemory      = refusal{"the memory for requests is used up", query.ReasonOverload, 500 * time.Millisecond}
 	refusalTimeout     = refusal{"no target came free in time", query.ReasonBudget, 60 * time.Millisecond}
 )
 
@@ -139,6 +140,9 @@
 	}
 }
 
+// closeAfter closes the caller's connection after the answer, as the rest of the request is not read.
+func (w *reply) closeAfter() { w.writer.Header().Set("Connection", "close") }
+
 type problem struct {
 	Error string `json:"error"`
 }
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -70,6 +70,7 @@
 	messages      gateway.Messages
 	rollouts      bool // the gateways follow rollouts
 	memory        *membudget.Budgets
+	maxBody       int64 // limit of a request's body in bytes; 0: 1 KB
 
 	revision uint64
 }
@@ -282,7 +283,11 @@
 
 // configureWith is configure with a change to each service.
 func (s *site) configureWith(version uint64, change func(*routing.Service), routes ...routing.Route) {
-	c := routing.Config{Version: version, Routes: routes, Limits: routing.Limits{BodyBytes: 1 << 10, HeaderBytes: 4 << 10}}
+	limits := routing.Limits{BodyBytes: 1 << 10, HeaderBytes: 4 << 10}
+	if s.maxBody > 0 {
+		limits.BodyBytes = s.maxBody
+	}
+	c := routing.Config{Version: version, Routes: routes, Limits: limits}
 	for i := range 20 {
 		service := routing.Service{Name: fmt.Sprintf("s%d", i), MaxConnections: 90, HealthPath: "/healthz"}
 		change(&service)
@@ -292,6 +297,12 @@
 	s.state.ApplyConfig(discovery.ConfigRead{Config: c, Found: true, Revision: at(s.revision)}, time.Now())
 }
 
+// limitBodies applies a configuration with another limit of a request's body, in bytes.
+func (s *site) limitBodies(bytes int64) {
+	s.maxBody = bytes
+	s.configure(2, s.defaultRoutes(1)...)
+}
+
 // answer is the response to a caller.
 type answer struct {
 	status int // 0: no response
--- a/internal/gatewayhost/callerconn.go
+++ b/internal/gatewayhost/callerconn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
@@ -19,13 +20,14 @@
 type limitedListener struct {
 	net.Listener
 	limits limitsSource
+	memory *membudget.Budget // of the heads being received; nil: no limit
 
 	mu    sync.Mutex
 	conns map[*callerConn]bool
 }
 
-func newLimitedListener(ln net.Listener, limits limitsSource) *limitedListener {
-	return &limitedListener{Listener: ln, limits: limits, conns: map[*callerConn]bool{}}
+func newLimitedListener(ln net.Listener, limits limitsSource, memory *membudget.Budget) *limitedListener {
+	return &limitedListener{Listener: ln, limits: limits, memory: memory, conns: map[*callerConn]bool{}}
 }
 
 // Accept waits for the next connection.
@@ -34,7 +36,7 @@
 	if err != nil {
 		return nil, err
 	}
-	conn := &callerConn{Conn: c, limits: l.limits}
+	conn := &callerConn{Conn: c, limits: l.limits, head: callerHead{conn: c, budget: l.memory}}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.conns[conn] = true
@@ -79,6 +81,9 @@
 		return
 	}
 	conn.setState(s)
+	if s != http.StateNew {
+		conn.head.end()
+	}
 	if s == http.StateClosed || s == http.StateHijacked {
 		l.mu.Lock()
 		defer l.mu.Unlock()
@@ -92,6 +97,7 @@
 type callerConn struct {
 	net.Conn
 	limits limitsSource
+	head   callerHead
 	// responded is set after a response: the next read deadline is the idle timeout
 	// before another request.
 	responded atomic.Bool
@@ -108,6 +114,9 @@
 // closed are dropped, so that no request is served whose response would be lost.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if refused := c.head.received(n, c.isServing()); refused != nil {
+		return 0, refused
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
--- a/internal/gatewayhost/callerconn_test.go
+++ b/internal/gatewayhost/callerconn_test.go
@@ -31,7 +31,7 @@
 		var limits atomic.Pointer[routing.Limits]
 		limits.Store(&routing.Limits{})
 		handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-		l := newCallerListener(on, func() routing.Limits { return *limits.Load() }, handler, event.Discard())
+		l := newCallerListener(on, func() routing.Limits { return *limits.Load() }, nil, handler, event.Discard())
 		if err := l.Start(t.Context()); err != nil {
 			t.Fatal(err)
 		}
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -332,7 +332,7 @@
 	if l.Err != nil {
 		return nil, l.Err
 	}
-	h.callers = newCallerListener(h.listeners.callers, state.Limits, g, h.log)
+	h.callers = newCallerListener(h.listeners.callers, state.Limits, h.memory.Callers, g, h.log)
 	h.callers.beforeCut = g.ConnectionsClosed
 	return h.callers, nil
 }
--- a/internal/gatewayhost/servers.go
+++ b/internal/gatewayhost/servers.go
@@ -14,6 +14,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
 	"rhubarbwood.example/rhubarbwood/internal/listen"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 )
 
 // Limits of a connection where the configuration sets none. maxHeaderBytes exceeds the
@@ -23,6 +24,8 @@
 	defaultHeaderTimeout = 10 * time.Second
 	defaultIdleTimeout   = 2 * time.Minute
 	maxHeaderBytes       = 256 << 10 // 16 times the limit in known configurations
+	// maxProbeHeaderBytes is the limit for readiness checks and scrapes of metrics.
+	maxProbeHeaderBytes = 16 << 10
 )
 
 // listeners are the open listeners of a host.
@@ -60,7 +63,7 @@
 			Handler:           h,
 			ReadHeaderTimeout: defaultHeaderTimeout,
 			IdleTimeout:       defaultIdleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
+			MaxHeaderBytes:    maxProbeHeaderBytes,
 			ErrorLog:          log.New(serverLog{l, name}, "", 0),
 		},
 	}
@@ -106,9 +109,10 @@
 	beforeCut func()
 }
 
-func newCallerListener(ln net.Listener, limits limitsSource, h http.Handler, log *event.Log) *callerListener {
-	conns := newLimitedListener(ln, limits)
+func newCallerListener(ln net.Listener, limits limitsSource, memory *membudget.Budget, h http.Handler, log *event.Log) *callerListener {
+	conns := newLimitedListener(ln, limits, memory)
 	l := newHTTPListener("callers", conns, h, log)
+	l.server.MaxHeaderBytes = maxHeaderBytes
 	l.server.ConnState = conns.trackState
 	l.server.ConnContext = callerContext
 	return &callerListener{httpListener: l, conns: conns, beforeCut: func() {}}
--- a/internal/targetconn/conn.go
+++ b/internal/targetconn/conn.go
@@ -285,7 +285,7 @@
 	}
 	if err != nil {
 		memory.Release()
-		return a, false, memoryError(err, memory)
+		return a, false, limitError(err, memory)
 	}
 	a.Memory = memory
 	return a, reusable, nil
@@ -303,8 +303,9 @@
 	if err := memory.Grow(headerMemory(resp.Header)); err != nil {
 		return a, false, err
 	}
-	// The body is not closed: that would read the rest of one that was given up, which may have no end.
-	body, err := readBody(resp, r.MaxBodyBytes, memory)
+	// A body without a length ends with the connection and is complete unless the connection is reset. The body is
+	// not closed: that would read the rest of one that was given up, which may have no end.
+	body, err := membudget.ReadAll(resp.Body, resp.ContentLength, r.MaxBodyBytes, memory)
 	if err != nil {
 		return a, false, err
 	}
