Platform: responses of the store are limited together, and in their items

Cause: the header of a response had the limit of net/http, 10 MB, and bodies one of 8 MB, but calls at once had none together. A short body of very many items, and a list without a last page, were decoded and kept whole. A packed configuration of a peer, and a packed record, could unpack to 64 MB.

What exceeds a limit counts as unanswered at once, as before, or as unavailable for a list of several pages. 1006 names verb, kind, limit, received and maximum, and a metric counts. Unpacked configurations have 16 MB and records 32 MB at most.

Ruled out: closing the body, which ends the connection of a net/http client and does not read on.

--- a/internal/cli/records.go
+++ b/internal/cli/records.go
@@ -19,7 +19,7 @@
 func withRecords(s gatewayhost.Settings, use func(context.Context, objstore.Records) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), recordsTimeout)
 	defer cancel()
-	records := objstore.NewLimitedRecords(s.Platform, gatewayhost.UserPlatform().Records(s.Platform), event.Discard(), prometheus.NewRegistry())
+	records := objstore.NewLimitedRecords(s.Platform, gatewayhost.UserPlatform().Records(s.Platform, nil), event.Discard(), prometheus.NewRegistry())
 	defer records.Close()
 	return use(ctx, records)
 }
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -53,7 +53,7 @@
 // runReport runs a report statement on the records in the store that the
 // settings name.
 func runReport(ctx context.Context, s gatewayhost.Settings, p gatewayhost.Platform, statement lang.Statement) (statements.Table, error) {
-	records := objstore.NewLimitedRecords(s.Platform, p.Records(s.Platform), event.Discard(), prometheus.NewRegistry())
+	records := objstore.NewLimitedRecords(s.Platform, p.Records(s.Platform, nil), event.Discard(), prometheus.NewRegistry())
 	defer records.Close()
 	read, err := p.Source(records).Config(ctx)
 	if err != nil {
--- a/internal/delivery/codec.go
+++ b/internal/delivery/codec.go
@@ -16,7 +16,7 @@
 const (
 	formatVersion   = 1
 	maxValueBytes   = objstore.MaxValue - 4096 // leaves room for what the platform adds to a value
-	maxDecodedBytes = 64 << 20                 // of one object; limits the memory that a corrupt object can use
+	maxDecodedBytes = 32 << 20                 // of one object; limits the memory that a corrupt object can use
 )
 
 // envelope is the value of every object of this package. Data is a
--- a/internal/discovery/encode.go
+++ b/internal/discovery/encode.go
@@ -9,8 +9,9 @@
 	"rhubarbwood.example/rhubarbwood/internal/routing"
 )
 
-// maxConfigBytes limits the uncompressed size of a configuration received from a peer.
-const maxConfigBytes = 64 << 20
+// maxConfigBytes limits the uncompressed size of a configuration received from a peer: the store's objects have 1 MB,
+// and a short message may unpack to a thousand times its size.
+const maxConfigBytes = 16 << 20
 
 // encodedConfig caches the encoded form of the configuration last sent to a peer. A configuration
 // of 1,400 routes is 260 KB of JSON; compressed once for all polling hosts it is a tenth of that,
--- a/internal/gatewayhost/fleet_test.go
+++ b/internal/gatewayhost/fleet_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/event"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/standin"
 	"rhubarbwood.example/rhubarbwood/internal/standin/objectstore"
@@ -522,7 +523,7 @@
 	}
 	p := &fleetHostProcess{network: &hostNetwork{network: f.network, fleet: f}}
 	onPlatform := UserPlatform()
-	onPlatform.Records = func(c objstore.Config) objstore.Records {
+	onPlatform.Records = func(c objstore.Config, _ *membudget.Budget) objstore.Records {
 		return platform.NewObjectsOver(p.network.Dial, c.Addresses...)
 	}
 	var err error
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -180,7 +180,7 @@
 
 func (h *Host) newPlatform(kernel.Finder) (kernel.Module, error) {
 	cfg := h.settings.Platform
-	records := objstore.NewLimitedRecords(cfg, h.platform.Records(cfg), h.log, h.metrics)
+	records := objstore.NewLimitedRecords(cfg, h.platform.Records(cfg, h.memory.Store), h.log, h.metrics)
 	records.SetClock(h.system.Clock)
 	return platformModule{records}, nil
 }
--- a/internal/gatewayhost/platform.go
+++ b/internal/gatewayhost/platform.go
@@ -3,6 +3,7 @@
 import (
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
 	"rhubarbwood.example/rhubarbwood/internal/gateway"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/rollouts"
 	"rhubarbwood.example/rhubarbwood/platform"
@@ -10,8 +11,9 @@
 
 // Platform is the interface of a host to the platform that it runs on.
 type Platform struct {
-	// Records returns a client of the object API at the addresses of the settings.
-	Records func(objstore.Config) objstore.Records
+	// Records returns a client of the object API at the addresses of the settings. What its responses hold is charged
+	// to the budget; nil: no limit.
+	Records func(objstore.Config, *membudget.Budget) objstore.Records
 	// Source returns the configuration and the target registry in the records.
 	Source func(objstore.Records) discovery.Source
 	// Statuses writes the status of rollout orders in the records.
@@ -22,8 +24,10 @@
 // UserPlatform returns the adapter to the users' platform.
 func UserPlatform() Platform {
 	return Platform{
-		Records: func(c objstore.Config) objstore.Records {
-			return platform.NewObjects(c.Timeout.Std(), c.Addresses...)
+		Records: func(c objstore.Config, memory *membudget.Budget) objstore.Records {
+			o := platform.NewObjects(c.Timeout.Std(), c.Addresses...)
+			o.LimitMemory(memory)
+			return o
 		},
 		Source:   func(r objstore.Records) discovery.Source { return platform.NewSource(r) },
 		Statuses: func(r objstore.Records) rollouts.Statuses { return platform.NewSource(r) },
--- a/internal/objstore/limitedrecords.go
+++ b/internal/objstore/limitedrecords.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,6 +34,7 @@
 	records           Records
 	limiter           *rate.Limiter
 	unreadableLimiter *rate.Limiter // log lines about records that can't be decoded
+	limitLogs         *rate.Limiter // log lines about responses that exceed a limit
 	reachable         atomic.Bool
 	eraMu             sync.Mutex
 	eraKnown          bool   // a response has been received, so a change of the era means a restore
@@ -56,11 +58,18 @@
 	unreadableLogBurst      = 20
 )
 
+// Rate and burst of the log lines about responses that exceed a limit. A call that is made again may exceed it again.
+const (
+	limitLogsPerSecond = 1
+	limitLogBurst      = 20
+)
+
 // NewLimitedRecords wraps records with the limits of cfg, which must be valid.
 func NewLimitedRecords(cfg Config, records Records, log *event.Log, reg prometheus.Registerer) *LimitedRecords {
 	return &LimitedRecords{
 		cfg: cfg, records: records, openedWallTime: time.Now(), openedAt: time.Now(), log: log, metrics: newMetrics(reg),
 		limiter: rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.Burst), unreadableLimiter: rate.NewLimiter(unreadableLogsPerSecond, unreadableLogBurst),
+		limitLogs: rate.NewLimiter(limitLogsPerSecond, limitLogBurst),
 	}
 }
 
@@ -70,7 +79,7 @@
 
 // Get implements Records.
 func (g *LimitedRecords) Get(ctx context.Context, kind, name string) (r Record, err error) {
-	err = g.call(ctx, verbGet, 0, func(ctx context.Context) (err error) {
+	err = g.call(ctx, verbGet, kind, 0, func(ctx context.Context) (err error) {
 		r, err = g.records.Get(ctx, kind, name)
 		return err
 	})
@@ -79,7 +88,7 @@
 
 // List implements Records.
 func (g *LimitedRecords) List(ctx context.Context, kind, after string) (p RecordPage, err error) {
-	err = g.call(ctx, verbList, 0, func(ctx context.Context) (err error) {
+	err = g.call(ctx, verbList, kind, 0, func(ctx context.Context) (err error) {
 		p, err = g.records.List(ctx, kind, after)
 		return err
 	})
@@ -102,7 +111,7 @@
 
 // Watch implements Records. The timeout is added to the wait.
 func (g *LimitedRecords) Watch(ctx context.Context, kind string, after revision.Revision, wait time.Duration) (p RecordPage, err error) {
-	err = g.call(ctx, verbWatch, wait, func(ctx context.Context) (err error) {
+	err = g.call(ctx, verbWatch, kind, wait, func(ctx context.Context) (err error) {
 		p, err = g.records.Watch(ctx, kind, after, wait)
 		return err
 	})
@@ -112,7 +121,7 @@
 
 // Create implements Records.
 func (g *LimitedRecords) Create(ctx context.Context, kind, name string, spec json.RawMessage) (r Record, err error) {
-	err = g.call(ctx, verbPut, 0, func(ctx context.Context) (err error) {
+	err = g.call(ctx, verbPut, kind, 0, func(ctx context.Context) (err error) {
 		r, err = g.records.Create(ctx, kind, name, spec)
 		return err
 	})
@@ -121,7 +130,7 @@
 
 // Replace implements Records.
 func (g *LimitedRecords) Replace(ctx context.Context, kind, name string, revision uint64, spec json.RawMessage) (r Record, err error) {
-	err = g.call(ctx, verbPut, 0, func(ctx context.Context) (err error) {
+	err = g.call(ctx, verbPut, kind, 0, func(ctx context.Context) (err error) {
 		r, err = g.records.Replace(ctx, kind, name, revision, spec)
 		return err
 	})
@@ -130,7 +139,7 @@
 
 // ReplaceStatus implements Records. It counts as a put.
 func (g *LimitedRecords) ReplaceStatus(ctx context.Context, kind, name string, revision uint64, status json.RawMessage) (r Record, err error) {
-	err = g.call(ctx, verbPut, 0, func(ctx context.Context) (err error) {
+	err = g.call(ctx, verbPut, kind, 0, func(ctx context.Context) (err error) {
 		r, err = g.records.ReplaceStatus(ctx, kind, name, revision, status)
 		return err
 	})
@@ -139,14 +148,14 @@
 
 // Delete implements Records.
 func (g *LimitedRecords) Delete(ctx context.Context, kind, name string, revision uint64) error {
-	return g.call(ctx, verbDelete, 0, func(ctx context.Context) error {
+	return g.call(ctx, verbDelete, kind, 0, func(ctx context.Context) error {
 		return g.records.Delete(ctx, kind, name, revision)
 	})
 }
 
 // Hosts implements Records.
 func (g *LimitedRecords) Hosts(ctx context.Context) (hosts []ListedHost, err error) {
-	err = g.call(ctx, verbHosts, 0, func(ctx context.Context) (err error) {
+	err = g.call(ctx, verbHosts, "", 0, func(ctx context.Context) (err error) {
 		hosts, err = g.records.Hosts(ctx)
 		return err
 	})
@@ -174,13 +183,14 @@
 
 // call makes one call, subject to the rate limit and the timeout; wait is
 // added to the timeout.
-func (g *LimitedRecords) call(ctx context.Context, verb string, wait time.Duration, do func(context.Context) error) error {
+func (g *LimitedRecords) call(ctx context.Context, verb, kind string, wait time.Duration, do func(context.Context) error) error {
 	start := time.Now()
 	limited, cancel := context.WithTimeout(ctx, g.cfg.Timeout.Std()+wait)
 	defer cancel()
 	err := g.takeToken(limited, verb)
 	if err == nil {
 		err = do(limited)
+		g.reportLimit(verb, kind, err)
 		g.logReachability(ctx, verb, err)
 		g.logEra(verb)
 	}
@@ -197,6 +207,19 @@
 	return nil
 }
 
+// reportLimit counts and logs a response that exceeded a limit.
+func (g *LimitedRecords) reportLimit(verb, kind string, err error) {
+	var exceeded *LimitError
+	if !errors.As(err, &exceeded) {
+		return
+	}
+	g.metrics.limited.WithLabelValues(verb, exceeded.Limit).Inc()
+	if g.limitLogs.Allow() {
+		g.log.Event(evResponseLimit).Str("verb", verb).Str("kind", kind).Str("limit", exceeded.Limit).
+			Int64("received", exceeded.Received).Int64("max", exceeded.Max).Msg("")
+	}
+}
+
 // logReachability logs when the platform becomes reachable or unreachable. A
 // failed call that the caller had cancelled is ignored.
 func (g *LimitedRecords) logReachability(ctx context.Context, verb string, err error) {
--- a/internal/objstore/metrics.go
+++ b/internal/objstore/metrics.go
@@ -22,6 +22,7 @@
 	calls      *prometheus.CounterVec
 	seconds    *prometheus.HistogramVec
 	unreadable *prometheus.CounterVec
+	limited    *prometheus.CounterVec
 	era        prometheus.Gauge
 }
 
@@ -32,6 +33,10 @@
 			Name: "rhubarbwood_platform_unreadable_records_total",
 			Help: "Records that could not be read, by kind, each time that they were met.",
 		}, []string{"kind"}),
+		limited: f.NewCounterVec(prometheus.CounterOpts{
+			Name: "rhubarbwood_platform_responses_over_limit_total",
+			Help: "Responses of the platform that were given up as they exceeded a limit, by verb and limit.",
+		}, []string{"verb", "limit"}),
 		era: f.NewGauge(prometheus.GaugeOpts{
 			Name: "rhubarbwood_platform_era",
 			Help: "Times that the platform came back from an older copy, as it tells; 0 if it tells none.",
--- a/internal/objstore/records.go
+++ b/internal/objstore/records.go
@@ -84,13 +84,29 @@
 	return fmt.Sprintf("record %s stands at revision %d", c.Current.Name, c.Current.Revision)
 }
 
+const (
+	// maxListBytes is the maximum size of all pages of a list, so that a list without an end does not use up the memory.
+	maxListBytes = 32 << 20
+	// recordBytes is the memory of a record in addition to what it holds.
+	recordBytes = 200
+)
+
+// size returns about how much memory the records of a page take, in bytes.
+func (p RecordPage) size() int {
+	n := 0
+	for _, r := range p.Records {
+		n += recordBytes + len(r.Name) + len(r.Spec) + len(r.Status)
+	}
+	return n
+}
+
 // ListAll reads all pages of a kind and returns their records as one page. The revision is that
 // of the first page, so that a watch from there returns the changes made while the other pages were
 // read. It fails with ErrCompacted if the platform is restored from an older copy meanwhile, since
-// pages from before and after a restore are not consistent.
+// pages from before and after a restore are not consistent. A list that exceeds maxListBytes fails with a *LimitError.
 func ListAll(ctx context.Context, records Records, kind string) (RecordPage, error) {
 	var all RecordPage
-	after := ""
+	after, size := "", 0
 	for first := true; ; first = false {
 		page, err := records.List(ctx, kind, after)
 		if err != nil {
@@ -102,6 +118,9 @@
 		if page.Revision.Era != all.Revision.Era {
 			return RecordPage{}, ErrCompacted
 		}
+		if size += page.size(); size > maxListBytes {
+			return RecordPage{}, &Unavailable{Cause: Error.New("list %s: %w", kind, &LimitError{Limit: LimitList, Received: int64(size), Max: maxListBytes})}
+		}
 		all.Records = append(all.Records, page.Records...)
 		next := page.After()
 		if !page.More || next <= after {
