Peers: messages are limited in the memory that they hold together

Cause: a message between hosts had a limit, 16 MB, of which drpc holds up to twice the bytes, and keeps these buffers as long as the connection. Dozens of connections had no limit together.

A connection is charged to the peers' budget for the largest message it has carried, from its first byte until the connection is closed. When the budget is used up the connection with the largest message is closed. The end of a message is where its stream has received it, or where its call ends.

Ruled out: a smaller limit of one message, since the state of a host comes in one message, and counting calls, since an attacker begins none.

--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -194,7 +194,7 @@
 }
 
 func (h *Host) newPeerPool(kernel.Finder) (kernel.Module, error) {
-	opts := []peer.Option{peer.WithMetrics(h.peerMetrics)}
+	opts := []peer.Option{peer.WithMetrics(h.peerMetrics), peer.WithMemory(h.memory.Peers)}
 	if h.system.Dial != nil {
 		opts = append(opts, peer.WithDial(h.system.Dial))
 	}
@@ -202,7 +202,7 @@
 }
 
 func (h *Host) newPeers(kernel.Finder) (kernel.Module, error) {
-	s := peer.NewServer(h.settings.Addresses.Peers, peer.WithMetrics(h.peerMetrics))
+	s := peer.NewServer(h.settings.Addresses.Peers, peer.WithMetrics(h.peerMetrics), peer.WithMemory(h.memory.Peers))
 	s.UseListener(h.listeners.peers)
 	return s, nil
 }
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -44,21 +44,25 @@
 	return fmt.Sprintf("the message of %d bytes was given up: messages of %s hold %d of %d bytes", e.Size, e.Source, e.Held, e.Max)
 }
 
+// errReleased means that a message was released while it was still read.
+var errReleased = Error.New("the message was released")
+
 // Message is the memory of one message. It is released once the message is no longer used.
 type Message struct {
 	budget *Budget
-	// abort makes pending and further reads of the message fail. It must not block.
+	// abort makes pending and further reads of the message fail. It is called with the budget's lock held.
 	abort func()
 
 	// The fields below are guarded by the budget's lock.
 	size     int64 // bytes
 	endless  bool  // its length is not known: it may have no end
 	complete bool
+	released bool
 	givenUp  *ExceededError
 }
 
 // Open returns a message of 0 bytes. abort is called if the message is given up for others; it must make pending
-// reads of the message fail, and must not block.
+// reads of the message fail, and must neither block nor use the budget.
 func (b *Budget) Open(abort func()) *Message { return &Message{budget: b, abort: abort, endless: true} }
 
 // HasLength records that the length of the message is known: it is given up only after those that may have no end.
@@ -80,8 +84,11 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if m.givenUp != nil {
+	switch {
+	case m.givenUp != nil:
 		return m.givenUp
+	case m.released:
+		return errReleased
 	}
 	b.add(m, n)
 	for b.held > b.maxFor(m) {
@@ -128,7 +135,7 @@
 	return nil
 }
 
-// Release frees the memory of the message. It may be called more than once.
+// Release frees the memory of the message, which can't grow any more. It may be called more than once.
 func (m *Message) Release() {
 	b := m.budget
 	if b == nil {
@@ -136,7 +143,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	m.complete = true
+	m.complete, m.released = true, true
 	b.add(m, -m.size)
 }
 
--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -108,9 +108,7 @@
 			case 2:
 				m.Release()
 			default:
-				if !m.complete {
-					_ = m.Grow(rapid.Int64Range(1, 4<<20).Draw(t, "bytes"))
-				}
+				_ = m.Grow(rapid.Int64Range(1, 4<<20).Draw(t, "bytes"))
 			}
 			if b.held > b.max || b.held < 0 {
 				t.Fatalf("%d bytes held of %d", b.held, b.max)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 )
 
 // countedConn is a connection whose bytes are counted by class. All calls on a
@@ -18,21 +20,47 @@
 	unclassifiedRead atomic.Int64 // bytes read before the class was known
 	onClose          func(*countedConn)
 	closeOnce        sync.Once
+
+	memory  *membudget.Message // what the connection's buffers hold
+	message atomic.Int64       // bytes read of the current message
+	charged atomic.Int64       // bytes of the largest message
 }
 
+// bufferFactor is how much memory drpc takes for a byte of a message: the frames and the message assembled from them.
+// Both buffers are kept until the connection is closed, so that they are charged for the largest message so far.
+const bufferFactor = 2
+
 // counters are the byte counters of one class.
 type counters struct{ in, out prometheus.Counter }
 
 // countConn counts c as open and calls onClose once when it closes.
-func countConn(c net.Conn, m *Metrics, side string, onClose func(*countedConn)) *countedConn {
-	gauge := m.connections.WithLabelValues(side)
+func countConn(c net.Conn, o options, side string, onClose func(*countedConn)) *countedConn {
+	gauge := o.metrics.connections.WithLabelValues(side)
 	gauge.Inc()
-	return &countedConn{Conn: c, metrics: m, onClose: func(c *countedConn) {
-		gauge.Dec()
-		onClose(c)
-	}}
+	return &countedConn{
+		Conn: c, metrics: o.metrics,
+		memory: o.memory.Open(func() { _ = c.Close() }), // drpc then closes the counted connection
+		onClose: func(c *countedConn) {
+			gauge.Dec()
+			onClose(c)
+		},
+	}
 }
 
+// charge charges n bytes of the current message.
+func (c *countedConn) charge(n int) error {
+	size := c.message.Add(int64(n))
+	more := size - c.charged.Load()
+	if more <= 0 {
+		return nil
+	}
+	c.charged.Store(size)
+	return c.memory.Grow(bufferFactor * more)
+}
+
+// endMessage records that the current message was received, or is not read any more.
+func (c *countedConn) endMessage() { c.message.Store(0) }
+
 // setClass sets the class of the connection's calls; only the first call of
 // setClass has an effect.
 func (c *countedConn) setClass(cl class) {
@@ -53,6 +81,9 @@
 	} else {
 		c.unclassifiedRead.Add(int64(n))
 	}
+	if err := c.charge(n); err != nil {
+		return 0, Error.New("read message: %w", err)
+	}
 	return n, err
 }
 
@@ -69,7 +100,10 @@
 // Close closes the connection.
 func (c *countedConn) Close() error {
 	err := c.Conn.Close()
-	c.closeOnce.Do(func() { c.onClose(c) })
+	c.closeOnce.Do(func() {
+		c.memory.Release()
+		c.onClose(c)
+	})
 	return err
 }
 
--- a/internal/peer/options.go
+++ b/internal/peer/options.go
@@ -6,6 +6,7 @@
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
 
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/netdial"
 )
 
@@ -24,6 +25,7 @@
 
 type options struct {
 	metrics         *Metrics
+	memory          *membudget.Budget // nil: no limit
 	dial            netdial.Func
 	hardCancel      bool          // a cancelled call closes its connection; for benchmarks
 	softCancelGrace time.Duration // the constant of this name, or longer in tests
@@ -33,6 +35,9 @@
 // in-memory connections.
 func WithDial(dial netdial.Func) Option { return func(o *options) { o.dial = dial } }
 
+// WithMemory charges what the connections' messages hold to a budget. A connection whose message exceeds it is closed.
+func WithMemory(b *membudget.Budget) Option { return func(o *options) { o.memory = b } }
+
 // WithMetrics counts calls, bytes and connections in m.
 func WithMetrics(m *Metrics) Option { return func(o *options) { o.metrics = m } }
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -108,9 +108,9 @@
 		p.releaseConn(k, u)
 		return nil, notSent{err}
 	}
-	counted := countConn(c, p.opts.metrics, sideClient, func(*countedConn) { p.releaseConn(k, u) })
+	counted := countConn(c, p.opts, sideClient, func(*countedConn) { p.releaseConn(k, u) })
 	counted.setClass(k.class)
-	return clientConn{drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: p.opts.managerOptions(sideClient)})}, nil
+	return clientConn{drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: p.opts.managerOptions(sideClient)}), counted}, nil
 }
 
 // reserveConn counts a connection that is about to be dialled; releaseConn must
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -198,6 +198,8 @@
 	if tr, ok := drpcctx.Transport(stream.Context()); ok {
 		if c, ok := tr.(*countedConn); ok {
 			c.setClass(classOf(rpc))
+			stream = countMessages(stream, c)
+			defer c.endMessage()
 		}
 	}
 	mayRun := h.server.beginCall()
@@ -234,7 +236,7 @@
 func (l listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err == nil {
-		counted := countConn(c, l.server.opts.metrics, sideServer, l.server.removeConn)
+		counted := countConn(c, l.server.opts, sideServer, l.server.removeConn)
 		l.server.addConn(counted)
 		return counted, nil
 	}
