Relay: answers of targets have a limit on their head and on their sum

Cause: the head of a target's answer had the limit of net/http, 10 MB, in which 1xx responses count too, and answers of many targets, 4 MB each, had no limit together; a body got the memory that its length announced at once.

Heads have 32 KB; answers, also those that settle a reservation, are charged to the targets' budget until they are decoded, with three times their size for the decoding. A host of this interface has 1,024 MB unless its settings name memory.limit_mb; its store, its peers and its targets share the budgets that gateway hosts have. Headers of callers and operators have 32 KB, not 1 MB.

Ruled out: callers' bodies, which have 64 KB and five seconds. The list of settings in TestEveryProblemIsReportedWithItsPlace has the new name.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -62,12 +62,16 @@
 	return newServer(cfg, address, withRequestID(handler), log)
 }
 
+// maxHeaderBytes is the maximum size of the header of a request.
+const maxHeaderBytes = 32 << 10
+
 func newServer(cfg Config, address string, handler http.Handler, log *event.Log) *Server {
 	return &Server{address: address, log: log, server: &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: cfg.ReadTimeout.Std(),
 		ReadTimeout:       cfg.ReadTimeout.Std(),
 		IdleTimeout:       cfg.IdleTimeout.Std(),
+		MaxHeaderBytes:    maxHeaderBytes,
 	}}
 }
 
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -17,6 +17,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/peer"
 	"rhubarbwood.example/rhubarbwood/internal/relayrpc"
 )
@@ -30,6 +31,7 @@
 	kernel      *kernel.Kernel
 	metrics     *prometheus.Registry
 	peerMetrics *peer.Metrics
+	memory      *membudget.Budgets // of the messages of other processes
 	listeners   listeners
 	modules     modules
 }
@@ -57,6 +59,7 @@
 		listeners: ln,
 	}
 	h.peerMetrics = peer.NewMetrics(h.metrics)
+	h.memory = membudget.New(s.Memory, h.metrics)
 	h.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	h.kernel = kernel.New(h.lifecycle, s.Stop.ModuleTimeout.Std(), log)
 	h.register()
--- a/internal/host/modules.go
+++ b/internal/host/modules.go
@@ -59,17 +59,18 @@
 func (h *Host) newPlatform(kernel.Finder) (kernel.Module, error) {
 	cfg := h.settings.Platform
 	records := platform.NewObjects(cfg.Timeout.Std(), cfg.Addresses...)
+	records.LimitMemory(h.memory.Store)
 	limited := objstore.NewLimitedRecords(cfg, records, h.log, h.metrics)
 	limited.SetClock(h.clock)
 	return objstore.New(limited), nil
 }
 
 func (h *Host) newPeerPool(kernel.Finder) (kernel.Module, error) {
-	return peer.NewPool(peer.WithMetrics(h.peerMetrics)), nil
+	return peer.NewPool(peer.WithMetrics(h.peerMetrics), peer.WithMemory(h.memory.Peers)), nil
 }
 
 func (h *Host) newPeerServer(kernel.Finder) (kernel.Module, error) {
-	s := peer.NewServer(h.settings.Addresses.Peers, peer.WithMetrics(h.peerMetrics))
+	s := peer.NewServer(h.settings.Addresses.Peers, peer.WithMetrics(h.peerMetrics), peer.WithMemory(h.memory.Peers))
 	s.UseListener(h.listeners.peers)
 	return s, nil
 }
@@ -120,6 +121,7 @@
 		return nil, l.Err
 	}
 	r := relay.New(h.settings.Relay, services, lastHostView{members}, store, h.log, h.metrics)
+	r.UseMemory(h.memory.Targets)
 	r.SignSender = relayrpc.NewSignSender(pool)
 	return r, relayrpc.RegisterSigns(server, r)
 }
--- a/internal/host/settings.go
+++ b/internal/host/settings.go
@@ -14,6 +14,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/delivery"
 	"rhubarbwood.example/rhubarbwood/internal/entry"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/relay"
 	"rhubarbwood.example/rhubarbwood/internal/settings"
@@ -23,12 +24,13 @@
 // Settings are the settings of one host. The section of a package is that
 // package's Config, which validates itself.
 type Settings struct {
-	ID            string     `json:"host"`           // name of the host, the same at each start
-	FailureDomain string     `json:"failure_domain"` // failure domain that the host stands in, named as in the services' targets
-	Addresses     Addresses  `json:"addresses"`
-	Operators     []Operator `json:"operators"`
-	Log           Log        `json:"log"`
-	Stop          Stop       `json:"stop"`
+	ID            string           `json:"host"`           // name of the host, the same at each start
+	FailureDomain string           `json:"failure_domain"` // failure domain that the host stands in, named as in the services' targets
+	Addresses     Addresses        `json:"addresses"`
+	Operators     []Operator       `json:"operators"`
+	Log           Log              `json:"log"`
+	Stop          Stop             `json:"stop"`
+	Memory        membudget.Config `json:"memory"` // of the process
 
 	Platform objstore.Config `json:"platform"`
 	Member   member.Config   `json:"member"`
@@ -67,6 +69,9 @@
 	HardLimit     unit.Duration `json:"hard_limit"`     // time after which the process ends and says what it cut off
 }
 
+// defaultMemoryMB is the memory of a host's process in MB.
+const defaultMemoryMB = 1024
+
 // Limits of the settings.
 const (
 	minTokenLength = 16
@@ -78,7 +83,8 @@
 // empty: host, failure domain, addresses, operators and the platform's addresses.
 func DefaultSettings() Settings {
 	return Settings{
-		Log: Log{Level: "info"},
+		Log:    Log{Level: "info"},
+		Memory: membudget.Config{LimitMB: defaultMemoryMB},
 		Stop: Stop{
 			BalancerLag:   unit.Duration(5 * time.Second),
 			ModuleTimeout: unit.Duration(35 * time.Second),
--- a/internal/host/settings_test.go
+++ b/internal/host/settings_test.go
@@ -142,7 +142,7 @@
 				`6:16: addresses.callers: callers "localhost": want ip:port, such as "10.0.0.1:8080"`,
 				`10:46: operators[0].token: want at least 16 characters, got 5`,
 				`11:23: api.max_body: max_body must be at least 1 byte`,
-				`11:28: stopp: unknown field; want one of host, failure_domain, addresses, operators, log, stop, platform, member, catalog, relay, claim, delivery, entry, api`,
+				`11:28: stopp: unknown field; want one of host, failure_domain, addresses, operators, log, stop, memory, platform, member, catalog, relay, claim, delivery, entry, api`,
 			},
 		},
 	}
--- a/internal/membudget/config.go
+++ b/internal/membudget/config.go
@@ -10,8 +10,7 @@
 
 // Config sets the memory of the process.
 type Config struct {
-	// LimitMB is the memory of the process, in MB of 2^20 bytes, above which it is ended from outside.
-	LimitMB float64 `json:"limit_mb"`
+	LimitMB float64 `json:"limit_mb"` // memory of the process in MB of 2^20 bytes, above which it is ended from outside
 }
 
 const (
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 	"rhubarbwood.example/rhubarbwood/internal/targetapi"
@@ -105,9 +106,13 @@
 // readResponse reads the response. Unless it is a complete and valid answer to
 // this attempt, or a valid rejection of it, the outcome is Unknown.
 func (t *target) readResponse(res *http.Response, a *attempt) attemptResult {
-	body, err := readBody(res, t.maxAnswerBytes)
+	memory := t.openMemory(res)
+	defer memory.Release() // by then the answer is decoded
+	body, err := t.readBody(res, memory)
 	if err != nil {
-		if errors.Is(err, errTooLarge) {
+		var tooLong *membudget.TooLongError
+		var exceeded *membudget.ExceededError
+		if errors.As(err, &tooLong) || errors.As(err, &exceeded) {
 			return invalidAnswer(err)
 		}
 		return transportFailure(outcome.Unknown, err)
@@ -121,30 +126,29 @@
 	return invalidAnswer(Error.New("unexpected response status %d", res.StatusCode))
 }
 
-var errTooLarge = Error.New("answer exceeds the size limit")
+// decodeFactor is how much memory the decoding of an answer takes in addition to its body, in bytes for each byte of
+// the body.
+const decodeFactor = 3
 
-func readBody(res *http.Response, limit int64) ([]byte, error) {
-	if res.ContentLength > limit {
-		return nil, errTooLarge
-	}
-	if res.ContentLength >= 0 {
-		body := make([]byte, res.ContentLength)
-		if _, err := io.ReadFull(res.Body, body); err != nil {
-			return nil, Error.New("read answer: %w", err)
-		}
-		_, err := res.Body.Read(nil)
-		if err != nil && !errors.Is(err, io.EOF) {
-			return nil, Error.New("read answer: %w", err)
+// openMemory returns the memory of a response. If it is given up for others, its connection is closed.
+func (t *target) openMemory(res *http.Response) *membudget.Message {
+	return t.memory.Open(func() { go func() { _ = res.Body.Close() }() }) // closing may wait for the transport
+}
+
+// readBody reads the whole body of a response, and reserves the memory for decoding it.
+func (t *target) readBody(res *http.Response, memory *membudget.Message) ([]byte, error) {
+	body, err := membudget.ReadAll(res.Body, res.ContentLength, t.maxAnswerBytes, memory)
+	if err == nil && res.ContentLength >= 0 {
+		if _, err = res.Body.Read(nil); errors.Is(err, io.EOF) {
+			err = nil
 		}
-		return body, nil
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, limit+1))
+	if err == nil {
+		err = memory.Grow(decodeFactor * int64(len(body)))
+	}
 	if err != nil {
 		return nil, Error.New("read answer: %w", err)
 	}
-	if int64(len(body)) > limit {
-		return nil, errTooLarge
-	}
 	return body, nil
 }
 
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -65,6 +65,9 @@
 	return n
 }
 
+// maxResponseHeaderBytes is the maximum size of the header of a target's response, those of 1xx responses included.
+const maxResponseHeaderBytes = 32 << 10
+
 // dialFunc opens a connection to a target.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -76,6 +79,8 @@
 		IdleConnTimeout:     r.cfg.IdleTimeout.Std(),
 		DisableCompression:  true,
 		Protocols:           new(http.Protocols),
+
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 	shared := rules.Protocol == protocolH2C
 	tr.Protocols.SetHTTP1(!shared)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,7 @@
 	"rhubarbwood.example/rhubarbwood/internal/event"
 	"rhubarbwood.example/rhubarbwood/internal/kernel"
 	"rhubarbwood.example/rhubarbwood/internal/member"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/netdial"
 	"rhubarbwood.example/rhubarbwood/internal/objstore"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
@@ -54,6 +55,7 @@
 	log     *event.Log
 	metrics *metrics
 	dial    dialFunc
+	memory  *membudget.Budget // of the responses of all targets; nil: no limit
 
 	// SignSender sends signs of leaving targets to other relays. It must be set
 	// before Start; nil disables sending.
--- a/internal/relay/reserve.go
+++ b/internal/relay/reserve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
@@ -259,9 +258,11 @@
 	if res.StatusCode != http.StatusOK {
 		return out, Error.New("settle attempt %s: unexpected HTTP status %d", attemptID, res.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, t.maxAnswerBytes))
+	memory := t.openMemory(res)
+	defer memory.Release() // by then the response is decoded
+	body, err := t.readBody(res, memory)
 	if err != nil {
-		return out, Error.New("settle attempt %s: read response: %w", attemptID, err)
+		return out, Error.New("settle attempt %s: %w", attemptID, err)
 	}
 	if err := json.Unmarshal(body, &out); err != nil {
 		return out, Error.New("settle attempt %s: parse response: %w", attemptID, err)
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"rhubarbwood.example/rhubarbwood/internal/catalog"
+	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/policy"
 	"rhubarbwood.example/rhubarbwood/internal/query"
 	"rhubarbwood.example/rhubarbwood/internal/targetapi"
@@ -19,6 +20,7 @@
 	sameDomain     bool // in the failure domain of this host
 	transport      http.RoundTripper
 	shardURL       *url.URL
+	memory         *membudget.Budget // of the responses of all targets; nil: no limit
 	maxAnswerBytes int64
 	// maxConnections is the maximum number of connections from this relay.
 	maxConnections int
@@ -49,7 +51,7 @@
 
 func (r *Relay) newTarget(s catalog.Service, c catalog.Target, relays int, now time.Time) *target {
 	t := &target{
-		service: s.Name, conf: c, maxAnswerBytes: r.cfg.MaxAnswerBytes,
+		service: s.Name, conf: c, maxAnswerBytes: r.cfg.MaxAnswerBytes, memory: r.memory,
 		maxConnections: maxConnections(s.Rules), exclusive: s.Rules.Protocol != protocolH2C,
 		sameDomain: c.FailureDomain == r.members.Self().FailureDomain,
 		shardURL:   &url.URL{Scheme: "http", Host: c.Address, Path: targetapi.PathShard},
