Gateway host: connections hold few unread bytes; dozens of endless responses

Bytes that were received and not read count for the memory of a host, and the kernel holds up to 6 MB of them for each connection, also of an idle one to a target that sends what nobody asked for.

Connections to targets, and those that a gateway host accepts, hold 64 KB (128 KB with the kernel's own data). Those to the store and to other hosts keep the kernel's default, as they carry megabytes over long distances.

--- a/internal/gateway/registry.go
+++ b/internal/gateway/registry.go
@@ -45,7 +45,7 @@
 }
 
 func newServiceRegistry(cfg Config, host, domain string, hosts func() int) *serviceRegistry {
-	dialer := netdial.New(0) // no timeout of its own: the pool limits the time
+	dialer := netdial.NewLimited(0) // no timeout of its own: the pool limits the time
 	return &serviceRegistry{
 		cfg: cfg, hostID: host, failureDomain: domain, knownHosts: hosts, dial: dialer.DialContext, services: map[string]*service{},
 		coldSignal: make(chan struct{}, 1), startedAt: time.Now(),
--- a/internal/gatewayhost/host.go
+++ b/internal/gatewayhost/host.go
@@ -86,7 +86,13 @@
 }
 
 // LocalSystem returns the network and the clock of the operating system.
-func LocalSystem() System { return System{Listen: net.Listen, Clock: clock.New()} }
+func LocalSystem() System {
+	listener := net.ListenConfig{Control: netdial.LimitUnread}
+	listenLimited := func(network, address string) (net.Listener, error) {
+		return listener.Listen(context.Background(), network, address)
+	}
+	return System{Listen: listenLimited, Clock: clock.New()}
+}
 
 // NewWithSystem is New with the given network and clock instead of those of the operating system.
 func NewWithSystem(system System, s Settings, p Platform, log *event.Log) (*Host, error) {
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -48,7 +48,7 @@
 				got, err := f.search(context.Background(), batch(8, time.Second))
 				is.NoErr(err)
 				for _, r := range got {
-					is.Equal(r.Outcome, outcome.Done) // the other target answers
+					is.Equal(r.Outcome, outcome.Done)       // the other target answers
 					is.True(r.after < 100*time.Millisecond) // with the queue at the other target
 				}
 				is.True(f.targets[0].requestCount() > 0)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -76,7 +76,7 @@
 // is not polled and comes from ApplyHostList only.
 func New(cfg Config, view catalog.View, members member.View, hosts HostLister,
 	log *event.Log, reg prometheus.Registerer) *Relay {
-	dialer := netdial.New(0) // dialTarget bounds each dial by ConnectTimeout
+	dialer := netdial.NewLimited(0) // dialTarget bounds each dial by ConnectTimeout
 	r := &Relay{
 		cfg: cfg, view: view, members: members, hosts: hosts, log: log,
 		metrics: newMetrics(reg), dial: dialer.DialContext,
