Gateway: a request without an answer ends with its connection

Cause: net/http takes the end of what a caller sends for its departure; the gateway then writes nothing, and net/http answers 200 for a handler that returns without a response. Ruled out: a cut answer of the target, which would have its signature.

A request for which nothing was written panics with http.ErrAbortHandler after it was recorded, which closes the connection; this holds for every way out of the handler. Half-closing callers count as gone as before.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -134,6 +134,9 @@
 	defer r.memory.release()
 	g.serveRecovering(w, r, hr)
 	g.record(w)
+	if w.status == 0 {
+		panic(http.ErrAbortHandler) // closes the connection; the HTTP server would answer 200
+	}
 }
 
 // serveRecovering is serve, but answers a request whose processing panics as possibly run. The HTTP server would
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -132,7 +132,7 @@
 	w.problem(status, 0, reason)
 }
 
-// gone records that the connection to the caller ended before an answer.
+// gone records that the caller closed its connection, or its sending side, before an answer. None is written.
 func (w *reply) gone() {
 	w.outcome, w.reasonCode, w.reason = outcome.Unknown, query.ReasonCallerLeft, "the caller left"
 	if w.gateway.connectionsClosed.Load() {
