Gateway host: OPTIONS * reaches the gateway

Cause: net/http answers it by itself. It is given to the gateway now, which answers 400, as for every path that is none. The test, with a handler of its own, gets 200 on the code before.

--- a/internal/gatewayhost/callerconn_test.go
+++ b/internal/gatewayhost/callerconn_test.go
@@ -119,3 +119,17 @@
 		is.Equal(resp.StatusCode, http.StatusOK)
 	})
 }
+
+// The HTTP server answered "OPTIONS *" by itself with an empty 200.
+func TestOptionsOfTheServerReachTheGateway(t *testing.T) {
+	withCallerListener(t, func(t *testing.T, l *callerListener, _ *atomic.Pointer[routing.Limits], dial func() net.Conn) {
+		is := is.New(t)
+		l.server.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) })
+		c := dial()
+		_, err := io.WriteString(c, "OPTIONS * HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n\r\n")
+		is.NoErr(err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusTeapot)
+	})
+}
--- a/internal/gatewayhost/servers.go
+++ b/internal/gatewayhost/servers.go
@@ -113,6 +113,7 @@
 	conns := newLimitedListener(ln, limits, memory)
 	l := newHTTPListener("callers", conns, h, log)
 	l.server.MaxHeaderBytes = maxHeaderBytes
+	l.server.DisableGeneralOptionsHandler = true // "OPTIONS *" would be answered 200 without the gateway
 	l.server.ConnState = conns.trackState
 	l.server.ConnContext = callerContext
 	return &callerListener{httpListener: l, conns: conns, beforeCut: func() {}}
