--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"rhubarbwood.example/rhubarbwood/internal/discovery"
 	"rhubarbwood.example/rhubarbwood/internal/membudget"
@@ -95,31 +94,13 @@
 	}
 }
 
-// memoryMetric returns a metric of the budget of a source.
-func memoryMetric(t *testing.T, reg *prometheus.Registry, name, source string) int64 {
-	t.Helper()
-	families, err := reg.Gather()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, f := range families {
-		for _, m := range f.GetMetric() {
-			if f.GetName() == name && m.GetLabel()[0].GetValue() == source {
-				return int64(m.GetGauge().GetValue() + m.GetCounter().GetValue())
-			}
-		}
-	}
-	t.Fatalf("no metric %s of %s", name, source)
-	return 0
-}
-
 // Dozens of responses without end, each within the limit of one, held more than the memory of the host together.
 func TestResponsesOfManyEndlessTargetsAreLimitedTogether(t *testing.T) {
 	const bad, sound = 60, 20
 	for _, e := range standin.EndlessResponses(endlessHeader) {
 		t.Run(e.Name, func(t *testing.T) {
-			reg := prometheus.NewRegistry()
-			run(t, options{memory: membudget.New(membudget.Config{LimitMB: 64}, reg)}, func(t *testing.T, s *site) {
+			memory := membudget.New(membudget.Config{LimitMB: 64}, nil)
+			run(t, options{memory: memory}, func(t *testing.T, s *site) {
 				is := is.New(t)
 				s.addEndlessTarget(e)
 				var wg sync.WaitGroup
@@ -138,12 +119,11 @@
 				}
 				wg.Wait()
 				if e.Name == "body without length" || e.Name == "chunks" {
-					is.True(memoryMetric(t, reg, "rhubarbwood_memory_messages_given_up_total", "targets") > 0) // the limits of one don't suffice
+					is.True(memory.Targets.Stats().GivenUp > 0) // the limits of one don't suffice
 				}
-				most := memoryMetric(t, reg, "rhubarbwood_memory_message_max_bytes", "targets")
-				is.True(memoryMetric(t, reg, "rhubarbwood_memory_message_peak_bytes", "targets") <= most)
+				is.True(memory.Targets.Stats().Peak <= memory.Targets.Stats().Max)
 				time.Sleep(timeout)
-				is.Equal(memoryMetric(t, reg, "rhubarbwood_memory_message_bytes", "targets"), int64(0)) // all is released
+				is.Equal(memory.Targets.Stats().Held, int64(0)) // all is released
 			})
 		})
 	}
@@ -185,8 +165,8 @@
 		"trailer":             {"Transfer-Encoding: chunked", "0\r\n" + strings.Repeat("a: b\r\n", 1<<10), []int{http.StatusBadRequest}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			reg := prometheus.NewRegistry()
-			run(t, options{memory: membudget.New(membudget.Config{LimitMB: 64}, reg)}, func(t *testing.T, s *site) {
+			memory := membudget.New(membudget.Config{LimitMB: 64}, nil)
+			run(t, options{memory: memory}, func(t *testing.T, s *site) {
 				is := is.New(t)
 				s.limitBodies(maxBody)
 				var wg sync.WaitGroup
@@ -206,12 +186,11 @@
 				wg.Wait()
 				is.True(time.Since(began) < timeout)
 				if name == "chunks" || name == "length at the limit" {
-					is.True(memoryMetric(t, reg, "rhubarbwood_memory_messages_given_up_total", "callers") > 0) // the limits of one don't suffice
+					is.True(memory.Callers.Stats().GivenUp > 0) // the limits of one don't suffice
 				}
-				most := memoryMetric(t, reg, "rhubarbwood_memory_message_max_bytes", "callers")
-				is.True(memoryMetric(t, reg, "rhubarbwood_memory_message_peak_bytes", "callers") <= most)
+				is.True(memory.Callers.Stats().Peak <= memory.Callers.Stats().Max)
 				time.Sleep(time.Second)
-				is.Equal(memoryMetric(t, reg, "rhubarbwood_memory_message_bytes", "callers"), int64(0)) // all is released
+				is.Equal(memory.Callers.Stats().Held, int64(0)) // all is released
 			})
 		})
 	}
--- a/internal/gatewayhost/callerhead_test.go
+++ b/internal/gatewayhost/callerhead_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -14,7 +13,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/routing"
@@ -37,8 +35,7 @@
 		t.Run(name, func(t *testing.T) {
 			withCallerListener(t, func(t *testing.T, l *callerListener, _ *atomic.Pointer[routing.Limits], dial func() net.Conn) {
 				is := is.New(t)
-				reg := prometheus.NewRegistry()
-				l.conns.memory = membudget.New(membudget.Config{LimitMB: 32}, reg).Callers
+				l.conns.memory = membudget.NewBudget("callers", 4<<20)
 				var wg sync.WaitGroup
 				for range bad {
 					wg.Go(func() {
@@ -68,29 +65,11 @@
 				}
 				wg.Wait()
 				synctest.Wait()
-				metrics := memoryOf(t, reg, "callers")
-				is.True(metrics["peak_bytes"] <= metrics["max_bytes"])
-				is.True(metrics["peak_bytes"] > metrics["max_bytes"]/2) // the heads would have exceeded it
-				is.Equal(metrics["bytes"], 0.0)                         // all is released
+				stats := l.conns.memory.Stats()
+				is.True(stats.Peak <= stats.Max)
+				is.True(stats.Peak > stats.Max/2) // the heads would have exceeded it
+				is.Equal(stats.Held, int64(0))    // all is released
 			})
 		})
 	}
 }
-
-// memoryOf returns the metrics of the messages of a source, without their common prefix.
-func memoryOf(t *testing.T, reg *prometheus.Registry, source string) map[string]float64 {
-	t.Helper()
-	families, err := reg.Gather()
-	if err != nil {
-		t.Fatal(err)
-	}
-	of := map[string]float64{}
-	for _, f := range families {
-		for _, m := range f.GetMetric() {
-			if name, ok := strings.CutPrefix(f.GetName(), "rhubarbwood_memory_message_"); ok && strings.Contains(fmt.Sprint(m.GetLabel()), source) {
-				of[name] = m.GetGauge().GetValue()
-			}
-		}
-	}
-	return of
-}
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -31,6 +31,21 @@
 	return &Budget{source: source, max: max, receiving: map[*Message]struct{}{}}
 }
 
+// Stats are the figures of a budget.
+type Stats struct {
+	Held    int64 // bytes that messages hold
+	Peak    int64 // most bytes that they held at once
+	Max     int64 // bytes that they may hold
+	GivenUp int64 // messages given up
+}
+
+// Stats returns the figures of the budget.
+func (b *Budget) Stats() Stats {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return Stats{Held: b.held, Peak: b.peak, Max: b.max, GivenUp: b.givenUp}
+}
+
 // ExceededError means that a message was given up because the memory of its source was used up.
 type ExceededError struct {
 	Source string
--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
 	"storj.io/drpc/drpcwire"
 
 	"rhubarbwood.example/rhubarbwood/internal/membudget"
@@ -33,38 +32,13 @@
 	}
 }
 
-// peerMemory returns the metrics of the peers' budget: the bytes held, the most, and the limit.
-func peerMemory(t *testing.T, reg *prometheus.Registry) (held, peak, most float64) {
-	t.Helper()
-	families, err := reg.Gather()
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, f := range families {
-		for _, m := range f.GetMetric() {
-			if len(m.GetLabel()) == 0 || m.GetLabel()[0].GetValue() != "peers" {
-				continue
-			}
-			switch f.GetName() {
-			case "rhubarbwood_memory_message_bytes":
-				held = m.GetGauge().GetValue()
-			case "rhubarbwood_memory_message_peak_bytes":
-				peak = m.GetGauge().GetValue()
-			case "rhubarbwood_memory_message_max_bytes":
-				most = m.GetGauge().GetValue()
-			}
-		}
-	}
-	return held, peak, most
-}
-
 // Dozens of connections whose messages don't end held up to twice the largest message each.
 func TestMessagesOfManyPeersAreLimitedTogether(t *testing.T) {
 	for name, send := range endlessPackets() {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			reg := prometheus.NewRegistry()
-			s := serve(t, newRelay(), WithMemory(membudget.New(membudget.Config{LimitMB: 128}, reg).Peers))
+			memory := membudget.NewBudget("peers", 16<<20)
+			s := serve(t, newRelay(), WithMemory(memory))
 			p := pool(t)
 			var wg sync.WaitGroup
 			var conns []net.Conn
@@ -78,9 +52,9 @@
 				is.NoErr(reserve(t.Context(), p, s.Addr(), "now"))
 			}
 			wg.Wait()
-			_, peak, most := peerMemory(t, reg)
-			is.True(peak <= most)
-			is.True(peak > most/2) // without the limit they would hold more
+			stats := memory.Stats()
+			is.True(stats.Peak <= stats.Max)
+			is.True(stats.Peak > stats.Max/2) // without the limit they would hold more
 			for _, c := range conns {
 				_ = c.Close()
 			}
@@ -110,8 +84,8 @@
 					}()
 				}
 			}()
-			reg := prometheus.NewRegistry()
-			p := pool(t, WithMemory(membudget.New(membudget.Config{LimitMB: 64}, reg).Peers))
+			memory := membudget.NewBudget("peers", 8<<20)
+			p := pool(t, WithMemory(memory))
 			s := serve(t, newRelay())
 			var wg sync.WaitGroup
 			for range 20 {
@@ -119,8 +93,7 @@
 				wg.Go(func() { is.NoErr(reserve(t.Context(), p, s.Addr(), "now")) })
 			}
 			wg.Wait()
-			_, peak, most := peerMemory(t, reg)
-			is.True(peak <= most)
+			is.True(memory.Stats().Peak <= memory.Stats().Max)
 		})
 	}
 }
@@ -129,18 +102,16 @@
 // add up.
 func TestMessagesOfAConnectionAreChargedOnce(t *testing.T) {
 	is := is.New(t)
-	reg := prometheus.NewRegistry()
-	s := serve(t, newRelay(), WithMemory(membudget.New(membudget.Config{LimitMB: 64}, reg).Peers))
+	memory := membudget.NewBudget("peers", 8<<20)
+	s := serve(t, newRelay(), WithMemory(memory))
 	p := NewPool()
 	const size = 1 << 20
 	for range 20 {
 		is.NoErr(reserve(t.Context(), p, s.Addr(), string(make([]byte, size))))
 	}
-	held, peak, _ := peerMemory(t, reg)
-	is.True(held >= bufferFactor*size)
-	is.True(peak < 2*bufferFactor*size)
+	is.True(memory.Stats().Held >= bufferFactor*size)
+	is.True(memory.Stats().Peak < 2*bufferFactor*size)
 	is.NoErr(p.Stop(t.Context()))
 	is.NoErr(s.Stop(t.Context()))
-	held, _, _ = peerMemory(t, reg)
-	is.Equal(held, 0.0)
+	is.Equal(memory.Stats().Held, int64(0))
 }
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
 
 	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
@@ -41,8 +40,8 @@
 				is := is.New(t)
 				f := newFixture(8, 2, smallAnswers)
 				defer f.close()
-				reg := prometheus.NewRegistry()
-				f.relay.UseMemory(membudget.New(membudget.Config{LimitMB: 32}, reg).Targets)
+				memory := membudget.NewBudget("targets", 4<<20)
+				f.relay.UseMemory(memory)
 				sent := make(chan int, 100)
 				f.targets[0].serve = sendEndless(e, sent)
 				got, err := f.search(context.Background(), batch(8, time.Second))
@@ -53,6 +52,8 @@
 				}
 				is.True(f.targets[0].requestCount() > 0)
 				synctest.Wait()
+				is.True(memory.Stats().Peak <= memory.Stats().Max)
+				is.Equal(memory.Stats().Held, int64(0)) // all is released
 				for range len(sent) {
 					n := <-sent
 					is.True(n < endlessBytes)
