--- a/internal/objstore/events.go
+++ b/internal/objstore/events.go
@@ -17,8 +17,8 @@
 		"A record in the store can't be decoded; other records are not affected. Lines of this event are rate-limited; rhubarbwood_platform_unreadable_records_total counts every occurrence.",
 		"Find out by kind and name which program wrote the record, and remove it.", "kind", "record", "error")
 	evResponseLimit = event.Define(1006, "platform_response_over_limit", plog.WarnLevel,
-		"A response of the platform was given up because it exceeded a limit: bytes or items of one response, or memory, that of all responses together. received is what came of it, or was announced, in the unit of the limit. The call counts as unanswered. Lines are rate-limited; rhubarbwood_platform_responses_over_limit_total counts every case.",
-		"Check the platform: pages have 1 MB, and a watch returns the changes since the last one. If the same verb recurs, the state of this host may be old; see the page on the platform in OPERATIONS.",
+		"A response of the platform was given up because it exceeded a limit: bytes or items of one response; memory, that of all responses together; or list, that of all pages of a list. received is what came of it, or was announced, in the unit of the limit. The call counts as unanswered, a list as unavailable. Lines are rate-limited; rhubarbwood_platform_responses_over_limit_total counts every case.",
+		"Check what objects of this kind the platform holds. After a watch the host reads everything (10015); if lists recur, what it has of this kind stays old.",
 		"verb", "kind", "limit", "received", "max")
 	evRestored = event.Define(1004, "platform_restored", plog.WarnLevel,
 		"The platform was restored from an older copy: its era has increased. Writes that it acknowledged after that copy was made are lost, and their revisions are assigned again.",
