--- a/internal/objstore/limitedrecords_test.go
+++ b/internal/objstore/limitedrecords_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,7 @@
 	records   map[objectKey]Record
 	changes   []keyedRecord
 	revision  uint64
+	mu        sync.Mutex // guards nextErr and calls, as several kinds are watched at once
 	nextErr   error
 	calls     []string
 	pageSize  int // records per page; 0: no limit
@@ -46,6 +48,8 @@
 }
 
 func (f *fakeRecords) recordCall(call string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.calls = append(f.calls, call)
 	err := f.nextErr
 	f.nextErr = nil
