Relay: few bytes over HTTP/2 are held before they are read

A target of the product's own interface that answers without end over h2c makes a host hold up to 4 MB of each response before it is read, and up to 1 GB of a connection; found by the search for what is received and unread. Not seen at a caller.

Cause: these are the windows of net/http's HTTP/2, whose buffers are in the memory of the process and in no budget. A response has 256 KB and a connection 1 MB now. The test fails without the change: a server can send over 512 KB that nobody reads. Ruled out: HTTP/1.1, where unread bytes are the kernel's, and the socket has 64 KB.

--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -68,6 +68,13 @@
 // maxResponseHeaderBytes is the maximum size of the header of a target's response, those of 1xx responses included.
 const maxResponseHeaderBytes = 32 << 10
 
+// How many bytes of responses over HTTP/2 are held before they are read. They are in the memory of the process; the
+// library's defaults are 4 MB for a response and 1 GB for a connection.
+const (
+	maxUnreadStreamBytes = 256 << 10
+	maxUnreadConnBytes   = 1 << 20
+)
+
 // dialFunc opens a connection to a target.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -81,6 +88,7 @@
 		Protocols:           new(http.Protocols),
 
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		HTTP2:                  &http.HTTP2Config{MaxReceiveBufferPerStream: maxUnreadStreamBytes, MaxReceiveBufferPerConnection: maxUnreadConnBytes},
 	}
 	shared := rules.Protocol == protocolH2C
 	tr.Protocols.SetHTTP1(!shared)
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"rhubarbwood.example/rhubarbwood/internal/catalog"
 	"rhubarbwood.example/rhubarbwood/internal/membudget"
 	"rhubarbwood.example/rhubarbwood/internal/outcome"
 	"rhubarbwood.example/rhubarbwood/internal/standin"
@@ -64,5 +67,38 @@
 	}
 }
 
+// Over HTTP/2 the library holds what was received until it is read: up to 4 MB for each response.
+func TestUnreadBytesOverHTTP2AreLimited(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var sent atomic.Int64
+	server := &http.Server{Protocols: new(http.Protocols), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for block := make([]byte, 16<<10); ; sent.Add(int64(len(block))) {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	})}
+	server.Protocols.SetUnencryptedHTTP2(true)
+	go func() { _ = server.Serve(ln) }()
+	defer func() { _ = server.Close() }()
+
+	r := &Relay{cfg: DefaultConfig(), dial: (&net.Dialer{}).DialContext}
+	transport := r.newTransport(catalog.Rules{Protocol: protocolH2C}, &target{})
+	defer transport.CloseIdleConnections()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+ln.Addr().String(), nil)
+	is.NoErr(err)
+	resp, err := transport.RoundTrip(req)
+	is.NoErr(err)
+	defer func() { _ = resp.Body.Close() }()
+	before := int64(-1)
+	for sent.Load() != before { // until the window is full
+		before = sent.Load()
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.True(before <= 2*maxUnreadStreamBytes)
+}
+
 // endlessWriteBytes is more than one write of an endless answer, which the network takes at once.
 const endlessWriteBytes = 128 << 10
