Memory budgets: a memory that is not known is taken as the default

A deployment whose sheet has 0 for the memory of a host would have had hosts that refuse their settings, as 0 was below the least. 0 means not known now, as for the link, and budgets and the runtime's limit are those of 256 MB. By reading; no deployment known has it. The test covers both.

--- a/internal/membudget/budget_test.go
+++ b/internal/membudget/budget_test.go
@@ -137,6 +137,8 @@
 	is := is.New(t)
 	is.NoErr(DefaultConfig().Validate())
 	is.True(Config{LimitMB: minLimitMB - 1}.Validate() != nil)
+	is.NoErr(Config{}.Validate())
+	is.Equal(Config{}.Limit(), DefaultConfig().Limit()) // a platform may not know it
 	c := Config{LimitMB: 284}
 	budgets := New(c, prometheus.NewRegistry())
 	sum := budgets.Targets.max + budgets.Callers.max + budgets.Peers.max + budgets.Store.max
--- a/internal/membudget/config.go
+++ b/internal/membudget/config.go
@@ -10,12 +10,12 @@
 
 // Config sets the memory of the process.
 type Config struct {
-	LimitMB float64 `json:"limit_mb"` // memory of the process in MB of 2^20 bytes, above which it is ended from outside
+	LimitMB float64 `json:"limit_mb"` // memory of the process in MB of 2^20 bytes, above which it is ended from outside; 0: not known
 }
 
 const (
-	defaultLimitMB = 256
-	minLimitMB     = 32 // a host without load takes about 25 MB
+	defaultLimitMB = 256 // also where it is not known
+	minLimitMB     = 32  // a host without load takes about 25 MB
 )
 
 // DefaultConfig returns the default configuration.
@@ -23,14 +23,19 @@
 
 // Validate checks that the memory suffices for a host.
 func (c Config) Validate() error {
-	if c.LimitMB < minLimitMB {
-		return Error.New("limit_mb %g: want at least %d", c.LimitMB, minLimitMB)
+	if c.LimitMB != 0 && c.LimitMB < minLimitMB {
+		return Error.New("limit_mb %g: want 0 or at least %d", c.LimitMB, minLimitMB)
 	}
 	return nil
 }
 
 // Limit returns the memory of the process in bytes.
-func (c Config) Limit() int64 { return int64(c.LimitMB * (1 << 20)) }
+func (c Config) Limit() int64 {
+	if c.LimitMB == 0 {
+		c.LimitMB = defaultLimitMB
+	}
+	return int64(c.LimitMB * (1 << 20))
+}
 
 // heapShare is the share of the process's memory at which the garbage collector runs as often as needed. The rest
 // is for what the Go runtime does not manage.
